--- /dev/null
+++ b/cli/files.c
@@ -0,0 +1,369 @@
+/*
+ * kwbctl: get, check, diff, apply, edit, history.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../src/core/yaml.h"
+#include "ctl.h"
+
+#define HISTORY_DEFAULT 10
+
+static int lists_add(struct kwb_lists *to, struct kwb_lists *from);
+static void lists_fill(struct kwb_lists *to, const struct kwb_lists *from);
+static int edit_one(const struct kwb_lists *lists, struct ctl *ctl,
+    struct kwb_buf *text);
+static bool replace_field(struct kwb_buf *text, const char *list,
+    const char *name, const char *assignment);
+
+int
+ctl_get(struct ctl *ctl)
+{
+	const char *part = ctl->arguments_count ? ctl->arguments[0] : "";
+	struct kwb_lists *lists = NULL, shown;
+	struct kwb_buf text;
+	int error = kwb_lists_fetch(&ctl->platform, &lists);
+
+	if (error != 0)
+		return ctl_fail(error, "get");
+	shown = *lists;
+	if (strcmp(part, "plans") == 0)
+		shown.allowances_count = 0;
+	if (strcmp(part, "allowances") == 0)
+		shown.plans_count = 0;
+	kwb_buf_init(&text);
+	kwb_lists_print(&shown, &text);
+	fputs(kwb_buf_text(&text), stdout);
+	kwb_buf_finish(&text);
+	kwb_lists_unload(lists);
+	return EXIT_DONE;
+}
+
+int
+ctl_check(struct ctl *ctl)
+{
+	struct kwb_faults faults = {0};
+	struct kwb_lists *lists = NULL;
+	struct ctl_files files;
+	int code = EXIT_DONE;
+
+	if (ctl->arguments_count == 0)
+		return EXIT_USAGE;
+	if (ctl_files_load(ctl, &files, &lists, &faults) != 0 ||
+	    kwb_lists_check(lists, files.sources, files.count, &faults) != 0) {
+		ctl_faults_print(ctl, &faults);
+		code = EXIT_INVALID;
+	}
+	kwb_lists_unload(lists);
+	ctl_files_finish(&files);
+	return code;
+}
+
+int
+ctl_diff(struct ctl *ctl)
+{
+	struct kwb_faults faults = {0};
+	struct kwb_lists *lists = NULL, *now = NULL;
+	struct ctl_files files;
+	struct kwb_buf text;
+	int code = EXIT_INVALID, error;
+
+	if (ctl->arguments_count == 0)
+		return EXIT_USAGE;
+	kwb_buf_init(&text);
+	error = kwb_lists_fetch(&ctl->platform, &now);
+	if (error != 0)
+		return ctl_fail(error, "diff");
+	if (ctl_files_load(ctl, &files, &lists, &faults) == 0) {
+		code = kwb_lists_diff(now, lists, &text) ? EXIT_DIFFERS
+		                                         : EXIT_DONE;
+		fputs(kwb_buf_text(&text), stdout);
+	}
+	ctl_faults_print(ctl, &faults);
+	kwb_buf_finish(&text);
+	kwb_lists_unload(lists);
+	kwb_lists_unload(now);
+	ctl_files_finish(&files);
+	return code;
+}
+
+int
+ctl_apply(struct ctl *ctl)
+{
+	struct kwb_faults faults = {0};
+	struct kwb_lists *lists = NULL, *now = NULL;
+	struct ctl_files files;
+	int code = EXIT_INVALID, error;
+
+	if (ctl->arguments_count == 0)
+		return EXIT_USAGE;
+	error = kwb_lists_fetch(&ctl->platform, &now);
+	if (error != 0)
+		return ctl_fail(error, "apply");
+	if (ctl_files_load(ctl, &files, &lists, &faults) == 0) {
+		/* A file without a revision was edited from the newest. */
+		if (lists->revision == 0)
+			lists->revision = now->revision;
+		lists_fill(lists, now);
+		if (kwb_lists_check(lists, files.sources, files.count,
+		        &faults) == 0)
+			code = ctl_publish(ctl, lists);
+	}
+	ctl_faults_print(ctl, &faults);
+	kwb_lists_unload(now);
+	kwb_lists_unload(lists);
+	ctl_files_finish(&files);
+	return code;
+}
+
+/* Writes the lists, tells of a conflict, and waits for them in force. */
+int
+ctl_publish(struct ctl *ctl, const struct kwb_lists *ours)
+{
+	struct kwb_faults faults = {0};
+	struct kwb_buf conflicts;
+	uint64_t revision = 0;
+	int error, code;
+
+	kwb_buf_init(&conflicts);
+	error = kwb_lists_apply(&ctl->platform, ours, &revision, &conflicts,
+	    &faults);
+	if (error != 0) {
+		ctl_faults_print(ctl, &faults);
+		fputs(kwb_buf_text(&conflicts), stderr);
+		code = ctl_fail(error, "not applied");
+	} else {
+		code = ctl_in_force(ctl, revision);
+	}
+	kwb_buf_finish(&conflicts);
+	return code;
+}
+
+int
+ctl_edit(struct ctl *ctl)
+{
+	struct kwb_faults faults = {0};
+	struct kwb_lists *lists = NULL, *edited = NULL;
+	struct kwb_buf text;
+	struct kwb_source source = {"edit", NULL};
+	int code, error;
+
+	if (ctl->arguments_count < 3)
+		return EXIT_USAGE;
+	error = kwb_lists_fetch(&ctl->platform, &lists);
+	if (error != 0)
+		return ctl_fail(error, "edit");
+	kwb_buf_init(&text);
+	code = edit_one(lists, ctl, &text);
+	source.text = kwb_buf_text(&text);
+	if (code == EXIT_DONE &&
+	    (kwb_lists_parse(&edited, &source, &faults) != 0 ||
+	        kwb_lists_check(edited, &source, 1, &faults) != 0)) {
+		ctl_faults_print(ctl, &faults);
+		code = EXIT_INVALID;
+	}
+	if (code == EXIT_DONE)
+		code = ctl_publish(ctl, edited);
+	kwb_lists_unload(edited);
+	kwb_lists_unload(lists);
+	kwb_buf_finish(&text);
+	return code;
+}
+
+int
+ctl_history(struct ctl *ctl)
+{
+	uint64_t count = ctl->arguments_count
+	    ? strtoull(ctl->arguments[0], NULL, 10)
+	    : HISTORY_DEFAULT;
+	struct kwb_lists *now = NULL, *old, *older;
+	struct kwb_buf text;
+	uint64_t revision;
+	int error = kwb_lists_fetch(&ctl->platform, &now);
+
+	if (error != 0)
+		return ctl_fail(error, "history");
+	kwb_buf_init(&text);
+	for (revision = now->revision; revision > 0 && count > 0;
+	     revision--, count--) {
+		old = older = NULL;
+		text.used_bytes = 0;
+		if (kwb_lists_fetch_old(&ctl->platform, revision, &old) == 0 &&
+		    kwb_lists_fetch_old(&ctl->platform, revision - 1,
+		        &older) == 0)
+			kwb_lists_diff(older, old, &text);
+		printf("revision %" PRIu64 "\n%s", revision,
+		    old ? kwb_buf_text(&text) : "not in the object store\n");
+		kwb_lists_unload(old);
+		kwb_lists_unload(older);
+	}
+	kwb_buf_finish(&text);
+	kwb_lists_unload(now);
+	return EXIT_DONE;
+}
+
+/* Loads all files into one pair of lists. */
+int
+ctl_files_load(struct ctl *ctl, struct ctl_files *files,
+    struct kwb_lists **lists, struct kwb_faults *faults)
+{
+	struct kwb_lists *one;
+	int i;
+
+	memset(files, 0, sizeof(*files));
+	*lists = NULL;
+	for (i = 0; i < ctl->arguments_count && i < FILES_MAX; i++) {
+		struct kwb_buf *text = &files->texts[files->count];
+		struct kwb_source *source = &files->sources[files->count++];
+
+		kwb_buf_init(text);
+		source->file = ctl->arguments[i];
+		if (kwb_file_read(source->file, text) != 0)
+			kwb_faults_add(faults, "%s: cannot be read",
+			    source->file);
+		source->text = kwb_buf_text(text);
+		if (kwb_lists_parse(&one, source, faults) != 0)
+			continue;
+		if (*lists == NULL) {
+			*lists = one;
+			continue;
+		}
+		if (lists_add(*lists, one) != 0)
+			kwb_faults_add(faults, "%s: list given twice",
+			    source->file);
+	}
+	return faults->count == 0 && *lists != NULL ? 0
+	                                            : KWB_ERR_LISTS_INVALID;
+}
+
+void
+ctl_files_finish(struct ctl_files *files)
+{
+	unsigned i;
+
+	for (i = 0; i < files->count; i++)
+		kwb_buf_finish(&files->texts[i]);
+}
+
+void
+ctl_faults_print(const struct ctl *ctl, const struct kwb_faults *faults)
+{
+	unsigned i;
+
+	(void)ctl;
+	for (i = 0; i < faults->count; i++)
+		fprintf(stderr, "%s\n", faults->text[i]);
+}
+
+/* Moves what one side lacks over to it; from is used up. */
+static int
+lists_add(struct kwb_lists *to, struct kwb_lists *from)
+{
+	int error = 0;
+
+	if (from->revision > to->revision)
+		to->revision = from->revision;
+	if (from->plans_count > 0 && to->plans_count > 0)
+		error = KWB_ERR_LISTS_INVALID;
+	if (from->allowances_count > 0 && to->allowances_count > 0)
+		error = KWB_ERR_LISTS_INVALID;
+	if (to->plans_count == 0) {
+		to->plans = from->plans;
+		to->plans_count = from->plans_count;
+		from->plans = NULL;
+		from->plans_count = 0;
+	}
+	if (to->allowances_count == 0) {
+		to->allowances = from->allowances;
+		to->allowances_count = from->allowances_count;
+		from->allowances = NULL;
+		from->allowances_count = 0;
+	}
+	kwb_lists_unload(from);
+	return error;
+}
+
+/* A list that no file gives stays as it is. */
+static void
+lists_fill(struct kwb_lists *to, const struct kwb_lists *from)
+{
+	struct kwb_lists half = *from;
+	struct kwb_lists none = {0}, *copy = NULL;
+	struct kwb_buf ignored;
+
+	if (to->plans_count > 0)
+		half.plans_count = 0;
+	if (to->allowances_count > 0)
+		half.allowances_count = 0;
+	half.revision = 0;
+	kwb_buf_init(&ignored);
+	if (kwb_lists_merge(&copy, &none, &half, &half, &ignored) == 0)
+		lists_add(to, copy);
+	kwb_buf_finish(&ignored);
+}
+
+static int
+edit_one(const struct kwb_lists *lists, struct ctl *ctl, struct kwb_buf *text)
+{
+	bool plan = strcmp(ctl->arguments[0], "plan") == 0;
+	int i;
+
+	if (!plan && strcmp(ctl->arguments[0], "allowance") != 0)
+		return EXIT_USAGE;
+	if (kwb_lists_print(lists, text) != 0)
+		return EXIT_INVALID;
+	for (i = 2; i < ctl->arguments_count; i++) {
+		if (replace_field(text, plan ? "plans" : "allowances",
+		        ctl->arguments[1], ctl->arguments[i]))
+			continue;
+		fprintf(stderr, "kwbctl: no such entry or field: %s %s %s\n",
+		    ctl->arguments[0], ctl->arguments[1], ctl->arguments[i]);
+		return EXIT_INVALID;
+	}
+	return EXIT_DONE;
+}
+
+/*
+ * Replaces a field in the printed form, which has one field a line and the
+ * naming field first in each entry.
+ */
+static bool
+replace_field(struct kwb_buf *text, const char *list, const char *name,
+    const char *assignment)
+{
+	size_t field_length = strcspn(assignment, "=");
+	struct kwb_buf out;
+	const char *line, *next;
+	bool in_list = false, in_entry = false, done = false;
+
+	kwb_buf_init(&out);
+	for (line = text->data; *line != '\0'; line = next) {
+		size_t indent = strspn(line, " -");
+		const char *word = line + indent;
+		const char *value = word + strcspn(word, ":\n");
+
+		next = line + strcspn(line, "\n");
+		next += *next == '\n';
+		if (indent == 0)
+			in_list = strncmp(word, list, strlen(list)) == 0;
+		if (strncmp(line, "- ", 2) == 0)
+			in_entry = in_list &&
+			    strncmp(value + 2, name, strlen(name)) == 0 &&
+			    value[2 + strlen(name)] == '\n';
+		if (in_entry && !done && assignment[field_length] == '=' &&
+		    (size_t)(value - word) == field_length &&
+		    strncmp(word, assignment, field_length) == 0) {
+			kwb_buf_add(&out, line, indent + field_length);
+			kwb_buf_printf(&out, ": %s\n",
+			    assignment + field_length + 1);
+			done = true;
+			continue;
+		}
+		kwb_buf_add(&out, line, (size_t)(next - line));
+	}
+	kwb_buf_finish(text);
+	*text = out;
+	return done;
+}
--- /dev/null
+++ b/daemons/daemon.c
@@ -0,0 +1,107 @@
+/*
+ * What the daemons share: options and waiting for a stop signal.
+ */
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon.h"
+
+#define EXIT_USAGE 2
+
+static const struct option long_options[] = {
+    {"settings", required_argument, NULL, 's'},
+    {"check", no_argument, NULL, 'c'},
+    {"debug", no_argument, NULL, 'd'},
+    {"version", no_argument, NULL, 'v'},
+    {"help", no_argument, NULL, 'h'},
+    {NULL, 0, NULL, 0},
+};
+
+static void usage(FILE *out, const char *program);
+
+bool
+daemon_options_parse(struct daemon_options *options, int argc, char **argv,
+    int *code)
+{
+	int option;
+
+	memset(options, 0, sizeof(*options));
+	options->log_level = KWB_LOG_INFO;
+	*code = 0;
+	while ((option = getopt_long(argc, argv, "s:cdvh", long_options,
+	            NULL)) != -1) {
+		switch (option) {
+		case 's':
+			options->settings = optarg;
+			break;
+		case 'c':
+			options->check = true;
+			break;
+		case 'd':
+			options->log_level = KWB_LOG_DEBUG;
+			break;
+		case 'v':
+			printf("%s %s\n", argv[0], KWB_VERSION);
+			return false;
+		case 'h':
+			usage(stdout, argv[0]);
+			return false;
+		default:
+			usage(stderr, argv[0]);
+			*code = EXIT_USAGE;
+			return false;
+		}
+	}
+	if (options->settings != NULL && optind == argc)
+		return true;
+	usage(stderr, argv[0]);
+	*code = EXIT_USAGE;
+	return false;
+}
+
+void
+daemon_faults_print(const struct kwb_faults *faults)
+{
+	unsigned i;
+
+	for (i = 0; i < faults->count; i++)
+		fprintf(stderr, "%s\n", faults->text[i]);
+}
+
+void
+daemon_signals_block(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+void
+daemon_wait(void)
+{
+	sigset_t set;
+	int number;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigwait(&set, &number);
+}
+
+static void
+usage(FILE *out, const char *program)
+{
+	fprintf(out,
+	    "usage: %s --settings FILE [--check] [--debug]\n"
+	    "  --settings FILE  YAML settings of this process\n"
+	    "  --check          check the settings, then end\n"
+	    "  --debug          log more\n"
+	    "  --version        print the version, then end\n",
+	    program);
+}
--- /dev/null
+++ b/daemons/kwb-agent.c
@@ -0,0 +1,39 @@
+/*
+ * kwb-agent: thin daemon around the agent of libkwb.
+ */
+#include "daemon.h"
+
+int
+main(int argc, char **argv)
+{
+	struct kwb_agent_settings *settings;
+	struct kwb_faults faults = {0};
+	struct daemon_options options;
+	struct kwb_agent *agent;
+	int code;
+
+	if (!daemon_options_parse(&options, argc, argv, &code))
+		return code;
+	if (kwb_agent_settings_load(&settings, options.settings, &faults) != 0) {
+		daemon_faults_print(&faults);
+		return 1;
+	}
+	if (!options.check) {
+		daemon_signals_block();
+		kwb_log_init(settings->vm, options.log_level);
+		kwb_http_init();
+		kwb_current_init();
+		code = kwb_agent_start(&agent, settings);
+		if (code != 0) {
+			kwb_log(KWB_LOG_ERROR, "agent", "event=no_start error=%s",
+			    kwb_error_name(code));
+			return 1;
+		}
+		daemon_wait();
+		kwb_agent_stop(agent);
+		kwb_current_finish();
+		kwb_http_finish();
+	}
+	kwb_agent_settings_unload(settings);
+	return 0;
+}
--- /dev/null
+++ b/daemons/kwb-entry.c
@@ -0,0 +1,39 @@
+/*
+ * kwb-entry: thin daemon around the entry of libkwb.
+ */
+#include "daemon.h"
+
+int
+main(int argc, char **argv)
+{
+	struct kwb_entry_settings *settings;
+	struct kwb_faults faults = {0};
+	struct daemon_options options;
+	struct kwb_entry *entry;
+	int code;
+
+	if (!daemon_options_parse(&options, argc, argv, &code))
+		return code;
+	if (kwb_entry_settings_load(&settings, options.settings, &faults) != 0) {
+		daemon_faults_print(&faults);
+		return 1;
+	}
+	if (!options.check) {
+		daemon_signals_block();
+		kwb_log_init(settings->vm, options.log_level);
+		kwb_http_init();
+		kwb_current_init();
+		code = kwb_entry_start(&entry, settings);
+		if (code != 0) {
+			kwb_log(KWB_LOG_ERROR, "entry", "event=no_start error=%s",
+			    kwb_error_name(code));
+			return 1;
+		}
+		daemon_wait();
+		kwb_entry_stop(entry);
+		kwb_current_finish();
+		kwb_http_finish();
+	}
+	kwb_entry_settings_unload(settings);
+	return 0;
+}
--- /dev/null
+++ b/fakes/fake-engine.c
@@ -0,0 +1,427 @@
+/*
+ * Stand-in for a model engine: continuous batching in steps, prefix cache in
+ * limited memory, priorities, resume, cancel by disconnect, load with a lag,
+ * orders to load versions with or without fencing.
+ *
+ * Token i of a sequence is "HHHH.V": four hexadecimal digits hashed from
+ * prompt, seed and i, then the version that truly made it, so that whoever
+ * reads a sample can check what the system says of it. A sequence's length is
+ * long-tailed and depends on prompt and seed alone.
+ *
+ * A step makes one token of each running sequence and takes token_us +
+ * batch_us for each of them; a new sequence adds prefill_us for each prompt
+ * word that is not in the cache.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/queue.h>
+
+#include <jansson.h>
+
+#include "fake.h"
+#include "text.h"
+
+#define THREADS 192
+#define MODELS_MAX 8
+#define CACHE_MAX 64
+#define PROMPT_KEY_BYTES 32
+
+struct model {
+	char name[KWB_NAME_MAX_BYTES];
+	uint64_t version;
+	uint64_t fence;
+	bool swapping;
+};
+
+struct sequence {
+	TAILQ_ENTRY(sequence) next;
+	pthread_cond_t ready;
+	struct model *model;
+	uint64_t hash;
+	uint32_t made; /* next index to make */
+	uint32_t length;
+	uint32_t prompt_words;
+	int priority;
+	uint64_t cache_key;
+	char text[FAKE_TOKEN_BYTES]; /* token waiting to be written */
+	uint64_t version;
+	bool full;
+	bool gone;
+	bool running;
+};
+
+TAILQ_HEAD(sequence_list, sequence);
+
+enum {
+	TOKEN_US, BATCH_US, PREFILL_US, SLOTS, LENGTH_MEDIAN, LENGTH_SPREAD,
+	SWAP_MS, FAIL_SWAP, IGNORE_FENCE, NO_VERSIONS, LOAD_LAG_MS, STUCK,
+	RUNNING, MOST, TOKENS, CACHE_HITS, CACHE_MISSES, ORDERS_OLD
+};
+
+static struct fake_switch switches[] = {
+    [TOKEN_US] = {"token_us", 2000},
+    [BATCH_US] = {"batch_us", 20},
+    [PREFILL_US] = {"prefill_us", 20},
+    [SLOTS] = {"slots", 16},
+    [LENGTH_MEDIAN] = {"length_median", 60},
+    [LENGTH_SPREAD] = {"length_spread", 60}, /* percent, log scale */
+    [SWAP_MS] = {"swap_ms", 100},
+    [FAIL_SWAP] = {"fail_swap", 0},
+    [IGNORE_FENCE] = {"ignore_fence", 0},
+    [NO_VERSIONS] = {"no_versions", 0},
+    [LOAD_LAG_MS] = {"load_lag_ms", 0},
+    [STUCK] = {"stuck", 0},
+    [RUNNING] = {"running", 0},
+    [MOST] = {"most", 0},
+    [TOKENS] = {"tokens", 0},
+    [CACHE_HITS] = {"cache_hits", 0},
+    [CACHE_MISSES] = {"cache_misses", 0},
+    [ORDERS_OLD] = {"orders_old", 0},
+};
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct sequence_list sequences = TAILQ_HEAD_INITIALIZER(sequences);
+static struct model models[MODELS_MAX];
+static unsigned models_count;
+static uint64_t cache[CACHE_MAX];
+static unsigned cache_next;
+static const char *platform;
+
+static int on_completions(struct mg_connection *connection, void *context);
+static int on_load(struct mg_connection *connection, void *context);
+static int on_orders(struct mg_connection *connection, void *context);
+static void *engine_run(void *argument);
+static uint64_t engine_step(void);
+static struct model *model_find(const char *name, bool make);
+static bool cache_touch(uint64_t key);
+static bool sequence_write(struct mg_connection *connection,
+    struct sequence *sequence);
+static bool weights_fetch(const char *model, uint64_t version);
+
+int
+main(int argc, char **argv)
+{
+	const char *list = fake_option(argc, argv, "--models", "m");
+	struct mg_context *context;
+	char names[512], *name, *rest = names;
+	unsigned i;
+	pthread_t thread;
+
+	platform = fake_option(argc, argv, "--platform", "");
+	for (i = 0; i < sizeof(switches) / sizeof(switches[0]); i++) {
+		char option[64];
+		const char *value;
+
+		snprintf(option, sizeof(option), "--%s", switches[i].name);
+		value = fake_option(argc, argv, option, NULL);
+		if (value != NULL)
+			switches[i].value = strtoll(value, NULL, 10);
+	}
+	kwb_text_copy(names, sizeof(names), list);
+	while ((name = strsep(&rest, ",")) != NULL)
+		model_find(name, true)->version = 1;
+	kwb_http_init();
+	context = fake_start(
+	    fake_option(argc, argv, "--listen", "127.0.0.1:7100"), THREADS,
+	    switches, sizeof(switches) / sizeof(switches[0]));
+	pthread_create(&thread, NULL, engine_run, NULL);
+	mg_set_request_handler(context, "/v1/completions$", on_completions,
+	    NULL);
+	mg_set_request_handler(context, "/load$", on_load, NULL);
+	mg_set_request_handler(context, "/orders$", on_orders, NULL);
+	fake_wait();
+	return 0;
+}
+
+static int
+on_completions(struct mg_connection *connection, void *context)
+{
+	struct sequence sequence = {0};
+	struct kwb_buf body;
+	const char *prompt, *c;
+	json_t *root;
+	int64_t max_tokens;
+	bool going = true;
+
+	(void)context;
+	kwb_buf_init(&body);
+	fake_read(connection, &body);
+	root = json_loads(kwb_buf_text(&body), 0, NULL);
+	kwb_buf_finish(&body);
+	prompt = json_string_value(json_object_get(root, "prompt"));
+	pthread_mutex_lock(&lock);
+	sequence.model = model_find(
+	    json_string_value(json_object_get(root, "model")), false);
+	pthread_mutex_unlock(&lock);
+	if (prompt == NULL || sequence.model == NULL) {
+		fake_send(connection, 400, "", "", 0);
+		json_decref(root);
+		return 400;
+	}
+	sequence.hash = fake_sequence(prompt,
+	    (uint64_t)json_integer_value(json_object_get(root, "seed")));
+	sequence.cache_key = kwb_hash(prompt, 0);
+	sequence.made =
+	    (uint32_t)json_array_size(json_object_get(root, "resume"));
+	sequence.length = fake_length(sequence.hash,
+	    switches[LENGTH_MEDIAN].value, switches[LENGTH_SPREAD].value);
+	max_tokens = json_integer_value(json_object_get(root, "max_tokens"));
+	if (max_tokens > 0 && sequence.length > max_tokens)
+		sequence.length = (uint32_t)max_tokens;
+	sequence.priority =
+	    (int)json_integer_value(json_object_get(root, "priority"));
+	for (c = prompt; *c != '\0'; c++)
+		sequence.prompt_words += *c == ' ';
+	sequence.prompt_words += 1 + sequence.made;
+	json_decref(root);
+	kwb_cond_init(&sequence.ready);
+	mg_send_http_ok(connection, "text/event-stream", -1);
+
+	pthread_mutex_lock(&lock);
+	TAILQ_INSERT_TAIL(&sequences, &sequence, next);
+	while (going && sequence.made < sequence.length) {
+		/* Wakes now and then to see whether the client has gone. */
+		kwb_cond_wait_until(&sequence.ready, &lock,
+		    kwb_clock_now_ns() + 200 * KWB_MS_NS);
+		if (!sequence.full) {
+			pthread_mutex_unlock(&lock);
+			going = mg_send_chunk(connection, ":\n", 2) >= 0;
+			pthread_mutex_lock(&lock);
+			continue;
+		}
+		sequence.full = false;
+		sequence.made++;
+		pthread_mutex_unlock(&lock);
+		going = sequence_write(connection, &sequence);
+		pthread_mutex_lock(&lock);
+	}
+	TAILQ_REMOVE(&sequences, &sequence, next);
+	if (sequence.running)
+		switches[RUNNING].value--;
+	pthread_mutex_unlock(&lock);
+	if (going) {
+		static const char end[] =
+		    "data: {\"finish\":\"stop\"}\n\ndata: [DONE]\n\n";
+
+		mg_send_chunk(connection, end, sizeof(end) - 1);
+		mg_send_chunk(connection, "", 0);
+	} else {
+		mg_close_connection(connection);
+	}
+	pthread_cond_destroy(&sequence.ready);
+	return 200;
+}
+
+static bool
+sequence_write(struct mg_connection *connection, struct sequence *sequence)
+{
+	char line[128];
+	int length;
+
+	if (switches[NO_VERSIONS].value)
+		length = snprintf(line, sizeof(line),
+		    "data: {\"token\":\"%s\"}\n\n", sequence->text);
+	else
+		length = snprintf(line, sizeof(line),
+		    "data: {\"token\":\"%s\",\"version\":%llu}\n\n",
+		    sequence->text, (unsigned long long)sequence->version);
+	return mg_send_chunk(connection, line, (unsigned)length) >= 0;
+}
+
+static int
+on_load(struct mg_connection *connection, void *context)
+{
+	static char lagged[2048] = "{\"running\":0,\"models\":{}}";
+	static uint64_t lagged_ns;
+	struct kwb_buf out;
+	unsigned i;
+
+	(void)context;
+	kwb_buf_init(&out);
+	pthread_mutex_lock(&lock);
+	kwb_buf_printf(&out, "{\"running\":%lld,\"models\":{",
+	    (long long)switches[RUNNING].value);
+	for (i = 0; i < models_count; i++)
+		kwb_buf_printf(&out,
+		    "%s\"%s\":{\"version\":%llu,\"swapping\":%s}",
+		    i ? "," : "", models[i].name,
+		    (unsigned long long)models[i].version,
+		    models[i].swapping ? "true" : "false");
+	kwb_buf_printf(&out, "}}");
+	if (kwb_clock_now_ns() >= lagged_ns) {
+		kwb_text_copy(lagged, sizeof(lagged), out.data);
+		lagged_ns = kwb_clock_now_ns() +
+		    (uint64_t)switches[LOAD_LAG_MS].value * KWB_MS_NS;
+	}
+	out.used_bytes = 0;
+	kwb_buf_add(&out, lagged, strlen(lagged));
+	pthread_mutex_unlock(&lock);
+	fake_send(connection, 200, "", out.data, out.used_bytes);
+	kwb_buf_finish(&out);
+	return 200;
+}
+
+/*
+ * Loads a version: fetches it while serving goes on, then pauses for swap_ms.
+ * A swap that fails half-way leaves version 0 until the next order.
+ */
+static int
+on_orders(struct mg_connection *connection, void *context)
+{
+	struct kwb_buf body;
+	struct model *model;
+	json_t *root;
+	uint64_t version, fence;
+	int status = 200;
+
+	(void)context;
+	kwb_buf_init(&body);
+	fake_read(connection, &body);
+	root = json_loads(kwb_buf_text(&body), 0, NULL);
+	kwb_buf_finish(&body);
+	version = (uint64_t)json_integer_value(
+	    json_object_get(root, "version"));
+	fence = (uint64_t)json_integer_value(
+	    json_object_get(root, "fencing_token"));
+	pthread_mutex_lock(&lock);
+	model = model_find(
+	    json_string_value(json_object_get(root, "model")), true);
+	if (fence < model->fence) {
+		switches[ORDERS_OLD].value++;
+		if (!switches[IGNORE_FENCE].value)
+			status = 409;
+	} else {
+		model->fence = fence;
+	}
+	pthread_mutex_unlock(&lock);
+	if (status == 200 && !weights_fetch(model->name, version))
+		status = 503;
+	if (status == 200) {
+		pthread_mutex_lock(&lock);
+		model->swapping = true;
+		pthread_mutex_unlock(&lock);
+		kwb_clock_sleep_ns(
+		    (uint64_t)switches[SWAP_MS].value * KWB_MS_NS);
+		pthread_mutex_lock(&lock);
+		model->swapping = false;
+		model->version = version;
+		if (switches[FAIL_SWAP].value > 0) {
+			switches[FAIL_SWAP].value--;
+			model->version = 0;
+			status = 500;
+		}
+		pthread_mutex_unlock(&lock);
+	}
+	json_decref(root);
+	fake_send(connection, status, "", "", 0);
+	return status;
+}
+
+static bool
+weights_fetch(const char *model, uint64_t version)
+{
+	char url[512];
+	struct kwb_http_request request = {.method = "GET", .url = url,
+	    .timeout_ms = 60000};
+	struct kwb_http_answer answer;
+	int error;
+
+	if (platform[0] == '\0')
+		return true;
+	snprintf(url, sizeof(url), "%s/weights/%s/%llu", platform, model,
+	    (unsigned long long)version);
+	error = kwb_http_do(&request, &answer);
+	kwb_http_answer_finish(&answer);
+	return error == 0 && answer.status == 200;
+}
+
+static void *
+engine_run(void *argument)
+{
+	uint64_t due_ns = kwb_clock_now_ns(), now_ns, step_ns;
+
+	(void)argument;
+	for (;;) {
+		pthread_mutex_lock(&lock);
+		step_ns = engine_step();
+		pthread_mutex_unlock(&lock);
+		due_ns += step_ns;
+		now_ns = kwb_clock_now_ns();
+		if (due_ns > now_ns)
+			kwb_clock_sleep_ns(due_ns - now_ns);
+		else
+			due_ns = now_ns;
+	}
+	return NULL;
+}
+
+/* Admits by priority, makes a token each; returns what the step takes. */
+static uint64_t
+engine_step(void)
+{
+	struct sequence *sequence, *best;
+	uint64_t step_us = (uint64_t)switches[TOKEN_US].value;
+
+	while (switches[RUNNING].value < switches[SLOTS].value) {
+		best = NULL;
+		TAILQ_FOREACH(sequence, &sequences, next)
+			if (!sequence->running &&
+			    (best == NULL ||
+			        sequence->priority > best->priority))
+				best = sequence;
+		if (best == NULL)
+			break;
+		best->running = true;
+		if (++switches[RUNNING].value > switches[MOST].value)
+			switches[MOST].value = (int64_t)switches[RUNNING].value;
+		if (!cache_touch(best->cache_key))
+			step_us += best->prompt_words *
+			    (uint64_t)switches[PREFILL_US].value;
+	}
+	if (switches[STUCK].value)
+		return step_us * 1000;
+	TAILQ_FOREACH(sequence, &sequences, next) {
+		if (!sequence->running || sequence->full ||
+		    sequence->model->swapping || sequence->model->version == 0)
+			continue;
+		fake_token(sequence->text, sequence->hash, sequence->made,
+		    sequence->model->version);
+		sequence->version = sequence->model->version;
+		sequence->full = true;
+		switches[TOKENS].value++;
+		step_us += (uint64_t)switches[BATCH_US].value;
+		pthread_cond_signal(&sequence->ready);
+	}
+	return step_us * 1000;
+}
+
+static struct model *
+model_find(const char *name, bool make)
+{
+	unsigned i;
+
+	for (i = 0; name != NULL && i < models_count; i++)
+		if (strcmp(models[i].name, name) == 0)
+			return &models[i];
+	if (!make || name == NULL || models_count == MODELS_MAX)
+		return NULL;
+	kwb_text_copy(models[models_count].name,
+	    sizeof(models[models_count].name), name);
+	return &models[models_count++];
+}
+
+static bool
+cache_touch(uint64_t key)
+{
+	unsigned i;
+
+	for (i = 0; i < CACHE_MAX; i++)
+		if (cache[i] == key) {
+			switches[CACHE_HITS].value++;
+			return true;
+		}
+	cache[cache_next++ % CACHE_MAX] = key;
+	switches[CACHE_MISSES].value++;
+	return false;
+}
--- /dev/null
+++ b/fakes/fake-platform.c
@@ -0,0 +1,280 @@
+/*
+ * Stand-in for the platform: transactional table, object store, rate-limited
+ * weight store, lagging VM list. Switches: down (no answers), slow_ms,
+ * lose_answers (writes take effect, the answer is cut), objects_down,
+ * weights_down, vms_down, vms_lag_ms.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/queue.h>
+
+#include "fake.h"
+
+#define NAME_MAX_BYTES 512
+#define THREADS 64
+
+struct row {
+	LIST_ENTRY(row) next;
+	char name[NAME_MAX_BYTES];
+	uint64_t revision;
+	struct kwb_buf value;
+};
+
+LIST_HEAD(row_list, row);
+
+static struct fake_switch switches[] = {{"down", 0}, {"slow_ms", 0},
+    {"lose_answers", 0}, {"objects_down", 0}, {"weights_down", 0},
+    {"vms_down", 0}, {"vms_lag_ms", 0}, {"weights_mb_s", 0}, {"reads", 0},
+    {"writes", 0}};
+static struct row_list rows = LIST_HEAD_INITIALIZER(rows);
+static pthread_mutex_t rows_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_mutex_t weights_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static int on_table(struct mg_connection *connection, void *context);
+static int on_objects(struct mg_connection *connection, void *context);
+static int on_weights(struct mg_connection *connection, void *context);
+static int on_vms(struct mg_connection *connection, void *context);
+static bool fails(struct mg_connection *connection, const char *part);
+static struct row *row_find(const char *name, bool make);
+static int row_put(struct mg_connection *connection, struct row *row,
+    const struct kwb_buf *body, const char *name);
+static void count(const char *name);
+
+int
+main(int argc, char **argv)
+{
+	struct mg_context *context;
+
+	context = fake_start(
+	    fake_option(argc, argv, "--listen", "127.0.0.1:7000"), THREADS,
+	    switches, sizeof(switches) / sizeof(switches[0]));
+	mg_set_request_handler(context, "/table/", on_table, NULL);
+	mg_set_request_handler(context, "/objects/", on_objects, NULL);
+	mg_set_request_handler(context, "/weights/", on_weights, NULL);
+	mg_set_request_handler(context, "/vms$", on_vms, NULL);
+	fake_wait();
+	return 0;
+}
+
+static int
+on_table(struct mg_connection *connection, void *context)
+{
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	bool put = strcmp(info->request_method, "PUT") == 0;
+	struct kwb_buf body, value;
+	char headers[64];
+	uint64_t revision = 0;
+	struct row *row;
+	int status = 404;
+
+	(void)context;
+	kwb_buf_init(&body);
+	kwb_buf_init(&value);
+	fake_read(connection, &body);
+	if (fails(connection, "down")) {
+		kwb_buf_finish(&body);
+		return 0;
+	}
+	count(put ? "writes" : "reads");
+	pthread_mutex_lock(&rows_lock);
+	row = row_find(info->local_uri, false);
+	if (put)
+		status = row_put(connection, row, &body, info->local_uri);
+	else if (row != NULL && row->revision > 0)
+		status = 200;
+	row = row_find(info->local_uri, false);
+	if (row != NULL)
+		revision = row->revision;
+	if (!put && status == 200)
+		kwb_buf_add(&value, row->value.data, row->value.used_bytes);
+	pthread_mutex_unlock(&rows_lock);
+	kwb_buf_finish(&body);
+	if (put && fake_value("lose_answers")) {
+		mg_close_connection(connection);
+		kwb_buf_finish(&value);
+		return 0;
+	}
+	snprintf(headers, sizeof(headers), "ETag: %llu\r\n",
+	    (unsigned long long)revision);
+	fake_send(connection, status, headers, kwb_buf_text(&value),
+	    value.used_bytes);
+	kwb_buf_finish(&value);
+	return status;
+}
+
+static int
+row_put(struct mg_connection *connection, struct row *row,
+    const struct kwb_buf *body, const char *name)
+{
+	const char *match = mg_get_header(connection, "If-Match");
+	uint64_t revision = row ? row->revision : 0;
+
+	if (mg_get_header(connection, "If-None-Match") != NULL &&
+	    revision != 0)
+		return 412;
+	if (match != NULL && strtoull(match, NULL, 10) != revision)
+		return 412;
+	row = row_find(name, true);
+	row->revision++;
+	row->value.used_bytes = 0;
+	kwb_buf_add(&row->value, kwb_buf_text(body), body->used_bytes);
+	return 200;
+}
+
+static int
+on_objects(struct mg_connection *connection, void *context)
+{
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	struct kwb_buf body;
+	struct row *row;
+	int status = 404;
+
+	(void)context;
+	kwb_buf_init(&body);
+	fake_read(connection, &body);
+	if (fails(connection, "objects_down")) {
+		kwb_buf_finish(&body);
+		return 0;
+	}
+	pthread_mutex_lock(&rows_lock);
+	if (strcmp(info->request_method, "PUT") == 0) {
+		status = row_put(connection, row_find(info->local_uri, false),
+		    &body, info->local_uri);
+		body.used_bytes = 0;
+	} else if ((row = row_find(info->local_uri, false)) != NULL) {
+		status = 200;
+		kwb_buf_add(&body, row->value.data, row->value.used_bytes);
+	}
+	pthread_mutex_unlock(&rows_lock);
+	fake_send(connection, status, "", kwb_buf_text(&body),
+	    body.used_bytes);
+	kwb_buf_finish(&body);
+	return status;
+}
+
+/*
+ * GET /weights/MODEL: newest version. PUT: publishes that version. GET
+ * /weights/MODEL/N: the weights, one fetch at a time at the store's rate
+ * (weights_mb_s for weights of 1 MB; 0 is at once).
+ */
+static int
+on_weights(struct mg_connection *connection, void *context)
+{
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	const char *version = strchr(info->local_uri + 9, '/');
+	int64_t rate = fake_value("weights_mb_s");
+	struct kwb_buf body;
+	struct row *row;
+	int status = 200;
+
+	(void)context;
+	kwb_buf_init(&body);
+	fake_read(connection, &body);
+	if (fails(connection, "weights_down")) {
+		kwb_buf_finish(&body);
+		return 0;
+	}
+	if (version != NULL) {
+		pthread_mutex_lock(&weights_lock);
+		if (rate > 0)
+			kwb_clock_sleep_ns(1000 * KWB_MS_NS / (uint64_t)rate);
+		pthread_mutex_unlock(&weights_lock);
+		fake_send(connection, 200, "", "weights", 7);
+		kwb_buf_finish(&body);
+		return 200;
+	}
+	pthread_mutex_lock(&rows_lock);
+	row = row_find(info->local_uri, false);
+	if (strcmp(info->request_method, "PUT") == 0) {
+		status = row_put(connection, row, &body, info->local_uri);
+		body.used_bytes = 0;
+	} else if (row != NULL) {
+		kwb_buf_add(&body, row->value.data, row->value.used_bytes);
+	} else {
+		status = 404;
+	}
+	pthread_mutex_unlock(&rows_lock);
+	fake_send(connection, status, "", kwb_buf_text(&body),
+	    body.used_bytes);
+	kwb_buf_finish(&body);
+	return status;
+}
+
+/* PUT sets the list, in force vms_lag_ms later. */
+static int
+on_vms(struct mg_connection *connection, void *context)
+{
+	const struct mg_request_info *info = mg_get_request_info(connection);
+	static struct kwb_buf now, next;
+	static uint64_t next_ns;
+	struct kwb_buf body;
+
+	(void)context;
+	kwb_buf_init(&body);
+	fake_read(connection, &body);
+	if (fails(connection, "vms_down")) {
+		kwb_buf_finish(&body);
+		return 0;
+	}
+	pthread_mutex_lock(&rows_lock);
+	if (next_ns != 0 && kwb_clock_now_ns() >= next_ns) {
+		now.used_bytes = 0;
+		kwb_buf_add(&now, next.data, next.used_bytes);
+		next_ns = 0;
+	}
+	if (strcmp(info->request_method, "PUT") == 0) {
+		next.used_bytes = 0;
+		kwb_buf_add(&next, kwb_buf_text(&body), body.used_bytes);
+		next_ns = kwb_clock_now_ns() + 1 +
+		    (uint64_t)fake_value("vms_lag_ms") * KWB_MS_NS;
+	}
+	body.used_bytes = 0;
+	kwb_buf_add(&body, now.used_bytes ? now.data : "[]",
+	    now.used_bytes ? now.used_bytes : 2);
+	pthread_mutex_unlock(&rows_lock);
+	fake_send(connection, 200, "", body.data, body.used_bytes);
+	kwb_buf_finish(&body);
+	return 200;
+}
+
+static bool
+fails(struct mg_connection *connection, const char *part)
+{
+	uint64_t slow_ms = (uint64_t)fake_value("slow_ms");
+
+	if (fake_value("down") || fake_value(part)) {
+		mg_close_connection(connection);
+		return true;
+	}
+	if (slow_ms > 0)
+		kwb_clock_sleep_ns(slow_ms * KWB_MS_NS);
+	return false;
+}
+
+static struct row *
+row_find(const char *name, bool make)
+{
+	struct row *row;
+
+	LIST_FOREACH(row, &rows, next)
+		if (strcmp(row->name, name) == 0)
+			return row;
+	if (!make)
+		return NULL;
+	row = calloc(1, sizeof(*row));
+	kwb_text_copy(row->name, sizeof(row->name), name);
+	LIST_INSERT_HEAD(&rows, row, next);
+	return row;
+}
+
+static void
+count(const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < sizeof(switches) / sizeof(switches[0]); i++)
+		if (strcmp(switches[i].name, name) == 0)
+			switches[i].value++;
+}
--- /dev/null
+++ b/fakes/fake.c
@@ -0,0 +1,126 @@
+/*
+ * What the stand-ins share.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake.h"
+
+static struct fake_switch *switches;
+static unsigned switches_count;
+
+static int on_control(struct mg_connection *connection, void *context);
+
+struct mg_context *
+fake_start(const char *listen, unsigned threads, struct fake_switch *own,
+    unsigned own_count)
+{
+	char count[16];
+	const char *options[] = {"listening_ports", listen, "num_threads",
+	    count, "tcp_nodelay", "1", "enable_keep_alive", "yes",
+	    "keep_alive_timeout_ms", "15000", NULL};
+	struct mg_callbacks callbacks = {0};
+	struct mg_context *context;
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	switches = own;
+	switches_count = own_count;
+	snprintf(count, sizeof(count), "%u", threads);
+	mg_init_library(0);
+	context = mg_start(&callbacks, NULL, options);
+	if (context == NULL) {
+		fprintf(stderr, "cannot listen on %s\n", listen);
+		exit(1);
+	}
+	mg_set_request_handler(context, "/control$", on_control, NULL);
+	return context;
+}
+
+const char *
+fake_option(int argc, char **argv, const char *name, const char *fallback)
+{
+	int i;
+
+	for (i = 1; i + 1 < argc; i++)
+		if (strcmp(argv[i], name) == 0)
+			return argv[i + 1];
+	return fallback;
+}
+
+int64_t
+fake_value(const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < switches_count; i++)
+		if (strcmp(switches[i].name, name) == 0)
+			return switches[i].value;
+	fprintf(stderr, "no switch %s\n", name);
+	exit(1);
+}
+
+void
+fake_send(struct mg_connection *connection, int status, const char *headers,
+    const void *body, size_t length_bytes)
+{
+	mg_printf(connection,
+	    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s\r\n", status,
+	    mg_get_response_code_text(connection, status), length_bytes,
+	    headers);
+	mg_write(connection, body, length_bytes);
+}
+
+void
+fake_read(struct mg_connection *connection, struct kwb_buf *body)
+{
+	char chunk[8192];
+	int got;
+
+	while ((got = mg_read(connection, chunk, sizeof(chunk))) > 0)
+		kwb_buf_add(body, chunk, (size_t)got);
+}
+
+void
+fake_wait(void)
+{
+	sigset_t set;
+	int number;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigwait(&set, &number);
+}
+
+/* "POST /control?down=1" sets a switch; the answer is its old value. */
+static int
+on_control(struct mg_connection *connection, void *context)
+{
+	const char *query = mg_get_request_info(connection)->query_string;
+	const char *equals = query ? strchr(query, '=') : NULL;
+	char text[32];
+	unsigned i;
+
+	(void)context;
+	for (i = 0; equals != NULL && i < switches_count; i++) {
+		size_t length = strlen(switches[i].name);
+
+		if ((size_t)(equals - query) != length ||
+		    strncmp(query, switches[i].name, length) != 0)
+			continue;
+		snprintf(text, sizeof(text), "%lld\n",
+		    (long long)switches[i].value);
+		switches[i].value = strtoll(equals + 1, NULL, 10);
+		fake_send(connection, 200, "", text, strlen(text));
+		return 200;
+	}
+	fake_send(connection, 404, "", "", 0);
+	return 404;
+}
--- /dev/null
+++ b/include/kwb.h
@@ -0,0 +1,578 @@
+/*
+ * knapweedbarrow: the whole API of libkwb, section by section.
+ *
+ * Conventions: functions that can fail return 0 or a negative KWB_ERR_ number;
+ * init/finish and load/unload are pairs on memory the caller owns; deadlines
+ * are monotonic nanoseconds; units stand in names.
+ */
+#ifndef KWB_H
+#define KWB_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define KWB_MS_NS 1000000ull
+
+#include "kwb_config.h"
+
+/* ---- Errors ---------------------------------------------------------- */
+
+enum {
+	KWB_ERR_MEMORY = -1,
+	KWB_ERR_ARGUMENT = -2,
+	KWB_ERR_SETTINGS = -3,
+	KWB_ERR_SYSTEM = -4,
+	KWB_ERR_WIRE_FRAME = -100,
+	KWB_ERR_WIRE_SIZE = -101,
+	KWB_ERR_WIRE_CLOSED = -102,
+	KWB_ERR_PLATFORM_DOWN = -200,
+	KWB_ERR_PLATFORM_CONFLICT = -201,
+	KWB_ERR_PLATFORM_MISSING = -202,
+	KWB_ERR_LISTS_INVALID = -300,
+	KWB_ERR_LISTS_CONFLICT = -301,
+	KWB_ERR_LISTS_NONE = -302,
+	KWB_ERR_ROUTE_NONE = -400,
+	KWB_ERR_ROUTE_FULL = -401,
+	KWB_ERR_CALL_BUSY = -500,
+	KWB_ERR_CALL_LEAVING = -501,
+	KWB_ERR_CALL_STALE_LISTS = -502,
+	KWB_ERR_CALL_INCARNATION = -503,
+	KWB_ERR_CALL_FENCED = -504,
+	KWB_ERR_CALL_BARRED = -505,
+	KWB_ERR_CALL_DEADLINE = -506,
+	KWB_ERR_CALL_UPSTREAM = -507,
+	KWB_ERR_CALL_VERSION = -508,
+	KWB_ERR_CALL_CANCELLED = -509,
+	KWB_ERR_CALL_FORGOTTEN = -510,
+	KWB_ERR_WEIGHTS_UNKNOWN = -600,
+	KWB_ERR_WEIGHTS_SWAP = -601
+};
+
+const char *kwb_error_name(int error); /* short name of an error number */
+
+/* ---- Clock ----------------------------------------------------------- */
+
+uint64_t kwb_clock_now_ns(void);  /* monotonic time */
+uint64_t kwb_clock_wall_ms(void); /* wall-clock time since the epoch */
+uint64_t kwb_clock_left_ms(uint64_t deadline_ns); /* time left, 0 if past */
+void kwb_clock_sleep_ns(uint64_t length_ns);      /* sleep this thread */
+void kwb_cond_init(pthread_cond_t *cond); /* condition on monotonic time */
+void kwb_cond_wait_until(pthread_cond_t *cond, pthread_mutex_t *lock,
+    uint64_t deadline_ns); /* wait for a signal or the deadline */
+
+/* ---- Log ------------------------------------------------------------- */
+
+enum kwb_log_level {
+	KWB_LOG_DEBUG,
+	KWB_LOG_INFO,
+	KWB_LOG_WARN,
+	KWB_LOG_ERROR
+};
+
+void kwb_log_init(const char *process, enum kwb_log_level lowest);
+void kwb_log(enum kwb_log_level level, const char *module, const char *format,
+    ...) __attribute__((format(printf, 3, 4))); /* one key=value line */
+
+/* ---- Buffers and text ------------------------------------------------ */
+
+struct kwb_buf {
+	char *data;
+	size_t used_bytes;
+	size_t room_bytes;
+};
+
+void kwb_buf_init(struct kwb_buf *buf);
+void kwb_buf_finish(struct kwb_buf *buf);
+int kwb_buf_reserve(struct kwb_buf *buf, size_t more_bytes);
+int kwb_buf_add(struct kwb_buf *buf, const void *data, size_t length_bytes);
+int kwb_buf_printf(struct kwb_buf *buf, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+void kwb_buf_consume(struct kwb_buf *buf, size_t length_bytes);
+const char *kwb_buf_text(const struct kwb_buf *buf); /* never NULL */
+void kwb_text_copy(char *to, size_t room_bytes, const char *from);
+
+/* ---- Metrics --------------------------------------------------------- */
+
+enum kwb_metric {
+	KWB_METRIC_RAN,
+	KWB_METRIC_NOT_RUN,
+	KWB_METRIC_UNKNOWN,
+	KWB_METRIC_RETRIES,
+	KWB_METRIC_HEDGES,
+	KWB_METRIC_RESUMES,
+	KWB_METRIC_SAMPLES,
+	KWB_METRIC_STALE,
+	KWB_METRIC_TOKENS,
+	KWB_METRIC_TOKENS_WASTED,
+	KWB_METRIC_FENCED,
+	KWB_METRIC_STALE_LISTS,
+	KWB_METRIC_SWAPS,
+	KWB_METRIC_SWAP_FAILURES,
+	KWB_METRIC_LINKS_LOST,
+	KWB_METRIC_CONTROL_BYTES,
+	KWB_METRIC_LISTS_REVISION,
+	KWB_METRIC_COUNT
+};
+
+void kwb_metric_add(enum kwb_metric metric, uint64_t amount);
+void kwb_metric_set(enum kwb_metric metric, uint64_t value);
+uint64_t kwb_metric_get(enum kwb_metric metric);
+void kwb_metrics_print(struct kwb_buf *out); /* text exposition format */
+
+/* ---- Faults in settings and lists ------------------------------------ */
+
+struct kwb_faults {
+	unsigned count;
+	char text[KWB_FAULTS_MAX][KWB_FAULT_MAX_BYTES];
+};
+
+void kwb_faults_add(struct kwb_faults *faults, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/* ---- Settings of a process ------------------------------------------- */
+
+struct kwb_address {
+	char ip[KWB_NAME_MAX_BYTES];
+	uint16_t port;
+};
+
+enum kwb_upstream_kind { KWB_UPSTREAM_ENGINE, KWB_UPSTREAM_SERVICE };
+
+struct kwb_seed {
+	char vm[KWB_NAME_MAX_BYTES];
+	char address[KWB_NAME_MAX_BYTES];
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	char pool[KWB_NAME_MAX_BYTES];
+};
+
+struct kwb_entry_settings {
+	char vm[KWB_NAME_MAX_BYTES];
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	char listen[KWB_NAME_MAX_BYTES];
+	char platform[KWB_URL_MAX_BYTES];
+	char policy[KWB_NAME_MAX_BYTES];
+	uint32_t workers;
+	uint32_t subset;
+	uint32_t drain_ms;
+	struct kwb_seed *seeds;
+	uint32_t seeds_count;
+};
+
+struct kwb_agent_settings {
+	char vm[KWB_NAME_MAX_BYTES];
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	char listen[KWB_NAME_MAX_BYTES];
+	char platform[KWB_URL_MAX_BYTES];
+	char pool[KWB_NAME_MAX_BYTES];
+	char upstream[KWB_URL_MAX_BYTES];
+	enum kwb_upstream_kind upstream_kind;
+	bool upstream_fences;
+	uint32_t slots;
+	uint32_t interactive_reserve;
+	uint32_t drain_ms;
+};
+
+int kwb_entry_settings_load(struct kwb_entry_settings **settings,
+    const char *path, struct kwb_faults *faults);
+void kwb_entry_settings_unload(struct kwb_entry_settings *settings);
+int kwb_agent_settings_load(struct kwb_agent_settings **settings,
+    const char *path, struct kwb_faults *faults);
+void kwb_agent_settings_unload(struct kwb_agent_settings *settings);
+int kwb_address_parse(struct kwb_address *address, const char *text);
+
+/* ---- The two lists: plans and allowances ------------------------------ */
+
+enum kwb_plan_kind { KWB_PLAN_TRAINING, KWB_PLAN_INTERACTIVE, KWB_PLAN_SERVICE };
+enum kwb_objective { KWB_OBJECTIVE_IDLE, KWB_OBJECTIVE_STALENESS };
+
+struct kwb_rule {
+	char method[16];
+	char path[128];
+	bool idempotent;
+	uint32_t timeout_ms;
+};
+
+struct kwb_plan {
+	char name[KWB_NAME_MAX_BYTES];
+	char customer[KWB_NAME_MAX_BYTES];
+	char pool[KWB_NAME_MAX_BYTES];
+	char model[KWB_NAME_MAX_BYTES];
+	enum kwb_plan_kind kind;
+	enum kwb_objective objective;
+	uint32_t staleness_versions;
+	bool mixed_versions;
+	uint32_t max_tokens;
+	struct kwb_rule *rules;
+	uint32_t rules_count;
+};
+
+struct kwb_allowance {
+	char plan[KWB_NAME_MAX_BYTES];
+	uint32_t concurrent;
+	uint32_t queue;
+};
+
+struct kwb_platform;
+
+struct kwb_lists {
+	uint64_t revision;
+	struct kwb_plan *plans;
+	uint32_t plans_count;
+	struct kwb_allowance *allowances;
+	uint32_t allowances_count;
+};
+
+/* Text that lists came from, for file and line in faults. */
+struct kwb_source {
+	const char *file;
+	const char *text;
+};
+
+int kwb_lists_parse(struct kwb_lists **lists, const struct kwb_source *source,
+    struct kwb_faults *faults);
+int kwb_lists_print(const struct kwb_lists *lists, struct kwb_buf *out);
+void kwb_lists_unload(struct kwb_lists *lists);
+int kwb_lists_check(const struct kwb_lists *lists,
+    const struct kwb_source *sources, unsigned sources_count,
+    struct kwb_faults *faults); /* every fault, with file and line */
+const struct kwb_plan *kwb_lists_plan(const struct kwb_lists *lists,
+    const char *name);
+const struct kwb_allowance *kwb_lists_allowance(const struct kwb_lists *lists,
+    const char *plan);
+const struct kwb_rule *kwb_plan_rule(const struct kwb_plan *plan,
+    const char *method, const char *path);
+int kwb_lists_diff(const struct kwb_lists *from, const struct kwb_lists *to,
+    struct kwb_buf *out); /* number of differing entries */
+int kwb_lists_merge(struct kwb_lists **merged, const struct kwb_lists *base,
+    const struct kwb_lists *theirs, const struct kwb_lists *ours,
+    struct kwb_buf *conflicts); /* three-way, entry by entry */
+
+int kwb_lists_fetch(const struct kwb_platform *platform,
+    struct kwb_lists **lists); /* from the table; empty before the first */
+int kwb_lists_fetch_old(const struct kwb_platform *platform,
+    uint64_t revision, struct kwb_lists **lists); /* from the history */
+int kwb_lists_apply(const struct kwb_platform *platform,
+    const struct kwb_lists *ours, uint64_t *revision,
+    struct kwb_buf *conflicts, struct kwb_faults *faults);
+
+/* The newest lists this process knows; the revision only rises (RCU). */
+int kwb_current_init(void);
+void kwb_current_finish(void);
+void kwb_current_thread_init(void);   /* each thread that reads, once */
+void kwb_current_thread_finish(void); /* before such a thread ends */
+int kwb_current_offer(const char *text, size_t length_bytes,
+    uint64_t revision); /* 1 when taken, 0 when not newer */
+uint64_t kwb_current_revision(void);
+const struct kwb_lists *kwb_current_hold(void); /* NULL before the first */
+void kwb_current_drop(void);                    /* ends a hold */
+int kwb_current_text(struct kwb_buf *out, uint64_t *revision);
+
+/* ---- HTTP client ------------------------------------------------------ */
+
+struct kwb_http_request {
+	const char *method;
+	const char *url;
+	const char *content_type;
+	const char *if_match; /* revision text, "*none" for insert only */
+	const void *body;
+	size_t body_bytes;
+	uint32_t timeout_ms;
+	bool fresh; /* never reuse a connection, so never resend inside */
+	bool (*on_data)(void *context, const char *data, size_t length_bytes);
+	bool (*should_stop)(void *context); /* asked while nothing arrives */
+	void *context;
+};
+
+struct kwb_http_answer {
+	long status; /* 0 when no whole answer came */
+	bool sent;   /* false when the request surely never left */
+	uint64_t revision;
+	char content_type[KWB_NAME_MAX_BYTES];
+	struct kwb_buf body;
+};
+
+void kwb_http_init(void);
+void kwb_http_finish(void);
+int kwb_http_do(const struct kwb_http_request *request,
+    struct kwb_http_answer *answer);
+void kwb_http_answer_finish(struct kwb_http_answer *answer);
+
+/* ---- Platform: table, object store, weight store, VM list ------------- */
+
+struct kwb_platform {
+	char url[KWB_URL_MAX_BYTES];
+};
+
+enum kwb_vm_state { KWB_VM_LIVE, KWB_VM_LEAVING };
+
+struct kwb_vm {
+	char vm[KWB_NAME_MAX_BYTES];
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	char role[KWB_NAME_MAX_BYTES];
+	char pool[KWB_NAME_MAX_BYTES];
+	struct kwb_address address;
+	enum kwb_vm_state state;
+};
+
+struct kwb_vms {
+	uint32_t count;
+	uint64_t read_ns; /* when the platform gave it; 0 before */
+	struct kwb_vm vms[KWB_VMS_MAX];
+};
+
+void kwb_platform_init(struct kwb_platform *platform, const char *url);
+int kwb_table_get(const struct kwb_platform *platform, const char *key,
+    struct kwb_buf *value, uint64_t *revision);
+int kwb_table_put(const struct kwb_platform *platform, const char *key,
+    const char *value, size_t length_bytes, uint64_t expected,
+    uint64_t *revision); /* expected 0 inserts only; lost answers read back */
+int kwb_object_put(const struct kwb_platform *platform, const char *name,
+    const char *data, size_t length_bytes);
+int kwb_object_get(const struct kwb_platform *platform, const char *name,
+    struct kwb_buf *data);
+int kwb_weights_newest(const struct kwb_platform *platform, const char *model,
+    uint64_t *version);
+int kwb_vms_get(const struct kwb_platform *platform, struct kwb_vms *vms);
+int kwb_lists_read(const struct kwb_platform *platform, struct kwb_buf *text,
+    uint64_t *revision);
+
+/* ---- Wire: framed links between entries and agents -------------------- */
+
+struct Kwb__Wire__Frame;
+
+struct kwb_link_ops {
+	void (*on_open)(void *context, uint64_t link, uint32_t tag);
+	void (*on_frame)(void *context, uint64_t link, uint32_t tag,
+	    struct Kwb__Wire__Frame *frame); /* the callee frees the frame */
+	void (*on_close)(void *context, uint64_t link, uint32_t tag);
+	void (*on_heartbeat)(void *context, uint64_t link, uint32_t tag);
+};
+
+struct kwb_link {
+	pthread_mutex_t lock;
+	uint64_t id; /* 0 when the slot is free */
+	int fd;
+	uint32_t tag;
+	bool connecting;
+	bool writable_wanted;
+	uint64_t silent_deadline_ns;
+	uint64_t heartbeat_deadline_ns;
+	struct kwb_buf in;
+	struct kwb_buf out;
+};
+
+struct kwb_loop {
+	const struct kwb_link_ops *ops;
+	void *context;
+	int epoll_fd;
+	int listen_fd;
+	uint64_t next_generation;
+	volatile bool stopping;
+	pthread_t thread;
+	pthread_mutex_t slots_lock;
+	struct kwb_link links[KWB_LINKS_MAX];
+};
+
+int kwb_frame_pack(const struct Kwb__Wire__Frame *frame, struct kwb_buf *out);
+int kwb_frame_unpack(struct kwb_buf *in, struct Kwb__Wire__Frame **frame);
+void kwb_frame_free(struct Kwb__Wire__Frame *frame);
+int kwb_loop_init(struct kwb_loop *loop, const struct kwb_link_ops *ops,
+    void *context);
+int kwb_loop_listen(struct kwb_loop *loop, const struct kwb_address *address);
+int kwb_loop_start(struct kwb_loop *loop);
+void kwb_loop_finish(struct kwb_loop *loop);
+int kwb_loop_connect(struct kwb_loop *loop, const struct kwb_address *address,
+    uint32_t tag, uint64_t *link);
+int kwb_link_send(struct kwb_loop *loop, uint64_t link,
+    const struct Kwb__Wire__Frame *frame);
+void kwb_link_close(struct kwb_loop *loop, uint64_t link);
+void kwb_loop_beat(struct kwb_loop *loop); /* heartbeats on all links, soon */
+
+/* ---- Member: subsets and leases --------------------------------------- */
+
+uint64_t kwb_hash(const char *text, uint64_t seed);
+unsigned kwb_subset(const struct kwb_vms *vms, const char *self,
+    const char *failure_domain, unsigned wanted, uint32_t *chosen,
+    unsigned chosen_max); /* indices into vms of the agents to connect to */
+
+struct kwb_lease {
+	char name[KWB_KEY_MAX_BYTES];
+	char holder[KWB_NAME_MAX_BYTES];
+	uint64_t incarnation;
+	uint64_t fencing_token; /* valid while held */
+	uint64_t deadline_ns;   /* held until, by this process's clock */
+	uint64_t renewals;
+	uint64_t seen_revision;    /* another's row, as last seen */
+	uint64_t seen_deadline_ns; /* lapsed if unchanged until then */
+};
+
+void kwb_lease_init(struct kwb_lease *lease, const char *name,
+    const char *holder, uint64_t incarnation);
+bool kwb_lease_held(const struct kwb_lease *lease, uint64_t now_ns);
+int kwb_lease_try(struct kwb_lease *lease,
+    const struct kwb_platform *platform); /* acquire or renew */
+void kwb_lease_release(struct kwb_lease *lease,
+    const struct kwb_platform *platform);
+int kwb_lease_token(const struct kwb_platform *platform, const char *name,
+    uint64_t *fencing_token); /* highest token ever given out */
+
+/* ---- Limit: shares of an allowance, retry budget ----------------------- */
+
+struct kwb_share_member {
+	char vm[KWB_NAME_MAX_BYTES];
+	uint64_t incarnation;
+	uint32_t units;
+};
+
+uint32_t kwb_share_fair(uint32_t allowance, const char *plan,
+    const struct kwb_share_member *members, unsigned count,
+    unsigned self); /* units that member self should hold */
+uint32_t kwb_share_next(uint32_t allowance, const char *plan,
+    const struct kwb_share_member *members, unsigned count, unsigned self,
+    uint32_t running); /* units that member self may write now */
+
+struct kwb_budget {
+	pthread_mutex_t lock;
+	uint64_t tries;
+	uint64_t retries;
+};
+
+void kwb_budget_init(struct kwb_budget *budget);
+void kwb_budget_finish(struct kwb_budget *budget);
+void kwb_budget_try(struct kwb_budget *budget);
+bool kwb_budget_retry(struct kwb_budget *budget); /* false when spent */
+
+/* ---- Route: which upstream takes a request ----------------------------- */
+
+enum kwb_policy { KWB_POLICY_KWB, KWB_POLICY_ROUND_ROBIN, KWB_POLICY_LEAST };
+
+struct kwb_candidate {
+	const char *vm;
+	bool usable;     /* connected, up, not leaving, not tripped */
+	bool same_domain;
+	bool swapping;
+	uint64_t version; /* weights of the request's model */
+	uint32_t units;   /* plan's share there */
+	uint32_t in_plan; /* plan's running there, own count or report */
+	uint32_t slots;
+	uint32_t in_flight; /* all plans, larger of own count and report */
+};
+
+struct kwb_route {
+	const char *affinity; /* prefix key, NULL for none */
+	uint64_t min_version;
+	uint64_t random;
+	int exclude; /* candidate to avoid, -1 for none */
+	bool priority;
+	enum kwb_policy policy;
+};
+
+struct kwb_choice {
+	int index; /* -1 when none */
+	int error; /* why none */
+	const char *reason;
+};
+
+struct kwb_choice kwb_route_pick(const struct kwb_route *route,
+    const struct kwb_candidate *candidates, unsigned count);
+int kwb_policy_parse(enum kwb_policy *policy, const char *name);
+
+/* ---- Call: outcomes, keys, journal ------------------------------------- */
+
+enum kwb_outcome {
+	KWB_OUTCOME_RAN = 1,
+	KWB_OUTCOME_NOT_RUN = 2,
+	KWB_OUTCOME_UNKNOWN = 3,
+	KWB_OUTCOME_PARTIAL = 4 /* generation broke off; resumable */
+};
+
+const char *kwb_outcome_name(enum kwb_outcome outcome);
+
+struct kwb_pin {
+	char vm[KWB_NAME_MAX_BYTES];
+	uint64_t incarnation;
+	uint64_t minted_ms;
+	char key[KWB_KEY_MAX_BYTES];
+};
+
+int kwb_ticket_print(const struct kwb_pin *pin, struct kwb_buf *out);
+int kwb_ticket_parse(struct kwb_pin *pin, const char *text);
+int kwb_claim(const struct kwb_platform *platform, const char *plan,
+    struct kwb_pin *pin); /* insert if absent, else read the first pin */
+
+struct kwb_tokens {
+	uint32_t count;
+	uint32_t room;
+	char **text;
+	uint64_t *version; /* of each token */
+};
+
+void kwb_tokens_init(struct kwb_tokens *tokens);
+void kwb_tokens_finish(struct kwb_tokens *tokens);
+int kwb_tokens_add(struct kwb_tokens *tokens, const char *text,
+    uint64_t version);
+uint64_t kwb_tokens_oldest(const struct kwb_tokens *tokens);
+
+/* ---- Rollout: order of a step's work, hedging -------------------------- */
+
+struct kwb_predictor {
+	double log_mean;   /* of token counts */
+	double log_square; /* of token counts */
+	uint64_t count;
+	uint64_t covered; /* predictions whose interval held */
+};
+
+void kwb_predictor_init(struct kwb_predictor *predictor);
+void kwb_predictor_learn(struct kwb_predictor *predictor, uint32_t tokens);
+bool kwb_predictor_upper(const struct kwb_predictor *predictor,
+    uint32_t *tokens); /* false until accurate enough */
+
+struct kwb_hedge_input {
+	uint32_t unstarted;      /* samples still to start */
+	uint32_t idle_units;     /* free places elsewhere */
+	uint32_t remaining_high; /* predicted tokens left, upper bound */
+	uint64_t silent_ns;      /* since the last token */
+	uint64_t token_ns;       /* usual time between tokens */
+	uint64_t wasted_tokens;  /* thrown away by hedges so far */
+	uint64_t made_tokens;
+	uint32_t copies;
+	enum kwb_objective objective;
+};
+
+bool kwb_hedge_wanted(const struct kwb_hedge_input *input);
+
+struct kwb_sample_age {
+	uint64_t trainer_version;
+	uint64_t oldest_version;
+	uint32_t bound_versions;
+};
+
+bool kwb_sample_fresh(const struct kwb_sample_age *age);
+
+/* ---- Weights: order of swaps ------------------------------------------- */
+
+struct kwb_swap_server {
+	bool usable;
+	bool swapping;
+	uint64_t version;
+	uint32_t in_flight;
+};
+
+int kwb_swap_pick(const struct kwb_swap_server *servers, unsigned count,
+    uint64_t target, enum kwb_objective objective); /* index or -1 */
+
+/* ---- Daemons ------------------------------------------------------------ */
+
+struct kwb_entry;
+struct kwb_agent;
+
+int kwb_entry_start(struct kwb_entry **entry,
+    const struct kwb_entry_settings *settings);
+void kwb_entry_stop(struct kwb_entry *entry); /* graceful shutdown */
+int kwb_agent_start(struct kwb_agent **agent,
+    const struct kwb_agent_settings *settings);
+void kwb_agent_stop(struct kwb_agent *agent); /* graceful shutdown */
+
+#endif
--- /dev/null
+++ b/src/agent/agent.c
@@ -0,0 +1,300 @@
+/*
+ * Agent: start, stop, links from entries, status. It says by itself that it
+ * leaves, on every link and in every refusal.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent.h"
+
+#define WATCH_NS (100 * KWB_MS_NS)
+#define LEAVE_NOTICE_NS (1000 * KWB_MS_NS)
+#define LISTED_NS (3 * KWB_HEARTBEAT_NS)
+
+/* A status message and the memory it points into. */
+struct status_message {
+	Kwb__Wire__Status status;
+	Kwb__Wire__ModelVersion versions[KWB_MODELS_MAX];
+	Kwb__Wire__ModelVersion *version_pointers[KWB_MODELS_MAX];
+	Kwb__Wire__PlanUse uses[KWB_PLANS_MAX];
+	Kwb__Wire__PlanUse *use_pointers[KWB_PLANS_MAX];
+	struct model_state models[KWB_MODELS_MAX];
+	struct plan_use plans[KWB_PLANS_MAX];
+};
+
+static void on_open(void *context, uint64_t link, uint32_t tag);
+static void on_frame(void *context, uint64_t link, uint32_t tag,
+    Kwb__Wire__Frame *frame);
+static void on_close(void *context, uint64_t link, uint32_t tag);
+static void on_heartbeat(void *context, uint64_t link, uint32_t tag);
+static void on_lists(const Kwb__Wire__Lists *lists);
+static void status_fill(struct kwb_agent *agent,
+    struct status_message *message);
+static void leaving_update(struct kwb_agent *agent);
+static uint64_t status_digest(struct kwb_agent *agent);
+static void *watch_run(void *argument);
+
+static const struct kwb_link_ops link_ops = {
+    .on_open = on_open,
+    .on_frame = on_frame,
+    .on_close = on_close,
+    .on_heartbeat = on_heartbeat,
+};
+
+int
+kwb_agent_start(struct kwb_agent **started,
+    const struct kwb_agent_settings *settings)
+{
+	struct kwb_agent *agent = calloc(1, sizeof(*agent));
+	struct kwb_address address;
+	int error;
+
+	if (agent == NULL)
+		return KWB_ERR_MEMORY;
+	agent->settings = settings;
+	agent->incarnation = kwb_clock_wall_ms() * 1000 +
+	    kwb_clock_now_ns() % 1000;
+	kwb_platform_init(&agent->platform, settings->platform);
+	journal_init(&agent->journal);
+	pthread_mutex_init(&agent->upstream.lock, NULL);
+	pthread_mutex_init(&agent->orders.lock, NULL);
+	kwb_cond_init(&agent->orders.changed);
+	STAILQ_INIT(&agent->orders.waiting);
+	kwb_address_parse(&address, settings->listen);
+	error = kwb_loop_init(&agent->loop, &link_ops, agent);
+	if (error == 0)
+		error = kwb_loop_listen(&agent->loop, &address);
+	if (error == 0)
+		error = run_start(agent);
+	if (error == 0 &&
+	    (pthread_create(&agent->watch_thread, NULL, watch_run, agent) ||
+	        pthread_create(&agent->order_thread, NULL, order_run, agent) ||
+	        pthread_create(&agent->share_thread, NULL, share_run, agent)))
+		error = KWB_ERR_SYSTEM;
+	if (error == 0)
+		error = kwb_loop_start(&agent->loop);
+	if (error != 0)
+		return error;
+	kwb_log(KWB_LOG_INFO, "agent",
+	    "event=start vm=%s failure_domain=%s pool=%s incarnation=%llu",
+	    settings->vm, settings->failure_domain, settings->pool,
+	    (unsigned long long)agent->incarnation);
+	*started = agent;
+	return 0;
+}
+
+/*
+ * Says that it leaves, lets calls run out, hands unfinished generations back
+ * to their entries at a token's edge, then ends.
+ */
+void
+kwb_agent_stop(struct kwb_agent *agent)
+{
+	uint64_t deadline_ns = kwb_clock_now_ns() +
+	    agent->settings->drain_ms * KWB_MS_NS;
+	uint64_t notice_ns = kwb_clock_now_ns() + LEAVE_NOTICE_NS;
+
+	atomic_store(&agent->ending, true);
+	while (kwb_clock_now_ns() < deadline_ns &&
+	    (run_busy(agent) > 0 || kwb_clock_now_ns() < notice_ns))
+		kwb_clock_sleep_ns(WATCH_NS / 4);
+	atomic_store(&agent->stopping, true);
+	run_stop(agent);
+	pthread_join(agent->watch_thread, NULL);
+	pthread_join(agent->order_thread, NULL);
+	pthread_join(agent->share_thread, NULL);
+	share_leave(agent);
+	kwb_loop_finish(&agent->loop);
+	journal_finish(&agent->journal);
+	kwb_log(KWB_LOG_INFO, "agent", "event=stop");
+	free(agent);
+}
+
+bool
+agent_leaving(struct kwb_agent *agent)
+{
+	return atomic_load(&agent->ending) ||
+	    kwb_clock_now_ns() < atomic_load(&agent->listed_ns);
+}
+
+static void
+on_open(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_agent *agent = context;
+	struct status_message message;
+	Kwb__Wire__Hello hello = KWB__WIRE__HELLO__INIT;
+	KWB_FRAME(frame, HELLO, hello, hello);
+
+	(void)tag;
+	status_fill(agent, &message);
+	hello.protocol = KWB_PROTOCOL;
+	hello.vm = (char *)agent->settings->vm;
+	hello.incarnation = agent->incarnation;
+	hello.failure_domain = (char *)agent->settings->failure_domain;
+	hello.pool = (char *)agent->settings->pool;
+	hello.lists_revision = kwb_current_revision();
+	hello.status = &message.status;
+	kwb_link_send(&agent->loop, link, &frame);
+}
+
+static void
+on_frame(void *context, uint64_t link, uint32_t tag, Kwb__Wire__Frame *frame)
+{
+	struct kwb_agent *agent = context;
+
+	(void)tag;
+	switch (frame->body_case) {
+	case KWB__WIRE__FRAME__BODY_RUN:
+		handle_run(agent, link, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_ORDER:
+		order_accept(agent, link, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_QUERY:
+		handle_query(agent, link, frame->query);
+		break;
+	case KWB__WIRE__FRAME__BODY_CANCEL:
+		handle_cancel(agent, link, frame->cancel);
+		break;
+	case KWB__WIRE__FRAME__BODY_FIND:
+		handle_find(agent, link, frame->find);
+		break;
+	case KWB__WIRE__FRAME__BODY_LISTS:
+		on_lists(frame->lists);
+		on_heartbeat(agent, link, 0);
+		break;
+	case KWB__WIRE__FRAME__BODY_HELLO:
+		if (frame->hello->protocol != KWB_PROTOCOL)
+			kwb_link_close(&agent->loop, link);
+		break;
+	case KWB__WIRE__FRAME__BODY_HEARTBEAT:
+		if (frame->heartbeat->listed_leaving)
+			atomic_store(&agent->listed_ns,
+			    kwb_clock_now_ns() + LISTED_NS);
+		break;
+	default:
+		break;
+	}
+	kwb_frame_free(frame);
+}
+
+static void
+on_close(void *context, uint64_t link, uint32_t tag)
+{
+	(void)tag;
+	handle_link_closed(context, link);
+}
+
+static void
+on_heartbeat(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_agent *agent = context;
+	struct status_message message;
+	Kwb__Wire__Heartbeat heartbeat = KWB__WIRE__HEARTBEAT__INIT;
+	KWB_FRAME(frame, HEARTBEAT, heartbeat, heartbeat);
+
+	(void)tag;
+	status_fill(agent, &message);
+	heartbeat.lists_revision = kwb_current_revision();
+	heartbeat.status = &message.status;
+	kwb_link_send(&agent->loop, link, &frame);
+}
+
+static void
+on_lists(const Kwb__Wire__Lists *lists)
+{
+	kwb_current_offer((const char *)lists->document.data,
+	    lists->document.len, lists->revision);
+}
+
+static void
+status_fill(struct kwb_agent *agent, struct status_message *message)
+{
+	Kwb__Wire__Status *status = &message->status;
+	unsigned i;
+
+	kwb__wire__status__init(status);
+	status->leaving = agent_leaving(agent);
+	status->slots = agent->settings->slots;
+	pthread_mutex_lock(&agent->upstream.lock);
+	status->upstream_up = agent->upstream.up;
+	status->n_versions = agent->upstream.models_count;
+	memcpy(message->models, agent->upstream.models,
+	    sizeof(message->models));
+	pthread_mutex_unlock(&agent->upstream.lock);
+	pthread_mutex_lock(&agent->queue.lock);
+	status->running = agent->queue.running_count;
+	status->waiting = agent->queue.waiting_count;
+	status->n_plans = agent->queue.plans_count;
+	memcpy(message->plans, agent->queue.plans, sizeof(message->plans));
+	pthread_mutex_unlock(&agent->queue.lock);
+	for (i = 0; i < status->n_versions; i++) {
+		kwb__wire__model_version__init(&message->versions[i]);
+		message->versions[i].model = message->models[i].model;
+		message->versions[i].version = message->models[i].version;
+		message->versions[i].swapping = message->models[i].swapping;
+		message->version_pointers[i] = &message->versions[i];
+	}
+	for (i = 0; i < status->n_plans; i++) {
+		kwb__wire__plan_use__init(&message->uses[i]);
+		message->uses[i].plan = message->plans[i].plan;
+		message->uses[i].units = message->plans[i].units;
+		message->uses[i].running = message->plans[i].running;
+		message->use_pointers[i] = &message->uses[i];
+	}
+	status->versions = message->version_pointers;
+	status->plans = message->use_pointers;
+}
+
+/* Notes when leaving begins and ends, by a stop or by the platform's list. */
+static void
+leaving_update(struct kwb_agent *agent)
+{
+	bool now = agent_leaving(agent);
+
+	if (now == (atomic_load(&agent->leaving_ns) != 0))
+		return;
+	atomic_store(&agent->leaving_ns, now ? kwb_clock_now_ns() : 0);
+	kwb_log(KWB_LOG_INFO, "agent", "event=leaving now=%d ending=%d", now,
+	    atomic_load(&agent->ending));
+}
+
+/* A digest of what entries should hear of at once. */
+static uint64_t
+status_digest(struct kwb_agent *agent)
+{
+	struct status_message message;
+	uint64_t digest;
+	unsigned i;
+
+	status_fill(agent, &message);
+	digest = message.status.leaving * 2 + message.status.upstream_up;
+	for (i = 0; i < message.status.n_versions; i++)
+		digest = digest * 31 + message.models[i].version * 2 +
+		    message.models[i].swapping;
+	for (i = 0; i < message.status.n_plans; i++)
+		digest = digest * 31 + message.plans[i].units;
+	return digest;
+}
+
+/* Reads the upstream and tidies the journal. */
+static void *
+watch_run(void *argument)
+{
+	struct kwb_agent *agent = argument;
+
+	uint64_t digest, last_digest = 0;
+
+	while (!atomic_load(&agent->stopping)) {
+		upstream_watch(agent);
+		handle_expired(agent);
+		leaving_update(agent);
+		digest = status_digest(agent);
+		if (digest != last_digest)
+			kwb_loop_beat(&agent->loop);
+		last_digest = digest;
+		kwb_clock_sleep_ns(WATCH_NS);
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/agent/handle.c
@@ -0,0 +1,514 @@
+/*
+ * Frames from entries: run, query, cancel, find. Every refusal is a typed
+ * "not run"; a key whose state is asked for while unknown is barred first.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent.h"
+
+#define SPANS_MAX 256
+
+static int run_refusal(struct kwb_agent *agent, const Kwb__Wire__Run *run);
+static void run_attach(struct kwb_agent *agent, uint64_t link,
+    struct job *job, const Kwb__Wire__Run *run);
+static void run_insert(struct kwb_agent *agent, struct journal_shard *shard,
+    uint64_t link, Kwb__Wire__Frame *frame);
+static void refuse(struct kwb_agent *agent, uint64_t link, uint64_t request,
+    enum kwb_outcome outcome, int error);
+static void send_lists(struct kwb_agent *agent, uint64_t link);
+static void send_progress_to(struct kwb_agent *agent, struct job *job,
+    struct attachment *to);
+static void send_done_to(struct kwb_agent *agent, const struct job *job,
+    const struct attachment *to);
+static void job_replay(struct kwb_agent *agent, struct job *job);
+static bool job_expire(struct kwb_agent *agent, struct journal_shard *shard,
+    struct job *job, uint64_t now_ns, bool hand_over);
+static unsigned spans_of(const struct kwb_tokens *tokens, uint32_t first,
+    Kwb__Wire__Span *spans);
+static bool sample_is_past(struct journal *journal, const struct job *job);
+static unsigned find_in_shard(struct journal_shard *shard,
+    const Kwb__Wire__Find *find, Kwb__Wire__Held *held, unsigned room);
+static bool held_fill(Kwb__Wire__Held *held, const struct job *job);
+
+void
+handle_run(struct kwb_agent *agent, uint64_t link, Kwb__Wire__Frame *frame)
+{
+	const Kwb__Wire__Run *run = frame->run;
+	struct journal_shard *shard;
+	struct job *job;
+	int error;
+
+	if (run->key[0] == '\0' || strlen(run->key) >= KWB_KEY_MAX_BYTES ||
+	    strlen(run->plan) >= KWB_NAME_MAX_BYTES) {
+		refuse(agent, link, run->request, KWB_OUTCOME_NOT_RUN,
+		    KWB_ERR_ARGUMENT);
+		kwb_frame_free(frame);
+		return;
+	}
+	shard = journal_lock(&agent->journal, run->key);
+	job = journal_find(shard, run->key);
+	if (run->lists_revision < kwb_current_revision()) {
+		kwb_metric_add(KWB_METRIC_STALE_LISTS, 1);
+		send_lists(agent, link);
+		refuse(agent, link, run->request, KWB_OUTCOME_NOT_RUN,
+		    KWB_ERR_CALL_STALE_LISTS);
+	} else if (run->agent_incarnation != agent->incarnation) {
+		refuse(agent, link, run->request, KWB_OUTCOME_NOT_RUN,
+		    KWB_ERR_CALL_INCARNATION);
+	} else if (job != NULL) {
+		run_attach(agent, link, job, run);
+	} else if ((error = run_refusal(agent, run)) != 0) {
+		refuse(agent, link, run->request,
+		    error == KWB_ERR_CALL_FORGOTTEN ? KWB_OUTCOME_UNKNOWN
+		                                    : KWB_OUTCOME_NOT_RUN,
+		    error);
+	} else {
+		run_insert(agent, shard, link, frame);
+		frame = NULL;
+	}
+	journal_unlock(shard);
+	kwb_frame_free(frame);
+}
+
+void
+handle_query(struct kwb_agent *agent, uint64_t link,
+    const Kwb__Wire__Query *query)
+{
+	struct journal_shard *shard;
+	struct job *job;
+
+	if (query->agent_incarnation != agent->incarnation) {
+		refuse(agent, link, query->request, KWB_OUTCOME_UNKNOWN,
+		    KWB_ERR_CALL_INCARNATION);
+		return;
+	}
+	shard = journal_lock(&agent->journal, query->key);
+	job = journal_find(shard, query->key);
+	if (job == NULL) {
+		job = journal_add(&agent->journal, shard, query->key);
+		if (job != NULL) {
+			job->state = JOB_BARRED;
+			journal_keep(&agent->journal, job);
+		}
+	}
+	if (job == NULL)
+		refuse(agent, link, query->request, KWB_OUTCOME_UNKNOWN,
+		    KWB_ERR_MEMORY);
+	else if (job->state == JOB_BARRED)
+		refuse(agent, link, query->request, KWB_OUTCOME_NOT_RUN,
+		    KWB_ERR_CALL_BARRED);
+	else if (job_attach(job, link, query->request, 0))
+		job_replay(agent, job);
+	else
+		refuse(agent, link, query->request, KWB_OUTCOME_UNKNOWN,
+		    KWB_ERR_CALL_BUSY);
+	journal_unlock(shard);
+}
+
+void
+handle_cancel(struct kwb_agent *agent, uint64_t link,
+    const Kwb__Wire__Cancel *cancel)
+{
+	struct job *job;
+	unsigned i;
+
+	for (i = 0; i < KWB_SHARDS; i++) {
+		struct journal_shard *shard = &agent->journal.shards[i];
+
+		pthread_mutex_lock(&shard->lock);
+		TAILQ_FOREACH(job, &shard->jobs, in_shard) {
+			if (!job_detach(job, link, cancel->request))
+				continue;
+			if (!cancel->keep && job->attached == 0)
+				atomic_store(&job->cancelled, true);
+		}
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+void
+handle_find(struct kwb_agent *agent, uint64_t link,
+    const Kwb__Wire__Find *find)
+{
+	Kwb__Wire__Found found = KWB__WIRE__FOUND__INIT;
+	KWB_FRAME(frame, FOUND, found, found);
+	Kwb__Wire__Held *held;
+	Kwb__Wire__Held **pointers;
+	unsigned i, count = 0, room;
+
+	if (journal_fence(&agent->journal, find->plan, find->step,
+	        find->attempt) != 0)
+		kwb_metric_add(KWB_METRIC_FENCED, 1);
+	room = atomic_load(&agent->journal.count) + 1;
+	held = calloc(room, sizeof(*held));
+	pointers = calloc(room, sizeof(*pointers));
+	found.request = find->request;
+	for (i = 0; i < KWB_SHARDS && held != NULL; i++)
+		count += find_in_shard(&agent->journal.shards[i], find,
+		    held + count, room - count);
+	for (i = 0; i < count && pointers != NULL; i++)
+		pointers[i] = &held[i];
+	found.n_held = pointers ? count : 0;
+	found.held = pointers;
+	kwb_link_send(&agent->loop, link, &frame);
+	for (i = 0; i < count; i++) {
+		free(held[i].key);
+		free(held[i].slot);
+	}
+	free(held);
+	free(pointers);
+}
+
+void
+handle_link_closed(struct kwb_agent *agent, uint64_t link)
+{
+	struct job *job;
+	unsigned i;
+
+	for (i = 0; i < KWB_SHARDS; i++) {
+		struct journal_shard *shard = &agent->journal.shards[i];
+
+		pthread_mutex_lock(&shard->lock);
+		TAILQ_FOREACH(job, &shard->jobs, in_shard) {
+			if (job->state == JOB_BARRED)
+				continue;
+			job_detach(job, link, 0);
+		}
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+/* Forgets old jobs, cancels orphans; called every so often. */
+void
+handle_expired(struct kwb_agent *agent)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t leaving_ns = atomic_load(&agent->leaving_ns);
+	bool hand_over = leaving_ns != 0 &&
+	    now_ns >= leaving_ns + KWB_ORPHAN_NS / 4;
+	bool full = journal_full(&agent->journal);
+	struct job *job, *next;
+	unsigned i;
+
+	for (i = 0; i < KWB_SHARDS; i++) {
+		struct journal_shard *shard = &agent->journal.shards[i];
+
+		pthread_mutex_lock(&shard->lock);
+		for (job = TAILQ_FIRST(&shard->jobs); job != NULL; job = next) {
+			next = TAILQ_NEXT(job, in_shard);
+			if (job_expire(agent, shard, job, now_ns, hand_over))
+				continue;
+			/* Finished samples can be made again; calls not. */
+			if (full && job->state == JOB_DONE &&
+			    job_is_sample(job))
+				journal_remove(&agent->journal, shard, job);
+		}
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+void
+job_send_progress(struct kwb_agent *agent, struct job *job)
+{
+	unsigned i;
+
+	for (i = 0; i < job->attached; i++)
+		send_progress_to(agent, job, &job->attachments[i]);
+}
+
+void
+job_send_done(struct kwb_agent *agent, struct job *job)
+{
+	unsigned i;
+
+	job_send_progress(agent, job);
+	for (i = 0; i < job->attached; i++)
+		send_done_to(agent, job, &job->attachments[i]);
+	job->attached = 0;
+}
+
+/* Why a key not seen before is not taken; 0 when it may be. */
+static int
+run_refusal(struct kwb_agent *agent, const Kwb__Wire__Run *run)
+{
+	uint64_t keep_ms = KWB_JOB_KEEP_MS / 2;
+
+	if (agent_leaving(agent))
+		return KWB_ERR_CALL_LEAVING;
+	if (run->lists_revision > kwb_current_revision())
+		return KWB_ERR_LISTS_NONE;
+	if (run->minted_ms != 0 &&
+	    run->minted_ms + keep_ms < kwb_clock_wall_ms())
+		return KWB_ERR_CALL_FORGOTTEN;
+	if (run->slot != NULL &&
+	    journal_fence(&agent->journal, run->plan, run->slot->step,
+	        run->slot->attempt) != 0) {
+		kwb_metric_add(KWB_METRIC_FENCED, 1);
+		return KWB_ERR_CALL_FENCED;
+	}
+	if (journal_full(&agent->journal))
+		return KWB_ERR_CALL_BUSY;
+	return run_admit(agent, run);
+}
+
+static void
+run_attach(struct kwb_agent *agent, uint64_t link, struct job *job,
+    const Kwb__Wire__Run *run)
+{
+	uint32_t attempt = run->slot ? run->slot->attempt : 0;
+	unsigned i;
+
+	if (job->state == JOB_BARRED) {
+		refuse(agent, link, run->request, KWB_OUTCOME_NOT_RUN,
+		    KWB_ERR_CALL_BARRED);
+		return;
+	}
+	if (attempt < job->attempt) {
+		kwb_metric_add(KWB_METRIC_FENCED, 1);
+		refuse(agent, link, run->request, KWB_OUTCOME_NOT_RUN,
+		    KWB_ERR_CALL_FENCED);
+		return;
+	}
+	if (attempt > job->attempt) {
+		for (i = 0; i < job->attached; i++)
+			refuse(agent, job->attachments[i].link,
+			    job->attachments[i].request, KWB_OUTCOME_NOT_RUN,
+			    KWB_ERR_CALL_FENCED);
+		job->attached = 0;
+		job->attempt = attempt;
+	}
+	if (!job_attach(job, link, run->request, 0)) {
+		refuse(agent, link, run->request, KWB_OUTCOME_UNKNOWN,
+		    KWB_ERR_CALL_BUSY);
+		return;
+	}
+	kwb_log(KWB_LOG_INFO, "agent", "event=attach key=%s state=%d",
+	    job->key, job->state);
+	job_replay(agent, job);
+}
+
+static void
+run_insert(struct kwb_agent *agent, struct journal_shard *shard, uint64_t link,
+    Kwb__Wire__Frame *frame)
+{
+	const Kwb__Wire__Run *run = frame->run;
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct job *job;
+	size_t i, span = 0;
+
+	job = journal_add(&agent->journal, shard, run->key);
+	if (job == NULL) {
+		refuse(agent, link, run->request, KWB_OUTCOME_NOT_RUN,
+		    KWB_ERR_MEMORY);
+		kwb_frame_free(frame);
+		return;
+	}
+	job->frame = frame;
+	kwb_text_copy(job->plan, sizeof(job->plan), run->plan);
+	job->attempt = run->slot ? run->slot->attempt : 0;
+	job->deadline_ns = now_ns + run->budget_ms * KWB_MS_NS;
+	job->slack_deadline_ns = now_ns + run->slack_ms * KWB_MS_NS;
+	for (i = 0; i < run->n_resume; i++) {
+		while (span + 1 < run->n_resume_spans &&
+		    i >= run->resume_spans[span + 1]->first)
+			span++;
+		kwb_tokens_add(&job->tokens, run->resume[i],
+		    run->n_resume_spans ? run->resume_spans[span]->version
+		                        : 0);
+	}
+	job_attach(job, link, run->request, (uint32_t)run->n_resume);
+	run_enqueue(agent, job);
+}
+
+static void
+refuse(struct kwb_agent *agent, uint64_t link, uint64_t request,
+    enum kwb_outcome outcome, int error)
+{
+	Kwb__Wire__Done done = KWB__WIRE__DONE__INIT;
+	KWB_FRAME(frame, DONE, done, done);
+
+	done.request = request;
+	done.outcome = outcome;
+	done.error = error;
+	done.leaving = agent_leaving(agent);
+	kwb_log(KWB_LOG_DEBUG, "agent", "event=refuse request=%llu error=%s",
+	    (unsigned long long)request, kwb_error_name(error));
+	kwb_link_send(&agent->loop, link, &frame);
+}
+
+static void
+send_lists(struct kwb_agent *agent, uint64_t link)
+{
+	Kwb__Wire__Lists lists = KWB__WIRE__LISTS__INIT;
+	KWB_FRAME(frame, LISTS, lists, lists);
+	struct kwb_buf text;
+
+	kwb_buf_init(&text);
+	if (kwb_current_text(&text, &lists.revision) == 0) {
+		lists.document.data = (uint8_t *)text.data;
+		lists.document.len = text.used_bytes;
+		kwb_link_send(&agent->loop, link, &frame);
+	}
+	kwb_buf_finish(&text);
+}
+
+static void
+job_replay(struct kwb_agent *agent, struct job *job)
+{
+	if (job->state == JOB_DONE)
+		job_send_done(agent, job);
+	else
+		job_send_progress(agent, job);
+}
+
+static void
+send_progress_to(struct kwb_agent *agent, struct job *job,
+    struct attachment *to)
+{
+	Kwb__Wire__Progress progress = KWB__WIRE__PROGRESS__INIT;
+	KWB_FRAME(frame, PROGRESS, progress, progress);
+	Kwb__Wire__Span spans[SPANS_MAX];
+	Kwb__Wire__Span *span_pointers[SPANS_MAX];
+	unsigned i;
+
+	if (to->sent_tokens >= job->tokens.count)
+		return;
+	progress.request = to->request;
+	progress.first = to->sent_tokens;
+	progress.tokens = job->tokens.text + to->sent_tokens;
+	progress.n_tokens = job->tokens.count - to->sent_tokens;
+	progress.n_spans = spans_of(&job->tokens, to->sent_tokens, spans);
+	for (i = 0; i < progress.n_spans; i++)
+		span_pointers[i] = &spans[i];
+	progress.spans = span_pointers;
+	if (kwb_link_send(&agent->loop, to->link, &frame) == 0)
+		to->sent_tokens = job->tokens.count;
+}
+
+static void
+send_done_to(struct kwb_agent *agent, const struct job *job,
+    const struct attachment *to)
+{
+	Kwb__Wire__Done done = KWB__WIRE__DONE__INIT;
+	KWB_FRAME(frame, DONE, done, done);
+
+	done.request = to->request;
+	done.outcome = job->outcome;
+	done.error = job->error;
+	done.status = job->status;
+	done.content_type = (char *)job->content_type;
+	done.body.data = (uint8_t *)job->body.data;
+	done.body.len = job->body.used_bytes;
+	done.leaving = agent_leaving(agent);
+	kwb_link_send(&agent->loop, to->link, &frame);
+}
+
+static unsigned
+spans_of(const struct kwb_tokens *tokens, uint32_t first,
+    Kwb__Wire__Span *spans)
+{
+	unsigned count = 0;
+	uint32_t i;
+
+	for (i = first; i < tokens->count; i++) {
+		if (count > 0 && spans[count - 1].version == tokens->version[i]) {
+			spans[count - 1].count++;
+			continue;
+		}
+		if (count == SPANS_MAX)
+			break;
+		kwb__wire__span__init(&spans[count]);
+		spans[count].version = tokens->version[i];
+		spans[count].first = i;
+		spans[count].count = 1;
+		count++;
+	}
+	return count;
+}
+
+/* Returns true when the job was removed. */
+static bool
+job_expire(struct kwb_agent *agent, struct journal_shard *shard,
+    struct job *job, uint64_t now_ns, bool hand_over)
+{
+	bool generation = job->frame != NULL && job->frame->run->model[0];
+	bool orphan = job->orphan_ns != 0 &&
+	    (now_ns >= job->orphan_ns || !job_is_sample(job));
+
+	if (job->state == JOB_DONE || job->state == JOB_BARRED) {
+		if (now_ns < job->forget_ns &&
+		    !sample_is_past(&agent->journal, job))
+			return false;
+		journal_remove(&agent->journal, shard, job);
+		return true;
+	}
+	if (now_ns >= job->deadline_ns && generation)
+		atomic_store(&job->cancelled, true);
+	if (generation && (orphan || hand_over))
+		atomic_store(&job->cancelled, true);
+	if (sample_is_past(&agent->journal, job))
+		atomic_store(&job->cancelled, true);
+	return false;
+}
+
+static bool
+sample_is_past(struct journal *journal, const struct job *job)
+{
+	bool past = false;
+	unsigned i;
+
+	if (!job_is_sample(job))
+		return false;
+	pthread_mutex_lock(&journal->fences_lock);
+	for (i = 0; i < KWB_PLANS_MAX; i++)
+		if (strcmp(journal->fences[i].plan, job->plan) == 0)
+			past =
+			    job->frame->run->slot->step < journal->fences[i].step;
+	pthread_mutex_unlock(&journal->fences_lock);
+	return past;
+}
+
+static unsigned
+find_in_shard(struct journal_shard *shard, const Kwb__Wire__Find *find,
+    Kwb__Wire__Held *held, unsigned room)
+{
+	struct job *job;
+	unsigned count = 0;
+
+	pthread_mutex_lock(&shard->lock);
+	TAILQ_FOREACH(job, &shard->jobs, in_shard) {
+		if (count == room || !job_is_sample(job) ||
+		    strcmp(job->plan, find->plan) != 0 ||
+		    job->frame->run->slot->step != find->step)
+			continue;
+		if (job->state == JOB_DONE && job->outcome != KWB_OUTCOME_RAN)
+			continue;
+		if (atomic_load(&job->cancelled))
+			continue;
+		count += held_fill(&held[count], job);
+	}
+	pthread_mutex_unlock(&shard->lock);
+	return count;
+}
+
+/* The copy is the caller's, because the job may go once its lock is let go. */
+static bool
+held_fill(Kwb__Wire__Held *held, const struct job *job)
+{
+	kwb__wire__held__init(held);
+	held->slot = malloc(sizeof(*held->slot));
+	held->key = strdup(job->key);
+	if (held->slot == NULL || held->key == NULL) {
+		free(held->slot);
+		free(held->key);
+		return false;
+	}
+	kwb__wire__slot__init(held->slot);
+	held->slot->step = job->frame->run->slot->step;
+	held->slot->group = job->frame->run->slot->group;
+	held->slot->index = job->frame->run->slot->index;
+	held->tokens = job->tokens.count;
+	held->done = job->state == JOB_DONE;
+	return true;
+}
--- /dev/null
+++ b/src/agent/upstream.c
@@ -0,0 +1,319 @@
+/*
+ * Client of the upstream beside this agent: generation streams and load of a
+ * model engine, calls and health of a plain service.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "agent.h"
+
+#define URL_MAX_BYTES 512
+#define DOWN_FAILURES 2
+#define WATCH_TIMEOUT_MS 1000
+
+/* A generation stream being read: server-sent events, one line at a time. */
+struct stream {
+	struct kwb_agent *agent;
+	struct job *job;
+	struct kwb_buf line;
+	uint64_t assumed_version; /* for tokens whose event names none */
+	bool assumed;
+	bool finished;
+};
+
+static char *generate_body(const struct job *job);
+static bool stream_data(void *context, const char *data, size_t length_bytes);
+static bool stream_should_stop(void *context);
+static void stream_line(struct stream *stream, const char *line);
+static void stream_token(struct stream *stream, const char *text,
+    uint64_t version);
+static void generate_settle(struct stream *stream, int error,
+    const struct kwb_http_answer *answer, const struct model_state *before);
+static void watch_parse(struct kwb_agent *agent, const char *text);
+
+void
+upstream_generate(struct kwb_agent *agent, struct job *job)
+{
+	const Kwb__Wire__Run *run = job->frame->run;
+	struct stream stream = {.agent = agent, .job = job};
+	char url[URL_MAX_BYTES];
+	struct kwb_http_request request = {
+	    .method = "POST",
+	    .url = url,
+	    .content_type = "application/json",
+	    .on_data = stream_data,
+	    .should_stop = stream_should_stop,
+	    .context = &stream,
+	};
+	struct kwb_http_answer answer;
+	struct model_state before;
+	char *body;
+	int error;
+
+	if (!upstream_version(agent, run->model, &before) ||
+	    before.version < run->min_version) {
+		job->outcome = KWB_OUTCOME_NOT_RUN;
+		job->error = KWB_ERR_CALL_VERSION;
+		return;
+	}
+	stream.assumed_version = before.version;
+	kwb_buf_init(&stream.line);
+	snprintf(url, sizeof(url), "%s/v1/completions",
+	    agent->settings->upstream);
+	body = generate_body(job);
+	request.body = body;
+	request.body_bytes = strlen(body);
+	request.timeout_ms = (uint32_t)kwb_clock_left_ms(job->deadline_ns) + 1;
+	error = kwb_http_do(&request, &answer);
+	generate_settle(&stream, error, &answer, &before);
+	kwb_http_answer_finish(&answer);
+	kwb_buf_finish(&stream.line);
+	free(body);
+}
+
+void
+upstream_call(struct kwb_agent *agent, struct job *job)
+{
+	const Kwb__Wire__Run *run = job->frame->run;
+	char url[URL_MAX_BYTES + 2048];
+	struct kwb_http_request request = {
+	    .method = run->method,
+	    .url = url,
+	    .content_type = run->content_type,
+	    .body = run->body.len > 0 ? run->body.data : NULL,
+	    .body_bytes = run->body.len,
+	    .fresh = !run->idempotent,
+	};
+	struct kwb_http_answer answer;
+	struct journal_shard *shard;
+	int error;
+
+	snprintf(url, sizeof(url), "%s%s", agent->settings->upstream,
+	    run->path);
+	request.timeout_ms = (uint32_t)kwb_clock_left_ms(job->deadline_ns) + 1;
+	error = kwb_http_do(&request, &answer);
+	shard = journal_lock(&agent->journal, job->key);
+	if (error == 0) {
+		job->outcome = KWB_OUTCOME_RAN;
+		job->status = (uint32_t)answer.status;
+		kwb_text_copy(job->content_type, sizeof(job->content_type),
+		    answer.content_type);
+		kwb_buf_add(&job->body, kwb_buf_text(&answer.body),
+		    answer.body.used_bytes);
+	} else {
+		job->outcome = answer.sent ? KWB_OUTCOME_UNKNOWN
+		                           : KWB_OUTCOME_NOT_RUN;
+		job->error = KWB_ERR_CALL_UPSTREAM;
+	}
+	journal_unlock(shard);
+	kwb_http_answer_finish(&answer);
+}
+
+/* Reads load and versions, or the health of a service, once. */
+void
+upstream_watch(struct kwb_agent *agent)
+{
+	struct upstream_state *state = &agent->upstream;
+	bool engine = agent->settings->upstream_kind == KWB_UPSTREAM_ENGINE;
+	char url[URL_MAX_BYTES];
+	struct kwb_http_request request = {
+	    .method = "GET",
+	    .url = url,
+	    .timeout_ms = WATCH_TIMEOUT_MS,
+	};
+	struct kwb_http_answer answer;
+	int error;
+
+	snprintf(url, sizeof(url), "%s%s", agent->settings->upstream,
+	    engine ? "/load" : "/health");
+	error = kwb_http_do(&request, &answer);
+	pthread_mutex_lock(&state->lock);
+	state->failures = error ? state->failures + 1 : 0;
+	if (error == 0 || state->failures >= DOWN_FAILURES) {
+		if (state->up != (error == 0))
+			kwb_log(KWB_LOG_WARN, "agent", "event=upstream up=%d",
+			    error == 0);
+		state->up = error == 0;
+	}
+	if (error == 0)
+		watch_parse(agent, kwb_buf_text(&answer.body));
+	pthread_mutex_unlock(&state->lock);
+	kwb_http_answer_finish(&answer);
+}
+
+bool
+upstream_version(struct kwb_agent *agent, const char *model,
+    struct model_state *state)
+{
+	bool found = false;
+	unsigned i;
+
+	pthread_mutex_lock(&agent->upstream.lock);
+	for (i = 0; i < agent->upstream.models_count && !found; i++) {
+		*state = agent->upstream.models[i];
+		found = strcmp(state->model, model) == 0;
+	}
+	pthread_mutex_unlock(&agent->upstream.lock);
+	return found;
+}
+
+static char *
+generate_body(const struct job *job)
+{
+	const Kwb__Wire__Run *run = job->frame->run;
+	json_t *resume = json_array();
+	json_t *root;
+	char *text;
+	uint32_t i;
+
+	for (i = 0; i < job->tokens.count; i++)
+		json_array_append_new(resume,
+		    json_string(job->tokens.text[i]));
+	root = json_pack("{s:s, s:s, s:i, s:I, s:i, s:b, s:o}", "model",
+	    run->model, "prompt", run->prompt, "max_tokens",
+	    (int)run->max_tokens, "seed", (json_int_t)run->seed, "priority",
+	    (int)run->priority, "stream", 1, "resume", resume);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+static bool
+stream_data(void *context, const char *data, size_t length_bytes)
+{
+	struct stream *stream = context;
+	const char *newline;
+
+	while ((newline = memchr(data, '\n', length_bytes)) != NULL) {
+		size_t part = (size_t)(newline - data);
+
+		kwb_buf_add(&stream->line, data, part);
+		stream_line(stream, kwb_buf_text(&stream->line));
+		stream->line.used_bytes = 0;
+		data += part + 1;
+		length_bytes -= part + 1;
+	}
+	kwb_buf_add(&stream->line, data, length_bytes);
+	return !atomic_load(&stream->job->cancelled);
+}
+
+static bool
+stream_should_stop(void *context)
+{
+	struct stream *stream = context;
+
+	return atomic_load(&stream->job->cancelled);
+}
+
+static void
+stream_line(struct stream *stream, const char *line)
+{
+	json_t *root, *version;
+	const char *text;
+
+	if (strncmp(line, "data: ", 6) != 0)
+		return;
+	root = json_loads(line + 6, 0, NULL);
+	if (root == NULL)
+		return;
+	text = json_string_value(json_object_get(root, "token"));
+	version = json_object_get(root, "version");
+	if (version == NULL)
+		stream->assumed = true;
+	if (text != NULL)
+		stream_token(stream, text,
+		    version ? (uint64_t)json_integer_value(version)
+		            : stream->assumed_version);
+	if (json_object_get(root, "finish") != NULL)
+		stream->finished = true;
+	json_decref(root);
+}
+
+static void
+stream_token(struct stream *stream, const char *text, uint64_t version)
+{
+	struct job *job = stream->job;
+	struct journal_shard *shard =
+	    journal_lock(&stream->agent->journal, job->key);
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	kwb_tokens_add(&job->tokens, text, version);
+	kwb_metric_add(KWB_METRIC_TOKENS, 1);
+	if (now_ns >= job->progress_ns || !job_is_sample(job)) {
+		job->progress_ns = now_ns + KWB_PROGRESS_NS;
+		if (!stream->assumed)
+			job_send_progress(stream->agent, job);
+	}
+	journal_unlock(shard);
+}
+
+/*
+ * Without versions in the stream, the agent's reads before and after bracket
+ * it; when they differ, which token came from which is not known, and the
+ * output is thrown away.
+ */
+static void
+generate_settle(struct stream *stream, int error,
+    const struct kwb_http_answer *answer, const struct model_state *before)
+{
+	struct kwb_agent *agent = stream->agent;
+	struct job *job = stream->job;
+	struct journal_shard *shard;
+	struct model_state after = {0};
+	bool known = true;
+
+	if (stream->assumed) {
+		upstream_watch(agent);
+		known = upstream_version(agent, before->model, &after) &&
+		    after.version == before->version && !after.swapping;
+	}
+	shard = journal_lock(&agent->journal, job->key);
+	if (!known) {
+		kwb_tokens_finish(&job->tokens);
+		kwb_tokens_init(&job->tokens);
+	}
+	if (known && error == 0 && stream->finished) {
+		job->outcome = KWB_OUTCOME_RAN;
+		job->status = 200;
+	} else if (answer->sent || job->tokens.count > 0) {
+		job->outcome = KWB_OUTCOME_PARTIAL;
+		job->error = atomic_load(&job->cancelled)
+		    ? KWB_ERR_CALL_CANCELLED
+		    : KWB_ERR_CALL_UPSTREAM;
+	} else {
+		job->outcome = KWB_OUTCOME_NOT_RUN;
+		job->error = KWB_ERR_CALL_UPSTREAM;
+	}
+	journal_unlock(shard);
+}
+
+/* Called under the state's lock. */
+static void
+watch_parse(struct kwb_agent *agent, const char *text)
+{
+	struct upstream_state *state = &agent->upstream;
+	json_t *root = json_loads(text, 0, NULL);
+	json_t *models = json_object_get(root, "models"), *item;
+	const char *name;
+
+	state->running =
+	    (uint32_t)json_integer_value(json_object_get(root, "running"));
+	state->models_count = 0;
+	json_object_foreach(models, name, item) {
+		struct model_state *model =
+		    &state->models[state->models_count];
+
+		if (state->models_count == KWB_MODELS_MAX)
+			break;
+		kwb_text_copy(model->model, sizeof(model->model), name);
+		model->version = (uint64_t)json_integer_value(
+		    json_object_get(item, "version"));
+		model->swapping =
+		    json_is_true(json_object_get(item, "swapping"));
+		state->models_count++;
+	}
+	json_decref(root);
+}
--- /dev/null
+++ b/src/call/journal.c
@@ -0,0 +1,203 @@
+/*
+ * Journal of an agent: what became of each key under this incarnation. Keys
+ * are kept in shards, each under its own lock.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../agent/agent.h"
+
+static void job_free(struct job *job);
+
+void
+journal_init(struct journal *journal)
+{
+	unsigned i;
+
+	memset(journal, 0, sizeof(*journal));
+	pthread_mutex_init(&journal->fences_lock, NULL);
+	for (i = 0; i < KWB_SHARDS; i++) {
+		pthread_mutex_init(&journal->shards[i].lock, NULL);
+		TAILQ_INIT(&journal->shards[i].jobs);
+	}
+}
+
+void
+journal_finish(struct journal *journal)
+{
+	struct job *job;
+	unsigned i;
+
+	for (i = 0; i < KWB_SHARDS; i++) {
+		struct journal_shard *shard = &journal->shards[i];
+
+		while ((job = TAILQ_FIRST(&shard->jobs)) != NULL)
+			journal_remove(journal, shard, job);
+		pthread_mutex_destroy(&shard->lock);
+	}
+	pthread_mutex_destroy(&journal->fences_lock);
+}
+
+struct journal_shard *
+journal_lock(struct journal *journal, const char *key)
+{
+	struct journal_shard *shard =
+	    &journal->shards[kwb_hash(key, 0) % KWB_SHARDS];
+
+	pthread_mutex_lock(&shard->lock);
+	return shard;
+}
+
+void
+journal_unlock(struct journal_shard *shard)
+{
+	pthread_mutex_unlock(&shard->lock);
+}
+
+struct job *
+journal_find(struct journal_shard *shard, const char *key)
+{
+	struct job *job;
+
+	TAILQ_FOREACH(job, &shard->jobs, in_shard)
+		if (strcmp(job->key, key) == 0)
+			return job;
+	return NULL;
+}
+
+struct job *
+journal_add(struct journal *journal, struct journal_shard *shard,
+    const char *key)
+{
+	struct job *job = calloc(1, sizeof(*job));
+
+	if (job == NULL)
+		return NULL;
+	kwb_text_copy(job->key, sizeof(job->key), key);
+	kwb_tokens_init(&job->tokens);
+	kwb_buf_init(&job->body);
+	TAILQ_INSERT_HEAD(&shard->jobs, job, in_shard);
+	atomic_fetch_add(&journal->count, 1);
+	return job;
+}
+
+void
+journal_remove(struct journal *journal, struct journal_shard *shard,
+    struct job *job)
+{
+	TAILQ_REMOVE(&shard->jobs, job, in_shard);
+	atomic_fetch_sub(&journal->count, 1);
+	atomic_fetch_sub(&journal->kept_bytes, job->kept_bytes);
+	job_free(job);
+}
+
+/*
+ * A full journal refuses new keys: it never forgets one early, because then a
+ * retry could run again.
+ */
+bool
+journal_full(const struct journal *journal)
+{
+	return atomic_load(&journal->count) >= KWB_JOBS_MAX ||
+	    atomic_load(&journal->kept_bytes) >= KWB_SAMPLE_KEEP_BYTES;
+}
+
+/* Accounts for a finished job's memory; called under its shard's lock. */
+void
+journal_keep(struct journal *journal, struct job *job)
+{
+	size_t bytes = job->body.room_bytes;
+	uint32_t i;
+
+	for (i = 0; i < job->tokens.count; i++)
+		bytes += strlen(job->tokens.text[i]) + 1 +
+		    sizeof(char *) + sizeof(uint64_t);
+	job->kept_bytes = bytes;
+	job->forget_ns =
+	    kwb_clock_now_ns() + KWB_JOB_KEEP_MS * KWB_MS_NS;
+	atomic_fetch_add(&journal->kept_bytes, bytes);
+}
+
+/*
+ * Raises a plan's step fence. Finished samples of earlier steps are dropped
+ * by handle_expired; an attempt below the fence is refused.
+ */
+int
+journal_fence(struct journal *journal, const char *plan, uint64_t step,
+    uint32_t attempt)
+{
+	struct step_fence *fence = NULL;
+	unsigned i;
+	int error = 0;
+
+	pthread_mutex_lock(&journal->fences_lock);
+	for (i = 0; i < KWB_PLANS_MAX && fence == NULL; i++)
+		if (strcmp(journal->fences[i].plan, plan) == 0 ||
+		    journal->fences[i].plan[0] == '\0')
+			fence = &journal->fences[i];
+	if (fence == NULL) {
+		error = KWB_ERR_MEMORY;
+	} else if (step == fence->step && attempt < fence->attempt) {
+		error = KWB_ERR_CALL_FENCED;
+	} else if (step >= fence->step) {
+		kwb_text_copy(fence->plan, sizeof(fence->plan), plan);
+		fence->step = step;
+		fence->attempt = attempt;
+	}
+	pthread_mutex_unlock(&journal->fences_lock);
+	return error;
+}
+
+bool
+job_attach(struct job *job, uint64_t link, uint64_t request,
+    uint32_t sent_tokens)
+{
+	struct attachment *to;
+
+	if (job->attached == KWB_ATTACH_MAX)
+		return false;
+	to = &job->attachments[job->attached++];
+	to->link = link;
+	to->request = request;
+	to->sent_tokens = sent_tokens;
+	job->orphan_ns = 0;
+	return true;
+}
+
+/* Ends the link's interest: in one request, or in all when request is 0. */
+bool
+job_detach(struct job *job, uint64_t link, uint64_t request)
+{
+	struct attachment *at;
+	unsigned i = 0;
+	bool found = false;
+
+	while (i < job->attached) {
+		at = &job->attachments[i];
+		if (at->link != link ||
+		    (request != 0 && at->request != request)) {
+			i++;
+			continue;
+		}
+		*at = job->attachments[--job->attached];
+		found = true;
+	}
+	if (found && job->attached == 0)
+		job->orphan_ns = kwb_clock_now_ns() + KWB_ORPHAN_NS;
+	return found;
+}
+
+bool
+job_is_sample(const struct job *job)
+{
+	return job->frame != NULL && job->frame->run->slot != NULL;
+}
+
+static void
+job_free(struct job *job)
+{
+	kwb_frame_free(job->frame);
+	kwb_tokens_finish(&job->tokens);
+	kwb_buf_finish(&job->body);
+	free(job);
+}
--- /dev/null
+++ b/src/call/tokens.c
@@ -0,0 +1,66 @@
+/*
+ * Tokens of a generation with the weight version that made each.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "kwb.h"
+
+#define FIRST_ROOM 64
+
+void
+kwb_tokens_init(struct kwb_tokens *tokens)
+{
+	memset(tokens, 0, sizeof(*tokens));
+}
+
+void
+kwb_tokens_finish(struct kwb_tokens *tokens)
+{
+	uint32_t i;
+
+	for (i = 0; i < tokens->count; i++)
+		free(tokens->text[i]);
+	free(tokens->text);
+	free(tokens->version);
+	memset(tokens, 0, sizeof(*tokens));
+}
+
+int
+kwb_tokens_add(struct kwb_tokens *tokens, const char *text, uint64_t version)
+{
+	uint32_t room = tokens->room ? tokens->room * 2 : FIRST_ROOM;
+	void *grown;
+
+	if (tokens->count == tokens->room) {
+		grown = realloc(tokens->text, room * sizeof(*tokens->text));
+		if (grown == NULL)
+			return KWB_ERR_MEMORY;
+		tokens->text = grown;
+		grown =
+		    realloc(tokens->version, room * sizeof(*tokens->version));
+		if (grown == NULL)
+			return KWB_ERR_MEMORY;
+		tokens->version = grown;
+		tokens->room = room;
+	}
+	tokens->text[tokens->count] = strdup(text);
+	if (tokens->text[tokens->count] == NULL)
+		return KWB_ERR_MEMORY;
+	tokens->version[tokens->count] = version;
+	tokens->count++;
+	return 0;
+}
+
+/* The oldest version among the tokens; UINT64_MAX when there are none. */
+uint64_t
+kwb_tokens_oldest(const struct kwb_tokens *tokens)
+{
+	uint64_t oldest = UINT64_MAX;
+	uint32_t i;
+
+	for (i = 0; i < tokens->count; i++)
+		if (tokens->version[i] < oldest)
+			oldest = tokens->version[i];
+	return oldest;
+}
--- /dev/null
+++ b/src/core/error.c
@@ -0,0 +1,52 @@
+/*
+ * Error numbers of all layers and their names.
+ */
+#include <stddef.h>
+
+#include "kwb.h"
+
+static const struct {
+	int error;
+	const char *name;
+} errors[] = {
+    {0, "ok"},
+    {KWB_ERR_MEMORY, "out_of_memory"},
+    {KWB_ERR_ARGUMENT, "bad_argument"},
+    {KWB_ERR_SETTINGS, "bad_settings"},
+    {KWB_ERR_SYSTEM, "system_call_failed"},
+    {KWB_ERR_WIRE_FRAME, "malformed_frame"},
+    {KWB_ERR_WIRE_SIZE, "frame_too_large"},
+    {KWB_ERR_WIRE_CLOSED, "link_closed"},
+    {KWB_ERR_PLATFORM_DOWN, "platform_unreachable"},
+    {KWB_ERR_PLATFORM_CONFLICT, "platform_conflict"},
+    {KWB_ERR_PLATFORM_MISSING, "platform_missing"},
+    {KWB_ERR_LISTS_INVALID, "lists_invalid"},
+    {KWB_ERR_LISTS_CONFLICT, "lists_conflict"},
+    {KWB_ERR_LISTS_NONE, "no_lists_yet"},
+    {KWB_ERR_ROUTE_NONE, "no_upstream"},
+    {KWB_ERR_ROUTE_FULL, "all_upstreams_full"},
+    {KWB_ERR_CALL_BUSY, "agent_busy"},
+    {KWB_ERR_CALL_LEAVING, "agent_leaving"},
+    {KWB_ERR_CALL_STALE_LISTS, "stale_lists"},
+    {KWB_ERR_CALL_INCARNATION, "other_incarnation"},
+    {KWB_ERR_CALL_FENCED, "fenced"},
+    {KWB_ERR_CALL_BARRED, "barred"},
+    {KWB_ERR_CALL_DEADLINE, "deadline"},
+    {KWB_ERR_CALL_UPSTREAM, "upstream_failed"},
+    {KWB_ERR_CALL_VERSION, "weights_too_old"},
+    {KWB_ERR_CALL_CANCELLED, "cancelled"},
+    {KWB_ERR_CALL_FORGOTTEN, "key_forgotten"},
+    {KWB_ERR_WEIGHTS_UNKNOWN, "fencing_state_unknown"},
+    {KWB_ERR_WEIGHTS_SWAP, "swap_failed"},
+};
+
+const char *
+kwb_error_name(int error)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(errors) / sizeof(errors[0]); i++)
+		if (errors[i].error == error)
+			return errors[i].name;
+	return "unknown_error";
+}
--- /dev/null
+++ b/src/core/yaml.c
@@ -0,0 +1,158 @@
+/*
+ * YAML loading: schema faults become one line each, with file, line and path.
+ * Unknown keys are all reported; libcyaml stops at the first fault of type or
+ * range.
+ */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "yaml.h"
+
+#define LINE_MAX_BYTES 512
+#define IGNORED "Load: Ignoring key: "
+#define IGNORED_FORMAT IGNORED "%s\n"
+
+static void yaml_log(cyaml_log_t level, void *context, const char *format,
+    va_list args);
+static void yaml_flush(struct kwb_yaml *yaml);
+static void yaml_unknown(struct kwb_yaml *yaml, const char *key);
+
+void
+kwb_faults_add(struct kwb_faults *faults, const char *format, ...)
+{
+	va_list args;
+
+	if (faults->count == KWB_FAULTS_MAX)
+		return;
+	va_start(args, format);
+	vsnprintf(faults->text[faults->count], KWB_FAULT_MAX_BYTES, format,
+	    args);
+	va_end(args);
+	faults->count++;
+}
+
+void
+kwb_yaml_init(struct kwb_yaml *yaml, const char *file,
+    struct kwb_faults *faults)
+{
+	memset(yaml, 0, sizeof(*yaml));
+	yaml->file = file;
+	yaml->faults = faults;
+	kwb_buf_init(&yaml->pending);
+	yaml->config.log_fn = yaml_log;
+	yaml->config.log_ctx = yaml;
+	yaml->config.mem_fn = cyaml_mem;
+	yaml->config.log_level = CYAML_LOG_DEBUG;
+	yaml->config.flags = CYAML_CFG_NO_ALIAS | CYAML_CFG_IGNORE_UNKNOWN_KEYS;
+}
+
+int
+kwb_yaml_load(struct kwb_yaml *yaml, const char *text, size_t length_bytes,
+    const cyaml_schema_value_t *schema, void **data)
+{
+	unsigned before = yaml->faults->count;
+	cyaml_err_t error;
+
+	*data = NULL;
+	yaml->text = text;
+	error = cyaml_load_data((const uint8_t *)text, length_bytes,
+	    &yaml->config, schema, (cyaml_data_t **)data, NULL);
+	yaml_flush(yaml);
+	if (error != CYAML_OK && yaml->faults->count == before)
+		kwb_faults_add(yaml->faults, "%s: %s", yaml->file,
+		    cyaml_strerror(error));
+	if (yaml->faults->count == before)
+		return 0;
+	if (*data != NULL)
+		cyaml_free(&yaml->config, schema, *data, 0);
+	*data = NULL;
+	return KWB_ERR_SETTINGS;
+}
+
+void
+kwb_yaml_finish(struct kwb_yaml *yaml)
+{
+	kwb_buf_finish(&yaml->pending);
+}
+
+int
+kwb_file_read(const char *path, struct kwb_buf *out)
+{
+	char chunk[4096];
+	FILE *file = fopen(path, "r");
+	size_t got;
+
+	if (file == NULL)
+		return KWB_ERR_SYSTEM;
+	while ((got = fread(chunk, 1, sizeof(chunk), file)) > 0)
+		kwb_buf_add(out, chunk, got);
+	fclose(file);
+	return 0;
+}
+
+/* An unindented line begins a fault; the rest is its backtrace. */
+static void
+yaml_log(cyaml_log_t level, void *context, const char *format, va_list args)
+{
+	struct kwb_yaml *yaml = context;
+	char line[LINE_MAX_BYTES];
+	const char *text = line;
+
+	if (level < CYAML_LOG_WARNING && strcmp(format, IGNORED_FORMAT) != 0)
+		return;
+	vsnprintf(line, sizeof(line), format, args);
+	line[strcspn(line, "\n")] = '\0';
+	if (strncmp(line, IGNORED, strlen(IGNORED)) == 0) {
+		yaml_unknown(yaml, line + strlen(IGNORED));
+		return;
+	}
+	if (strncmp(text, "Load: ", 6) == 0)
+		text += 6;
+	if (strcmp(text, "Backtrace:") == 0)
+		return;
+	if (text[0] != ' ')
+		yaml_flush(yaml);
+	else
+		text += strspn(text, " ");
+	if (yaml->pending.used_bytes > 0)
+		kwb_buf_add(&yaml->pending, ", ", 2);
+	kwb_buf_add(&yaml->pending, text, strlen(text));
+}
+
+static void
+yaml_flush(struct kwb_yaml *yaml)
+{
+	const char *text = kwb_buf_text(&yaml->pending);
+	const char *at = strstr(text, "(line: ");
+
+	if (yaml->pending.used_bytes == 0)
+		return;
+	if (at != NULL)
+		kwb_faults_add(yaml->faults, "%s:%d: %s", yaml->file,
+		    atoi(at + 7), text);
+	else
+		kwb_faults_add(yaml->faults, "%s: %s", yaml->file, text);
+	yaml->pending.used_bytes = 0;
+}
+
+/* libcyaml gives no line for a key it ignores: the first such key's is taken. */
+static void
+yaml_unknown(struct kwb_yaml *yaml, const char *key)
+{
+	const char *text = yaml->text;
+	size_t length = strlen(key);
+	int line = 1;
+
+	while (*text != '\0') {
+		text += strspn(text, " -");
+		if (strncmp(text, key, length) == 0 && text[length] == ':')
+			break;
+		text += strcspn(text, "\n");
+		text += *text == '\n';
+		line++;
+	}
+	kwb_faults_add(yaml->faults, "%s:%d: %s: unknown field", yaml->file,
+	    line, key);
+}
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,209 @@
+/*
+ * Entry: start, stop, and the thread that follows the platform: lists, VM
+ * list, links.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry.h"
+
+#define STEP_NS (50 * KWB_MS_NS)
+#define BALANCER_NS (2000 * KWB_MS_NS)
+
+static void *member_run(void *argument);
+static void read_lists(struct kwb_entry *entry);
+static void read_vms(struct kwb_entry *entry, struct kwb_vms *fresh);
+static void seeds_to_vms(const struct kwb_entry_settings *settings,
+    struct kwb_vms *vms);
+
+int
+kwb_entry_start(struct kwb_entry **started,
+    const struct kwb_entry_settings *settings)
+{
+	struct kwb_entry *entry = calloc(1, sizeof(*entry));
+	int error;
+
+	if (entry == NULL)
+		return KWB_ERR_MEMORY;
+	entry->settings = settings;
+	entry->incarnation = kwb_clock_wall_ms() * 1000 +
+	    kwb_clock_now_ns() % 1000;
+	kwb_policy_parse(&entry->policy, settings->policy);
+	kwb_platform_init(&entry->platform, settings->platform);
+	peers_init(&entry->peers);
+	registry_init(&entry->registry);
+	pthread_mutex_init(&entry->gates_lock, NULL);
+	pthread_mutex_init(&entry->vms_lock, NULL);
+	entry->vms = calloc(1, sizeof(*entry->vms));
+	if (entry->vms == NULL)
+		return KWB_ERR_MEMORY;
+	seeds_to_vms(settings, entry->vms);
+	error = kwb_loop_init(&entry->loop, &peer_link_ops, entry);
+	if (error == 0)
+		error = kwb_loop_start(&entry->loop);
+	if (error == 0 &&
+	    (pthread_create(&entry->member_thread, NULL, member_run, entry) ||
+	        pthread_create(&entry->leader_thread, NULL, leader_run,
+	            entry)))
+		error = KWB_ERR_SYSTEM;
+	if (error == 0)
+		error = http_start(entry);
+	if (error != 0)
+		return error;
+	kwb_log(KWB_LOG_INFO, "entry",
+	    "event=start vm=%s failure_domain=%s listen=%s policy=%d",
+	    settings->vm, settings->failure_domain, settings->listen,
+	    entry->policy);
+	*started = entry;
+	return 0;
+}
+
+/*
+ * The health URL fails first, so that the balancer turns away; the port stays
+ * open and calls run out; a step's stream ends at a sample's edge.
+ */
+void
+kwb_entry_stop(struct kwb_entry *entry)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t deadline_ns =
+	    now_ns + entry->settings->drain_ms * KWB_MS_NS;
+	uint64_t balancer_ns = now_ns + BALANCER_NS;
+
+	kwb_log(KWB_LOG_INFO, "entry", "event=draining active=%u",
+	    atomic_load(&entry->active));
+	atomic_store(&entry->draining, true);
+	while (kwb_clock_now_ns() < deadline_ns &&
+	    (kwb_clock_now_ns() < balancer_ns ||
+	        atomic_load(&entry->active) > 0))
+		kwb_clock_sleep_ns(STEP_NS);
+	atomic_store(&entry->stopping, true);
+	http_stop(entry);
+	pthread_join(entry->leader_thread, NULL);
+	pthread_join(entry->member_thread, NULL);
+	kwb_loop_finish(&entry->loop);
+	peers_finish(&entry->peers);
+	registry_finish(&entry->registry);
+	kwb_log(KWB_LOG_INFO, "entry", "event=stop active=%u",
+	    atomic_load(&entry->active));
+	free(entry->vms);
+	free(entry);
+}
+
+/* The plan's gate, made on first sight; the last one when all are taken. */
+struct plan_gate *
+entry_gate(struct kwb_entry *entry, const char *plan)
+{
+	struct plan_gate *gate;
+	unsigned i;
+
+	pthread_mutex_lock(&entry->gates_lock);
+	for (i = 0; i < entry->gates_count; i++)
+		if (strcmp(entry->gates[i].plan, plan) == 0)
+			break;
+	if (i == KWB_PLANS_MAX)
+		i--;
+	gate = &entry->gates[i];
+	if (i == entry->gates_count) {
+		entry->gates_count++;
+		kwb_text_copy(gate->plan, sizeof(gate->plan), plan);
+		kwb_budget_init(&gate->budget);
+		pthread_mutex_init(&gate->predictor_lock, NULL);
+		kwb_predictor_init(&gate->predictor);
+	}
+	pthread_mutex_unlock(&entry->gates_lock);
+	return gate;
+}
+
+uint64_t
+entry_random(void)
+{
+	static _Thread_local uint64_t state;
+
+	if (state == 0)
+		state = kwb_clock_now_ns() ^ (uint64_t)(uintptr_t)&state;
+	state ^= state << 13;
+	state ^= state >> 7;
+	state ^= state << 17;
+	return state;
+}
+
+static void *
+member_run(void *argument)
+{
+	struct kwb_entry *entry = argument;
+	struct kwb_vms *fresh = calloc(1, sizeof(*fresh));
+	uint64_t lists_ns = 0, vms_ns = 0, now_ns;
+
+	if (fresh == NULL)
+		return NULL;
+	kwb_current_thread_init();
+	peers_update(entry, entry->vms);
+	while (!atomic_load(&entry->stopping)) {
+		now_ns = kwb_clock_now_ns();
+		if (now_ns >= lists_ns) {
+			read_lists(entry);
+			lists_ns = now_ns + KWB_LISTS_POLL_NS;
+		}
+		if (now_ns >= vms_ns) {
+			read_vms(entry, fresh);
+			vms_ns = now_ns + KWB_VMS_POLL_NS;
+		}
+		peers_reconnect(entry);
+		kwb_clock_sleep_ns(STEP_NS);
+	}
+	free(fresh);
+	kwb_current_thread_finish();
+	return NULL;
+}
+
+static void
+read_lists(struct kwb_entry *entry)
+{
+	struct kwb_buf text;
+	uint64_t revision = 0;
+	int error;
+
+	kwb_buf_init(&text);
+	error = kwb_lists_read(&entry->platform, &text, &revision);
+	atomic_store(&entry->platform_up,
+	    error == 0 || error == KWB_ERR_PLATFORM_MISSING);
+	if (error == 0 && revision > kwb_current_revision() &&
+	    kwb_current_offer(text.data, text.used_bytes, revision) > 0)
+		peers_push_lists(entry);
+	kwb_buf_finish(&text);
+}
+
+/* An empty or failed answer changes nothing. */
+static void
+read_vms(struct kwb_entry *entry, struct kwb_vms *fresh)
+{
+	struct kwb_vms *old;
+
+	if (kwb_vms_get(&entry->platform, fresh) != 0 || fresh->count == 0)
+		return;
+	pthread_mutex_lock(&entry->vms_lock);
+	old = entry->vms;
+	memcpy(old, fresh, sizeof(*old));
+	pthread_mutex_unlock(&entry->vms_lock);
+	peers_update(entry, fresh);
+}
+
+static void
+seeds_to_vms(const struct kwb_entry_settings *settings, struct kwb_vms *vms)
+{
+	uint32_t i;
+
+	for (i = 0; i < settings->seeds_count && i < KWB_VMS_MAX; i++) {
+		const struct kwb_seed *seed = &settings->seeds[i];
+		struct kwb_vm *vm = &vms->vms[vms->count++];
+
+		kwb_text_copy(vm->vm, sizeof(vm->vm), seed->vm);
+		kwb_text_copy(vm->failure_domain, sizeof(vm->failure_domain),
+		    seed->failure_domain);
+		kwb_text_copy(vm->pool, sizeof(vm->pool), seed->pool);
+		kwb_text_copy(vm->role, sizeof(vm->role), "agent");
+		kwb_address_parse(&vm->address, seed->address);
+	}
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,270 @@
+/*
+ * Inside of an entry: peers (agents it is connected to), requests on them and
+ * the inboxes of the threads that wait for their events.
+ */
+#ifndef KWB_ENTRY_ENTRY_H
+#define KWB_ENTRY_ENTRY_H
+
+#include <stdatomic.h>
+
+#include <sys/queue.h>
+
+#include "kwb.h"
+#include "../wire/wire.h"
+
+struct mg_connection;
+struct mg_context;
+
+/* What one plan uses at a peer. */
+struct peer_plan {
+	char plan[KWB_NAME_MAX_BYTES];
+	uint32_t units;
+	uint32_t own;    /* requests of this entry */
+	uint32_t others; /* of other entries, at the last report */
+};
+
+struct peer_model {
+	char model[KWB_NAME_MAX_BYTES];
+	uint64_t version;
+	bool swapping;
+};
+
+/* One agent of the subset. The slot is free when vm is empty. */
+struct peer {
+	char vm[KWB_NAME_MAX_BYTES];
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	char pool[KWB_NAME_MAX_BYTES];
+	struct kwb_address address;
+	bool wanted;         /* in the subset now */
+	bool listed_leaving; /* by the platform's list, or not in it */
+	uint64_t link;       /* 0 when there is none */
+	bool greeted;        /* its hello came on this link */
+	uint64_t incarnation;
+	uint64_t lists_revision;
+	bool leaving;
+	bool upstream_up;
+	uint32_t slots;
+	uint32_t own;
+	uint32_t others;
+	uint64_t reconnect_ns;
+	uint64_t tripped_ns; /* deadline of being left out */
+	uint64_t busy_ns;    /* deadline of being taken as full */
+	unsigned failures;
+	unsigned models_count;
+	struct peer_model models[KWB_MODELS_MAX];
+	unsigned plans_count;
+	struct peer_plan plans[KWB_PLANS_MAX];
+};
+
+struct peers {
+	pthread_mutex_t lock;
+	struct peer peers[KWB_PEERS_MAX];
+};
+
+/* Where a request goes: a peer as it was when chosen. */
+struct target {
+	int peer; /* -1 for none */
+	char vm[KWB_NAME_MAX_BYTES];
+	uint64_t link;
+	uint64_t incarnation;
+	uint64_t version; /* of the request's model */
+	char plan[KWB_NAME_MAX_BYTES];
+};
+
+enum event_kind { EVENT_FRAME, EVENT_LINK_LOST };
+
+struct event {
+	STAILQ_ENTRY(event) next;
+	enum event_kind kind;
+	uint64_t request;
+	void *owner;
+	Kwb__Wire__Frame *frame;
+};
+
+STAILQ_HEAD(event_list, event);
+
+/* Events for one waiting thread. */
+struct inbox {
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	struct event_list events;
+};
+
+struct request {
+	TAILQ_ENTRY(request) next;
+	uint64_t id;
+	uint64_t link;
+	void *owner;
+	struct inbox *inbox;
+};
+
+TAILQ_HEAD(request_list, request);
+
+struct registry_shard {
+	pthread_mutex_t lock;
+	struct request_list requests;
+};
+
+struct registry {
+	_Atomic uint64_t next_id;
+	struct registry_shard shards[KWB_SHARDS];
+};
+
+/* Queue length and retry budget of a plan at this entry. */
+struct plan_gate {
+	char plan[KWB_NAME_MAX_BYTES];
+	_Atomic uint32_t waiting;
+	struct kwb_budget budget;
+	pthread_mutex_t predictor_lock;
+	struct kwb_predictor predictor;
+	_Atomic uint64_t trainer_version; /* highest a trainer has named */
+};
+
+struct kwb_entry {
+	const struct kwb_entry_settings *settings;
+	uint64_t incarnation;
+	enum kwb_policy policy;
+	struct kwb_platform platform;
+	struct kwb_loop loop;
+	struct peers peers;
+	struct registry registry;
+	struct mg_context *http;
+	pthread_mutex_t gates_lock;
+	struct plan_gate gates[KWB_PLANS_MAX];
+	unsigned gates_count;
+	struct kwb_vms *vms; /* under vms_lock */
+	pthread_mutex_t vms_lock;
+	_Atomic uint32_t active; /* HTTP requests being served */
+	_Atomic uint32_t pulls;  /* of them, steps being pulled */
+	_Atomic bool draining;
+	_Atomic bool stopping;
+	_Atomic bool leading;
+	_Atomic bool platform_up;
+	pthread_t member_thread;
+	pthread_t leader_thread;
+};
+
+/* A generation in progress: an interactive answer or a sample. */
+enum generation_state {
+	GENERATION_PENDING,
+	GENERATION_RUNNING,
+	GENERATION_DONE
+};
+
+struct generation {
+	enum generation_state state;
+	char name[2 * KWB_NAME_MAX_BYTES]; /* first part of its keys */
+	char key[KWB_KEY_MAX_BYTES];   /* another for each start */
+	const char *prompt;
+	const char *model;
+	const char *plan;
+	uint32_t max_tokens;
+	uint64_t seed;
+	uint32_t priority;
+	uint64_t min_version;
+	uint64_t deadline_ns;
+	uint64_t slack_deadline_ns;
+	Kwb__Wire__Slot *slot; /* of a sample */
+	struct inbox *inbox;
+	uint64_t request;
+	struct target target;
+	int avoid; /* peer that failed last, -1 for none */
+	unsigned starts;
+	uint64_t token_ns; /* when the last token came */
+	struct kwb_tokens tokens;
+	int error;
+};
+
+/* peers.c */
+void peers_init(struct peers *peers);
+void peers_finish(struct peers *peers);
+int peers_pick(struct kwb_entry *entry, const struct kwb_route *route,
+    const char *plan, const char *model, const char *key,
+    struct target *target);
+int peers_target(struct kwb_entry *entry, const char *vm, const char *plan,
+    const char *model, struct target *target);
+void peers_release(struct kwb_entry *entry, struct target *target,
+    int error);
+void peers_update(struct kwb_entry *entry, const struct kwb_vms *vms);
+void peers_reconnect(struct kwb_entry *entry);
+void peers_push_lists(struct kwb_entry *entry);
+unsigned peers_in_pool(struct kwb_entry *entry, const char *pool,
+    struct target *targets, unsigned targets_max);
+uint32_t peers_idle_units(struct kwb_entry *entry, const char *plan,
+    int except);
+void peers_print(struct kwb_entry *entry, struct kwb_buf *out);
+extern const struct kwb_link_ops peer_link_ops;
+
+/* inbox.c */
+void inbox_init(struct inbox *inbox);
+void inbox_finish(struct inbox *inbox);
+struct event *inbox_wait(struct inbox *inbox, uint64_t deadline_ns);
+void event_free(struct event *event);
+void registry_init(struct registry *registry);
+void registry_finish(struct registry *registry);
+uint64_t registry_open(struct registry *registry, struct inbox *inbox,
+    uint64_t link, void *owner);
+void registry_close(struct registry *registry, uint64_t id);
+void registry_post(struct registry *registry, uint64_t id,
+    Kwb__Wire__Frame *frame);
+void registry_link_lost(struct registry *registry, uint64_t link);
+
+/* generation.c */
+void generation_init(struct generation *generation, struct inbox *inbox);
+void generation_finish(struct kwb_entry *entry,
+    struct generation *generation);
+int generation_start(struct kwb_entry *entry, struct generation *generation);
+int generation_attach(struct kwb_entry *entry, struct generation *generation,
+    const char *vm, const char *key);
+void generation_event(struct kwb_entry *entry, struct generation *generation,
+    const struct event *event);
+void generation_stop(struct kwb_entry *entry, struct generation *generation,
+    bool keep);
+
+/* call.c */
+struct call_answer {
+	enum kwb_outcome outcome;
+	int error;
+	uint32_t status;
+	char content_type[KWB_NAME_MAX_BYTES];
+	char vm[KWB_NAME_MAX_BYTES];
+	struct kwb_buf body;
+};
+
+struct call {
+	const char *plan;
+	const char *pool;
+	const char *method;
+	const char *path;
+	const char *content_type;
+	const void *body;
+	size_t body_bytes;
+	bool idempotent;
+	bool pinned; /* named by the caller: one key, one agent, for good */
+	struct kwb_pin pin;
+	uint64_t deadline_ns;
+};
+
+void call_run(struct kwb_entry *entry, struct call *call,
+    struct call_answer *answer);
+int call_mint(struct kwb_entry *entry, const char *plan, const char *pool,
+    struct kwb_pin *pin);
+
+/* step.c */
+int step_serve(struct kwb_entry *entry, struct mg_connection *connection,
+    const char *plan, uint64_t step, const char *body);
+
+/* leader.c */
+void *leader_run(void *argument);
+
+/* entry.c */
+struct plan_gate *entry_gate(struct kwb_entry *entry, const char *plan);
+uint64_t entry_random(void);
+
+/* http.c */
+int http_start(struct kwb_entry *entry);
+void http_stop(struct kwb_entry *entry);
+void http_refuse(struct mg_connection *connection, int status,
+    enum kwb_outcome outcome, int error, const char *request);
+
+#endif
--- /dev/null
+++ b/src/limit/budget.c
@@ -0,0 +1,48 @@
+/*
+ * Retry budget of a plan: retries stay a small part of first tries, so that
+ * retries cannot feed an overload.
+ */
+#include "kwb.h"
+
+#define BUDGET_WINDOW_TRIES 10000
+
+void
+kwb_budget_init(struct kwb_budget *budget)
+{
+	pthread_mutex_init(&budget->lock, NULL);
+	budget->tries = 0;
+	budget->retries = 0;
+}
+
+void
+kwb_budget_finish(struct kwb_budget *budget)
+{
+	pthread_mutex_destroy(&budget->lock);
+}
+
+void
+kwb_budget_try(struct kwb_budget *budget)
+{
+	pthread_mutex_lock(&budget->lock);
+	if (++budget->tries >= BUDGET_WINDOW_TRIES) {
+		budget->tries /= 2;
+		budget->retries /= 2;
+	}
+	pthread_mutex_unlock(&budget->lock);
+}
+
+bool
+kwb_budget_retry(struct kwb_budget *budget)
+{
+	bool allowed;
+
+	pthread_mutex_lock(&budget->lock);
+	allowed = budget->retries * 100 <
+	    budget->tries * KWB_RETRY_PERCENT + KWB_RETRY_BURST * 100;
+	if (allowed)
+		budget->retries++;
+	pthread_mutex_unlock(&budget->lock);
+	if (allowed)
+		kwb_metric_add(KWB_METRIC_RETRIES, 1);
+	return allowed;
+}
--- /dev/null
+++ b/src/limit/share_keeper.c
@@ -0,0 +1,381 @@
+/*
+ * Keeps this agent's part of each plan's allowance in the pool's table row.
+ * The sum over the row never exceeds an allowance: the cap in force here is
+ * lowered before the row says less, and raised only after the row says more.
+ * In an outage of the table every agent keeps what it holds.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "../agent/agent.h"
+
+#define MEMBERS_MAX KWB_VMS_MAX
+#define UNSETTLED_NS (500 * KWB_MS_NS)
+#define STEP_NS (100 * KWB_MS_NS)
+#define MEMBER_POLL_NS (5 * KWB_MS_NS)
+#define SETTLE_NS (KWB_CALL_TIMEOUT_MS * KWB_MS_NS)
+
+struct missing {
+	char vm[KWB_NAME_MAX_BYTES];
+	uint64_t gone_deadline_ns;
+};
+
+struct keeper {
+	struct kwb_agent *agent;
+	char row_key[KWB_KEY_MAX_BYTES];
+	uint64_t row_revision;
+	json_t *row; /* as last read or written; NULL before */
+	uint64_t writes;
+	unsigned missing_count;
+	struct missing missing[64];
+	struct kwb_share_member members[MEMBERS_MAX];
+};
+
+static void keeper_poll(struct keeper *keeper, bool *settled);
+static int row_read(struct keeper *keeper);
+static int row_write(struct keeper *keeper);
+static json_t *row_members(const struct keeper *keeper);
+static json_t *own_units(struct keeper *keeper);
+static unsigned members_for(struct keeper *keeper, const char *plan,
+    unsigned *self);
+static bool plan_lower(struct keeper *keeper, const char *plan,
+    uint32_t allowance);
+static bool plan_next(struct keeper *keeper, const char *plan,
+    uint32_t allowance, bool *settled);
+static void plans_apply(struct keeper *keeper, json_t *units);
+static bool drop_gone(struct keeper *keeper);
+static bool gone_long(struct keeper *keeper, const char *vm);
+static bool old_work_ended(struct kwb_agent *agent, uint64_t give_up_ns);
+
+void *
+share_run(void *argument)
+{
+	struct kwb_agent *agent = argument;
+	struct keeper *keeper = calloc(1, sizeof(*keeper));
+	uint64_t give_up_ns = kwb_clock_now_ns() + SETTLE_NS;
+	uint64_t poll_ns = 0, revision = 0;
+	bool settled = false;
+
+	if (keeper == NULL)
+		return NULL;
+	kwb_current_thread_init();
+	keeper->agent = agent;
+	snprintf(keeper->row_key, sizeof(keeper->row_key), "shares/%s",
+	    agent->settings->pool);
+	while (!atomic_load(&agent->stopping) &&
+	    !old_work_ended(agent, give_up_ns))
+		kwb_clock_sleep_ns(STEP_NS);
+	while (!atomic_load(&agent->stopping)) {
+		uint64_t now_ns = kwb_clock_now_ns();
+
+		if (now_ns >= poll_ns || revision != kwb_current_revision()) {
+			revision = kwb_current_revision();
+			keeper_poll(keeper, &settled);
+			poll_ns = kwb_clock_now_ns() +
+			    (settled ? KWB_SHARE_POLL_NS : UNSETTLED_NS) +
+			    json_object_size(row_members(keeper)) *
+			        MEMBER_POLL_NS;
+		}
+		kwb_clock_sleep_ns(STEP_NS);
+	}
+	json_decref(keeper->row);
+	free(keeper);
+	kwb_current_thread_finish();
+	return NULL;
+}
+
+/* Gives everything back, at the end of a planned stop. */
+void
+share_leave(struct kwb_agent *agent)
+{
+	struct keeper *keeper = calloc(1, sizeof(*keeper));
+	int tries;
+
+	if (keeper == NULL)
+		return;
+	keeper->agent = agent;
+	snprintf(keeper->row_key, sizeof(keeper->row_key), "shares/%s",
+	    agent->settings->pool);
+	for (tries = 0; tries < KWB_CAS_TRIES; tries++) {
+		if (row_read(keeper) != 0)
+			break;
+		json_object_del(row_members(keeper), agent->settings->vm);
+		if (row_write(keeper) != KWB_ERR_PLATFORM_CONFLICT)
+			break;
+	}
+	json_decref(keeper->row);
+	free(keeper);
+}
+
+static void
+keeper_poll(struct keeper *keeper, bool *settled)
+{
+	const struct kwb_lists *lists;
+	bool reachable, changed = false;
+	json_t *units;
+	int tries;
+	uint32_t i;
+
+	for (tries = 0; tries < KWB_CAS_TRIES; tries++) {
+		reachable = row_read(keeper) == 0;
+		if (keeper->row == NULL)
+			return;
+		*settled = true;
+		units = own_units(keeper);
+		lists = kwb_current_hold();
+		for (i = 0; lists != NULL && i < lists->plans_count; i++) {
+			const struct kwb_plan *plan = &lists->plans[i];
+			const struct kwb_allowance *allowance =
+			    kwb_lists_allowance(lists, plan->name);
+
+			if (strcmp(plan->pool, keeper->agent->settings->pool) !=
+			    0)
+				continue;
+			if (!plan_lower(keeper, plan->name,
+			        allowance->concurrent))
+				changed = true;
+			if (plan_next(keeper, plan->name,
+			        allowance->concurrent, settled))
+				changed = true;
+		}
+		kwb_current_drop();
+		if (!reachable)
+			return;
+		if (!*settled && drop_gone(keeper))
+			changed = true;
+		if (!changed) {
+			plans_apply(keeper, units);
+			return;
+		}
+		json_incref(units);
+		if (row_write(keeper) == 0) {
+			plans_apply(keeper, units);
+			json_decref(units);
+			return;
+		}
+		json_decref(units);
+		kwb_clock_sleep_ns((kwb_clock_now_ns() % 20 + 1) * KWB_MS_NS);
+	}
+}
+
+static int
+row_read(struct keeper *keeper)
+{
+	struct kwb_buf value;
+	uint64_t revision = 0;
+	json_t *row = NULL;
+	int error;
+
+	kwb_buf_init(&value);
+	error = kwb_table_get(&keeper->agent->platform, keeper->row_key,
+	    &value, &revision);
+	if (error == 0)
+		row = json_loads(kwb_buf_text(&value), 0, NULL);
+	if (error == KWB_ERR_PLATFORM_MISSING)
+		row = json_pack("{s:{}}", "members");
+	kwb_buf_finish(&value);
+	if (row == NULL)
+		return KWB_ERR_PLATFORM_DOWN;
+	json_decref(keeper->row);
+	keeper->row = row;
+	keeper->row_revision = revision;
+	return 0;
+}
+
+static int
+row_write(struct keeper *keeper)
+{
+	char writer[2 * KWB_NAME_MAX_BYTES];
+	uint64_t revision;
+	char *text;
+	int error;
+
+	snprintf(writer, sizeof(writer), "%s/%llu/%llu",
+	    keeper->agent->settings->vm,
+	    (unsigned long long)keeper->agent->incarnation,
+	    (unsigned long long)++keeper->writes);
+	json_object_set_new(keeper->row, "writer", json_string(writer));
+	text = json_dumps(keeper->row, JSON_COMPACT);
+	error = kwb_table_put(&keeper->agent->platform, keeper->row_key, text,
+	    strlen(text), keeper->row_revision, &revision);
+	free(text);
+	return error;
+}
+
+static json_t *
+row_members(const struct keeper *keeper)
+{
+	return json_object_get(keeper->row, "members");
+}
+
+/* This agent's units by plan, registered with none on first sight. */
+static json_t *
+own_units(struct keeper *keeper)
+{
+	const char *vm = keeper->agent->settings->vm;
+	json_t *own = json_object_get(row_members(keeper), vm);
+
+	if (own == NULL) {
+		own = json_object();
+		json_object_set_new(row_members(keeper), vm, own);
+	}
+	return own;
+}
+
+static unsigned
+members_for(struct keeper *keeper, const char *plan, unsigned *self)
+{
+	const char *vm;
+	json_t *units;
+	unsigned count = 0;
+
+	json_object_foreach(row_members(keeper), vm, units) {
+		struct kwb_share_member *member = &keeper->members[count];
+
+		if (count == MEMBERS_MAX)
+			break;
+		if (strcmp(vm, keeper->agent->settings->vm) == 0)
+			*self = count;
+		kwb_text_copy(member->vm, sizeof(member->vm), vm);
+		member->units = (uint32_t)json_integer_value(
+		    json_object_get(units, plan));
+		count++;
+	}
+	return count;
+}
+
+/*
+ * Brings the cap in force down to the fair part and to what the row grants,
+ * before anything else is decided. Returns false when the plan is new in the
+ * row.
+ */
+static bool
+plan_lower(struct keeper *keeper, const char *plan, uint32_t allowance)
+{
+	unsigned self = 0;
+	unsigned count = members_for(keeper, plan, &self);
+	uint32_t fair = kwb_share_fair(allowance, plan, keeper->members, count,
+	    self);
+	uint32_t held = keeper->members[self].units;
+
+	run_set_units(keeper->agent, plan, held < fair ? held : fair);
+	return json_object_get(own_units(keeper), plan) != NULL;
+}
+
+/* Writes into the row what to hold next; true when that is a change. */
+static bool
+plan_next(struct keeper *keeper, const char *plan, uint32_t allowance,
+    bool *settled)
+{
+	unsigned self = 0;
+	unsigned count = members_for(keeper, plan, &self);
+	uint32_t running = run_plan_running(keeper->agent, plan);
+	uint32_t held = keeper->members[self].units;
+	uint32_t fair = kwb_share_fair(allowance, plan, keeper->members, count,
+	    self);
+	uint32_t next = kwb_share_next(allowance, plan, keeper->members, count,
+	    self, running);
+
+	if (next != fair)
+		*settled = false;
+	if (next == held && json_object_get(own_units(keeper), plan) != NULL)
+		return false;
+	json_object_set_new(own_units(keeper), plan, json_integer(next));
+	kwb_log(KWB_LOG_INFO, "limit",
+	    "event=share plan=%s units=%u was=%u fair=%u running=%u "
+	    "members=%u",
+	    plan, next, held, fair, running, count);
+	return true;
+}
+
+/* Puts what the row grants into force. */
+static void
+plans_apply(struct keeper *keeper, json_t *units)
+{
+	const struct kwb_lists *lists = kwb_current_hold();
+	const char *plan;
+	json_t *value;
+
+	json_object_foreach(units, plan, value) {
+		const struct kwb_allowance *allowance =
+		    lists ? kwb_lists_allowance(lists, plan) : NULL;
+		unsigned self = 0, count = members_for(keeper, plan, &self);
+		uint32_t held = (uint32_t)json_integer_value(value), fair = 0;
+
+		if (allowance != NULL)
+			fair = kwb_share_fair(allowance->concurrent, plan,
+			    keeper->members, count, self);
+		run_set_units(keeper->agent, plan, held < fair ? held : fair);
+	}
+	kwb_current_drop();
+}
+
+/*
+ * Removes members that the platform has long listed as gone. They stopped
+ * work before: entries tell a live agent that it is listed so, and it leaves.
+ */
+static bool
+drop_gone(struct keeper *keeper)
+{
+	struct kwb_vms *vms = calloc(1, sizeof(*vms));
+	const char *vm;
+	json_t *units;
+	void *next;
+	bool listed, dropped = false;
+	uint32_t i;
+
+	if (vms == NULL ||
+	    kwb_vms_get(&keeper->agent->platform, vms) != 0) {
+		free(vms);
+		return false;
+	}
+	json_object_foreach_safe(row_members(keeper), next, vm, units) {
+		listed = strcmp(vm, keeper->agent->settings->vm) == 0;
+		for (i = 0; i < vms->count && !listed; i++)
+			listed = strcmp(vms->vms[i].vm, vm) == 0;
+		if (listed || !gone_long(keeper, vm))
+			continue;
+		kwb_log(KWB_LOG_WARN, "limit", "event=reclaim vm=%s", vm);
+		json_object_del(row_members(keeper), vm);
+		dropped = true;
+	}
+	free(vms);
+	return dropped;
+}
+
+static bool
+gone_long(struct keeper *keeper, const char *vm)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct missing *missing;
+	unsigned i;
+
+	for (i = 0; i < keeper->missing_count; i++)
+		if (strcmp(keeper->missing[i].vm, vm) == 0)
+			return now_ns >= keeper->missing[i].gone_deadline_ns;
+	if (keeper->missing_count ==
+	    sizeof(keeper->missing) / sizeof(keeper->missing[0]))
+		keeper->missing_count = 0;
+	missing = &keeper->missing[keeper->missing_count++];
+	kwb_text_copy(missing->vm, sizeof(missing->vm), vm);
+	missing->gone_deadline_ns = now_ns + KWB_SHARE_GONE_NS;
+	return false;
+}
+
+/*
+ * Work of an earlier process on this VM still counts against the allowance:
+ * hold back until the upstream reports that nothing runs.
+ */
+static bool
+old_work_ended(struct kwb_agent *agent, uint64_t give_up_ns)
+{
+	bool idle;
+
+	pthread_mutex_lock(&agent->upstream.lock);
+	idle = agent->upstream.up && agent->upstream.running == 0;
+	pthread_mutex_unlock(&agent->upstream.lock);
+	return idle || kwb_clock_now_ns() >= give_up_ns;
+}
--- /dev/null
+++ b/src/member/peers.c
@@ -0,0 +1,596 @@
+/*
+ * Peers of an entry: the agents of its subset, their links and what they last
+ * said of themselves. Routing is decided here under the table's lock, so that
+ * a choice and the place it takes are one step.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../entry/entry.h"
+
+static void on_open(void *context, uint64_t link, uint32_t tag);
+static void on_frame(void *context, uint64_t link, uint32_t tag,
+    Kwb__Wire__Frame *frame);
+static void on_close(void *context, uint64_t link, uint32_t tag);
+static void on_heartbeat(void *context, uint64_t link, uint32_t tag);
+static void peer_hello(struct kwb_entry *entry, uint64_t link, uint32_t tag,
+    const Kwb__Wire__Hello *hello);
+static void peer_status(struct peer *peer, uint64_t revision,
+    const Kwb__Wire__Status *status);
+static void peer_lists(struct kwb_entry *entry, uint64_t link, uint32_t tag);
+static bool peer_usable(const struct peer *peer, uint64_t now_ns);
+static struct peer *peer_slot(struct peers *peers, const struct kwb_vm *vm);
+static void peer_candidate(struct kwb_entry *entry, struct peer *peer,
+    const char *plan, const char *model, struct kwb_candidate *candidate);
+static struct peer_plan *plan_of(struct peer *peer, const char *plan);
+static const struct peer_model *model_of(const struct peer *peer,
+    const char *model);
+static void target_take(struct peer *peer, int index, const char *plan,
+    const char *model, struct target *target);
+
+const struct kwb_link_ops peer_link_ops = {
+    .on_open = on_open,
+    .on_frame = on_frame,
+    .on_close = on_close,
+    .on_heartbeat = on_heartbeat,
+};
+
+void
+peers_init(struct peers *peers)
+{
+	memset(peers, 0, sizeof(*peers));
+	pthread_mutex_init(&peers->lock, NULL);
+}
+
+void
+peers_finish(struct peers *peers)
+{
+	pthread_mutex_destroy(&peers->lock);
+}
+
+/* Chooses a peer of the plan's pool, takes a place there and logs why. */
+int
+peers_pick(struct kwb_entry *entry, const struct kwb_route *route,
+    const char *plan, const char *model, const char *key,
+    struct target *target)
+{
+	struct peers *peers = &entry->peers;
+	struct kwb_candidate candidates[KWB_PEERS_MAX];
+	struct kwb_choice choice;
+	unsigned i;
+
+	target->peer = -1;
+	pthread_mutex_lock(&peers->lock);
+	for (i = 0; i < KWB_PEERS_MAX; i++)
+		peer_candidate(entry, &peers->peers[i], plan, model,
+		    &candidates[i]);
+	choice = kwb_route_pick(route, candidates, KWB_PEERS_MAX);
+	if (choice.index >= 0)
+		target_take(&peers->peers[choice.index], choice.index, plan,
+		    model, target);
+	pthread_mutex_unlock(&peers->lock);
+	if (choice.index < 0)
+		return choice.error;
+	kwb_log(KWB_LOG_INFO, "route",
+	    "event=pick plan=%s key=%s vm=%s reason=%s in_plan=%u units=%u "
+	    "in_flight=%u slots=%u version=%" PRIu64 " min_version=%" PRIu64
+	    " same_domain=%d",
+	    plan, key, target->vm, choice.reason,
+	    candidates[choice.index].in_plan, candidates[choice.index].units,
+	    candidates[choice.index].in_flight,
+	    candidates[choice.index].slots, target->version,
+	    route->min_version, candidates[choice.index].same_domain);
+	return 0;
+}
+
+/* Takes a place at one named peer, whatever its load. */
+int
+peers_target(struct kwb_entry *entry, const char *vm, const char *plan,
+    const char *model, struct target *target)
+{
+	struct peers *peers = &entry->peers;
+	int i, error = KWB_ERR_ROUTE_NONE;
+
+	target->peer = -1;
+	pthread_mutex_lock(&peers->lock);
+	for (i = 0; i < KWB_PEERS_MAX && error != 0; i++) {
+		struct peer *peer = &peers->peers[i];
+
+		if (strcmp(peer->vm, vm) != 0 || !peer->greeted)
+			continue;
+		target_take(peer, i, plan, model, target);
+		error = 0;
+	}
+	pthread_mutex_unlock(&peers->lock);
+	return error;
+}
+
+/* Gives the place back; the error tells how the peer did. */
+void
+peers_release(struct kwb_entry *entry, struct target *target, int error)
+{
+	struct peer *peer;
+	struct peer_plan *use;
+
+	if (target->peer < 0)
+		return;
+	peer = &entry->peers.peers[target->peer];
+	pthread_mutex_lock(&entry->peers.lock);
+	if (strcmp(peer->vm, target->vm) == 0) {
+		use = plan_of(peer, target->plan);
+		if (use != NULL && use->own > 0)
+			use->own--;
+		if (peer->own > 0)
+			peer->own--;
+		if (error == KWB_ERR_CALL_BUSY)
+			peer->busy_ns = kwb_clock_now_ns() + KWB_BUSY_NS;
+		if (error == KWB_ERR_CALL_UPSTREAM ||
+		    error == KWB_ERR_CALL_DEADLINE)
+			peer->failures++;
+		else if (error == 0)
+			peer->failures = 0;
+		if (peer->failures >= KWB_TRIP_FAILURES) {
+			peer->failures = 0;
+			peer->tripped_ns = kwb_clock_now_ns() + KWB_TRIP_NS;
+			kwb_log(KWB_LOG_WARN, "member", "event=trip vm=%s",
+			    peer->vm);
+		}
+	}
+	pthread_mutex_unlock(&entry->peers.lock);
+	target->peer = -1;
+}
+
+/* Brings the table in line with the subset of the platform's list. */
+void
+peers_update(struct kwb_entry *entry, const struct kwb_vms *vms)
+{
+	struct peers *peers = &entry->peers;
+	uint32_t chosen[KWB_PEERS_MAX];
+	unsigned i, count;
+
+	count = kwb_subset(vms, entry->settings->vm,
+	    entry->settings->failure_domain, entry->settings->subset, chosen,
+	    KWB_PEERS_MAX);
+	pthread_mutex_lock(&peers->lock);
+	for (i = 0; i < KWB_PEERS_MAX; i++)
+		peers->peers[i].wanted = false;
+	for (i = 0; i < count; i++) {
+		const struct kwb_vm *vm = &vms->vms[chosen[i]];
+		struct peer *peer = peer_slot(peers, vm);
+
+		if (peer == NULL)
+			continue;
+		peer->wanted = true;
+		peer->listed_leaving = vm->state == KWB_VM_LEAVING;
+	}
+	for (i = 0; i < KWB_PEERS_MAX; i++) {
+		struct peer *peer = &peers->peers[i];
+
+		if (peer->vm[0] == '\0' || peer->wanted)
+			continue;
+		peer->listed_leaving = true;
+		if (peer->own == 0 && peer->link == 0)
+			memset(peer, 0, sizeof(*peer));
+	}
+	pthread_mutex_unlock(&peers->lock);
+}
+
+void
+peers_reconnect(struct kwb_entry *entry)
+{
+	struct peers *peers = &entry->peers;
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint32_t i;
+
+	pthread_mutex_lock(&peers->lock);
+	for (i = 0; i < KWB_PEERS_MAX; i++) {
+		struct peer *peer = &peers->peers[i];
+
+		if (peer->vm[0] == '\0' || peer->link != 0 ||
+		    now_ns < peer->reconnect_ns)
+			continue;
+		peer->reconnect_ns = now_ns + KWB_RECONNECT_NS;
+		peer->greeted = false;
+		kwb_loop_connect(&entry->loop, &peer->address, i, &peer->link);
+	}
+	pthread_mutex_unlock(&peers->lock);
+}
+
+void
+peers_push_lists(struct kwb_entry *entry)
+{
+	uint64_t links[KWB_PEERS_MAX];
+	uint32_t i;
+
+	pthread_mutex_lock(&entry->peers.lock);
+	for (i = 0; i < KWB_PEERS_MAX; i++)
+		links[i] = entry->peers.peers[i].greeted
+		    ? entry->peers.peers[i].link
+		    : 0;
+	pthread_mutex_unlock(&entry->peers.lock);
+	for (i = 0; i < KWB_PEERS_MAX; i++)
+		if (links[i] != 0)
+			peer_lists(entry, links[i], i);
+}
+
+unsigned
+peers_in_pool(struct kwb_entry *entry, const char *pool,
+    struct target *targets, unsigned targets_max)
+{
+	struct peers *peers = &entry->peers;
+	unsigned count = 0;
+	int i;
+
+	pthread_mutex_lock(&peers->lock);
+	for (i = 0; i < KWB_PEERS_MAX && count < targets_max; i++) {
+		const struct peer *peer = &peers->peers[i];
+
+		if (!peer->greeted || strcmp(peer->pool, pool) != 0)
+			continue;
+		targets[count].peer = i;
+		targets[count].link = peer->link;
+		targets[count].incarnation = peer->incarnation;
+		kwb_text_copy(targets[count].vm, sizeof(targets[count].vm),
+		    peer->vm);
+		count++;
+	}
+	pthread_mutex_unlock(&peers->lock);
+	return count;
+}
+
+/* Free places of a plan at usable peers other than one. */
+uint32_t
+peers_idle_units(struct kwb_entry *entry, const char *plan, int except)
+{
+	struct peers *peers = &entry->peers;
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint32_t idle = 0;
+	int i;
+
+	pthread_mutex_lock(&peers->lock);
+	for (i = 0; i < KWB_PEERS_MAX; i++) {
+		struct peer *peer = &peers->peers[i];
+		struct peer_plan *use;
+
+		if (i == except || !peer_usable(peer, now_ns))
+			continue;
+		use = plan_of(peer, plan);
+		if (use != NULL && use->own + use->others < use->units &&
+		    peer->own + peer->others < peer->slots)
+			idle += use->units - use->own - use->others;
+	}
+	pthread_mutex_unlock(&peers->lock);
+	return idle;
+}
+
+void
+peers_print(struct kwb_entry *entry, struct kwb_buf *out)
+{
+	struct peers *peers = &entry->peers;
+	unsigned i, j, printed = 0;
+
+	kwb_buf_printf(out, "[");
+	pthread_mutex_lock(&peers->lock);
+	for (i = 0; i < KWB_PEERS_MAX; i++) {
+		const struct peer *peer = &peers->peers[i];
+
+		if (peer->vm[0] == '\0')
+			continue;
+		kwb_buf_printf(out,
+		    "%s{\"vm\":\"%s\",\"failure_domain\":\"%s\","
+		    "\"pool\":\"%s\",\"connected\":%s,\"leaving\":%s,"
+		    "\"upstream_up\":%s,\"lists_revision\":%" PRIu64
+		    ",\"own\":%u,\"others\":%u,\"slots\":%u,\"versions\":{",
+		    printed++ ? "," : "", peer->vm, peer->failure_domain,
+		    peer->pool, peer->greeted ? "true" : "false",
+		    peer->leaving || peer->listed_leaving ? "true" : "false",
+		    peer->upstream_up ? "true" : "false",
+		    peer->lists_revision, peer->own, peer->others,
+		    peer->slots);
+		for (j = 0; j < peer->models_count; j++)
+			kwb_buf_printf(out, "%s\"%s\":%" PRIu64, j ? "," : "",
+			    peer->models[j].model, peer->models[j].version);
+		kwb_buf_printf(out, "},\"units\":{");
+		for (j = 0; j < peer->plans_count; j++)
+			kwb_buf_printf(out, "%s\"%s\":%u", j ? "," : "",
+			    peer->plans[j].plan, peer->plans[j].units);
+		kwb_buf_printf(out, "}}");
+	}
+	pthread_mutex_unlock(&peers->lock);
+	kwb_buf_printf(out, "]");
+}
+
+static void
+on_open(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_entry *entry = context;
+	Kwb__Wire__Hello hello = KWB__WIRE__HELLO__INIT;
+	KWB_FRAME(frame, HELLO, hello, hello);
+
+	(void)tag;
+	hello.protocol = KWB_PROTOCOL;
+	hello.vm = (char *)entry->settings->vm;
+	hello.incarnation = entry->incarnation;
+	hello.failure_domain = (char *)entry->settings->failure_domain;
+	hello.lists_revision = kwb_current_revision();
+	kwb_link_send(&entry->loop, link, &frame);
+}
+
+static void
+on_frame(void *context, uint64_t link, uint32_t tag, Kwb__Wire__Frame *frame)
+{
+	struct kwb_entry *entry = context;
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+
+	switch (frame->body_case) {
+	case KWB__WIRE__FRAME__BODY_PROGRESS:
+		registry_post(&entry->registry, frame->progress->request,
+		    frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_DONE:
+		registry_post(&entry->registry, frame->done->request, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_FOUND:
+		registry_post(&entry->registry, frame->found->request, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_ORDER_REPLY:
+		registry_post(&entry->registry, frame->order_reply->request,
+		    frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_HELLO:
+		peer_hello(entry, link, tag, frame->hello);
+		break;
+	case KWB__WIRE__FRAME__BODY_HEARTBEAT:
+		pthread_mutex_lock(&entry->peers.lock);
+		if (peer->link == link && frame->heartbeat->status != NULL)
+			peer_status(peer, frame->heartbeat->lists_revision,
+			    frame->heartbeat->status);
+		pthread_mutex_unlock(&entry->peers.lock);
+		peer_lists(entry, link, tag);
+		break;
+	case KWB__WIRE__FRAME__BODY_LISTS:
+		if (kwb_current_offer((const char *)frame->lists->document.data,
+		        frame->lists->document.len,
+		        frame->lists->revision) > 0)
+			peers_push_lists(entry);
+		break;
+	default:
+		break;
+	}
+	kwb_frame_free(frame);
+}
+
+static void
+on_close(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_entry *entry = context;
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+
+	pthread_mutex_lock(&entry->peers.lock);
+	if (peer->link == link) {
+		if (peer->greeted)
+			kwb_log(KWB_LOG_WARN, "member",
+			    "event=link_lost vm=%s", peer->vm);
+		peer->link = 0;
+		peer->greeted = false;
+	}
+	pthread_mutex_unlock(&entry->peers.lock);
+	registry_link_lost(&entry->registry, link);
+}
+
+static void
+on_heartbeat(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_entry *entry = context;
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+	Kwb__Wire__Heartbeat heartbeat = KWB__WIRE__HEARTBEAT__INIT;
+	KWB_FRAME(frame, HEARTBEAT, heartbeat, heartbeat);
+
+	pthread_mutex_lock(&entry->peers.lock);
+	heartbeat.listed_leaving = peer->link == link && peer->listed_leaving;
+	pthread_mutex_unlock(&entry->peers.lock);
+	heartbeat.lists_revision = kwb_current_revision();
+	kwb_link_send(&entry->loop, link, &frame);
+}
+
+static void
+peer_hello(struct kwb_entry *entry, uint64_t link, uint32_t tag,
+    const Kwb__Wire__Hello *hello)
+{
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+	bool wrong;
+
+	pthread_mutex_lock(&entry->peers.lock);
+	/* Behind the address there may by now be another VM. */
+	wrong = hello->protocol != KWB_PROTOCOL ||
+	    strcmp(hello->vm, peer->vm) != 0;
+	if (peer->link == link && !wrong) {
+		peer->greeted = true;
+		peer->incarnation = hello->incarnation;
+		peer->failures = 0;
+		if (hello->status != NULL)
+			peer_status(peer, hello->lists_revision,
+			    hello->status);
+		kwb_log(KWB_LOG_INFO, "member",
+		    "event=link_up vm=%s incarnation=%" PRIu64, peer->vm,
+		    peer->incarnation);
+	}
+	pthread_mutex_unlock(&entry->peers.lock);
+	if (wrong)
+		kwb_link_close(&entry->loop, link);
+	else
+		peer_lists(entry, link, tag);
+}
+
+static void
+peer_status(struct peer *peer, uint64_t revision,
+    const Kwb__Wire__Status *status)
+{
+	uint32_t busy = status->running + status->waiting;
+	size_t i;
+
+	peer->lists_revision = revision;
+	peer->leaving = status->leaving;
+	peer->upstream_up = status->upstream_up;
+	peer->slots = status->slots;
+	peer->others = busy > peer->own ? busy - peer->own : 0;
+	peer->models_count = 0;
+	for (i = 0; i < status->n_versions && i < KWB_MODELS_MAX; i++) {
+		struct peer_model *model = &peer->models[peer->models_count++];
+
+		kwb_text_copy(model->model, sizeof(model->model),
+		    status->versions[i]->model);
+		model->version = status->versions[i]->version;
+		model->swapping = status->versions[i]->swapping;
+	}
+	for (i = 0; i < status->n_plans; i++) {
+		struct peer_plan *use =
+		    plan_of(peer, status->plans[i]->plan);
+
+		if (use == NULL)
+			continue;
+		use->units = status->plans[i]->units;
+		use->others = status->plans[i]->running > use->own
+		    ? status->plans[i]->running - use->own
+		    : 0;
+	}
+}
+
+/* Sends the lists to a peer that knows an older revision. */
+static void
+peer_lists(struct kwb_entry *entry, uint64_t link, uint32_t tag)
+{
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+	Kwb__Wire__Lists lists = KWB__WIRE__LISTS__INIT;
+	KWB_FRAME(frame, LISTS, lists, lists);
+	struct kwb_buf text;
+	bool behind;
+
+	pthread_mutex_lock(&entry->peers.lock);
+	behind = peer->link == link &&
+	    peer->lists_revision < kwb_current_revision();
+	pthread_mutex_unlock(&entry->peers.lock);
+	if (!behind)
+		return;
+	kwb_buf_init(&text);
+	if (kwb_current_text(&text, &lists.revision) == 0) {
+		lists.document.data = (uint8_t *)text.data;
+		lists.document.len = text.used_bytes;
+		kwb_link_send(&entry->loop, link, &frame);
+		pthread_mutex_lock(&entry->peers.lock);
+		if (peer->link == link)
+			peer->lists_revision = lists.revision;
+		pthread_mutex_unlock(&entry->peers.lock);
+	}
+	kwb_buf_finish(&text);
+}
+
+static bool
+peer_usable(const struct peer *peer, uint64_t now_ns)
+{
+	return peer->greeted && peer->upstream_up && !peer->leaving &&
+	    !peer->listed_leaving && now_ns >= peer->tripped_ns &&
+	    now_ns >= peer->busy_ns;
+}
+
+/* The slot of a VM, taken on first sight; a moved VM gets a new link. */
+static struct peer *
+peer_slot(struct peers *peers, const struct kwb_vm *vm)
+{
+	struct peer *peer, *open = NULL;
+	unsigned i;
+
+	for (i = 0; i < KWB_PEERS_MAX; i++) {
+		peer = &peers->peers[i];
+		if (strcmp(peer->vm, vm->vm) == 0) {
+			if (peer->link == 0)
+				peer->address = vm->address;
+			return peer;
+		}
+		if (open == NULL && peer->vm[0] == '\0')
+			open = peer;
+	}
+	if (open == NULL)
+		return NULL;
+	memset(open, 0, sizeof(*open));
+	kwb_text_copy(open->vm, sizeof(open->vm), vm->vm);
+	kwb_text_copy(open->failure_domain, sizeof(open->failure_domain),
+	    vm->failure_domain);
+	kwb_text_copy(open->pool, sizeof(open->pool), vm->pool);
+	open->address = vm->address;
+	return open;
+}
+
+static void
+peer_candidate(struct kwb_entry *entry, struct peer *peer, const char *plan,
+    const char *model, struct kwb_candidate *candidate)
+{
+	const struct peer_model *state = model_of(peer, model);
+	const struct peer_plan *use;
+
+	memset(candidate, 0, sizeof(*candidate));
+	candidate->vm = peer->vm;
+	if (peer->vm[0] == '\0' || !peer_usable(peer, kwb_clock_now_ns()))
+		return;
+	use = plan_of(peer, plan);
+	if (use == NULL || (model != NULL && state == NULL))
+		return;
+	candidate->usable = use->units > 0;
+	candidate->same_domain = strcmp(peer->failure_domain,
+	                             entry->settings->failure_domain) == 0;
+	if (state != NULL) {
+		candidate->version = state->version;
+		candidate->swapping = state->swapping;
+	}
+	candidate->units = use->units;
+	candidate->in_plan = use->own + use->others;
+	candidate->slots = peer->slots;
+	candidate->in_flight = peer->own + peer->others;
+}
+
+static struct peer_plan *
+plan_of(struct peer *peer, const char *plan)
+{
+	struct peer_plan *use;
+	unsigned i;
+
+	for (i = 0; i < peer->plans_count; i++)
+		if (strcmp(peer->plans[i].plan, plan) == 0)
+			return &peer->plans[i];
+	if (peer->plans_count == KWB_PLANS_MAX)
+		return NULL;
+	use = &peer->plans[peer->plans_count++];
+	memset(use, 0, sizeof(*use));
+	kwb_text_copy(use->plan, sizeof(use->plan), plan);
+	return use;
+}
+
+static const struct peer_model *
+model_of(const struct peer *peer, const char *model)
+{
+	unsigned i;
+
+	for (i = 0; model != NULL && i < peer->models_count; i++)
+		if (strcmp(peer->models[i].model, model) == 0)
+			return &peer->models[i];
+	return NULL;
+}
+
+static void
+target_take(struct peer *peer, int index, const char *plan, const char *model,
+    struct target *target)
+{
+	const struct peer_model *state = model_of(peer, model);
+	struct peer_plan *use = plan_of(peer, plan);
+
+	target->peer = index;
+	target->link = peer->link;
+	target->incarnation = peer->incarnation;
+	target->version = state ? state->version : 0;
+	kwb_text_copy(target->vm, sizeof(target->vm), peer->vm);
+	kwb_text_copy(target->plan, sizeof(target->plan), plan);
+	peer->own++;
+	if (use != NULL)
+		use->own++;
+}
--- /dev/null
+++ b/src/platform/http.c
@@ -0,0 +1,218 @@
+/*
+ * HTTP client over libcurl: one easy handle a thread, which keeps its
+ * connection. A fresh request never goes over a kept connection, because
+ * libcurl sends again by itself when a kept connection turns out dead.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <curl/curl.h>
+
+#include "kwb.h"
+
+#define HEADER_MAX_BYTES 512
+
+struct exchange {
+	const struct kwb_http_request *request;
+	struct kwb_http_answer *answer;
+};
+
+static pthread_key_t handle_key;
+static pthread_once_t handle_once = PTHREAD_ONCE_INIT;
+
+static void handle_key_init(void);
+static CURL *handle_get(void);
+static size_t on_body(char *data, size_t size, size_t count, void *context);
+static size_t on_header(char *data, size_t size, size_t count, void *context);
+static int on_wait(void *context, curl_off_t down_total, curl_off_t down,
+    curl_off_t up_total, curl_off_t up);
+static struct curl_slist *headers_for(const struct kwb_http_request *request);
+static void handle_prepare(CURL *curl, struct exchange *exchange,
+    struct curl_slist *headers);
+
+void
+kwb_http_init(void)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	pthread_once(&handle_once, handle_key_init);
+}
+
+void
+kwb_http_finish(void)
+{
+	CURL *curl = pthread_getspecific(handle_key);
+
+	if (curl != NULL)
+		curl_easy_cleanup(curl);
+	pthread_setspecific(handle_key, NULL);
+	curl_global_cleanup();
+}
+
+int
+kwb_http_do(const struct kwb_http_request *request,
+    struct kwb_http_answer *answer)
+{
+	struct exchange exchange = {request, answer};
+	struct curl_slist *headers;
+	CURL *curl = handle_get();
+	CURLcode code;
+
+	memset(answer, 0, sizeof(*answer));
+	kwb_buf_init(&answer->body);
+	if (curl == NULL)
+		return KWB_ERR_MEMORY;
+	headers = headers_for(request);
+	handle_prepare(curl, &exchange, headers);
+	code = curl_easy_perform(curl);
+	answer->sent = code != CURLE_COULDNT_CONNECT &&
+	    code != CURLE_COULDNT_RESOLVE_HOST && code != CURLE_URL_MALFORMAT;
+	if (code == CURLE_OK)
+		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
+		    &answer->status);
+	if (code == CURLE_OPERATION_TIMEDOUT) {
+		double connect_s = 0;
+
+		curl_easy_getinfo(curl, CURLINFO_PRETRANSFER_TIME, &connect_s);
+		answer->sent = connect_s > 0;
+	}
+	curl_slist_free_all(headers);
+	return code == CURLE_OK ? 0 : KWB_ERR_PLATFORM_DOWN;
+}
+
+void
+kwb_http_answer_finish(struct kwb_http_answer *answer)
+{
+	kwb_buf_finish(&answer->body);
+}
+
+static void
+handle_key_init(void)
+{
+	pthread_key_create(&handle_key, curl_easy_cleanup);
+}
+
+static CURL *
+handle_get(void)
+{
+	CURL *curl = pthread_getspecific(handle_key);
+
+	if (curl != NULL)
+		return curl;
+	curl = curl_easy_init();
+	pthread_setspecific(handle_key, curl);
+	return curl;
+}
+
+static struct curl_slist *
+headers_for(const struct kwb_http_request *request)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+	char line[HEADER_MAX_BYTES];
+
+	if (request->content_type != NULL) {
+		snprintf(line, sizeof(line), "Content-Type: %s",
+		    request->content_type);
+		list = curl_slist_append(list, line);
+	}
+	if (request->if_match != NULL && request->if_match[0] == '*') {
+		list = curl_slist_append(list, "If-None-Match: *");
+	} else if (request->if_match != NULL) {
+		snprintf(line, sizeof(line), "If-Match: %s",
+		    request->if_match);
+		list = curl_slist_append(list, line);
+	}
+	return list;
+}
+
+static void
+handle_prepare(CURL *curl, struct exchange *exchange,
+    struct curl_slist *headers)
+{
+	const struct kwb_http_request *request = exchange->request;
+	long fresh = request->fresh ? 1 : 0;
+
+	curl_easy_reset(curl);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_URL, request->url);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
+	    (long)KWB_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
+	    (long)(request->timeout_ms ? request->timeout_ms
+	                               : KWB_HTTP_TIMEOUT_MS));
+	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, fresh);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, fresh);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, exchange);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, exchange);
+	if (request->should_stop != NULL) {
+		curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_wait);
+		curl_easy_setopt(curl, CURLOPT_XFERINFODATA, exchange);
+		curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+	}
+	if (strcmp(request->method, "HEAD") == 0)
+		curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+	if (request->body != NULL) {
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)request->body_bytes);
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body);
+	}
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static size_t
+on_body(char *data, size_t size, size_t count, void *context)
+{
+	struct exchange *exchange = context;
+	const struct kwb_http_request *request = exchange->request;
+	size_t length = size * count;
+
+	if (request->on_data != NULL)
+		return request->on_data(request->context, data, length)
+		    ? length
+		    : 0;
+	if (exchange->answer->body.used_bytes + length > KWB_BODY_MAX_BYTES)
+		return 0;
+	return kwb_buf_add(&exchange->answer->body, data, length) == 0 ? length
+	                                                               : 0;
+}
+
+static int
+on_wait(void *context, curl_off_t down_total, curl_off_t down,
+    curl_off_t up_total, curl_off_t up)
+{
+	struct exchange *exchange = context;
+	const struct kwb_http_request *request = exchange->request;
+
+	(void)down_total;
+	(void)down;
+	(void)up_total;
+	(void)up;
+	return request->should_stop(request->context) ? 1 : 0;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t count, void *context)
+{
+	struct exchange *exchange = context;
+	struct kwb_http_answer *answer = exchange->answer;
+	size_t length = size * count;
+	char line[HEADER_MAX_BYTES];
+
+	if (length >= sizeof(line))
+		return length;
+	memcpy(line, data, length);
+	line[length] = '\0';
+	line[strcspn(line, "\r\n")] = '\0';
+	if (strncasecmp(line, "ETag: ", 6) == 0)
+		answer->revision = strtoull(line + 6, NULL, 10);
+	if (strncasecmp(line, "Content-Type: ", 14) == 0)
+		kwb_text_copy(answer->content_type,
+		    sizeof(answer->content_type), line + 14);
+	return length;
+}
--- /dev/null
+++ b/src/platform/platform.c
@@ -0,0 +1,244 @@
+/*
+ * Client of the platform: transactional table (compare-and-set on a row's
+ * revision), object store, weight store and VM list. An answer lost after a
+ * write took effect is found out by reading the row back.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "kwb.h"
+
+#define PATH_MAX_BYTES 512
+#define LISTS_KEY "lists"
+
+static int platform_do(const struct kwb_platform *platform, const char *method,
+    const char *path, const char *if_match, const void *body,
+    size_t body_bytes, struct kwb_http_answer *answer);
+static int status_error(long status);
+static int put_settled(const struct kwb_platform *platform, const char *key,
+    const char *value, size_t length_bytes, uint64_t *revision);
+static void vm_from_json(struct kwb_vm *vm, json_t *item);
+static void text_from_json(char *to, size_t room_bytes, json_t *item,
+    const char *key);
+
+void
+kwb_platform_init(struct kwb_platform *platform, const char *url)
+{
+	kwb_text_copy(platform->url, sizeof(platform->url), url);
+}
+
+int
+kwb_table_get(const struct kwb_platform *platform, const char *key,
+    struct kwb_buf *value, uint64_t *revision)
+{
+	struct kwb_http_answer answer;
+	char path[PATH_MAX_BYTES];
+	int error;
+
+	snprintf(path, sizeof(path), "/table/%s", key);
+	error = platform_do(platform, "GET", path, NULL, NULL, 0, &answer);
+	if (error == 0) {
+		*revision = answer.revision;
+		error = kwb_buf_add(value, kwb_buf_text(&answer.body),
+		    answer.body.used_bytes);
+	}
+	kwb_http_answer_finish(&answer);
+	return error;
+}
+
+int
+kwb_table_put(const struct kwb_platform *platform, const char *key,
+    const char *value, size_t length_bytes, uint64_t expected,
+    uint64_t *revision)
+{
+	struct kwb_http_answer answer;
+	char path[PATH_MAX_BYTES], match[32];
+	int error;
+
+	snprintf(path, sizeof(path), "/table/%s", key);
+	snprintf(match, sizeof(match), "%llu", (unsigned long long)expected);
+	error = platform_do(platform, "PUT", path, expected ? match : "*",
+	    value, length_bytes, &answer);
+	*revision = answer.revision;
+	/* No answer, or a refusal that our own lost write may have caused. */
+	if ((error == KWB_ERR_PLATFORM_DOWN && answer.sent) ||
+	    error == KWB_ERR_PLATFORM_CONFLICT) {
+		if (put_settled(platform, key, value, length_bytes,
+		        revision) == 0)
+			error = 0;
+	}
+	kwb_http_answer_finish(&answer);
+	return error;
+}
+
+int
+kwb_object_put(const struct kwb_platform *platform, const char *name,
+    const char *data, size_t length_bytes)
+{
+	struct kwb_http_answer answer;
+	char path[PATH_MAX_BYTES];
+	int error;
+
+	snprintf(path, sizeof(path), "/objects/%s", name);
+	error = platform_do(platform, "PUT", path, NULL, data, length_bytes,
+	    &answer);
+	kwb_http_answer_finish(&answer);
+	return error;
+}
+
+int
+kwb_object_get(const struct kwb_platform *platform, const char *name,
+    struct kwb_buf *data)
+{
+	struct kwb_http_answer answer;
+	char path[PATH_MAX_BYTES];
+	int error;
+
+	snprintf(path, sizeof(path), "/objects/%s", name);
+	error = platform_do(platform, "GET", path, NULL, NULL, 0, &answer);
+	if (error == 0)
+		error = kwb_buf_add(data, kwb_buf_text(&answer.body),
+		    answer.body.used_bytes);
+	kwb_http_answer_finish(&answer);
+	return error;
+}
+
+int
+kwb_weights_newest(const struct kwb_platform *platform, const char *model,
+    uint64_t *version)
+{
+	struct kwb_http_answer answer;
+	char path[PATH_MAX_BYTES];
+	int error;
+
+	snprintf(path, sizeof(path), "/weights/%s", model);
+	error = platform_do(platform, "GET", path, NULL, NULL, 0, &answer);
+	if (error == 0)
+		*version = strtoull(kwb_buf_text(&answer.body), NULL, 10);
+	kwb_http_answer_finish(&answer);
+	return error;
+}
+
+int
+kwb_vms_get(const struct kwb_platform *platform, struct kwb_vms *vms)
+{
+	struct kwb_http_answer answer;
+	json_t *root = NULL, *item;
+	size_t i;
+	int error;
+
+	error = platform_do(platform, "GET", "/vms", NULL, NULL, 0, &answer);
+	if (error == 0)
+		root = json_loads(kwb_buf_text(&answer.body), 0, NULL);
+	kwb_http_answer_finish(&answer);
+	if (error != 0)
+		return error;
+	if (!json_is_array(root)) {
+		json_decref(root);
+		return KWB_ERR_PLATFORM_DOWN;
+	}
+	vms->count = 0;
+	json_array_foreach(root, i, item) {
+		if (vms->count == KWB_VMS_MAX)
+			break;
+		vm_from_json(&vms->vms[vms->count], item);
+		if (vms->vms[vms->count].address.port != 0)
+			vms->count++;
+	}
+	vms->read_ns = kwb_clock_now_ns();
+	json_decref(root);
+	return 0;
+}
+
+int
+kwb_lists_read(const struct kwb_platform *platform, struct kwb_buf *text,
+    uint64_t *revision)
+{
+	return kwb_table_get(platform, LISTS_KEY, text, revision);
+}
+
+static int
+platform_do(const struct kwb_platform *platform, const char *method,
+    const char *path, const char *if_match, const void *body,
+    size_t body_bytes, struct kwb_http_answer *answer)
+{
+	char url[PATH_MAX_BYTES + KWB_URL_MAX_BYTES];
+	struct kwb_http_request request = {
+	    .method = method,
+	    .url = url,
+	    .if_match = if_match,
+	    .body = body,
+	    .body_bytes = body_bytes,
+	    .timeout_ms = KWB_HTTP_TIMEOUT_MS,
+	};
+	int error;
+
+	snprintf(url, sizeof(url), "%s%s", platform->url, path);
+	error = kwb_http_do(&request, answer);
+	return error ? error : status_error(answer->status);
+}
+
+static int
+status_error(long status)
+{
+	if (status >= 200 && status < 300)
+		return 0;
+	if (status == 404)
+		return KWB_ERR_PLATFORM_MISSING;
+	if (status == 412)
+		return KWB_ERR_PLATFORM_CONFLICT;
+	return KWB_ERR_PLATFORM_DOWN;
+}
+
+/*
+ * Reads the row back: the write took effect when the row holds our value.
+ * Values carry their writer's name, so another's write never looks like ours.
+ */
+static int
+put_settled(const struct kwb_platform *platform, const char *key,
+    const char *value, size_t length_bytes, uint64_t *revision)
+{
+	struct kwb_buf now;
+	uint64_t found = 0;
+	int error;
+
+	kwb_buf_init(&now);
+	error = kwb_table_get(platform, key, &now, &found);
+	if (error == 0 &&
+	    (now.used_bytes != length_bytes ||
+	        memcmp(kwb_buf_text(&now), value, length_bytes) != 0))
+		error = KWB_ERR_PLATFORM_CONFLICT;
+	if (error == 0)
+		*revision = found;
+	kwb_buf_finish(&now);
+	return error;
+}
+
+static void
+vm_from_json(struct kwb_vm *vm, json_t *item)
+{
+	char text[KWB_NAME_MAX_BYTES];
+
+	memset(vm, 0, sizeof(*vm));
+	text_from_json(vm->vm, sizeof(vm->vm), item, "vm");
+	text_from_json(vm->failure_domain, sizeof(vm->failure_domain), item,
+	    "failure_domain");
+	text_from_json(vm->role, sizeof(vm->role), item, "role");
+	text_from_json(vm->pool, sizeof(vm->pool), item, "pool");
+	text_from_json(text, sizeof(text), item, "address");
+	if (kwb_address_parse(&vm->address, text) != 0)
+		vm->address.port = 0;
+	text_from_json(text, sizeof(text), item, "state");
+	vm->state = strcmp(text, "leaving") == 0 ? KWB_VM_LEAVING : KWB_VM_LIVE;
+}
+
+static void
+text_from_json(char *to, size_t room_bytes, json_t *item, const char *key)
+{
+	const char *text = json_string_value(json_object_get(item, key));
+
+	kwb_text_copy(to, room_bytes, text ? text : "");
+}
--- /dev/null
+++ b/src/rollout/step.c
@@ -0,0 +1,664 @@
+/*
+ * Assembly of a trainer's step: takes over what agents hold from an earlier
+ * attempt, starts the rest, and streams each whole sample once, as a line of
+ * JSON. What the trainer has is what the trainer says; nothing is stored here.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <xxhash.h>
+
+#include "../entry/entry.h"
+
+#define FIND_NS (500 * KWB_MS_NS)
+#define SCAN_NS (20 * KWB_MS_NS)
+#define HEDGE_SCAN_NS (100 * KWB_MS_NS)
+#define VERSION_WAIT_NS (17000 * KWB_MS_NS)
+#define SAMPLES_MAX 16384
+
+struct sample {
+	struct generation generation;
+	Kwb__Wire__Slot slot;
+	uint32_t expected_tokens;
+	bool delivered; /* now or in an earlier attempt */
+	bool attachable;
+	bool held_done;
+	uint32_t held_tokens;
+	char held_vm[KWB_NAME_MAX_BYTES];
+	char held_key[KWB_KEY_MAX_BYTES];
+};
+
+struct step {
+	struct kwb_entry *entry;
+	struct mg_connection *connection;
+	struct plan_gate *gate;
+	struct inbox inbox;
+	struct kwb_plan plan;
+	json_t *pull;
+	uint64_t number;
+	uint32_t attempt;
+	uint64_t trainer_version;
+	uint32_t bound_versions;
+	uint64_t begun_ns;
+	uint64_t deadline_ns;
+	uint32_t samples_count;
+	uint32_t left;
+	uint32_t delivered_now;
+	uint32_t stale;
+	uint64_t wasted_tokens;
+	uint64_t made_tokens;
+	uint64_t token_ns; /* usual time between tokens */
+	bool client_gone;
+	bool superseded;
+	bool refill; /* a place may have become free */
+	struct sample *samples;
+};
+
+static int step_parse(struct step *step, const char *plan, const char *body,
+    const char **fault);
+static int groups_parse(struct step *step, json_t *groups,
+    const char **fault);
+static void have_parse(struct step *step, json_t *have);
+static void sample_init(struct step *step, struct sample *sample,
+    json_t *group, uint32_t index);
+static struct sample *sample_find(struct step *step, uint64_t group,
+    uint64_t index);
+static void step_find(struct step *step);
+static void found_take(struct step *step, const struct target *target,
+    const Kwb__Wire__Found *found);
+static void step_loop(struct step *step);
+static void step_fill(struct step *step);
+static uint64_t min_version(const struct step *step);
+static void step_event(struct step *step, const struct event *event);
+static void sample_done(struct step *step, struct sample *sample);
+static bool sample_acceptable(struct step *step, const struct sample *sample);
+static void sample_write(struct step *step, struct sample *sample);
+static void step_hedge(struct step *step);
+static void sample_move(struct step *step, struct sample *sample);
+static void step_end(struct step *step);
+static void step_finish(struct step *step);
+static void chunk(struct step *step, const char *text, size_t length_bytes);
+static bool step_over(struct step *step);
+
+int
+step_serve(struct kwb_entry *entry, struct mg_connection *connection,
+    const char *plan, uint64_t number, const char *body)
+{
+	struct step *step = calloc(1, sizeof(*step));
+	const char *fault = NULL;
+	int error;
+
+	if (step == NULL)
+		return KWB_ERR_MEMORY;
+	step->entry = entry;
+	step->connection = connection;
+	step->number = number;
+	step->begun_ns = kwb_clock_now_ns();
+	step->deadline_ns = step->begun_ns + KWB_STEP_TIMEOUT_MS * KWB_MS_NS;
+	inbox_init(&step->inbox);
+	error = step_parse(step, plan, body, &fault);
+	if (error != 0) {
+		http_refuse(connection, 400, KWB_OUTCOME_NOT_RUN, error,
+		    fault ? fault : "");
+		step_finish(step);
+		return error;
+	}
+	atomic_fetch_add(&entry->pulls, 1);
+	mg_send_http_ok(connection, "application/x-ndjson", -1);
+	if (step->attempt > 1)
+		step_find(step);
+	step_loop(step);
+	step_end(step);
+	atomic_fetch_sub(&entry->pulls, 1);
+	step_finish(step);
+	return 0;
+}
+
+static int
+step_parse(struct step *step, const char *plan, const char *body,
+    const char **fault)
+{
+	const struct kwb_plan *found;
+	json_t *value;
+
+	found = kwb_lists_plan(kwb_current_hold(), plan);
+	if (found != NULL)
+		step->plan = *found;
+	step->plan.rules = NULL;
+	step->plan.rules_count = 0;
+	kwb_current_drop();
+	if (found == NULL || step->plan.kind != KWB_PLAN_TRAINING) {
+		*fault = "no such training plan";
+		return KWB_ERR_ARGUMENT;
+	}
+	step->gate = entry_gate(step->entry, plan);
+	step->pull = json_loads(body, 0, NULL);
+	if (!json_is_object(step->pull)) {
+		*fault = "body is no JSON object";
+		return KWB_ERR_ARGUMENT;
+	}
+	value = json_object_get(step->pull, "attempt");
+	step->attempt = (uint32_t)json_integer_value(value);
+	if (!json_is_integer(value) || step->attempt == 0) {
+		*fault = "attempt must be an integer from 1";
+		return KWB_ERR_ARGUMENT;
+	}
+	value = json_object_get(step->pull, "weight_version");
+	step->trainer_version = (uint64_t)json_integer_value(value);
+	if (!json_is_integer(value)) {
+		*fault = "weight_version must be an integer";
+		return KWB_ERR_ARGUMENT;
+	}
+	step->bound_versions = step->plan.staleness_versions;
+	value = json_object_get(step->pull, "staleness_bound");
+	if (json_is_integer(value) && json_integer_value(value) >= 0 &&
+	    (uint64_t)json_integer_value(value) < step->bound_versions)
+		step->bound_versions = (uint32_t)json_integer_value(value);
+	if (step->trainer_version > atomic_load(&step->gate->trainer_version))
+		atomic_store(&step->gate->trainer_version,
+		    step->trainer_version);
+	if (groups_parse(step, json_object_get(step->pull, "groups"),
+	        fault) != 0)
+		return KWB_ERR_ARGUMENT;
+	have_parse(step, json_object_get(step->pull, "have"));
+	return 0;
+}
+
+static int
+groups_parse(struct step *step, json_t *groups, const char **fault)
+{
+	json_t *group;
+	size_t i;
+	json_int_t wanted;
+	uint64_t total = 0;
+	uint32_t index;
+
+	json_array_foreach(groups, i, group) {
+		wanted = json_integer_value(json_object_get(group, "samples"));
+		if (wanted < 1 || wanted > SAMPLES_MAX ||
+		    !json_is_integer(json_object_get(group, "group")) ||
+		    !json_is_string(json_object_get(group, "prompt"))) {
+			*fault = "a group needs group, prompt and samples";
+			return KWB_ERR_ARGUMENT;
+		}
+		total += (uint64_t)wanted;
+	}
+	if (total == 0 || total > SAMPLES_MAX) {
+		*fault = "groups must want 1 to 16384 samples in all";
+		return KWB_ERR_ARGUMENT;
+	}
+	step->samples = calloc(total, sizeof(*step->samples));
+	if (step->samples == NULL)
+		return KWB_ERR_MEMORY;
+	json_array_foreach(groups, i, group) {
+		wanted = json_integer_value(json_object_get(group, "samples"));
+		for (index = 0; index < wanted; index++)
+			sample_init(step,
+			    &step->samples[step->samples_count++], group,
+			    index);
+	}
+	step->left = step->samples_count;
+	return 0;
+}
+
+static void
+sample_init(struct step *step, struct sample *sample, json_t *group,
+    uint32_t index)
+{
+	struct generation *generation = &sample->generation;
+	json_int_t seed = json_integer_value(json_object_get(group, "seed"));
+	json_int_t tokens =
+	    json_integer_value(json_object_get(group, "max_tokens"));
+
+	generation_init(generation, &step->inbox);
+	kwb__wire__slot__init(&sample->slot);
+	sample->slot.step = step->number;
+	sample->slot.attempt = step->attempt;
+	sample->slot.group = (uint32_t)json_integer_value(
+	    json_object_get(group, "group"));
+	sample->slot.index = index;
+	generation->slot = &sample->slot;
+	generation->plan = step->plan.name;
+	generation->model = step->plan.model;
+	generation->prompt =
+	    json_string_value(json_object_get(group, "prompt"));
+	generation->max_tokens = step->plan.max_tokens;
+	if (tokens > 0 && tokens < (json_int_t)step->plan.max_tokens)
+		generation->max_tokens = (uint32_t)tokens;
+	generation->seed = (uint64_t)seed * SAMPLES_MAX + index;
+	generation->deadline_ns = step->deadline_ns;
+	generation->slack_deadline_ns = step->deadline_ns;
+	snprintf(generation->name, sizeof(generation->name),
+	    "s/%.20s/%" PRIu64 "/%u/%u", step->plan.name, step->number,
+	    sample->slot.group, index);
+}
+
+static void
+have_parse(struct step *step, json_t *have)
+{
+	struct sample *sample;
+	json_t *pair;
+	size_t i;
+
+	json_array_foreach(have, i, pair) {
+		sample = sample_find(step,
+		    (uint64_t)json_integer_value(json_array_get(pair, 0)),
+		    (uint64_t)json_integer_value(json_array_get(pair, 1)));
+		if (sample == NULL || sample->delivered)
+			continue;
+		sample->delivered = true;
+		step->left--;
+	}
+}
+
+static struct sample *
+sample_find(struct step *step, uint64_t group, uint64_t index)
+{
+	uint32_t i;
+
+	for (i = 0; i < step->samples_count; i++)
+		if (step->samples[i].slot.group == group &&
+		    step->samples[i].slot.index == index)
+			return &step->samples[i];
+	return NULL;
+}
+
+/* Fences earlier attempts at every agent and learns what they hold. */
+static void
+step_find(struct step *step)
+{
+	struct target targets[KWB_PEERS_MAX];
+	uint64_t requests[KWB_PEERS_MAX];
+	Kwb__Wire__Find find = KWB__WIRE__FIND__INIT;
+	KWB_FRAME(frame, FIND, find, find);
+	struct kwb_entry *entry = step->entry;
+	uint64_t give_up_ns = kwb_clock_now_ns() + FIND_NS;
+	struct event *event;
+	unsigned i, count, answered = 0;
+
+	count = peers_in_pool(entry, step->plan.pool, targets, KWB_PEERS_MAX);
+	find.plan = step->plan.name;
+	find.step = step->number;
+	find.attempt = step->attempt;
+	for (i = 0; i < count; i++) {
+		requests[i] = registry_open(&entry->registry, &step->inbox,
+		    targets[i].link, NULL);
+		find.request = requests[i];
+		kwb_link_send(&entry->loop, targets[i].link, &frame);
+	}
+	while (answered < count &&
+	    (event = inbox_wait(&step->inbox, give_up_ns)) != NULL) {
+		for (i = 0; i < count; i++) {
+			if (event->request != requests[i])
+				continue;
+			answered++;
+			if (event->kind == EVENT_FRAME &&
+			    event->frame->body_case ==
+			        KWB__WIRE__FRAME__BODY_FOUND)
+				found_take(step, &targets[i],
+				    event->frame->found);
+		}
+		event_free(event);
+	}
+	for (i = 0; i < count; i++)
+		registry_close(&entry->registry, requests[i]);
+}
+
+static void
+found_take(struct step *step, const struct target *target,
+    const Kwb__Wire__Found *found)
+{
+	size_t i;
+
+	for (i = 0; i < found->n_held; i++) {
+		const Kwb__Wire__Held *held = found->held[i];
+		struct sample *sample;
+
+		if (held->slot == NULL)
+			continue;
+		sample = sample_find(step, held->slot->group,
+		    held->slot->index);
+		if (sample == NULL || sample->delivered ||
+		    (sample->attachable &&
+		        (sample->held_done ||
+		            sample->held_tokens >= held->tokens) &&
+		        !(held->done && !sample->held_done)))
+			continue;
+		sample->attachable = true;
+		sample->held_done = held->done;
+		sample->held_tokens = held->tokens;
+		kwb_text_copy(sample->held_vm, sizeof(sample->held_vm),
+		    target->vm);
+		kwb_text_copy(sample->held_key, sizeof(sample->held_key),
+		    held->key);
+	}
+}
+
+static void
+step_loop(struct step *step)
+{
+	uint64_t hedge_ns = 0;
+	struct event *event;
+	uint32_t i;
+
+	for (i = 0; i < step->samples_count; i++) {
+		struct sample *sample = &step->samples[i];
+
+		if (sample->delivered || !sample->attachable)
+			continue;
+		sample->attachable = false;
+		generation_attach(step->entry, &sample->generation,
+		    sample->held_vm, sample->held_key);
+	}
+	step->refill = true;
+	while (!step_over(step)) {
+		step_fill(step);
+		event = inbox_wait(&step->inbox,
+		    kwb_clock_now_ns() + SCAN_NS);
+		step->refill = event == NULL;
+		for (; event != NULL;
+		     event = inbox_wait(&step->inbox, 0)) {
+			step_event(step, event);
+			event_free(event);
+		}
+		if (kwb_clock_now_ns() < hedge_ns)
+			continue;
+		hedge_ns = kwb_clock_now_ns() + HEDGE_SCAN_NS;
+		step_hedge(step);
+	}
+}
+
+static bool
+step_over(struct step *step)
+{
+	return step->left == 0 || step->client_gone || step->superseded ||
+	    kwb_clock_now_ns() >= step->deadline_ns ||
+	    atomic_load(&step->entry->stopping) ||
+	    (atomic_load(&step->entry->draining) && step->delivered_now > 0);
+}
+
+/*
+ * Starts what can be started. Resumed samples first: they are the tail; then
+ * in the order of the pull, a group together for its shared prompt.
+ */
+static void
+step_fill(struct step *step)
+{
+	uint64_t version = min_version(step);
+	uint32_t i;
+	int pass, error;
+
+	if (!step->refill)
+		return;
+	for (pass = 0; pass < 2; pass++) {
+		for (i = 0; i < step->samples_count; i++) {
+			struct sample *sample = &step->samples[i];
+			bool resumed = sample->generation.tokens.count > 0;
+
+			if (sample->delivered ||
+			    sample->generation.state != GENERATION_PENDING ||
+			    resumed != (pass == 0))
+				continue;
+			sample->generation.min_version = version;
+			error = generation_start(step->entry,
+			    &sample->generation);
+			if (error == KWB_ERR_ROUTE_FULL ||
+			    error == KWB_ERR_ROUTE_NONE)
+				return;
+		}
+	}
+}
+
+/*
+ * Looks ahead: nothing is begun on weights that would come out too old. The
+ * staleness objective first waits for the trainer's own version.
+ */
+static uint64_t
+min_version(const struct step *step)
+{
+	uint64_t newest = step->trainer_version;
+	uint32_t bound = step->bound_versions;
+
+	if (step->plan.objective == KWB_OBJECTIVE_STALENESS &&
+	    kwb_clock_now_ns() < step->begun_ns + VERSION_WAIT_NS)
+		return newest;
+	return newest > bound ? newest - bound : 0;
+}
+
+static void
+step_event(struct step *step, const struct event *event)
+{
+	struct generation *generation = event->owner;
+	struct sample *sample;
+	uint32_t before;
+	uint64_t before_ns, passed_ns;
+
+	if (generation == NULL)
+		return;
+	sample = (struct sample *)((char *)generation -
+	    offsetof(struct sample, generation));
+	before = generation->tokens.count;
+	before_ns = generation->token_ns;
+	generation_event(step->entry, generation, event);
+	if (generation->tokens.count > before + 1) {
+		passed_ns = (generation->token_ns - before_ns) /
+		    (generation->tokens.count - before);
+		step->token_ns = step->token_ns
+		    ? (step->token_ns * 15 + passed_ns) / 16
+		    : passed_ns;
+	}
+	if (generation->tokens.count > before)
+		step->made_tokens += generation->tokens.count - before;
+	if (generation->state == GENERATION_DONE && !sample->delivered)
+		sample_done(step, sample);
+	if (generation->state != GENERATION_RUNNING)
+		step->refill = true;
+	if (generation->error == KWB_ERR_CALL_FENCED)
+		step->superseded = true;
+	if (generation->state == GENERATION_PENDING &&
+	    !step->plan.mixed_versions) {
+		step->wasted_tokens += generation->tokens.count;
+		kwb_tokens_finish(&generation->tokens);
+		kwb_tokens_init(&generation->tokens);
+	}
+}
+
+static void
+sample_done(struct step *step, struct sample *sample)
+{
+	struct generation *generation = &sample->generation;
+
+	if (sample_acceptable(step, sample)) {
+		pthread_mutex_lock(&step->gate->predictor_lock);
+		kwb_predictor_learn(&step->gate->predictor,
+		    generation->tokens.count);
+		pthread_mutex_unlock(&step->gate->predictor_lock);
+		sample_write(step, sample);
+		return;
+	}
+	step->stale++;
+	step->wasted_tokens += generation->tokens.count;
+	kwb_metric_add(KWB_METRIC_STALE, 1);
+	kwb_metric_add(KWB_METRIC_TOKENS_WASTED, generation->tokens.count);
+	kwb_log(KWB_LOG_INFO, "rollout",
+	    "event=made_again key=%s oldest=%" PRIu64 " trainer=%" PRIu64
+	    " bound=%u",
+	    generation->key, kwb_tokens_oldest(&generation->tokens),
+	    step->trainer_version, step->bound_versions);
+	kwb_tokens_finish(&generation->tokens);
+	kwb_tokens_init(&generation->tokens);
+	generation->state = GENERATION_PENDING;
+}
+
+/* Checked when the sample is handed over, not when it was made. */
+static bool
+sample_acceptable(struct step *step, const struct sample *sample)
+{
+	const struct kwb_tokens *tokens = &sample->generation.tokens;
+	uint64_t named = atomic_load(&step->gate->trainer_version);
+	struct kwb_sample_age age = {
+	    .trainer_version = named > step->trainer_version
+	        ? named
+	        : step->trainer_version,
+	    .oldest_version = kwb_tokens_oldest(tokens),
+	    .bound_versions = step->bound_versions,
+	};
+	uint32_t i;
+
+	if (!kwb_sample_fresh(&age))
+		return false;
+	for (i = 1; i < tokens->count && !step->plan.mixed_versions; i++)
+		if (tokens->version[i] != tokens->version[0])
+			return false;
+	return true;
+}
+
+static void
+sample_write(struct step *step, struct sample *sample)
+{
+	const struct kwb_tokens *tokens = &sample->generation.tokens;
+	json_t *texts = json_array(), *spans = json_array(), *root;
+	XXH64_state_t *hash = XXH64_createState();
+	char checksum[32];
+	char *line;
+	uint32_t i, first = 0;
+
+	XXH64_reset(hash, 0);
+	for (i = 0; i < tokens->count; i++) {
+		json_array_append_new(texts, json_string(tokens->text[i]));
+		XXH64_update(hash, tokens->text[i], strlen(tokens->text[i]));
+		if (i + 1 < tokens->count &&
+		    tokens->version[i + 1] == tokens->version[i])
+			continue;
+		json_array_append_new(spans,
+		    json_pack("[I,i,i]", (json_int_t)tokens->version[i],
+		        (int)first, (int)(i + 1 - first)));
+		first = i + 1;
+	}
+	snprintf(checksum, sizeof(checksum), "%016" PRIx64,
+	    (uint64_t)XXH64_digest(hash));
+	XXH64_freeState(hash);
+	root = json_pack("{s:i, s:i, s:i, s:o, s:o, s:s}", "group",
+	    (int)sample->slot.group, "sample", (int)sample->slot.index,
+	    "attempt", (int)step->attempt, "tokens", texts, "spans", spans,
+	    "checksum", checksum);
+	line = json_dumps(root, JSON_COMPACT | JSON_PRESERVE_ORDER);
+	json_decref(root);
+	chunk(step, line, strlen(line));
+	chunk(step, "\n", 1);
+	free(line);
+	if (step->client_gone)
+		return;
+	sample->delivered = true;
+	step->left--;
+	step->delivered_now++;
+	kwb_metric_add(KWB_METRIC_SAMPLES, 1);
+}
+
+/*
+ * Hedging moves a stream: the copy resumes from the tokens that came, and the
+ * silent original is cancelled, so that nothing is made twice.
+ */
+static void
+step_hedge(struct step *step)
+{
+	struct kwb_hedge_input input = {
+	    .token_ns = step->token_ns,
+	    .wasted_tokens = step->wasted_tokens,
+	    .made_tokens = step->made_tokens,
+	    .objective = step->plan.objective,
+	};
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint32_t i;
+
+	if (step->entry->policy != KWB_POLICY_KWB)
+		return;
+	for (i = 0; i < step->samples_count; i++)
+		input.unstarted +=
+		    !step->samples[i].delivered &&
+		    step->samples[i].generation.state == GENERATION_PENDING;
+	if (input.unstarted > 0)
+		return;
+	for (i = 0; i < step->samples_count; i++) {
+		struct sample *sample = &step->samples[i];
+		const struct generation *generation = &sample->generation;
+
+		if (generation->state != GENERATION_RUNNING)
+			continue;
+		input.silent_ns = now_ns - generation->token_ns;
+		input.idle_units = peers_idle_units(step->entry,
+		    step->plan.name, generation->target.peer);
+		if (kwb_hedge_wanted(&input))
+			sample_move(step, sample);
+	}
+}
+
+static void
+sample_move(struct step *step, struct sample *sample)
+{
+	struct generation *generation = &sample->generation;
+
+	kwb_log(KWB_LOG_INFO, "rollout",
+	    "event=hedge key=%s from=%s tokens=%u", generation->key,
+	    generation->target.vm, generation->tokens.count);
+	kwb_metric_add(KWB_METRIC_HEDGES, 1);
+	generation_stop(step->entry, generation, false);
+	generation_start(step->entry, generation);
+}
+
+/* The end record; the stream always ends at a sample's edge. */
+static void
+step_end(struct step *step)
+{
+	char line[512];
+	int length;
+
+	length = snprintf(line, sizeof(line),
+	    "{\"end\":true,\"complete\":%s,\"delivered\":%u,\"left\":%u,"
+	    "\"made_again\":%u,\"reason\":\"%s\"}\n",
+	    step->left == 0 ? "true" : "false", step->delivered_now,
+	    step->left, step->stale,
+	    step->left == 0          ? "complete"
+	        : step->superseded   ? "superseded"
+	        : step->client_gone  ? "client_gone"
+	        : kwb_clock_now_ns() >= step->deadline_ns ? "deadline"
+	                                                  : "draining");
+	chunk(step, line, (size_t)length);
+	if (!step->client_gone)
+		mg_send_chunk(step->connection, "", 0);
+	kwb_log(KWB_LOG_INFO, "rollout",
+	    "event=step_end plan=%s step=%" PRIu64 " attempt=%u delivered=%u "
+	    "left=%u made_again=%u time_ms=%" PRIu64,
+	    step->plan.name, step->number, step->attempt, step->delivered_now,
+	    step->left, step->stale,
+	    (uint64_t)((kwb_clock_now_ns() - step->begun_ns) / KWB_MS_NS));
+}
+
+/* Unfinished samples go on at their agents, for the next attempt. */
+static void
+step_finish(struct step *step)
+{
+	uint32_t i;
+
+	for (i = 0; i < step->samples_count; i++) {
+		generation_stop(step->entry, &step->samples[i].generation,
+		    true);
+		generation_finish(step->entry, &step->samples[i].generation);
+	}
+	inbox_finish(&step->inbox);
+	json_decref(step->pull);
+	free(step->samples);
+	free(step);
+}
+
+static void
+chunk(struct step *step, const char *text, size_t length_bytes)
+{
+	if (!step->client_gone &&
+	    mg_send_chunk(step->connection, text, (unsigned)length_bytes) < 0)
+		step->client_gone = true;
+}
--- /dev/null
+++ b/src/wire/frame.c
@@ -0,0 +1,65 @@
+/*
+ * Frames: a 4-byte big-endian length, then one packed protobuf Frame. Nothing
+ * read from the net is trusted: a bad length or message ends the link.
+ */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "kwb.h"
+#include "wire.h"
+
+#define HEADER_BYTES 4
+
+int
+kwb_frame_pack(const struct Kwb__Wire__Frame *frame, struct kwb_buf *out)
+{
+	size_t length = kwb__wire__frame__get_packed_size(frame);
+	uint32_t header = htonl((uint32_t)length);
+
+	if (length > KWB_FRAME_MAX_BYTES)
+		return KWB_ERR_WIRE_SIZE;
+	if (kwb_buf_reserve(out, HEADER_BYTES + length) != 0)
+		return KWB_ERR_MEMORY;
+	kwb_buf_add(out, &header, HEADER_BYTES);
+	kwb__wire__frame__pack(frame, (uint8_t *)out->data + out->used_bytes);
+	out->used_bytes += length;
+	return 0;
+}
+
+/*
+ * Takes one frame off the front of in. Returns 1 with a frame, 0 when more
+ * bytes are needed, or an error after which the stream is of no use.
+ */
+int
+kwb_frame_unpack(struct kwb_buf *in, struct Kwb__Wire__Frame **frame)
+{
+	uint32_t header, length;
+
+	*frame = NULL;
+	if (in->used_bytes < HEADER_BYTES)
+		return 0;
+	memcpy(&header, in->data, HEADER_BYTES);
+	length = ntohl(header);
+	if (length > KWB_FRAME_MAX_BYTES)
+		return KWB_ERR_WIRE_SIZE;
+	if (in->used_bytes < HEADER_BYTES + (size_t)length)
+		return 0;
+	*frame = kwb__wire__frame__unpack(NULL, length,
+	    (const uint8_t *)in->data + HEADER_BYTES);
+	kwb_buf_consume(in, HEADER_BYTES + (size_t)length);
+	if (*frame == NULL)
+		return KWB_ERR_WIRE_FRAME;
+	if ((*frame)->body_case == KWB__WIRE__FRAME__BODY__NOT_SET) {
+		kwb_frame_free(*frame);
+		*frame = NULL;
+		return KWB_ERR_WIRE_FRAME;
+	}
+	return 1;
+}
+
+void
+kwb_frame_free(struct Kwb__Wire__Frame *frame)
+{
+	if (frame != NULL)
+		kwb__wire__frame__free_unpacked(frame, NULL);
+}
