--- /dev/null
+++ b/src/wire/link.c
@@ -0,0 +1,448 @@
+/*
+ * Links: non-blocking TCP connections that carry frames, served by one epoll
+ * thread. Both ends send heartbeats; a link past its silence deadline is
+ * closed, whatever the kernel thinks of the connection. A link is named by an
+ * id that is never used again, so that a late user of a closed link is safe.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "kwb.h"
+#include "wire.h"
+
+#define EVENTS_MAX 64
+#define READ_BYTES 65536
+#define TICK_MS 50
+#define LISTEN_BACKLOG 512
+#define SLOT_BITS 16
+#define LISTEN_TOKEN UINT64_MAX
+
+static void *loop_run(void *argument);
+static void loop_accept(struct kwb_loop *loop);
+static void loop_tick(struct kwb_loop *loop);
+static struct kwb_link *link_lock(struct kwb_loop *loop, uint64_t id);
+static int link_add(struct kwb_loop *loop, int fd, uint32_t tag,
+    bool connecting, uint64_t *id);
+static void link_ready(struct kwb_loop *loop, uint64_t id, uint32_t events);
+static int link_read(struct kwb_loop *loop, uint64_t id);
+static int link_flush(struct kwb_loop *loop, struct kwb_link *link);
+static void link_watch(struct kwb_loop *loop, struct kwb_link *link,
+    bool writable);
+static void link_drop(struct kwb_loop *loop, uint64_t id);
+static int socket_prepare(int fd);
+static bool is_control(const struct Kwb__Wire__Frame *frame);
+
+int
+kwb_loop_init(struct kwb_loop *loop, const struct kwb_link_ops *ops,
+    void *context)
+{
+	unsigned i;
+
+	memset(loop, 0, sizeof(*loop));
+	loop->ops = ops;
+	loop->context = context;
+	loop->listen_fd = -1;
+	loop->next_generation = 1;
+	loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (loop->epoll_fd < 0)
+		return KWB_ERR_SYSTEM;
+	pthread_mutex_init(&loop->slots_lock, NULL);
+	for (i = 0; i < KWB_LINKS_MAX; i++)
+		pthread_mutex_init(&loop->links[i].lock, NULL);
+	return 0;
+}
+
+int
+kwb_loop_listen(struct kwb_loop *loop, const struct kwb_address *address)
+{
+	struct epoll_event event = {.events = EPOLLIN};
+	struct sockaddr_in in = {.sin_family = AF_INET};
+	int on = 1;
+
+	in.sin_port = htons(address->port);
+	if (inet_pton(AF_INET, address->ip, &in.sin_addr) != 1)
+		return KWB_ERR_ARGUMENT;
+	loop->listen_fd = socket(AF_INET,
+	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (loop->listen_fd < 0)
+		return KWB_ERR_SYSTEM;
+	setsockopt(loop->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(loop->listen_fd, (struct sockaddr *)&in, sizeof(in)) != 0 ||
+	    listen(loop->listen_fd, LISTEN_BACKLOG) != 0) {
+		close(loop->listen_fd);
+		loop->listen_fd = -1;
+		return KWB_ERR_SYSTEM;
+	}
+	event.data.u64 = LISTEN_TOKEN;
+	epoll_ctl(loop->epoll_fd, EPOLL_CTL_ADD, loop->listen_fd, &event);
+	return 0;
+}
+
+int
+kwb_loop_start(struct kwb_loop *loop)
+{
+	if (pthread_create(&loop->thread, NULL, loop_run, loop) != 0)
+		return KWB_ERR_SYSTEM;
+	return 0;
+}
+
+void
+kwb_loop_finish(struct kwb_loop *loop)
+{
+	unsigned i;
+
+	loop->stopping = true;
+	pthread_join(loop->thread, NULL);
+	if (loop->listen_fd >= 0)
+		close(loop->listen_fd);
+	for (i = 0; i < KWB_LINKS_MAX; i++) {
+		if (loop->links[i].id != 0)
+			link_drop(loop, loop->links[i].id);
+		pthread_mutex_destroy(&loop->links[i].lock);
+	}
+	close(loop->epoll_fd);
+	pthread_mutex_destroy(&loop->slots_lock);
+}
+
+int
+kwb_loop_connect(struct kwb_loop *loop, const struct kwb_address *address,
+    uint32_t tag, uint64_t *id)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET};
+	int fd;
+
+	in.sin_port = htons(address->port);
+	if (inet_pton(AF_INET, address->ip, &in.sin_addr) != 1)
+		return KWB_ERR_ARGUMENT;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return KWB_ERR_SYSTEM;
+	if (socket_prepare(fd) != 0 ||
+	    (connect(fd, (struct sockaddr *)&in, sizeof(in)) != 0 &&
+	        errno != EINPROGRESS)) {
+		close(fd);
+		return KWB_ERR_WIRE_CLOSED;
+	}
+	return link_add(loop, fd, tag, true, id);
+}
+
+int
+kwb_link_send(struct kwb_loop *loop, uint64_t id,
+    const struct Kwb__Wire__Frame *frame)
+{
+	struct kwb_link *link = link_lock(loop, id);
+	size_t before;
+	int error;
+
+	if (link == NULL)
+		return KWB_ERR_WIRE_CLOSED;
+	before = link->out.used_bytes;
+	if (before > KWB_LINK_OUT_MAX_BYTES)
+		error = KWB_ERR_WIRE_SIZE;
+	else
+		error = kwb_frame_pack(frame, &link->out);
+	if (error == 0 && is_control(frame))
+		kwb_metric_add(KWB_METRIC_CONTROL_BYTES,
+		    link->out.used_bytes - before);
+	if (error == 0 && before == 0 && !link->connecting)
+		link_flush(loop, link);
+	pthread_mutex_unlock(&link->lock);
+	return error;
+}
+
+/* The reader finds the shut socket and reports the close. */
+void
+kwb_link_close(struct kwb_loop *loop, uint64_t id)
+{
+	struct kwb_link *link = link_lock(loop, id);
+
+	if (link == NULL)
+		return;
+	shutdown(link->fd, SHUT_RDWR);
+	link->silent_deadline_ns = 0;
+	pthread_mutex_unlock(&link->lock);
+}
+
+void
+kwb_loop_beat(struct kwb_loop *loop)
+{
+	unsigned i;
+
+	for (i = 0; i < KWB_LINKS_MAX; i++) {
+		pthread_mutex_lock(&loop->links[i].lock);
+		loop->links[i].heartbeat_deadline_ns = 0;
+		pthread_mutex_unlock(&loop->links[i].lock);
+	}
+}
+
+static void *
+loop_run(void *argument)
+{
+	struct kwb_loop *loop = argument;
+	struct epoll_event events[EVENTS_MAX];
+	int i, count;
+
+	kwb_current_thread_init();
+	while (!loop->stopping) {
+		count =
+		    epoll_wait(loop->epoll_fd, events, EVENTS_MAX, TICK_MS);
+		for (i = 0; i < count; i++) {
+			if (events[i].data.u64 == LISTEN_TOKEN)
+				loop_accept(loop);
+			else
+				link_ready(loop, events[i].data.u64,
+				    events[i].events);
+		}
+		loop_tick(loop);
+	}
+	kwb_current_thread_finish();
+	return NULL;
+}
+
+static void
+loop_accept(struct kwb_loop *loop)
+{
+	uint64_t id;
+	int fd;
+
+	while ((fd = accept4(loop->listen_fd, NULL, NULL, SOCK_CLOEXEC)) >= 0) {
+		if (socket_prepare(fd) != 0) {
+			close(fd);
+			continue;
+		}
+		if (link_add(loop, fd, 0, false, &id) != 0)
+			continue;
+		loop->ops->on_open(loop->context, id, 0);
+	}
+}
+
+static void
+loop_tick(struct kwb_loop *loop)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t id;
+	uint32_t tag;
+	unsigned i;
+	bool beat, silent;
+
+	for (i = 0; i < KWB_LINKS_MAX; i++) {
+		struct kwb_link *link = &loop->links[i];
+
+		pthread_mutex_lock(&link->lock);
+		id = link->id;
+		tag = link->tag;
+		silent = id != 0 && now_ns >= link->silent_deadline_ns;
+		beat = id != 0 && !link->connecting &&
+		    now_ns >= link->heartbeat_deadline_ns;
+		if (beat)
+			link->heartbeat_deadline_ns = now_ns + KWB_HEARTBEAT_NS;
+		pthread_mutex_unlock(&link->lock);
+		if (silent)
+			link_drop(loop, id);
+		else if (beat)
+			loop->ops->on_heartbeat(loop->context, id, tag);
+	}
+}
+
+/* Returns the link locked, or NULL when the id is no longer in use. */
+static struct kwb_link *
+link_lock(struct kwb_loop *loop, uint64_t id)
+{
+	unsigned slot = id & ((1u << SLOT_BITS) - 1);
+	struct kwb_link *link;
+
+	if (id == 0 || slot >= KWB_LINKS_MAX)
+		return NULL;
+	link = &loop->links[slot];
+	pthread_mutex_lock(&link->lock);
+	if (link->id == id)
+		return link;
+	pthread_mutex_unlock(&link->lock);
+	return NULL;
+}
+
+static int
+link_add(struct kwb_loop *loop, int fd, uint32_t tag, bool connecting,
+    uint64_t *id)
+{
+	struct epoll_event event;
+	struct kwb_link *link = NULL;
+	uint64_t now_ns = kwb_clock_now_ns();
+	unsigned i;
+
+	pthread_mutex_lock(&loop->slots_lock);
+	for (i = 0; i < KWB_LINKS_MAX && link == NULL; i++) {
+		pthread_mutex_lock(&loop->links[i].lock);
+		if (loop->links[i].id == 0)
+			link = &loop->links[i];
+		else
+			pthread_mutex_unlock(&loop->links[i].lock);
+	}
+	if (link == NULL) {
+		pthread_mutex_unlock(&loop->slots_lock);
+		close(fd);
+		return KWB_ERR_MEMORY;
+	}
+	link->id = (loop->next_generation++ << SLOT_BITS) |
+	    (uint64_t)(link - loop->links);
+	link->fd = fd;
+	link->tag = tag;
+	link->connecting = connecting;
+	link->writable_wanted = connecting;
+	link->silent_deadline_ns = now_ns + KWB_LINK_SILENT_NS;
+	link->heartbeat_deadline_ns = now_ns + KWB_HEARTBEAT_NS;
+	kwb_buf_init(&link->in);
+	kwb_buf_init(&link->out);
+	*id = link->id;
+	event.events = EPOLLIN | (connecting ? (uint32_t)EPOLLOUT : 0);
+	event.data.u64 = link->id;
+	epoll_ctl(loop->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+	pthread_mutex_unlock(&link->lock);
+	pthread_mutex_unlock(&loop->slots_lock);
+	return 0;
+}
+
+static void
+link_ready(struct kwb_loop *loop, uint64_t id, uint32_t events)
+{
+	struct kwb_link *link = link_lock(loop, id);
+	uint32_t tag;
+	socklen_t length = sizeof(int);
+	int failure = 0;
+	bool opened = false;
+
+	if (link == NULL)
+		return;
+	tag = link->tag;
+	if ((events & EPOLLOUT) && link->connecting) {
+		getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &failure, &length);
+		opened = failure == 0;
+		link->connecting = false;
+	}
+	if (failure == 0 && (events & EPOLLOUT))
+		failure = link_flush(loop, link);
+	pthread_mutex_unlock(&link->lock);
+	if (opened)
+		loop->ops->on_open(loop->context, id, tag);
+	if (failure == 0 && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+		failure = link_read(loop, id);
+	if (failure != 0)
+		link_drop(loop, id);
+}
+
+/* Reads what is there; frames are handled outside the link's lock. */
+static int
+link_read(struct kwb_loop *loop, uint64_t id)
+{
+	struct kwb_link *link = link_lock(loop, id);
+	struct Kwb__Wire__Frame *frame;
+	uint32_t tag;
+	ssize_t got;
+	int result;
+
+	if (link == NULL)
+		return 0;
+	tag = link->tag;
+	if (kwb_buf_reserve(&link->in, READ_BYTES) != 0) {
+		pthread_mutex_unlock(&link->lock);
+		return KWB_ERR_MEMORY;
+	}
+	got = read(link->fd, link->in.data + link->in.used_bytes, READ_BYTES);
+	if (got > 0) {
+		link->in.used_bytes += (size_t)got;
+		link->silent_deadline_ns =
+		    kwb_clock_now_ns() + KWB_LINK_SILENT_NS;
+	}
+	pthread_mutex_unlock(&link->lock);
+	if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
+		return KWB_ERR_WIRE_CLOSED;
+	/* Only this thread touches link->in, so it needs no lock here. */
+	while ((result = kwb_frame_unpack(&link->in, &frame)) > 0)
+		loop->ops->on_frame(loop->context, id, tag, frame);
+	return result;
+}
+
+static int
+link_flush(struct kwb_loop *loop, struct kwb_link *link)
+{
+	ssize_t sent;
+
+	while (link->out.used_bytes > 0) {
+		sent = send(link->fd, link->out.data, link->out.used_bytes,
+		    MSG_NOSIGNAL);
+		if (sent < 0 && errno == EINTR)
+			continue;
+		if (sent < 0 && errno != EAGAIN)
+			return KWB_ERR_WIRE_CLOSED;
+		if (sent < 0)
+			break;
+		kwb_buf_consume(&link->out, (size_t)sent);
+	}
+	link_watch(loop, link, link->out.used_bytes > 0);
+	return 0;
+}
+
+static void
+link_watch(struct kwb_loop *loop, struct kwb_link *link, bool writable)
+{
+	struct epoll_event event;
+
+	if (link->writable_wanted == writable)
+		return;
+	link->writable_wanted = writable;
+	event.events = EPOLLIN | (writable ? (uint32_t)EPOLLOUT : 0);
+	event.data.u64 = link->id;
+	epoll_ctl(loop->epoll_fd, EPOLL_CTL_MOD, link->fd, &event);
+}
+
+static void
+link_drop(struct kwb_loop *loop, uint64_t id)
+{
+	struct kwb_link *link = link_lock(loop, id);
+	uint32_t tag;
+
+	if (link == NULL)
+		return;
+	tag = link->tag;
+	link->id = 0;
+	close(link->fd);
+	kwb_buf_finish(&link->in);
+	kwb_buf_finish(&link->out);
+	pthread_mutex_unlock(&link->lock);
+	kwb_metric_add(KWB_METRIC_LINKS_LOST, 1);
+	loop->ops->on_close(loop->context, id, tag);
+}
+
+static int
+socket_prepare(int fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK) < 0)
+		return KWB_ERR_SYSTEM;
+	return 0;
+}
+
+/* Control frames are those that no single request causes. */
+static bool
+is_control(const struct Kwb__Wire__Frame *frame)
+{
+	switch (frame->body_case) {
+	case KWB__WIRE__FRAME__BODY_HELLO:
+	case KWB__WIRE__FRAME__BODY_HEARTBEAT:
+	case KWB__WIRE__FRAME__BODY_LISTS:
+	case KWB__WIRE__FRAME__BODY_ORDER:
+	case KWB__WIRE__FRAME__BODY_ORDER_REPLY:
+		return true;
+	default:
+		return false;
+	}
+}
