Hold a request's place until its upstream surely ended it

Change: a broken-off request keeps its place until the engine has answered a cancel, or a service reports no more running than is accounted for.

--- a/fakes/fake-engine.c
+++ b/fakes/fake-engine.c
@@ -49,8 +49,9 @@
 	char text[FAKE_TOKEN_BYTES]; /* token waiting to be written */
 	uint64_t version;
 	bool full;
-	bool gone;
 	bool running;
+	bool cancelled;
+	char name[KWB_KEY_MAX_BYTES];
 };
 
 TAILQ_HEAD(sequence_list, sequence);
@@ -97,8 +98,10 @@
 static uint64_t engine_step(void);
 static struct model *model_find(const char *name, bool make);
 static bool cache_touch(uint64_t key);
-static bool sequence_write(struct mg_connection *connection,
-    struct sequence *sequence);
+static unsigned sequence_line(const struct sequence *sequence, char *line,
+    size_t room_bytes);
+static void sequence_stop(struct sequence *sequence);
+static int on_cancel(struct mg_connection *connection, void *context);
 static bool weights_fetch(const char *model, uint64_t version);
 
 int
@@ -130,6 +133,7 @@
 	pthread_create(&thread, NULL, engine_run, NULL);
 	mg_set_request_handler(context, "/v1/completions$", on_completions,
 	    NULL);
+	mg_set_request_handler(context, "/cancel$", on_cancel, NULL);
 	mg_set_request_handler(context, "/load$", on_load, NULL);
 	mg_set_request_handler(context, "/orders$", on_orders, NULL);
 	fake_wait();
@@ -141,9 +145,11 @@
 {
 	struct sequence sequence = {0};
 	struct kwb_buf body;
-	const char *prompt, *c;
+	const char *prompt, *name, *c;
 	json_t *root;
 	int64_t max_tokens;
+	char line[128];
+	unsigned length;
 	bool going = true;
 
 	(void)context;
@@ -173,6 +179,8 @@
 		sequence.length = (uint32_t)max_tokens;
 	sequence.priority =
 	    (int)json_integer_value(json_object_get(root, "priority"));
+	name = json_string_value(json_object_get(root, "request"));
+	kwb_text_copy(sequence.name, sizeof(sequence.name), name ? name : "");
 	for (c = prompt; *c != '\0'; c++)
 		sequence.prompt_words += *c == ' ';
 	sequence.prompt_words += 1 + sequence.made;
@@ -183,7 +191,8 @@
 	pthread_mutex_lock(&lock);
 	switches[STARTED].value++;
 	TAILQ_INSERT_TAIL(&sequences, &sequence, next);
-	while (going && sequence.made < sequence.length) {
+	while (going && !sequence.cancelled &&
+	    sequence.made < sequence.length) {
 		/* Wakes now and then to see whether the client has gone. */
 		kwb_cond_wait_until(&sequence.ready, &lock,
 		    kwb_clock_now_ns() + 200 * KWB_MS_NS);
@@ -193,19 +202,17 @@
 			pthread_mutex_lock(&lock);
 			continue;
 		}
+		length = sequence_line(&sequence, line, sizeof(line));
 		sequence.full = false;
 		sequence.made++;
 		pthread_mutex_unlock(&lock);
-		going = sequence_write(connection, &sequence);
+		going = mg_send_chunk(connection, line, length) >= 0;
 		pthread_mutex_lock(&lock);
 	}
 	TAILQ_REMOVE(&sequences, &sequence, next);
-	if (sequence.running) {
-		switches[RUNNING].value--;
-		sequence.model->running--;
-	}
+	sequence_stop(&sequence);
 	pthread_mutex_unlock(&lock);
-	if (going) {
+	if (going && !sequence.cancelled) {
 		static const char end[] =
 		    "data: {\"finish\":\"stop\"}\n\ndata: [DONE]\n\n";
 
@@ -218,20 +225,52 @@
 	return 200;
 }
 
-static bool
-sequence_write(struct mg_connection *connection, struct sequence *sequence)
+static unsigned
+sequence_line(const struct sequence *sequence, char *line, size_t room_bytes)
 {
-	char line[128];
-	int length;
-
 	if (switches[NO_VERSIONS].value)
-		length = snprintf(line, sizeof(line),
+		return (unsigned)snprintf(line, room_bytes,
 		    "data: {\"token\":\"%s\"}\n\n", sequence->text);
-	else
-		length = snprintf(line, sizeof(line),
-		    "data: {\"token\":\"%s\",\"version\":%llu}\n\n",
-		    sequence->text, (unsigned long long)sequence->version);
-	return mg_send_chunk(connection, line, (unsigned)length) >= 0;
+	return (unsigned)snprintf(line, room_bytes,
+	    "data: {\"token\":\"%s\",\"version\":%llu}\n\n",
+	    sequence->text, (unsigned long long)sequence->version);
+}
+
+/* POST /cancel with a request's name: it no longer runs once this answers. */
+static int
+on_cancel(struct mg_connection *connection, void *context)
+{
+	struct sequence *sequence;
+	struct kwb_buf name;
+	int status = 404;
+
+	(void)context;
+	kwb_buf_init(&name);
+	fake_read(connection, &name);
+	pthread_mutex_lock(&lock);
+	TAILQ_FOREACH(sequence, &sequences, next) {
+		if (strcmp(sequence->name, kwb_buf_text(&name)) != 0)
+			continue;
+		status = 200;
+		sequence->cancelled = true;
+		sequence_stop(sequence);
+		pthread_cond_signal(&sequence->ready);
+	}
+	pthread_mutex_unlock(&lock);
+	kwb_buf_finish(&name);
+	fake_send(connection, status, "", "", 0);
+	return status;
+}
+
+/* Takes the sequence out of the batch; called under the lock. */
+static void
+sequence_stop(struct sequence *sequence)
+{
+	if (!sequence->running)
+		return;
+	sequence->running = false;
+	switches[RUNNING].value--;
+	sequence->model->running--;
 }
 
 static int
@@ -373,7 +412,7 @@
 	while (switches[RUNNING].value < switches[SLOTS].value) {
 		best = NULL;
 		TAILQ_FOREACH(sequence, &sequences, next)
-			if (!sequence->running &&
+			if (!sequence->running && !sequence->cancelled &&
 			    (best == NULL ||
 			        sequence->priority > best->priority))
 				best = sequence;
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -82,6 +82,7 @@
 	struct job_list waiting;
 	uint32_t waiting_count;
 	uint32_t running_count;
+	uint32_t ending_count; /* of them, broken off, perhaps still running */
 	bool stopping;
 	struct plan_use plans[KWB_PLANS_MAX];
 	unsigned plans_count;
@@ -188,12 +189,14 @@
 int run_admit(struct kwb_agent *agent, const Kwb__Wire__Run *run);
 void run_enqueue(struct kwb_agent *agent, struct job *job);
 uint32_t run_busy(struct kwb_agent *agent);
+uint32_t run_accounted(struct kwb_agent *agent); /* running, not ending */
 void run_set_units(struct kwb_agent *agent, const char *plan, uint32_t units);
 uint32_t run_plan_running(struct kwb_agent *agent, const char *plan);
 
 /* upstream.c: engine or service client */
 void upstream_generate(struct kwb_agent *agent, struct job *job);
 void upstream_call(struct kwb_agent *agent, struct job *job);
+bool upstream_ended(struct kwb_agent *agent, const char *key);
 void upstream_watch(struct kwb_agent *agent);
 bool upstream_version(struct kwb_agent *agent, const char *model,
     struct model_state *state);
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -10,6 +10,8 @@
 
 #define WAITING_PRIORITY_MAX 16
 #define WAITING_MAX 1
+#define ENDING_NS (60000 * KWB_MS_NS)
+#define ENDING_POLL_NS (100 * KWB_MS_NS)
 
 static void *worker_run(void *argument);
 static struct job *take_next(struct kwb_agent *agent);
@@ -19,6 +21,8 @@
 static struct plan_use *plan_use(struct run_queue *queue, const char *plan);
 static bool begin(struct kwb_agent *agent, struct job *job);
 static void finish(struct kwb_agent *agent, struct job *job);
+static void await_ended(struct kwb_agent *agent, const char *key);
+static void place_release(struct kwb_agent *agent, const char *plan);
 
 int
 run_start(struct kwb_agent *agent)
@@ -103,6 +107,17 @@
 	return busy;
 }
 
+uint32_t
+run_accounted(struct kwb_agent *agent)
+{
+	uint32_t count;
+
+	pthread_mutex_lock(&agent->queue.lock);
+	count = agent->queue.running_count - agent->queue.ending_count;
+	pthread_mutex_unlock(&agent->queue.lock);
+	return count;
+}
+
 void
 run_set_units(struct kwb_agent *agent, const char *plan, uint32_t units)
 {
@@ -249,30 +264,27 @@
 
 /*
  * Reports the outcome. Kept are plain calls, for retries of their key, and
- * whole samples, for a later attempt of their step.
+ * whole samples, for a later attempt of their step. The place is given back
+ * last, once the upstream surely no longer runs the request.
  */
 static void
 finish(struct kwb_agent *agent, struct job *job)
 {
-	struct run_queue *queue = &agent->queue;
+	char key[KWB_KEY_MAX_BYTES], plan[KWB_NAME_MAX_BYTES];
 	struct journal_shard *shard;
-	struct plan_use *use;
-	bool generation;
-
-	pthread_mutex_lock(&queue->lock);
-	queue->running_count--;
-	use = plan_use(queue, job->plan);
-	use->running--;
-	pthread_cond_broadcast(&queue->changed);
-	pthread_mutex_unlock(&queue->lock);
+	bool generation, broken;
 
 	shard = journal_lock(&agent->journal, job->key);
+	kwb_text_copy(key, sizeof(key), job->key);
+	kwb_text_copy(plan, sizeof(plan), job->plan);
 	generation = job->frame->run->model[0] != '\0';
+	broken = job->outcome == KWB_OUTCOME_PARTIAL ||
+	    job->outcome == KWB_OUTCOME_UNKNOWN;
 	job->state = JOB_DONE;
 	kwb_log(KWB_LOG_INFO, "agent",
-	    "event=done key=%s plan=%s outcome=%s error=%s tokens=%u",
-	    job->key, job->plan, kwb_outcome_name(job->outcome),
-	    kwb_error_name(job->error), job->tokens.count);
+	    "event=done key=%s plan=%s outcome=%s error=%s tokens=%u", key,
+	    plan, kwb_outcome_name(job->outcome), kwb_error_name(job->error),
+	    job->tokens.count);
 	job_send_done(agent, job);
 	if (generation &&
 	    (job->outcome != KWB_OUTCOME_RAN || !job_is_sample(job)))
@@ -282,4 +294,37 @@
 	else
 		journal_keep(&agent->journal, job);
 	journal_unlock(shard);
+	if (broken)
+		await_ended(agent, key);
+	place_release(agent, plan);
+}
+
+static void
+await_ended(struct kwb_agent *agent, const char *key)
+{
+	uint64_t give_up_ns = kwb_clock_now_ns() + ENDING_NS;
+
+	pthread_mutex_lock(&agent->queue.lock);
+	agent->queue.ending_count++;
+	pthread_mutex_unlock(&agent->queue.lock);
+	while (!upstream_ended(agent, key) &&
+	    kwb_clock_now_ns() < give_up_ns && !agent->queue.stopping)
+		kwb_clock_sleep_ns(ENDING_POLL_NS);
+	pthread_mutex_lock(&agent->queue.lock);
+	agent->queue.ending_count--;
+	pthread_mutex_unlock(&agent->queue.lock);
+}
+
+static void
+place_release(struct kwb_agent *agent, const char *plan)
+{
+	struct run_queue *queue = &agent->queue;
+	struct plan_use *use;
+
+	pthread_mutex_lock(&queue->lock);
+	queue->running_count--;
+	use = plan_use(queue, plan);
+	use->running--;
+	pthread_cond_broadcast(&queue->changed);
+	pthread_mutex_unlock(&queue->lock);
 }
--- a/src/agent/upstream.c
+++ b/src/agent/upstream.c
@@ -112,6 +112,42 @@
 	kwb_http_answer_finish(&answer);
 }
 
+/*
+ * Whether a broken-off request surely no longer runs at the upstream: an
+ * engine is told to cancel it and answers, a service reports no more running
+ * than can be accounted for. An upstream that is gone runs nothing.
+ */
+bool
+upstream_ended(struct kwb_agent *agent, const char *key)
+{
+	char url[URL_MAX_BYTES];
+	struct kwb_http_request request = {
+	    .method = "POST",
+	    .url = url,
+	    .content_type = "text/plain",
+	    .body = key,
+	    .body_bytes = strlen(key),
+	    .timeout_ms = WATCH_TIMEOUT_MS,
+	};
+	struct kwb_http_answer answer;
+	bool ended;
+	int error;
+
+	if (agent->settings->upstream_kind == KWB_UPSTREAM_SERVICE) {
+		upstream_watch(agent);
+		pthread_mutex_lock(&agent->upstream.lock);
+		ended = !agent->upstream.up ||
+		    agent->upstream.running <= run_accounted(agent);
+		pthread_mutex_unlock(&agent->upstream.lock);
+		return ended;
+	}
+	snprintf(url, sizeof(url), "%s/cancel", agent->settings->upstream);
+	error = kwb_http_do(&request, &answer);
+	ended = error == 0 || !answer.sent;
+	kwb_http_answer_finish(&answer);
+	return ended;
+}
+
 /* Reads load and versions, or the health of a service, once. */
 void
 upstream_watch(struct kwb_agent *agent)
@@ -172,8 +208,8 @@
 	for (i = 0; i < job->tokens.count; i++)
 		json_array_append_new(resume,
 		    json_string(job->tokens.text[i]));
-	root = json_pack("{s:s, s:s, s:i, s:I, s:i, s:b, s:o}", "model",
-	    run->model, "prompt", run->prompt, "max_tokens",
+	root = json_pack("{s:s, s:s, s:s, s:i, s:I, s:i, s:b, s:o}",
+	    "request", job->key, "model", run->model, "prompt", run->prompt, "max_tokens",
 	    (int)run->max_tokens, "seed", (json_int_t)run->seed, "priority",
 	    (int)run->priority, "stream", 1, "resume", resume);
 	text = json_dumps(root, JSON_COMPACT);
--- a/tests/session.c
+++ b/tests/session.c
@@ -202,7 +202,6 @@
 			    kwb_clock_now_ns() - session->healed_ns;
 		session->trainer_version = ++trainer.weight_version;
 		pthread_mutex_unlock(&session->lock);
-		world_publish(&session->world, "m", trainer.weight_version);
 	}
 	return NULL;
 }
@@ -363,17 +362,17 @@
 static unsigned
 entry_for(struct worker *worker)
 {
-	unsigned tries, entry = 1;
+	unsigned first = (unsigned)rand_r(&worker->state), tries, entry;
 	char url[160];
 
-	for (tries = 0; tries < 2 * ENTRIES; tries++) {
-		entry = (unsigned)rand_r(&worker->state) % ENTRIES + 1;
+	for (tries = 0; tries < ENTRIES; tries++) {
+		entry = (first + tries) % ENTRIES + 1;
 		entry_url(worker->session, entry, url);
 		strcat(url, "/health");
 		if (world_http("GET", url, NULL, NULL, NULL, NULL, 500) == 200)
-			break;
+			return entry;
 	}
-	return entry;
+	return first % ENTRIES + 1;
 }
 
 static void
@@ -401,15 +400,30 @@
 	pthread_mutex_unlock(&session->lock);
 }
 
+/* Publishes the trainer's newest weights, again until the store has them. */
+static void
+publish_newest(struct session *session, uint64_t *published)
+{
+	uint64_t newest;
+
+	pthread_mutex_lock(&session->lock);
+	newest = session->trainer_version;
+	pthread_mutex_unlock(&session->lock);
+	if (newest > *published &&
+	    world_publish(&session->world, "m", newest))
+		*published = newest;
+}
+
 /* Watches what the upstreams run, and the revisions that entries are at. */
 static void *
 sample(void *argument)
 {
 	struct worker *worker = argument;
-	uint64_t seen[ENTRIES + 1] = {0};
+	uint64_t seen[ENTRIES + 1] = {0}, published = 1;
 	unsigned count;
 
 	for (count = 0; !atomic_load(&worker->session->stopping); count++) {
+		publish_newest(worker->session, &published);
 		sample_allowance(worker->session);
 		if (count % 8 == 0)
 			sample_revisions(worker->session, seen);
--- a/tests/world.c
+++ b/tests/world.c
@@ -100,6 +100,8 @@
 	struct world_proc *proc = world_proc(world, name);
 	char log[256];
 
+	if (proc->pid != 0)
+		return;
 	snprintf(log, sizeof(log), "%s/%s.log", world->directory, name);
 	proc->pid = spawn(world, proc, log);
 }
@@ -119,7 +121,10 @@
 void
 world_signal(struct world *world, const char *name, int number)
 {
-	kill(world_proc(world, name)->pid, number);
+	const struct world_proc *proc = world_proc(world, name);
+
+	if (proc->pid != 0)
+		kill(proc->pid, number);
 }
 
 int
@@ -129,6 +134,8 @@
 	uint64_t deadline_ns = kwb_clock_now_ns() + timeout_ms * KWB_MS_NS;
 	int status;
 
+	if (proc->pid == 0)
+		return 0;
 	while (waitpid(proc->pid, &status, WNOHANG) == 0) {
 		if (kwb_clock_now_ns() >= deadline_ns)
 			return -1;
@@ -212,7 +219,7 @@
 	kwb_buf_finish(&text);
 }
 
-void
+bool
 world_publish(struct world *world, const char *model, uint64_t version)
 {
 	char url[128], text[32];
@@ -220,7 +227,7 @@
 	snprintf(url, sizeof(url), "http://127.0.0.1:%u/weights/%s",
 	    world->base_port + PLATFORM_PORT, model);
 	snprintf(text, sizeof(text), "%llu", (unsigned long long)version);
-	world_http("PUT", url, NULL, text, NULL, NULL, 2000);
+	return world_http("PUT", url, NULL, text, NULL, NULL, 2000) == 200;
 }
 
 int
--- a/tests/world.h
+++ b/tests/world.h
@@ -56,7 +56,7 @@
     int64_t value); /* returns the old value */
 int64_t world_get(struct world *world, const char *name, const char *control);
 void world_list_vms(struct world *world);
-void world_publish(struct world *world, const char *model, uint64_t version);
+bool world_publish(struct world *world, const char *model, uint64_t version);
 int world_apply(struct world *world, const char *lists); /* kwbctl's code */
 int world_ctl(struct world *world, const char *const *arguments,
     const char *output); /* runs kwbctl; its standard output to a file */
