--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	libjansson-dev libxxhash-dev pkg-config
 OPT ?= -O2
 CFLAGS += -std=gnu11 -D_GNU_SOURCE -g $(OPT) -Wall -Wextra -Werror -Wmissing-prototypes \
-	-Wno-unused-parameter -Iinclude -pthread $(SANITIZE)
+	-Wno-unused-parameter -Wframe-larger-than=49152 -Iinclude -pthread $(SANITIZE)
 LDFLAGS += -pthread $(SANITIZE)
 LIBS = -lcivetweb -lurcu-memb -lurcu-common -lprotobuf-c -lcyaml -lcurl \
 	-ljansson -lxxhash -lm
@@ -19,7 +19,7 @@
 	$(B)/fake-relay $(B)/fake-trainer
 EXAMPLES = $(patsubst examples/%.c,$(B)/examples/%,$(wildcard examples/*.c))
 TESTS = $(B)/tests/unit $(B)/tests/faults
-BENCHES = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/*.c))
+BENCHES = $(B)/bench/slopes $(B)/bench/policies
 
 all: $(DAEMONS) $(FAKES) $(EXAMPLES)
 
@@ -46,7 +46,8 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(B)/bench/%: $(B)/bench/%.o $(B)/tests/world.o $(B)/libkwb.a
+$(B)/bench/%: $(B)/bench/%.o $(B)/bench/measure.o $(B)/tests/world.o \
+		$(B)/fakes/text.o $(B)/fakes/trainer.o $(B)/libkwb.a
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
--- /dev/null
+++ b/bench/slopes.c
@@ -0,0 +1,451 @@
+/*
+ * Slopes for docs/CAPACITY.md: what each role costs per connection, request,
+ * token, stream, change and plan; at least four points each.
+ *
+ *   slopes            all
+ *   slopes NAME       one: links, requests, tokens, streams, changes, plans,
+ *                     platform, lists
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "measure.h"
+
+#define BASE_PORT 24000
+#define IDLE_NS (6000 * KWB_MS_NS)
+#define CALLERS 8
+
+static const char *const engine_args =
+    "--token_us 300 --batch_us 1 --prefill_us 1 --length_median 4000 "
+    "--length_spread 1";
+
+/* Callers that send requests until a number is reached. */
+struct load {
+	struct world *world;
+	unsigned requests;
+	unsigned max_tokens;
+	_Atomic unsigned next;
+};
+
+static void slope_links(void);
+static void slope_requests(void);
+static void slope_tokens(void);
+static void slope_streams(void);
+static void slope_changes(void);
+static void slope_plans(void);
+static void slope_platform(void);
+static void slope_lists(void);
+static void world_make(
+    struct world *world, unsigned entries, unsigned engines, unsigned plans);
+static void lists_make(struct kwb_buf *text, unsigned plans);
+static void load_run(struct world *world, unsigned callers, unsigned requests,
+    unsigned max_tokens);
+static void *load_caller(void *argument);
+static double idle_cpu(
+    struct world *world, const char *name, struct account *idle);
+
+int
+main(int argc, char **argv)
+{
+	static const struct {
+		const char *name;
+		void (*run)(void);
+	} slopes[] = {
+	    {"links", slope_links},
+	    {"requests", slope_requests},
+	    {"tokens", slope_tokens},
+	    {"streams", slope_streams},
+	    {"changes", slope_changes},
+	    {"plans", slope_plans},
+	    {"platform", slope_platform},
+	    {"lists", slope_lists},
+	};
+	unsigned i;
+
+	kwb_log_init("slopes", KWB_LOG_ERROR);
+	kwb_http_init();
+	signal(SIGPIPE, SIG_IGN);
+	for (i = 0; i < sizeof(slopes) / sizeof(slopes[0]); i++)
+		if (argc < 2 || strcmp(argv[1], slopes[i].name) == 0)
+			slopes[i].run();
+	return 0;
+}
+
+/* An idle entry by its agents; an idle agent by its entries. */
+static void
+slope_links(void)
+{
+	static const unsigned agents[] = {4, 8, 16, 24};
+	static const unsigned entries[] = {1, 2, 4, 8};
+	struct line cpu = {0}, rss = {0}, bytes = {0};
+	struct account account;
+	static struct world world;
+	unsigned i;
+
+	for (i = 0; i < 4; i++) {
+		world_make(&world, 1, agents[i], 2);
+		line_add(
+		    &cpu, agents[i], idle_cpu(&world, "entry-1", &account));
+		line_add(&rss, agents[i], account.rss_kb);
+		line_add(&bytes, agents[i], account.control_bytes);
+		world_stop(&world);
+	}
+	line_print(&cpu, "entry idle, core", "agent", "%");
+	line_print(&rss, "entry idle, memory", "agent", "KB");
+	line_print(&bytes, "entry idle, control sent", "agent", "bytes/s");
+	memset(&cpu, 0, sizeof(cpu));
+	memset(&rss, 0, sizeof(rss));
+	memset(&bytes, 0, sizeof(bytes));
+	for (i = 0; i < 4; i++) {
+		world_make(&world, entries[i], 2, 2);
+		line_add(&cpu, entries[i], idle_cpu(&world, "llm-1", &account));
+		line_add(&rss, entries[i], account.rss_kb);
+		line_add(&bytes, entries[i], account.control_bytes);
+		world_stop(&world);
+	}
+	line_print(&cpu, "agent idle, core", "entry", "%");
+	line_print(&rss, "agent idle, memory", "entry", "KB");
+	line_print(&bytes, "agent idle, control sent", "entry", "bytes/s");
+}
+
+static void
+slope_requests(void)
+{
+	static const unsigned requests[] = {500, 1000, 2000, 4000};
+	struct line entry = {0}, agent = {0}, rate = {0};
+	struct account before, after, agent_before, agent_after;
+	static struct world world;
+	uint64_t begun_ns;
+	unsigned i;
+
+	world_make(&world, 1, 1, 2);
+	for (i = 0; i < 4; i++) {
+		account_take(&world, "entry-1", &before);
+		account_take(&world, "llm-1", &agent_before);
+		begun_ns = kwb_clock_now_ns();
+		load_run(&world, CALLERS, requests[i], 1);
+		line_add(&rate, requests[i],
+		    requests[i] * 1e9 /
+			(double)(kwb_clock_now_ns() - begun_ns));
+		account_take(&world, "entry-1", &after);
+		account_take(&world, "llm-1", &agent_after);
+		line_add(&entry, requests[i], after.cpu_ms - before.cpu_ms);
+		line_add(&agent, requests[i],
+		    agent_after.cpu_ms - agent_before.cpu_ms);
+	}
+	line_print(&entry, "entry, short answers", "request", "ms");
+	line_print(&agent, "agent, short answers", "request", "ms");
+	line_print(&rate, "requests a second, 8 callers", "request", "1/s");
+	world_stop(&world);
+}
+
+static void
+slope_tokens(void)
+{
+	static const unsigned tokens[] = {50, 100, 200, 400};
+	struct line entry = {0}, agent = {0};
+	struct account before, after, agent_before, agent_after;
+	static struct world world;
+	unsigned i;
+
+	world_make(&world, 1, 1, 2);
+	for (i = 0; i < 4; i++) {
+		account_take(&world, "entry-1", &before);
+		account_take(&world, "llm-1", &agent_before);
+		load_run(&world, CALLERS, 64, tokens[i]);
+		account_take(&world, "entry-1", &after);
+		account_take(&world, "llm-1", &agent_after);
+		line_add(&entry, 64.0 * tokens[i],
+		    (after.cpu_ms - before.cpu_ms) * 1000);
+		line_add(&agent, 64.0 * tokens[i],
+		    (agent_after.cpu_ms - agent_before.cpu_ms) * 1000);
+	}
+	line_print(&entry, "entry, streamed answers", "token", "us");
+	line_print(&agent, "agent, streamed answers", "token", "us");
+	world_stop(&world);
+}
+
+/* Memory while streams are open. */
+static void
+slope_streams(void)
+{
+	static const unsigned streams[] = {8, 16, 32, 64};
+	struct line entry = {0}, agent = {0};
+	struct account account;
+	static struct world world;
+	unsigned i;
+
+	for (i = 0; i < 4; i++) {
+		pthread_t threads[64];
+		struct load load = {&world, streams[i], 4000, 0};
+		unsigned j;
+
+		world_make(&world, 1, 1, 2);
+		for (j = 0; j < streams[i]; j++)
+			pthread_create(&threads[j], NULL, load_caller, &load);
+		kwb_clock_sleep_ns(1000 * KWB_MS_NS);
+		account_take(&world, "entry-1", &account);
+		line_add(&entry, streams[i], account.rss_kb);
+		account_take(&world, "llm-1", &account);
+		line_add(&agent, streams[i], account.rss_kb);
+		for (j = 0; j < streams[i]; j++)
+			pthread_join(threads[j], NULL);
+		world_stop(&world);
+	}
+	line_print(&entry, "entry, open streams, memory", "stream", "KB");
+	line_print(&agent, "agent, open streams, memory", "stream", "KB");
+}
+
+static void
+slope_changes(void)
+{
+	static const unsigned changes[] = {10, 20, 40, 80};
+	struct line cpu = {0}, bytes = {0}, agent_cpu = {0};
+	struct account before, after, agent_before, agent_after;
+	static struct world world;
+	char assignment[32];
+	const char *arguments[] = {
+	    "--wait-ms", "0", "edit", "allowance", "search", assignment, NULL};
+	double idle, idle_bytes, agent_idle, passed_s;
+	uint64_t begun_ns;
+	unsigned i, j;
+
+	world_make(&world, 1, 4, 16);
+	idle = idle_cpu(&world, "entry-1", &before);
+	idle_bytes = before.control_bytes;
+	agent_idle = idle_cpu(&world, "llm-1", &before);
+	for (i = 0; i < 4; i++) {
+		account_take(&world, "entry-1", &before);
+		account_take(&world, "llm-1", &agent_before);
+		begun_ns = kwb_clock_now_ns();
+		for (j = 0; j < changes[i]; j++) {
+			snprintf(assignment, sizeof(assignment), "queue=%u",
+			    100 + i * 100 + j);
+			world_ctl(&world, arguments, "/dev/null");
+		}
+		kwb_clock_sleep_ns(1500 * KWB_MS_NS);
+		passed_s = (double)(kwb_clock_now_ns() - begun_ns) / 1e9;
+		account_take(&world, "entry-1", &after);
+		account_take(&world, "llm-1", &agent_after);
+		line_add(&cpu, changes[i],
+		    after.cpu_ms - before.cpu_ms - idle * 10 * passed_s);
+		line_add(&agent_cpu, changes[i],
+		    agent_after.cpu_ms - agent_before.cpu_ms -
+			agent_idle * 10 * passed_s);
+		line_add(&bytes, changes[i],
+		    after.control_bytes - before.control_bytes -
+			idle_bytes * passed_s);
+	}
+	line_print(&cpu, "entry, changes, 16 plans", "change", "ms");
+	line_print(&agent_cpu, "agent, changes, 16 plans", "change", "ms");
+	line_print(
+	    &bytes, "entry, changes, sent to 4 agents", "change", "bytes");
+	world_stop(&world);
+}
+
+static void
+slope_plans(void)
+{
+	static const unsigned plans[] = {2, 8, 24, 48};
+	struct line cpu = {0}, rss = {0}, bytes = {0}, agent_cpu = {0},
+		    agent_bytes = {0};
+	struct account account;
+	static struct world world;
+	unsigned i;
+
+	for (i = 0; i < 4; i++) {
+		world_make(&world, 1, 4, plans[i]);
+		line_add(&cpu, plans[i], idle_cpu(&world, "entry-1", &account));
+		line_add(&rss, plans[i], account.rss_kb);
+		line_add(&bytes, plans[i], account.control_bytes);
+		line_add(
+		    &agent_cpu, plans[i], idle_cpu(&world, "llm-1", &account));
+		line_add(&agent_bytes, plans[i], account.control_bytes);
+		world_stop(&world);
+	}
+	line_print(&cpu, "entry idle, core", "plan", "%");
+	line_print(&rss, "entry idle, memory", "plan", "KB");
+	line_print(&bytes, "entry idle, control sent", "plan", "bytes/s");
+	line_print(&agent_cpu, "agent idle, core", "plan", "%");
+	line_print(&agent_bytes, "agent idle, control sent", "plan", "bytes/s");
+}
+
+/* Reads and writes that the platform sees, by entries and by agents. */
+static void
+slope_platform(void)
+{
+	static const unsigned entries[] = {1, 2, 4, 8};
+	static const unsigned agents[] = {4, 8, 16, 24};
+	struct line reads = {0}, writes = {0}, agent_reads = {0};
+	static struct world world;
+	int64_t read, written;
+	double seconds = IDLE_NS / 1e9;
+	unsigned i, pass;
+
+	for (pass = 0; pass < 2; pass++)
+		for (i = 0; i < 4; i++) {
+			world_make(&world, pass ? 1 : entries[i],
+			    pass ? agents[i] : 2, 2);
+			read = world_get(&world, "platform", "reads");
+			written = world_get(&world, "platform", "writes");
+			kwb_clock_sleep_ns(IDLE_NS);
+			read = world_get(&world, "platform", "reads") - read;
+			written =
+			    world_get(&world, "platform", "writes") - written;
+			if (pass)
+				line_add(&agent_reads, agents[i],
+				    (double)read / seconds);
+			else
+				line_add(
+				    &reads, entries[i], (double)read / seconds);
+			if (!pass)
+				line_add(&writes, entries[i],
+				    (double)written / seconds);
+			world_stop(&world);
+		}
+	line_print(&reads, "table reads", "entry", "1/s");
+	line_print(&writes, "table writes", "entry", "1/s");
+	line_print(&agent_reads, "table reads", "agent", "1/s");
+}
+
+/* Functions whose input grows with the fleet. */
+static void
+slope_lists(void)
+{
+	static const unsigned sizes[] = {425, 850, 1700, 3400};
+	static struct kwb_share_member members[KWB_VMS_MAX];
+	static struct kwb_vms vms;
+	struct line subset = {0}, home = {0}, share = {0};
+	uint32_t chosen[KWB_PEERS_MAX];
+	uint64_t begun_ns;
+	unsigned i, j;
+
+	for (i = 0; i < 4; i++) {
+		vms.count = sizes[i];
+		for (j = 0; j < sizes[i]; j++) {
+			struct kwb_vm *vm = &vms.vms[j];
+
+			snprintf(vm->vm, sizeof(vm->vm), "llm-%u", j);
+			snprintf(vm->failure_domain, sizeof(vm->failure_domain),
+			    "fd-%u", j % 14);
+			strcpy(vm->role, "agent");
+			strcpy(vm->pool, "llm");
+			strcpy(members[j].vm, vm->vm);
+		}
+		begun_ns = kwb_clock_now_ns();
+		for (j = 0; j < 10; j++)
+			kwb_subset(
+			    &vms, "entry-1", "fd-1", 24, chosen, KWB_PEERS_MAX);
+		line_add(&subset, sizes[i],
+		    (double)(kwb_clock_now_ns() - begun_ns) / 1e4);
+		begun_ns = kwb_clock_now_ns();
+		for (j = 0; j < 10; j++)
+			kwb_home(
+			    &vms, "llm", "quotes", 256, chosen, KWB_PEERS_MAX);
+		line_add(&home, sizes[i],
+		    (double)(kwb_clock_now_ns() - begun_ns) / 1e4);
+		begun_ns = kwb_clock_now_ns();
+		for (j = 0; j < 10; j++)
+			kwb_share_next(2048, "quotes", members, sizes[i], 1, 0);
+		line_add(&share, sizes[i],
+		    (double)(kwb_clock_now_ns() - begun_ns) / 1e4);
+	}
+	line_print(&subset, "entry, subset of a changed list", "VM", "us");
+	line_print(&home, "entry, homes of a plan", "VM", "us");
+	line_print(&share, "agent, share of a plan", "VM", "us");
+}
+
+static void
+world_make(
+    struct world *world, unsigned entries, unsigned engines, unsigned plans)
+{
+	static struct kwb_buf lists;
+	struct world_shape shape = {.entries = entries,
+	    .engines = engines,
+	    .domains = 2,
+	    .models = "m,c",
+	    .slots = 64,
+	    .reserve = 2,
+	    .engine_args = engine_args};
+
+	lists.used_bytes = 0;
+	lists_make(&lists, plans);
+	shape.lists = lists.data;
+	if (world_start(world, &shape, BASE_PORT) == 0)
+		return;
+	fprintf(stderr, "the world did not start\n");
+	world_stop(world);
+	exit(1);
+}
+
+static void
+lists_make(struct kwb_buf *text, unsigned plans)
+{
+	unsigned i;
+
+	kwb_buf_printf(text,
+	    "plans:\n  - {name: search, customer: a, kind: interactive, "
+	    "pool: llm, model: c, max_tokens: 4000}\n");
+	for (i = 1; i < plans; i++)
+		kwb_buf_printf(text,
+		    "  - {name: train-%u, customer: a, kind: training, "
+		    "pool: llm, model: m, staleness_versions: 2}\n",
+		    i);
+	kwb_buf_printf(text,
+	    "allowances:\n"
+	    "  - {plan: search, concurrent: 64, "
+	    "queue: 1000}\n");
+	for (i = 1; i < plans; i++)
+		kwb_buf_printf(text,
+		    "  - {plan: train-%u, concurrent: 48, queue: 10}\n", i);
+}
+
+static void
+load_run(struct world *world, unsigned callers, unsigned requests,
+    unsigned max_tokens)
+{
+	struct load load = {world, requests, max_tokens, 0};
+	pthread_t threads[64];
+	unsigned i;
+
+	for (i = 0; i < callers; i++)
+		pthread_create(&threads[i], NULL, load_caller, &load);
+	for (i = 0; i < callers; i++)
+		pthread_join(threads[i], NULL);
+}
+
+static void *
+load_caller(void *argument)
+{
+	struct load *load = argument;
+	char url[160], body[128];
+	unsigned number;
+
+	world_url(load->world, "entry-1", url, sizeof(url));
+	strcat(url, "/v1/plans/search/completions");
+	while ((number = load->next++) < load->requests) {
+		snprintf(body, sizeof(body),
+		    "{\"prompt\":\"find it\",\"seed\":%u,\"max_tokens\":%u,"
+		    "\"stream\":true}",
+		    number, load->max_tokens);
+		world_http("POST", url, NULL, body, NULL, NULL, 30000);
+	}
+	return NULL;
+}
+
+/* Percent of a core over a while without load; control bytes a second. */
+static double
+idle_cpu(struct world *world, const char *name, struct account *idle)
+{
+	struct account before;
+	double seconds = IDLE_NS / 1e9;
+
+	account_take(world, name, &before);
+	kwb_clock_sleep_ns(IDLE_NS);
+	account_take(world, name, idle);
+	idle->control_bytes =
+	    (idle->control_bytes - before.control_bytes) / seconds;
+	return (idle->cpu_ms - before.cpu_ms) / (seconds * 10);
+}
--- a/cli/files.c
+++ b/cli/files.c
@@ -13,8 +13,8 @@
 
 static int lists_add(struct kwb_lists *to, struct kwb_lists *from);
 static void lists_fill(struct kwb_lists *to, const struct kwb_lists *from);
-static int edit_one(const struct kwb_lists *lists, struct ctl *ctl,
-    struct kwb_buf *text);
+static int edit_one(
+    const struct kwb_lists *lists, struct ctl *ctl, struct kwb_buf *text);
 static bool replace_field(struct kwb_buf *text, const char *list,
     const char *name, const char *assignment);
 
@@ -78,7 +78,7 @@
 		return ctl_fail(error, "diff");
 	if (ctl_files_load(ctl, &files, &lists, &faults) == 0) {
 		code = kwb_lists_diff(now, lists, &text) ? EXIT_DIFFERS
-		                                         : EXIT_DONE;
+							 : EXIT_DONE;
 		fputs(kwb_buf_text(&text), stdout);
 	}
 	ctl_faults_print(ctl, &faults);
@@ -107,8 +107,8 @@
 		if (lists->revision == 0)
 			lists->revision = now->revision;
 		lists_fill(lists, now);
-		if (kwb_lists_check(lists, files.sources, files.count,
-		        &faults) == 0)
+		if (kwb_lists_check(
+			lists, files.sources, files.count, &faults) == 0)
 			code = ctl_publish(ctl, lists);
 	}
 	ctl_faults_print(ctl, &faults);
@@ -128,8 +128,8 @@
 	int error, code;
 
 	kwb_buf_init(&conflicts);
-	error = kwb_lists_apply(&ctl->platform, ours, &revision, &conflicts,
-	    &faults);
+	error = kwb_lists_apply(
+	    &ctl->platform, ours, &revision, &conflicts, &faults);
 	if (error != 0) {
 		ctl_faults_print(ctl, &faults);
 		fputs(kwb_buf_text(&conflicts), stderr);
@@ -160,7 +160,7 @@
 	source.text = kwb_buf_text(&text);
 	if (code == EXIT_DONE &&
 	    (kwb_lists_parse(&edited, &source, &faults) != 0 ||
-	        kwb_lists_check(edited, &source, 1, &faults) != 0)) {
+		kwb_lists_check(edited, &source, 1, &faults) != 0)) {
 		ctl_faults_print(ctl, &faults);
 		code = EXIT_INVALID;
 	}
@@ -191,8 +191,8 @@
 		old = older = NULL;
 		text.used_bytes = 0;
 		if (kwb_lists_fetch_old(&ctl->platform, revision, &old) == 0 &&
-		    kwb_lists_fetch_old(&ctl->platform, revision - 1,
-		        &older) == 0)
+		    kwb_lists_fetch_old(&ctl->platform, revision - 1, &older) ==
+			0)
 			kwb_lists_diff(older, old, &text);
 		printf("revision %" PRIu64 "\n%s", revision,
 		    old ? kwb_buf_text(&text) : "not in the object store\n");
@@ -221,8 +221,8 @@
 		kwb_buf_init(text);
 		source->file = ctl->arguments[i];
 		if (kwb_file_read(source->file, text) != 0)
-			kwb_faults_add(faults, "%s: cannot be read",
-			    source->file);
+			kwb_faults_add(
+			    faults, "%s: cannot be read", source->file);
 		source->text = kwb_buf_text(text);
 		if (kwb_lists_parse(&one, source, faults) != 0)
 			continue;
@@ -231,11 +231,10 @@
 			continue;
 		}
 		if (lists_add(*lists, one) != 0)
-			kwb_faults_add(faults, "%s: list given twice",
-			    source->file);
+			kwb_faults_add(
+			    faults, "%s: list given twice", source->file);
 	}
-	return faults->count == 0 && *lists != NULL ? 0
-	                                            : KWB_ERR_LISTS_INVALID;
+	return faults->count == 0 && *lists != NULL ? 0 : KWB_ERR_LISTS_INVALID;
 }
 
 void
@@ -316,7 +315,7 @@
 		return EXIT_INVALID;
 	for (i = 2; i < ctl->arguments_count; i++) {
 		if (replace_field(text, plan ? "plans" : "allowances",
-		        ctl->arguments[1], ctl->arguments[i]))
+			ctl->arguments[1], ctl->arguments[i]))
 			continue;
 		fprintf(stderr, "kwbctl: no such entry or field: %s %s %s\n",
 		    ctl->arguments[0], ctl->arguments[1], ctl->arguments[i]);
@@ -356,8 +355,8 @@
 		    (size_t)(value - word) == field_length &&
 		    strncmp(word, assignment, field_length) == 0) {
 			kwb_buf_add(&out, line, indent + field_length);
-			kwb_buf_printf(&out, ": %s\n",
-			    assignment + field_length + 1);
+			kwb_buf_printf(
+			    &out, ": %s\n", assignment + field_length + 1);
 			done = true;
 			continue;
 		}
--- a/cli/kwbctl.c
+++ b/cli/kwbctl.c
@@ -18,21 +18,21 @@
 	const char *help;
 } commands[] = {
     {"get", ctl_get, "get [plans|allowances]",
-        "Prints the two lists in force as YAML, with their revision."},
+	"Prints the two lists in force as YAML, with their revision."},
     {"check", ctl_check, "check FILE...",
-        "Checks lists in files and reports every fault; changes nothing."},
+	"Checks lists in files and reports every fault; changes nothing."},
     {"diff", ctl_diff, "diff FILE...",
-        "Shows what applying the files would change; exit 1 if anything."},
+	"Shows what applying the files would change; exit 1 if anything."},
     {"apply", ctl_apply, "apply FILE...",
-        "Puts lists in force. A file's revision names what it was edited "
-        "from;\nlater edits of other entries are kept. Prints where the new "
-        "revision is\nin force and after how long."},
+	"Puts lists in force. A file's revision names what it was edited "
+	"from;\nlater edits of other entries are kept. Prints where the new "
+	"revision is\nin force and after how long."},
     {"edit", ctl_edit, "edit plan|allowance NAME FIELD=VALUE...",
-        "Changes fields of one entry of a list and applies that."},
+	"Changes fields of one entry of a list and applies that."},
     {"history", ctl_history, "history [COUNT]",
-        "Shows the last revisions and what each changed."},
+	"Shows the last revisions and what each changed."},
     {"status", ctl_status, "status",
-        "Shows entries, agents, revision in force, versions and shares."},
+	"Shows entries, agents, revision in force, versions and shares."},
 };
 
 static const struct option long_options[] = {
@@ -57,8 +57,8 @@
 	bool help = false;
 	int option, code;
 
-	while ((option = getopt_long(argc, argv, "p:o:w:vh", long_options,
-	            NULL)) != -1) {
+	while ((option = getopt_long(
+		    argc, argv, "p:o:w:vh", long_options, NULL)) != -1) {
 		switch (option) {
 		case 'p':
 			url = optarg;
@@ -137,14 +137,16 @@
 {
 	size_t i;
 
-	fprintf(out, "usage: kwbctl [--platform URL] [--output text|json] "
-	             "[--wait-ms N] COMMAND ...\n\n");
+	fprintf(out,
+	    "usage: kwbctl [--platform URL] [--output text|json] "
+	    "[--wait-ms N] COMMAND ...\n\n");
 	for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
 		fprintf(out, "  kwbctl %s\n", commands[i].usage);
-	fprintf(out, "\nkwbctl COMMAND --help explains one.\nExit codes: 0 "
-	             "done, 1 differs, 2 usage, 3 invalid lists, 4 conflict,\n"
-	             "5 platform unreachable, 6 accepted but not yet in force "
-	             "everywhere.\n");
+	fprintf(out,
+	    "\nkwbctl COMMAND --help explains one.\nExit codes: 0 "
+	    "done, 1 differs, 2 usage, 3 invalid lists, 4 conflict,\n"
+	    "5 platform unreachable, 6 accepted but not yet in force "
+	    "everywhere.\n");
 }
 
 static void
--- a/cli/status.c
+++ b/cli/status.c
@@ -22,10 +22,10 @@
 };
 
 static json_t *entry_status(const struct kwb_vm *vm);
-static void survey_take(struct ctl *ctl, uint64_t revision,
-    struct survey *survey);
-static void survey_entry(json_t *status, uint64_t revision, json_t *agents,
-    struct survey *survey);
+static void survey_take(
+    struct ctl *ctl, uint64_t revision, struct survey *survey);
+static void survey_entry(
+    json_t *status, uint64_t revision, json_t *agents, struct survey *survey);
 static void entry_print(json_t *status);
 
 int
@@ -45,8 +45,8 @@
 			continue;
 		status = entry_status(&vms->vms[i]);
 		if (status == NULL)
-			status = json_pack("{s:s, s:b}", "vm",
-			    vms->vms[i].vm, "reachable", 0);
+			status = json_pack(
+			    "{s:s, s:b}", "vm", vms->vms[i].vm, "reachable", 0);
 		json_array_append_new(all, status);
 		if (!ctl->json)
 			entry_print(status);
@@ -122,16 +122,17 @@
 
 /* An agent counts once, however many entries know it. */
 static void
-survey_entry(json_t *status, uint64_t revision, json_t *agents,
-    struct survey *survey)
+survey_entry(
+    json_t *status, uint64_t revision, json_t *agents, struct survey *survey)
 {
 	json_t *agent;
 	size_t i;
 
 	if ((uint64_t)json_integer_value(
-	        json_object_get(status, "lists_revision")) < revision)
+		json_object_get(status, "lists_revision")) < revision)
 		survey->behind++;
-	json_array_foreach(json_object_get(status, "agents"), i, agent) {
+	json_array_foreach(json_object_get(status, "agents"), i, agent)
+	{
 		const char *vm =
 		    json_string_value(json_object_get(agent, "vm"));
 
@@ -140,7 +141,7 @@
 			continue;
 		json_object_set_new(agents, vm, json_true());
 		if ((uint64_t)json_integer_value(
-		        json_object_get(agent, "lists_revision")) < revision)
+			json_object_get(agent, "lists_revision")) < revision)
 			survey->behind++;
 	}
 }
@@ -149,8 +150,8 @@
 entry_status(const struct kwb_vm *vm)
 {
 	char url[URL_MAX_BYTES];
-	struct kwb_http_request request = {.method = "GET", .url = url,
-	    .timeout_ms = STATUS_TIMEOUT_MS};
+	struct kwb_http_request request = {
+	    .method = "GET", .url = url, .timeout_ms = STATUS_TIMEOUT_MS};
 	struct kwb_http_answer answer;
 	json_t *status = NULL;
 
@@ -179,7 +180,8 @@
 	    json_is_true(json_object_get(status, "platform_up")),
 	    json_is_true(json_object_get(status, "draining")),
 	    json_integer_value(json_object_get(status, "active")));
-	json_array_foreach(json_object_get(status, "agents"), i, agent) {
+	json_array_foreach(json_object_get(status, "agents"), i, agent)
+	{
 		printf("  agent %-12s %-10s connected=%d leaving=%d up=%d "
 		       "revision=%lld",
 		    json_string_value(json_object_get(agent, "vm")),
@@ -188,13 +190,11 @@
 		    json_is_true(json_object_get(agent, "leaving")),
 		    json_is_true(json_object_get(agent, "upstream_up")),
 		    json_integer_value(
-		        json_object_get(agent, "lists_revision")));
+			json_object_get(agent, "lists_revision")));
 		json_object_foreach(json_object_get(agent, "versions"), name,
-		    value)
-			printf(" %s=v%lld", name, json_integer_value(value));
+		    value) printf(" %s=v%lld", name, json_integer_value(value));
 		json_object_foreach(json_object_get(agent, "units"), name,
-		    value)
-			printf(" %s:%lld", name, json_integer_value(value));
+		    value) printf(" %s:%lld", name, json_integer_value(value));
 		printf("\n");
 	}
 }
--- a/daemons/daemon.c
+++ b/daemons/daemon.c
@@ -22,16 +22,16 @@
 static void usage(FILE *out, const char *program);
 
 bool
-daemon_options_parse(struct daemon_options *options, int argc, char **argv,
-    int *code)
+daemon_options_parse(
+    struct daemon_options *options, int argc, char **argv, int *code)
 {
 	int option;
 
 	memset(options, 0, sizeof(*options));
 	options->log_level = KWB_LOG_INFO;
 	*code = 0;
-	while ((option = getopt_long(argc, argv, "s:cdvh", long_options,
-	            NULL)) != -1) {
+	while ((option = getopt_long(
+		    argc, argv, "s:cdvh", long_options, NULL)) != -1) {
 		switch (option) {
 		case 's':
 			options->settings = optarg;
--- a/daemons/daemon.h
+++ b/daemons/daemon.h
@@ -13,10 +13,10 @@
 };
 
 /* Returns true to go on, false when the process should end with *code. */
-bool daemon_options_parse(struct daemon_options *options, int argc,
-    char **argv, int *code);
+bool daemon_options_parse(
+    struct daemon_options *options, int argc, char **argv, int *code);
 void daemon_faults_print(const struct kwb_faults *faults);
 void daemon_signals_block(void); /* before any thread starts */
-void daemon_wait(void);          /* until SIGTERM or SIGINT */
+void daemon_wait(void);		 /* until SIGTERM or SIGINT */
 
 #endif
--- a/daemons/kwb-entry.c
+++ b/daemons/kwb-entry.c
@@ -14,7 +14,8 @@
 
 	if (!daemon_options_parse(&options, argc, argv, &code))
 		return code;
-	if (kwb_entry_settings_load(&settings, options.settings, &faults) != 0) {
+	if (kwb_entry_settings_load(&settings, options.settings, &faults) !=
+	    0) {
 		daemon_faults_print(&faults);
 		return 1;
 	}
@@ -25,8 +26,8 @@
 		kwb_current_init();
 		code = kwb_entry_start(&entry, settings);
 		if (code != 0) {
-			kwb_log(KWB_LOG_ERROR, "entry", "event=no_start error=%s",
-			    kwb_error_name(code));
+			kwb_log(KWB_LOG_ERROR, "entry",
+			    "event=no_start error=%s", kwb_error_name(code));
 			return 1;
 		}
 		daemon_wait();
--- a/fakes/fake-engine.c
+++ b/fakes/fake-engine.c
@@ -57,9 +57,25 @@
 TAILQ_HEAD(sequence_list, sequence);
 
 enum {
-	TOKEN_US, BATCH_US, PREFILL_US, SLOTS, LENGTH_MEDIAN, LENGTH_SPREAD,
-	SWAP_MS, FAIL_SWAP, IGNORE_FENCE, NO_VERSIONS, LOAD_LAG_MS, STUCK,
-	RUNNING, MOST, TOKENS, CACHE_HITS, CACHE_MISSES, ORDERS_OLD, STARTED
+	TOKEN_US,
+	BATCH_US,
+	PREFILL_US,
+	SLOTS,
+	LENGTH_MEDIAN,
+	LENGTH_SPREAD,
+	SWAP_MS,
+	FAIL_SWAP,
+	IGNORE_FENCE,
+	NO_VERSIONS,
+	LOAD_LAG_MS,
+	STUCK,
+	RUNNING,
+	MOST,
+	TOKENS,
+	CACHE_HITS,
+	CACHE_MISSES,
+	ORDERS_OLD,
+	STARTED
 };
 
 static struct fake_switch switches[] = {
@@ -98,8 +114,8 @@
 static uint64_t engine_step(void);
 static struct model *model_find(const char *name, bool make);
 static bool cache_touch(uint64_t key);
-static unsigned sequence_line(const struct sequence *sequence, char *line,
-    size_t room_bytes);
+static unsigned sequence_line(
+    const struct sequence *sequence, char *line, size_t room_bytes);
 static void sequence_stop(struct sequence *sequence);
 static int on_cancel(struct mg_connection *connection, void *context);
 static bool weights_fetch(const char *model, uint64_t version);
@@ -127,12 +143,12 @@
 	while ((name = strsep(&rest, ",")) != NULL)
 		model_find(name, true)->version = 1;
 	kwb_http_init();
-	context = fake_start(
-	    fake_option(argc, argv, "--listen", "127.0.0.1:7100"), THREADS,
-	    switches, sizeof(switches) / sizeof(switches[0]));
+	context =
+	    fake_start(fake_option(argc, argv, "--listen", "127.0.0.1:7100"),
+		THREADS, switches, sizeof(switches) / sizeof(switches[0]));
 	pthread_create(&thread, NULL, engine_run, NULL);
-	mg_set_request_handler(context, "/v1/completions$", on_completions,
-	    NULL);
+	mg_set_request_handler(
+	    context, "/v1/completions$", on_completions, NULL);
 	mg_set_request_handler(context, "/cancel$", on_cancel, NULL);
 	mg_set_request_handler(context, "/load$", on_load, NULL);
 	mg_set_request_handler(context, "/orders$", on_orders, NULL);
@@ -191,8 +207,8 @@
 	pthread_mutex_lock(&lock);
 	switches[STARTED].value++;
 	TAILQ_INSERT_TAIL(&sequences, &sequence, next);
-	while (going && !sequence.cancelled &&
-	    sequence.made < sequence.length) {
+	while (
+	    going && !sequence.cancelled && sequence.made < sequence.length) {
 		/* Wakes now and then to see whether the client has gone. */
 		kwb_cond_wait_until(&sequence.ready, &lock,
 		    kwb_clock_now_ns() + 200 * KWB_MS_NS);
@@ -232,8 +248,8 @@
 		return (unsigned)snprintf(line, room_bytes,
 		    "data: {\"token\":\"%s\"}\n\n", sequence->text);
 	return (unsigned)snprintf(line, room_bytes,
-	    "data: {\"token\":\"%s\",\"version\":%llu}\n\n",
-	    sequence->text, (unsigned long long)sequence->version);
+	    "data: {\"token\":\"%s\",\"version\":%llu}\n\n", sequence->text,
+	    (unsigned long long)sequence->version);
 }
 
 /* POST /cancel with a request's name: it no longer runs once this answers. */
@@ -248,7 +264,8 @@
 	kwb_buf_init(&name);
 	fake_read(connection, &name);
 	pthread_mutex_lock(&lock);
-	TAILQ_FOREACH(sequence, &sequences, next) {
+	TAILQ_FOREACH(sequence, &sequences, next)
+	{
 		if (strcmp(sequence->name, kwb_buf_text(&name)) != 0)
 			continue;
 		status = 200;
@@ -292,8 +309,7 @@
 		    "\"running\":%u}",
 		    i ? "," : "", models[i].name,
 		    (unsigned long long)models[i].version,
-		    models[i].swapping ? "true" : "false",
-		    models[i].running);
+		    models[i].swapping ? "true" : "false", models[i].running);
 	kwb_buf_printf(&out, "}}");
 	if (kwb_clock_now_ns() >= lagged_ns) {
 		kwb_text_copy(lagged, sizeof(lagged), out.data);
@@ -326,13 +342,13 @@
 	fake_read(connection, &body);
 	root = json_loads(kwb_buf_text(&body), 0, NULL);
 	kwb_buf_finish(&body);
-	version = (uint64_t)json_integer_value(
-	    json_object_get(root, "version"));
+	version =
+	    (uint64_t)json_integer_value(json_object_get(root, "version"));
 	fence = (uint64_t)json_integer_value(
 	    json_object_get(root, "fencing_token"));
 	pthread_mutex_lock(&lock);
-	model = model_find(
-	    json_string_value(json_object_get(root, "model")), true);
+	model =
+	    model_find(json_string_value(json_object_get(root, "model")), true);
 	if (fence < model->fence) {
 		switches[ORDERS_OLD].value++;
 		if (!switches[IGNORE_FENCE].value)
@@ -368,8 +384,8 @@
 weights_fetch(const char *model, uint64_t version)
 {
 	char url[512];
-	struct kwb_http_request request = {.method = "GET", .url = url,
-	    .timeout_ms = 60000};
+	struct kwb_http_request request = {
+	    .method = "GET", .url = url, .timeout_ms = 60000};
 	struct kwb_http_answer answer;
 	int error;
 
@@ -412,10 +428,9 @@
 	while (switches[RUNNING].value < switches[SLOTS].value) {
 		best = NULL;
 		TAILQ_FOREACH(sequence, &sequences, next)
-			if (!sequence->running && !sequence->cancelled &&
-			    (best == NULL ||
-			        sequence->priority > best->priority))
-				best = sequence;
+		if (!sequence->running && !sequence->cancelled &&
+		    (best == NULL || sequence->priority > best->priority))
+			best = sequence;
 		if (best == NULL)
 			break;
 		best->running = true;
@@ -428,7 +443,8 @@
 	}
 	if (switches[STUCK].value)
 		return step_us * 1000;
-	TAILQ_FOREACH(sequence, &sequences, next) {
+	TAILQ_FOREACH(sequence, &sequences, next)
+	{
 		if (!sequence->running || sequence->full ||
 		    sequence->model->swapping || sequence->model->version == 0)
 			continue;
@@ -453,8 +469,8 @@
 			return &models[i];
 	if (!make || name == NULL || models_count == MODELS_MAX)
 		return NULL;
-	kwb_text_copy(models[models_count].name,
-	    sizeof(models[models_count].name), name);
+	kwb_text_copy(
+	    models[models_count].name, sizeof(models[models_count].name), name);
 	return &models[models_count++];
 }
 
--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -40,6 +40,7 @@
 static struct row *row_find(const char *name, bool make);
 static int row_put(struct mg_connection *connection, struct row *row,
     const struct kwb_buf *body, const char *name);
+static bool unchanged(struct mg_connection *connection, uint64_t revision);
 static void count(const char *name);
 
 int
@@ -47,9 +48,9 @@
 {
 	struct mg_context *context;
 
-	context = fake_start(
-	    fake_option(argc, argv, "--listen", "127.0.0.1:7000"), THREADS,
-	    switches, sizeof(switches) / sizeof(switches[0]));
+	context =
+	    fake_start(fake_option(argc, argv, "--listen", "127.0.0.1:7000"),
+		THREADS, switches, sizeof(switches) / sizeof(switches[0]));
 	mg_set_request_handler(context, "/table/", on_table, NULL);
 	mg_set_request_handler(context, "/objects/", on_objects, NULL);
 	mg_set_request_handler(context, "/weights/", on_weights, NULL);
@@ -87,6 +88,8 @@
 	row = row_find(info->local_uri, false);
 	if (row != NULL)
 		revision = row->revision;
+	if (!put && status == 200 && unchanged(connection, revision))
+		status = 304;
 	if (!put && status == 200)
 		kwb_buf_add(&value, row->value.data, row->value.used_bytes);
 	pthread_mutex_unlock(&rows_lock);
@@ -111,8 +114,7 @@
 	const char *match = mg_get_header(connection, "If-Match");
 	uint64_t revision = row ? row->revision : 0;
 
-	if (mg_get_header(connection, "If-None-Match") != NULL &&
-	    revision != 0)
+	if (mg_get_header(connection, "If-None-Match") != NULL && revision != 0)
 		return 412;
 	if (match != NULL && strtoull(match, NULL, 10) != revision)
 		return 412;
@@ -148,8 +150,7 @@
 		kwb_buf_add(&body, row->value.data, row->value.used_bytes);
 	}
 	pthread_mutex_unlock(&rows_lock);
-	fake_send(connection, status, "", kwb_buf_text(&body),
-	    body.used_bytes);
+	fake_send(connection, status, "", kwb_buf_text(&body), body.used_bytes);
 	kwb_buf_finish(&body);
 	return status;
 }
@@ -196,8 +197,7 @@
 		status = 404;
 	}
 	pthread_mutex_unlock(&rows_lock);
-	fake_send(connection, status, "", kwb_buf_text(&body),
-	    body.used_bytes);
+	fake_send(connection, status, "", kwb_buf_text(&body), body.used_bytes);
 	kwb_buf_finish(&body);
 	return status;
 }
@@ -208,8 +208,10 @@
 {
 	const struct mg_request_info *info = mg_get_request_info(connection);
 	static struct kwb_buf now, next;
-	static uint64_t next_ns;
+	static uint64_t next_ns, revision;
 	struct kwb_buf body;
+	char headers[64];
+	int status = 200;
 
 	(void)context;
 	kwb_buf_init(&body);
@@ -223,6 +225,7 @@
 		now.used_bytes = 0;
 		kwb_buf_add(&now, next.data, next.used_bytes);
 		next_ns = 0;
+		revision++;
 	}
 	if (strcmp(info->request_method, "PUT") == 0) {
 		next.used_bytes = 0;
@@ -231,10 +234,16 @@
 		    (uint64_t)fake_value("vms_lag_ms") * KWB_MS_NS;
 	}
 	body.used_bytes = 0;
-	kwb_buf_add(&body, now.used_bytes ? now.data : "[]",
-	    now.used_bytes ? now.used_bytes : 2);
+	snprintf(headers, sizeof(headers), "ETag: %llu\r\n",
+	    (unsigned long long)revision);
+	if (unchanged(connection, revision))
+		status = 304;
+	else
+		kwb_buf_add(&body, now.used_bytes ? now.data : "[]",
+		    now.used_bytes ? now.used_bytes : 2);
 	pthread_mutex_unlock(&rows_lock);
-	fake_send(connection, 200, "", body.data, body.used_bytes);
+	fake_send(
+	    connection, status, headers, kwb_buf_text(&body), body.used_bytes);
 	kwb_buf_finish(&body);
 	return 200;
 }
@@ -259,8 +268,8 @@
 	struct row *row;
 
 	LIST_FOREACH(row, &rows, next)
-		if (strcmp(row->name, name) == 0)
-			return row;
+	if (strcmp(row->name, name) == 0)
+		return row;
 	if (!make)
 		return NULL;
 	row = calloc(1, sizeof(*row));
@@ -269,6 +278,15 @@
 	return row;
 }
 
+/* Whether the reader has named the revision it already knows. */
+static bool
+unchanged(struct mg_connection *connection, uint64_t revision)
+{
+	const char *known = mg_get_header(connection, "If-None-Match");
+
+	return known != NULL && strtoull(known, NULL, 10) == revision;
+}
+
 static void
 count(const char *name)
 {
--- a/fakes/fake-relay.c
+++ b/fakes/fake-relay.c
@@ -13,11 +13,11 @@
 
 #include "fake.h"
 
-#define CHUNK_BYTES 65536
+#define CHUNK_BYTES 16384
 #define POLL_MS 20
 
-static struct fake_switch switches[] = {{"cut", 0}, {"silent", 0},
-    {"drop_there", 0}, {"drop_back", 0}};
+static struct fake_switch switches[] = {
+    {"cut", 0}, {"silent", 0}, {"drop_there", 0}, {"drop_back", 0}};
 
 static struct kwb_address target;
 
@@ -33,8 +33,8 @@
 	pthread_t thread;
 	int *fd = malloc(sizeof(*fd));
 
-	kwb_address_parse(&target,
-	    fake_option(argc, argv, "--target", "127.0.0.1:1"));
+	kwb_address_parse(
+	    &target, fake_option(argc, argv, "--target", "127.0.0.1:1"));
 	*fd = listen_at(fake_option(argc, argv, "--relay", "127.0.0.1:1"));
 	if (*fd < 0)
 		return 1;
@@ -103,8 +103,8 @@
 	if (got <= 0)
 		return false;
 	while (!drop && sent < got) {
-		part = send(to, chunk + sent, (size_t)(got - sent),
-		    MSG_NOSIGNAL);
+		part =
+		    send(to, chunk + sent, (size_t)(got - sent), MSG_NOSIGNAL);
 		if (part <= 0)
 			return false;
 		sent += part;
--- a/fakes/fake-service.c
+++ b/fakes/fake-service.c
@@ -25,9 +25,9 @@
 {
 	struct mg_context *context;
 
-	context = fake_start(
-	    fake_option(argc, argv, "--listen", "127.0.0.1:7200"), THREADS,
-	    switches, sizeof(switches) / sizeof(switches[0]));
+	context =
+	    fake_start(fake_option(argc, argv, "--listen", "127.0.0.1:7200"),
+		THREADS, switches, sizeof(switches) / sizeof(switches[0]));
 	mg_set_request_handler(context, "/journal$", on_journal, NULL);
 	mg_set_request_handler(context, "/health$", on_health, NULL);
 	mg_set_request_handler(context, "/**", on_call, NULL);
@@ -56,8 +56,8 @@
 	pthread_mutex_lock(&lock);
 	switches[2].value--;
 	pthread_mutex_unlock(&lock);
-	kwb_buf_printf(&answer, "done %s %s", info->local_uri,
-	    kwb_buf_text(&body));
+	kwb_buf_printf(
+	    &answer, "done %s %s", info->local_uri, kwb_buf_text(&body));
 	if (fake_value("lose_answers"))
 		mg_close_connection(connection);
 	else
--- a/fakes/fake-trainer.c
+++ b/fakes/fake-trainer.c
@@ -10,8 +10,7 @@
 #include "fake.h"
 #include "trainer.h"
 
-static void publish(const char *platform, const char *model,
-    uint64_t version);
+static void publish(const char *platform, const char *model, uint64_t version);
 
 int
 main(int argc, char **argv)
@@ -34,25 +33,24 @@
 	int code = 0;
 
 	kwb_http_init();
-	kwb_text_copy(entries, sizeof(entries),
-	    fake_option(argc, argv, "--entries", ""));
+	kwb_text_copy(
+	    entries, sizeof(entries), fake_option(argc, argv, "--entries", ""));
 	while ((one = strsep(&rest, ",")) != NULL &&
 	    trainer.entries_count < TRAINER_ENTRIES_MAX)
 		trainer.entries[trainer.entries_count++] = one;
 	for (step = 1; step <= steps; step++) {
-		trainer.deadline_ns =
-		    kwb_clock_now_ns() + 120000 * KWB_MS_NS;
+		trainer.deadline_ns = kwb_clock_now_ns() + 120000 * KWB_MS_NS;
 		trainer_pull(&trainer, step, &result);
-		printf("step=%" PRIu64 " version=%" PRIu64
-		       " samples=%u doubled=%u wrong=%u stale=%u tokens=%" PRIu64
-		       " oldest=%" PRIu64 " newest=%" PRIu64 " age_mean=%.2f "
-		       "time_ms=%" PRIu64 " attempts=%u\n",
+		printf(
+		    "step=%" PRIu64 " version=%" PRIu64
+		    " samples=%u doubled=%u wrong=%u stale=%u tokens=%" PRIu64
+		    " oldest=%" PRIu64 " newest=%" PRIu64 " age_mean=%.2f "
+		    "time_ms=%" PRIu64 " attempts=%u\n",
 		    step, trainer.weight_version, result.received,
 		    result.doubled, result.wrong, result.stale, result.tokens,
 		    result.oldest_version, result.newest_version,
-		    result.received
-		        ? (double)result.age_sum / result.received
-		        : 0,
+		    result.received ? (double)result.age_sum / result.received
+				    : 0,
 		    (uint64_t)(result.time_ns / KWB_MS_NS), result.attempts);
 		fflush(stdout);
 		if (!result.complete || result.doubled || result.wrong ||
@@ -67,15 +65,15 @@
 publish(const char *platform, const char *model, uint64_t version)
 {
 	char url[512], text[32];
-	struct kwb_http_request request = {.method = "PUT", .url = url,
-	    .body = text};
+	struct kwb_http_request request = {
+	    .method = "PUT", .url = url, .body = text};
 	struct kwb_http_answer answer;
 
 	if (platform[0] == '\0')
 		return;
 	snprintf(url, sizeof(url), "%s/weights/%s", platform, model);
-	request.body_bytes = (size_t)snprintf(text, sizeof(text), "%" PRIu64,
-	    version);
+	request.body_bytes =
+	    (size_t)snprintf(text, sizeof(text), "%" PRIu64, version);
 	kwb_http_do(&request, &answer);
 	kwb_http_answer_finish(&answer);
 }
--- a/fakes/fake.c
+++ b/fakes/fake.c
@@ -70,9 +70,8 @@
 fake_send(struct mg_connection *connection, int status, const char *headers,
     const void *body, size_t length_bytes)
 {
-	mg_printf(connection,
-	    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s\r\n", status,
-	    mg_get_response_code_text(connection, status), length_bytes,
+	mg_printf(connection, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s\r\n",
+	    status, mg_get_response_code_text(connection, status), length_bytes,
 	    headers);
 	mg_write(connection, body, length_bytes);
 }
@@ -115,8 +114,7 @@
 		if (length != strlen(found->name) ||
 		    strncmp(query, found->name, length) != 0)
 			continue;
-		snprintf(text, sizeof(text), "%lld\n",
-		    (long long)found->value);
+		snprintf(text, sizeof(text), "%lld\n", (long long)found->value);
 		if (query[length] == '=')
 			found->value = strtoll(query + length + 1, NULL, 10);
 		fake_send(connection, 200, "", text, strlen(text));
--- a/fakes/fake.h
+++ b/fakes/fake.h
@@ -19,8 +19,8 @@
 /* Starts the server on argv's --listen; ends the process on failure. */
 struct mg_context *fake_start(const char *listen, unsigned threads,
     struct fake_switch *switches, unsigned switches_count);
-const char *fake_option(int argc, char **argv, const char *name,
-    const char *fallback);
+const char *fake_option(
+    int argc, char **argv, const char *name, const char *fallback);
 int64_t fake_value(const char *name);
 void fake_send(struct mg_connection *connection, int status,
     const char *headers, const void *body, size_t length_bytes);
--- a/fakes/text.c
+++ b/fakes/text.c
@@ -19,8 +19,7 @@
 void
 fake_token(char *text, uint64_t sequence, uint32_t index, uint64_t version)
 {
-	unsigned digits =
-	    (unsigned)(kwb_hash("t", sequence + index) & 0xffff);
+	unsigned digits = (unsigned)(kwb_hash("t", sequence + index) & 0xffff);
 
 	snprintf(text, FAKE_TOKEN_BYTES, "%04x.%llu", digits,
 	    (unsigned long long)version);
@@ -34,7 +33,8 @@
 
 	for (i = 0; i < PARTS; i++)
 		sum += (double)((sequence >> (16 * i)) & 0xffff) / 65536.0;
-	length = (double)median * exp((sum - PARTS / 2.0) * PART_DEVIATION *
-	                              (double)spread_percent / 100.0);
+	length = (double)median *
+	    exp((sum - PARTS / 2.0) * PART_DEVIATION * (double)spread_percent /
+		100.0);
 	return length < 1 ? 1 : (uint32_t)length;
 }
--- a/fakes/trainer.c
+++ b/fakes/trainer.c
@@ -32,18 +32,17 @@
 static bool on_data(void *context, const char *data, size_t length_bytes);
 static void on_line(struct pull *pull, const char *text);
 static void on_sample(struct pull *pull, json_t *root);
-static bool sample_is_true(const struct pull *pull, json_t *root,
-    uint64_t *oldest);
+static bool sample_is_true(
+    const struct pull *pull, json_t *root, uint64_t *oldest);
 static uint64_t version_at(json_t *spans, uint32_t index);
 
 void
-trainer_pull(const struct trainer *trainer, uint64_t step,
-    struct trainer_result *result)
+trainer_pull(
+    const struct trainer *trainer, uint64_t step, struct trainer_result *result)
 {
 	uint32_t slots = trainer->groups * trainer->samples;
 	uint64_t begun_ns = kwb_clock_now_ns();
-	struct pull pull = {.trainer = trainer, .result = result,
-	    .step = step};
+	struct pull pull = {.trainer = trainer, .result = result, .step = step};
 
 	memset(result, 0, sizeof(*result));
 	result->oldest_version = UINT64_MAX;
@@ -52,7 +51,9 @@
 	    kwb_clock_now_ns() < trainer->deadline_ns) {
 		char url[URL_MAX_BYTES];
 		struct kwb_http_request request = {.method = "POST",
-		    .url = url, .on_data = on_data, .context = &pull};
+		    .url = url,
+		    .on_data = on_data,
+		    .context = &pull};
 		struct kwb_http_answer answer;
 		char *body;
 		unsigned entry = pull.attempt % trainer->entries_count;
@@ -61,8 +62,9 @@
 		pull.ended = false;
 		kwb_buf_init(&pull.line);
 		body = pull_body(&pull);
-		snprintf(url, sizeof(url), "%s/v1/plans/%s/steps/%" PRIu64
-		    "/pull", trainer->entries[entry], trainer->plan, step);
+		snprintf(url, sizeof(url),
+		    "%s/v1/plans/%s/steps/%" PRIu64 "/pull",
+		    trainer->entries[entry], trainer->plan, step);
 		request.body = body;
 		request.body_bytes = strlen(body);
 		request.timeout_ms =
@@ -88,8 +90,8 @@
     uint32_t group)
 {
 	snprintf(text, room_bytes,
-	    "draft for %s step %" PRIu64 " group %u in plain words", plan,
-	    step, group);
+	    "draft for %s step %" PRIu64 " group %u in plain words", plan, step,
+	    group);
 }
 
 static char *
@@ -101,19 +103,19 @@
 	uint32_t i;
 
 	for (i = 0; i < trainer->groups; i++) {
-		trainer_prompt(prompt, sizeof(prompt), trainer->plan,
-		    pull->step, i);
+		trainer_prompt(
+		    prompt, sizeof(prompt), trainer->plan, pull->step, i);
 		json_array_append_new(groups,
 		    json_pack("{s:i, s:s, s:i, s:i, s:i}", "group", (int)i,
-		        "prompt", prompt, "samples", (int)trainer->samples,
-		        "seed", (int)i, "max_tokens",
-		        (int)trainer->max_tokens));
+			"prompt", prompt, "samples", (int)trainer->samples,
+			"seed", (int)i, "max_tokens",
+			(int)trainer->max_tokens));
 	}
 	for (i = 0; i < trainer->groups * trainer->samples; i++)
 		if (pull->got[i] > 0)
 			json_array_append_new(have,
 			    json_pack("[i,i]", (int)(i / trainer->samples),
-			        (int)(i % trainer->samples)));
+				(int)(i % trainer->samples)));
 	root = json_pack("{s:i, s:I, s:i, s:o, s:o}", "attempt",
 	    (int)pull->attempt, "weight_version",
 	    (json_int_t)trainer->weight_version, "staleness_bound",
@@ -192,10 +194,10 @@
 sample_is_true(const struct pull *pull, json_t *root, uint64_t *oldest)
 {
 	const struct trainer *trainer = pull->trainer;
-	uint32_t group = (uint32_t)json_integer_value(
-	    json_object_get(root, "group"));
-	uint32_t sample = (uint32_t)json_integer_value(
-	    json_object_get(root, "sample"));
+	uint32_t group =
+	    (uint32_t)json_integer_value(json_object_get(root, "group"));
+	uint32_t sample =
+	    (uint32_t)json_integer_value(json_object_get(root, "sample"));
 	json_t *tokens = json_object_get(root, "tokens");
 	json_t *spans = json_object_get(root, "spans"), *token;
 	const char *checksum =
@@ -206,12 +208,13 @@
 	bool right = true;
 	size_t i;
 
-	trainer_prompt(prompt, sizeof(prompt), trainer->plan, pull->step,
-	    group);
+	trainer_prompt(
+	    prompt, sizeof(prompt), trainer->plan, pull->step, group);
 	sequence =
 	    fake_sequence(prompt, (uint64_t)group * SEED_SPACING + sample);
 	XXH64_reset(hash, 0);
-	json_array_foreach(tokens, i, token) {
+	json_array_foreach(tokens, i, token)
+	{
 		const char *text = json_string_value(token);
 
 		version = version_at(spans, (uint32_t)i);
@@ -224,14 +227,13 @@
 			pull->result->newest_version = version;
 		XXH64_update(hash, text, strlen(text));
 	}
-	snprintf(sum, sizeof(sum), "%016" PRIx64,
-	    (uint64_t)XXH64_digest(hash));
+	snprintf(sum, sizeof(sum), "%016" PRIx64, (uint64_t)XXH64_digest(hash));
 	XXH64_freeState(hash);
 	if (checksum == NULL || strcmp(sum, checksum) != 0)
 		right = false;
 	if (trainer->length_median > 0) {
-		length = fake_length(sequence, trainer->length_median,
-		    trainer->length_spread);
+		length = fake_length(
+		    sequence, trainer->length_median, trainer->length_spread);
 		if (length > trainer->max_tokens)
 			length = trainer->max_tokens;
 		if (json_array_size(tokens) != length)
@@ -246,7 +248,8 @@
 	json_t *span;
 	size_t i;
 
-	json_array_foreach(spans, i, span) {
+	json_array_foreach(spans, i, span)
+	{
 		json_int_t first = json_integer_value(json_array_get(span, 1));
 		json_int_t count = json_integer_value(json_array_get(span, 2));
 
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -57,19 +57,14 @@
 uint64_t kwb_clock_now_ns(void);  /* monotonic time */
 uint64_t kwb_clock_wall_ms(void); /* wall-clock time since the epoch */
 uint64_t kwb_clock_left_ms(uint64_t deadline_ns); /* time left, 0 if past */
-void kwb_clock_sleep_ns(uint64_t length_ns);      /* sleep this thread */
+void kwb_clock_sleep_ns(uint64_t length_ns);	  /* sleep this thread */
 void kwb_cond_init(pthread_cond_t *cond); /* condition on monotonic time */
 void kwb_cond_wait_until(pthread_cond_t *cond, pthread_mutex_t *lock,
     uint64_t deadline_ns); /* wait for a signal or the deadline */
 
 /* ---- Log ------------------------------------------------------------- */
 
-enum kwb_log_level {
-	KWB_LOG_DEBUG,
-	KWB_LOG_INFO,
-	KWB_LOG_WARN,
-	KWB_LOG_ERROR
-};
+enum kwb_log_level { KWB_LOG_DEBUG, KWB_LOG_INFO, KWB_LOG_WARN, KWB_LOG_ERROR };
 
 void kwb_log_init(const char *process, enum kwb_log_level lowest);
 void kwb_log(enum kwb_log_level level, const char *module, const char *format,
@@ -167,6 +162,7 @@
 	char platform[KWB_URL_MAX_BYTES];
 	char pool[KWB_NAME_MAX_BYTES];
 	char upstream[KWB_URL_MAX_BYTES];
+	char metrics[KWB_NAME_MAX_BYTES]; /* IP:PORT; empty for none */
 	enum kwb_upstream_kind upstream_kind;
 	bool upstream_fences;
 	uint32_t slots;
@@ -184,7 +180,11 @@
 
 /* ---- The two lists: plans and allowances ------------------------------ */
 
-enum kwb_plan_kind { KWB_PLAN_TRAINING, KWB_PLAN_INTERACTIVE, KWB_PLAN_SERVICE };
+enum kwb_plan_kind {
+	KWB_PLAN_TRAINING,
+	KWB_PLAN_INTERACTIVE,
+	KWB_PLAN_SERVICE
+};
 enum kwb_objective { KWB_OBJECTIVE_IDLE, KWB_OBJECTIVE_STALENESS };
 
 struct kwb_rule {
@@ -237,12 +237,12 @@
 int kwb_lists_check(const struct kwb_lists *lists,
     const struct kwb_source *sources, unsigned sources_count,
     struct kwb_faults *faults); /* every fault, with file and line */
-const struct kwb_plan *kwb_lists_plan(const struct kwb_lists *lists,
-    const char *name);
-const struct kwb_allowance *kwb_lists_allowance(const struct kwb_lists *lists,
-    const char *plan);
-const struct kwb_rule *kwb_plan_rule(const struct kwb_plan *plan,
-    const char *method, const char *path);
+const struct kwb_plan *kwb_lists_plan(
+    const struct kwb_lists *lists, const char *name);
+const struct kwb_allowance *kwb_lists_allowance(
+    const struct kwb_lists *lists, const char *plan);
+const struct kwb_rule *kwb_plan_rule(
+    const struct kwb_plan *plan, const char *method, const char *path);
 int kwb_lists_diff(const struct kwb_lists *from, const struct kwb_lists *to,
     struct kwb_buf *out); /* number of differing entries */
 int kwb_lists_merge(struct kwb_lists **merged, const struct kwb_lists *base,
@@ -251,11 +251,11 @@
 
 int kwb_lists_fetch(const struct kwb_platform *platform,
     struct kwb_lists **lists); /* from the table; empty before the first */
-int kwb_lists_fetch_old(const struct kwb_platform *platform,
-    uint64_t revision, struct kwb_lists **lists); /* from the history */
+int kwb_lists_fetch_old(const struct kwb_platform *platform, uint64_t revision,
+    struct kwb_lists **lists); /* from the history */
 int kwb_lists_apply(const struct kwb_platform *platform,
-    const struct kwb_lists *ours, uint64_t *revision,
-    struct kwb_buf *conflicts, struct kwb_faults *faults);
+    const struct kwb_lists *ours, uint64_t *revision, struct kwb_buf *conflicts,
+    struct kwb_faults *faults);
 
 /* The newest lists this process knows; the revision only rises (RCU). */
 int kwb_current_init(void);
@@ -266,7 +266,7 @@
     uint64_t revision); /* 1 when taken, 0 when not newer */
 uint64_t kwb_current_revision(void);
 const struct kwb_lists *kwb_current_hold(void); /* NULL before the first */
-void kwb_current_drop(void);                    /* ends a hold */
+void kwb_current_drop(void);			/* ends a hold */
 int kwb_current_text(struct kwb_buf *out, uint64_t *revision);
 
 /* ---- HTTP client ------------------------------------------------------ */
@@ -275,7 +275,8 @@
 	const char *method;
 	const char *url;
 	const char *content_type;
-	const char *if_match; /* revision text, "*none" for insert only */
+	const char *if_match;	/* revision text, "*" for insert only */
+	const char *if_changed; /* revision text already known */
 	const void *body;
 	size_t body_bytes;
 	uint32_t timeout_ms;
@@ -295,8 +296,8 @@
 
 void kwb_http_init(void);
 void kwb_http_finish(void);
-int kwb_http_do(const struct kwb_http_request *request,
-    struct kwb_http_answer *answer);
+int kwb_http_do(
+    const struct kwb_http_request *request, struct kwb_http_answer *answer);
 void kwb_http_answer_finish(struct kwb_http_answer *answer);
 
 /* ---- Platform: table, object store, weight store, VM list ------------- */
@@ -318,13 +319,16 @@
 
 struct kwb_vms {
 	uint32_t count;
-	uint64_t read_ns; /* when the platform gave it; 0 before */
+	uint64_t revision; /* of the list, by the platform */
 	struct kwb_vm vms[KWB_VMS_MAX];
 };
 
 void kwb_platform_init(struct kwb_platform *platform, const char *url);
 int kwb_table_get(const struct kwb_platform *platform, const char *key,
     struct kwb_buf *value, uint64_t *revision);
+int kwb_table_poll(const struct kwb_platform *platform, const char *key,
+    uint64_t known, struct kwb_buf *value,
+    uint64_t *revision); /* 1 when the row is still at the known revision */
 int kwb_table_put(const struct kwb_platform *platform, const char *key,
     const char *value, size_t length_bytes, uint64_t expected,
     uint64_t *revision); /* expected 0 inserts only; lost answers read back */
@@ -332,11 +336,12 @@
     const char *data, size_t length_bytes);
 int kwb_object_get(const struct kwb_platform *platform, const char *name,
     struct kwb_buf *data);
-int kwb_weights_newest(const struct kwb_platform *platform, const char *model,
-    uint64_t *version);
-int kwb_vms_get(const struct kwb_platform *platform, struct kwb_vms *vms);
-int kwb_lists_read(const struct kwb_platform *platform, struct kwb_buf *text,
-    uint64_t *revision);
+int kwb_weights_newest(
+    const struct kwb_platform *platform, const char *model, uint64_t *version);
+int kwb_vms_get(const struct kwb_platform *platform,
+    struct kwb_vms *vms); /* 1 when unchanged since vms->revision */
+int kwb_lists_read(const struct kwb_platform *platform, uint64_t known,
+    struct kwb_buf *text, uint64_t *revision); /* as kwb_table_poll */
 
 /* ---- Wire: framed links between entries and agents -------------------- */
 
@@ -378,15 +383,15 @@
 int kwb_frame_pack(const struct Kwb__Wire__Frame *frame, struct kwb_buf *out);
 int kwb_frame_unpack(struct kwb_buf *in, struct Kwb__Wire__Frame **frame);
 void kwb_frame_free(struct Kwb__Wire__Frame *frame);
-int kwb_loop_init(struct kwb_loop *loop, const struct kwb_link_ops *ops,
-    void *context);
+int kwb_loop_init(
+    struct kwb_loop *loop, const struct kwb_link_ops *ops, void *context);
 int kwb_loop_listen(struct kwb_loop *loop, const struct kwb_address *address);
 int kwb_loop_start(struct kwb_loop *loop);
 void kwb_loop_finish(struct kwb_loop *loop);
 int kwb_loop_connect(struct kwb_loop *loop, const struct kwb_address *address,
     uint32_t tag, uint64_t *link);
-int kwb_link_send(struct kwb_loop *loop, uint64_t link,
-    const struct Kwb__Wire__Frame *frame);
+int kwb_link_send(
+    struct kwb_loop *loop, uint64_t link, const struct Kwb__Wire__Frame *frame);
 void kwb_link_close(struct kwb_loop *loop, uint64_t link);
 void kwb_loop_beat(struct kwb_loop *loop); /* heartbeats on all links, soon */
 
@@ -397,14 +402,18 @@
     const char *failure_domain, unsigned wanted, uint32_t *chosen,
     unsigned chosen_max); /* indices into vms of the agents to connect to */
 
+unsigned kwb_home(const struct kwb_vms *vms, const char *pool, const char *plan,
+    unsigned wanted, uint32_t *chosen,
+    unsigned chosen_max); /* the agents that hold a plan's allowance */
+
 struct kwb_lease {
 	char name[KWB_KEY_MAX_BYTES];
 	char holder[KWB_NAME_MAX_BYTES];
 	uint64_t incarnation;
 	uint64_t fencing_token; /* valid while held */
-	uint64_t deadline_ns;   /* held until, by this process's clock */
+	uint64_t deadline_ns;	/* held until, by this process's clock */
 	uint64_t renewals;
-	uint64_t seen_revision;    /* another's row, as last seen */
+	uint64_t seen_revision;	   /* another's row, as last seen */
 	uint64_t seen_deadline_ns; /* lapsed if unchanged until then */
 };
 
@@ -413,8 +422,8 @@
 bool kwb_lease_held(const struct kwb_lease *lease, uint64_t now_ns);
 int kwb_lease_try(struct kwb_lease *lease,
     const struct kwb_platform *platform); /* acquire or renew */
-void kwb_lease_release(struct kwb_lease *lease,
-    const struct kwb_platform *platform);
+void kwb_lease_release(
+    struct kwb_lease *lease, const struct kwb_platform *platform);
 int kwb_lease_token(const struct kwb_platform *platform, const char *name,
     uint64_t *fencing_token); /* highest token ever given out */
 
@@ -426,6 +435,8 @@
 	uint32_t units;
 };
 
+uint32_t kwb_share_homes(uint32_t allowance,
+    unsigned members); /* how many members hold units of a plan */
 uint32_t kwb_share_fair(uint32_t allowance, const char *plan,
     const struct kwb_share_member *members, unsigned count,
     unsigned self); /* units that member self should hold */
@@ -450,11 +461,11 @@
 
 struct kwb_candidate {
 	const char *vm;
-	bool usable;     /* connected, up, not leaving, not tripped */
+	bool usable; /* connected, up, not leaving, not tripped */
 	bool same_domain;
 	bool swapping;
 	uint64_t version; /* weights of the request's model */
-	uint32_t units;   /* plan's share there */
+	uint32_t units;	  /* plan's share there */
 	uint32_t in_plan; /* plan's running there, own count or report */
 	uint32_t slots;
 	uint32_t in_flight; /* all plans, larger of own count and report */
@@ -511,8 +522,8 @@
 
 void kwb_tokens_init(struct kwb_tokens *tokens);
 void kwb_tokens_finish(struct kwb_tokens *tokens);
-int kwb_tokens_add(struct kwb_tokens *tokens, const char *text,
-    uint64_t version);
+int kwb_tokens_add(
+    struct kwb_tokens *tokens, const char *text, uint64_t version);
 uint64_t kwb_tokens_oldest(const struct kwb_tokens *tokens);
 
 /* ---- Rollout: order of a step's work, hedging -------------------------- */
@@ -530,12 +541,12 @@
     uint32_t *tokens); /* false until accurate enough */
 
 struct kwb_hedge_input {
-	uint32_t unstarted;      /* samples still to start */
-	uint32_t idle_units;     /* free places elsewhere */
+	uint32_t unstarted;	 /* samples still to start */
+	uint32_t idle_units;	 /* free places elsewhere */
 	uint32_t remaining_high; /* predicted tokens left, upper bound */
-	uint64_t silent_ns;      /* since the last token */
-	uint64_t token_ns;       /* usual time between tokens */
-	uint64_t wasted_tokens;  /* thrown away by hedges so far */
+	uint64_t silent_ns;	 /* since the last token */
+	uint64_t token_ns;	 /* usual time between tokens */
+	uint64_t wasted_tokens;	 /* thrown away by hedges so far */
 	uint64_t made_tokens;
 	uint32_t copies;
 	enum kwb_objective objective;
@@ -568,11 +579,11 @@
 struct kwb_entry;
 struct kwb_agent;
 
-int kwb_entry_start(struct kwb_entry **entry,
-    const struct kwb_entry_settings *settings);
+int kwb_entry_start(
+    struct kwb_entry **entry, const struct kwb_entry_settings *settings);
 void kwb_entry_stop(struct kwb_entry *entry); /* graceful shutdown */
-int kwb_agent_start(struct kwb_agent **agent,
-    const struct kwb_agent_settings *settings);
+int kwb_agent_start(
+    struct kwb_agent **agent, const struct kwb_agent_settings *settings);
 void kwb_agent_stop(struct kwb_agent *agent); /* graceful shutdown */
 
 #endif
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -10,6 +10,8 @@
 
 #define WATCH_NS (100 * KWB_MS_NS)
 #define LEAVE_NOTICE_NS (1000 * KWB_MS_NS)
+#define LOAD_WATCHES (KWB_HEARTBEAT_NS / WATCH_NS)
+#define STATUS_NS (150 * KWB_MS_NS)
 #define LISTED_NS (3 * KWB_HEARTBEAT_NS)
 
 /* A status message and the memory it points into. */
@@ -24,15 +26,15 @@
 };
 
 static void on_open(void *context, uint64_t link, uint32_t tag);
-static void on_frame(void *context, uint64_t link, uint32_t tag,
-    Kwb__Wire__Frame *frame);
+static void on_frame(
+    void *context, uint64_t link, uint32_t tag, Kwb__Wire__Frame *frame);
 static void on_close(void *context, uint64_t link, uint32_t tag);
 static void on_heartbeat(void *context, uint64_t link, uint32_t tag);
 static void on_lists(const Kwb__Wire__Lists *lists);
-static void status_fill(struct kwb_agent *agent,
-    struct status_message *message);
+static void status_fill(
+    struct kwb_agent *agent, struct status_message *message);
 static void leaving_update(struct kwb_agent *agent);
-static uint64_t status_digest(struct kwb_agent *agent);
+static uint64_t status_digest(struct kwb_agent *agent, uint64_t *load);
 static void *watch_run(void *argument);
 
 static const struct kwb_link_ops link_ops = {
@@ -43,8 +45,8 @@
 };
 
 int
-kwb_agent_start(struct kwb_agent **started,
-    const struct kwb_agent_settings *settings)
+kwb_agent_start(
+    struct kwb_agent **started, const struct kwb_agent_settings *settings)
 {
 	struct kwb_agent *agent = calloc(1, sizeof(*agent));
 	struct kwb_address address;
@@ -53,8 +55,8 @@
 	if (agent == NULL)
 		return KWB_ERR_MEMORY;
 	agent->settings = settings;
-	agent->incarnation = kwb_clock_wall_ms() * 1000 +
-	    kwb_clock_now_ns() % 1000;
+	agent->incarnation =
+	    kwb_clock_wall_ms() * 1000 + kwb_clock_now_ns() % 1000;
 	kwb_platform_init(&agent->platform, settings->platform);
 	journal_init(&agent->journal);
 	pthread_mutex_init(&agent->upstream.lock, NULL);
@@ -69,9 +71,11 @@
 		error = run_start(agent);
 	if (error == 0 &&
 	    (pthread_create(&agent->watch_thread, NULL, watch_run, agent) ||
-	        pthread_create(&agent->order_thread, NULL, order_run, agent) ||
-	        pthread_create(&agent->share_thread, NULL, share_run, agent)))
+		pthread_create(&agent->order_thread, NULL, order_run, agent) ||
+		pthread_create(&agent->share_thread, NULL, share_run, agent)))
 		error = KWB_ERR_SYSTEM;
+	if (error == 0)
+		error = agent_http_start(agent);
 	if (error == 0)
 		error = kwb_loop_start(&agent->loop);
 	if (error != 0)
@@ -91,8 +95,8 @@
 void
 kwb_agent_stop(struct kwb_agent *agent)
 {
-	uint64_t deadline_ns = kwb_clock_now_ns() +
-	    agent->settings->drain_ms * KWB_MS_NS;
+	uint64_t deadline_ns =
+	    kwb_clock_now_ns() + agent->settings->drain_ms * KWB_MS_NS;
 	uint64_t notice_ns = kwb_clock_now_ns() + LEAVE_NOTICE_NS;
 
 	atomic_store(&agent->ending, true);
@@ -100,6 +104,7 @@
 	    (run_busy(agent) > 0 || kwb_clock_now_ns() < notice_ns))
 		kwb_clock_sleep_ns(WATCH_NS / 4);
 	atomic_store(&agent->stopping, true);
+	agent_http_stop(agent);
 	run_stop(agent);
 	pthread_join(agent->watch_thread, NULL);
 	pthread_join(agent->order_thread, NULL);
@@ -170,8 +175,8 @@
 		break;
 	case KWB__WIRE__FRAME__BODY_HEARTBEAT:
 		if (frame->heartbeat->listed_leaving)
-			atomic_store(&agent->listed_ns,
-			    kwb_clock_now_ns() + LISTED_NS);
+			atomic_store(
+			    &agent->listed_ns, kwb_clock_now_ns() + LISTED_NS);
 		break;
 	default:
 		break;
@@ -195,9 +200,14 @@
 	KWB_FRAME(frame, HEARTBEAT, heartbeat, heartbeat);
 
 	(void)tag;
-	status_fill(agent, &message);
 	heartbeat.lists_revision = kwb_current_revision();
-	heartbeat.status = &message.status;
+	/* Mostly a sign of life; the status now and then, and on changes. */
+	if (kwb_clock_now_ns() < atomic_load(&agent->status_ns) ||
+	    atomic_load(&agent->load_changed) ||
+	    atomic_fetch_add(&agent->beats, 1) % KWB_STATUS_BEATS == 0) {
+		status_fill(agent, &message);
+		heartbeat.status = &message.status;
+	}
 	kwb_link_send(&agent->loop, link, &frame);
 }
 
@@ -220,8 +230,8 @@
 	pthread_mutex_lock(&agent->upstream.lock);
 	status->upstream_up = agent->upstream.up;
 	status->n_versions = agent->upstream.models_count;
-	memcpy(message->models, agent->upstream.models,
-	    sizeof(message->models));
+	memcpy(
+	    message->models, agent->upstream.models, sizeof(message->models));
 	pthread_mutex_unlock(&agent->upstream.lock);
 	pthread_mutex_lock(&agent->queue.lock);
 	status->running = agent->queue.running_count;
@@ -260,9 +270,9 @@
 	    atomic_load(&agent->ending));
 }
 
-/* A digest of what entries should hear of at once. */
+/* A digest of what entries should hear of at once, and one of the load. */
 static uint64_t
-status_digest(struct kwb_agent *agent)
+status_digest(struct kwb_agent *agent, uint64_t *load)
 {
 	struct status_message message;
 	uint64_t digest;
@@ -273,8 +283,11 @@
 	for (i = 0; i < message.status.n_versions; i++)
 		digest = digest * 31 + message.models[i].version * 2 +
 		    message.models[i].swapping;
-	for (i = 0; i < message.status.n_plans; i++)
+	*load = message.status.running + message.status.waiting;
+	for (i = 0; i < message.status.n_plans; i++) {
 		digest = digest * 31 + message.plans[i].units;
+		*load = *load * 31 + message.plans[i].running;
+	}
 	return digest;
 }
 
@@ -284,15 +297,23 @@
 {
 	struct kwb_agent *agent = argument;
 
-	uint64_t digest, last_digest = 0;
+	uint64_t digest, last_digest = 0, load, last_load[LOAD_WATCHES] = {0};
+	unsigned watch = 0;
 
 	while (!atomic_load(&agent->stopping)) {
 		upstream_watch(agent);
 		handle_expired(agent);
 		leaving_update(agent);
-		digest = status_digest(agent);
-		if (digest != last_digest)
+		digest = status_digest(agent, &load);
+		/* Against the load of a heartbeat ago. */
+		atomic_store(&agent->load_changed,
+		    load != last_load[watch % LOAD_WATCHES]);
+		last_load[watch++ % LOAD_WATCHES] = load;
+		if (digest != last_digest) {
+			atomic_store(
+			    &agent->status_ns, kwb_clock_now_ns() + STATUS_NS);
 			kwb_loop_beat(&agent->loop);
+		}
 		last_digest = digest;
 		kwb_clock_sleep_ns(WATCH_NS);
 	}
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -11,6 +11,8 @@
 #include "kwb.h"
 #include "../wire/wire.h"
 
+struct mg_context;
+
 enum job_state { JOB_WAITING, JOB_RUNNING, JOB_DONE, JOB_BARRED };
 
 /* A link and request id that want a job's output. */
@@ -28,11 +30,11 @@
 	char key[KWB_KEY_MAX_BYTES];
 	char plan[KWB_NAME_MAX_BYTES];
 	Kwb__Wire__Frame *frame; /* holds the Run; owned; NULL when barred */
-	uint32_t attempt;        /* of a sample, the highest that asked */
+	uint32_t attempt;	 /* of a sample, the highest that asked */
 	uint64_t deadline_ns;
 	uint64_t slack_deadline_ns;
-	uint64_t forget_ns;  /* deadline for keeping a finished job */
-	uint64_t orphan_ns;  /* deadline to be adopted; 0 when attached */
+	uint64_t forget_ns;   /* deadline for keeping a finished job */
+	uint64_t orphan_ns;   /* deadline to be adopted; 0 when attached */
 	uint64_t progress_ns; /* next time for progress */
 	_Atomic bool cancelled;
 	struct kwb_tokens tokens;
@@ -136,15 +138,19 @@
 	struct run_queue queue;
 	struct upstream_state upstream;
 	struct orders orders;
-	_Atomic bool ending;         /* a planned stop began */
+	_Atomic bool ending;	     /* a planned stop began */
 	_Atomic uint64_t leaving_ns; /* when leaving began; 0 when not */
 	_Atomic uint64_t listed_ns;  /* deadline of "listed as leaving" */
+	_Atomic uint64_t status_ns;  /* status goes out with beats until then */
+	_Atomic bool load_changed;
+	_Atomic uint32_t beats;
 	_Atomic bool stopping;
 	pthread_t watch_thread;
 	pthread_t order_thread;
 	pthread_t share_thread;
 	pthread_t *workers;
 	unsigned workers_count;
+	struct mg_context *http; /* NULL without a metrics address */
 };
 
 /* journal.c */
@@ -153,16 +159,16 @@
 struct journal_shard *journal_lock(struct journal *journal, const char *key);
 void journal_unlock(struct journal_shard *shard);
 struct job *journal_find(struct journal_shard *shard, const char *key);
-struct job *journal_add(struct journal *journal, struct journal_shard *shard,
-    const char *key);
-void journal_remove(struct journal *journal, struct journal_shard *shard,
-    struct job *job);
+struct job *journal_add(
+    struct journal *journal, struct journal_shard *shard, const char *key);
+void journal_remove(
+    struct journal *journal, struct journal_shard *shard, struct job *job);
 bool journal_full(const struct journal *journal);
 void journal_keep(struct journal *journal, struct job *job);
-int journal_fence(struct journal *journal, const char *plan, uint64_t step,
-    uint32_t attempt);
-bool job_attach(struct job *job, uint64_t link, uint64_t request,
-    uint32_t sent_tokens);
+int journal_fence(
+    struct journal *journal, const char *plan, uint64_t step, uint32_t attempt);
+bool job_attach(
+    struct job *job, uint64_t link, uint64_t request, uint32_t sent_tokens);
 bool job_detach(struct job *job, uint64_t link, uint64_t request);
 bool job_is_sample(const struct job *job);
 
@@ -170,14 +176,14 @@
 bool agent_leaving(struct kwb_agent *agent);
 
 /* handle.c: frames from entries */
-void handle_run(struct kwb_agent *agent, uint64_t link,
-    Kwb__Wire__Frame *frame);
-void handle_query(struct kwb_agent *agent, uint64_t link,
-    const Kwb__Wire__Query *query);
-void handle_cancel(struct kwb_agent *agent, uint64_t link,
-    const Kwb__Wire__Cancel *cancel);
-void handle_find(struct kwb_agent *agent, uint64_t link,
-    const Kwb__Wire__Find *find);
+void handle_run(
+    struct kwb_agent *agent, uint64_t link, Kwb__Wire__Frame *frame);
+void handle_query(
+    struct kwb_agent *agent, uint64_t link, const Kwb__Wire__Query *query);
+void handle_cancel(
+    struct kwb_agent *agent, uint64_t link, const Kwb__Wire__Cancel *cancel);
+void handle_find(
+    struct kwb_agent *agent, uint64_t link, const Kwb__Wire__Find *find);
 void handle_link_closed(struct kwb_agent *agent, uint64_t link);
 void handle_expired(struct kwb_agent *agent);
 void job_send_progress(struct kwb_agent *agent, struct job *job);
@@ -198,14 +204,18 @@
 void upstream_call(struct kwb_agent *agent, struct job *job);
 bool upstream_ended(struct kwb_agent *agent, const char *key);
 void upstream_watch(struct kwb_agent *agent);
-bool upstream_version(struct kwb_agent *agent, const char *model,
-    struct model_state *state);
+bool upstream_version(
+    struct kwb_agent *agent, const char *model, struct model_state *state);
 
 /* order.c: fenced weight orders */
-void order_accept(struct kwb_agent *agent, uint64_t link,
-    Kwb__Wire__Frame *frame);
+void order_accept(
+    struct kwb_agent *agent, uint64_t link, Kwb__Wire__Frame *frame);
 void *order_run(void *argument);
 
+/* http.c */
+int agent_http_start(struct kwb_agent *agent);
+void agent_http_stop(struct kwb_agent *agent);
+
 /* share_keeper.c: this agent's part of each plan's allowance */
 void *share_run(void *argument);
 void share_leave(struct kwb_agent *agent);
--- a/src/agent/handle.c
+++ b/src/agent/handle.c
@@ -10,22 +10,22 @@
 #define SPANS_MAX 256
 
 static int run_refusal(struct kwb_agent *agent, const Kwb__Wire__Run *run);
-static void run_attach(struct kwb_agent *agent, uint64_t link,
-    struct job *job, const Kwb__Wire__Run *run);
+static void run_attach(struct kwb_agent *agent, uint64_t link, struct job *job,
+    const Kwb__Wire__Run *run);
 static void run_insert(struct kwb_agent *agent, struct journal_shard *shard,
     uint64_t link, Kwb__Wire__Frame *frame);
 static void refuse(struct kwb_agent *agent, uint64_t link, uint64_t request,
     enum kwb_outcome outcome, int error);
 static void send_lists(struct kwb_agent *agent, uint64_t link);
-static void send_progress_to(struct kwb_agent *agent, struct job *job,
-    struct attachment *to);
+static void send_progress_to(
+    struct kwb_agent *agent, struct job *job, struct attachment *to);
 static void send_done_to(struct kwb_agent *agent, const struct job *job,
     const struct attachment *to);
 static void job_replay(struct kwb_agent *agent, struct job *job);
 static bool job_expire(struct kwb_agent *agent, struct journal_shard *shard,
     struct job *job, uint64_t now_ns, bool hand_over);
-static unsigned spans_of(const struct kwb_tokens *tokens, uint32_t first,
-    Kwb__Wire__Span *spans);
+static unsigned spans_of(
+    const struct kwb_tokens *tokens, uint32_t first, Kwb__Wire__Span *spans);
 static bool sample_is_past(struct journal *journal, const struct job *job);
 static unsigned find_in_shard(struct journal_shard *shard,
     const Kwb__Wire__Find *find, Kwb__Wire__Held *held, unsigned room);
@@ -61,7 +61,7 @@
 	} else if ((error = run_refusal(agent, run)) != 0) {
 		refuse(agent, link, run->request,
 		    error == KWB_ERR_CALL_FORGOTTEN ? KWB_OUTCOME_UNKNOWN
-		                                    : KWB_OUTCOME_NOT_RUN,
+						    : KWB_OUTCOME_NOT_RUN,
 		    error);
 	} else {
 		run_insert(agent, shard, link, frame);
@@ -72,8 +72,8 @@
 }
 
 void
-handle_query(struct kwb_agent *agent, uint64_t link,
-    const Kwb__Wire__Query *query)
+handle_query(
+    struct kwb_agent *agent, uint64_t link, const Kwb__Wire__Query *query)
 {
 	struct journal_shard *shard;
 	struct job *job;
@@ -107,8 +107,8 @@
 }
 
 void
-handle_cancel(struct kwb_agent *agent, uint64_t link,
-    const Kwb__Wire__Cancel *cancel)
+handle_cancel(
+    struct kwb_agent *agent, uint64_t link, const Kwb__Wire__Cancel *cancel)
 {
 	struct job *job;
 	unsigned i;
@@ -117,7 +117,8 @@
 		struct journal_shard *shard = &agent->journal.shards[i];
 
 		pthread_mutex_lock(&shard->lock);
-		TAILQ_FOREACH(job, &shard->jobs, in_shard) {
+		TAILQ_FOREACH(job, &shard->jobs, in_shard)
+		{
 			if (!job_detach(job, link, cancel->request))
 				continue;
 			if (!cancel->keep && job->attached == 0)
@@ -128,8 +129,7 @@
 }
 
 void
-handle_find(struct kwb_agent *agent, uint64_t link,
-    const Kwb__Wire__Find *find)
+handle_find(struct kwb_agent *agent, uint64_t link, const Kwb__Wire__Find *find)
 {
 	Kwb__Wire__Found found = KWB__WIRE__FOUND__INIT;
 	KWB_FRAME(frame, FOUND, found, found);
@@ -137,8 +137,8 @@
 	Kwb__Wire__Held **pointers;
 	unsigned i, count = 0, room;
 
-	if (journal_fence(&agent->journal, find->plan, find->step,
-	        find->attempt) != 0)
+	if (journal_fence(
+		&agent->journal, find->plan, find->step, find->attempt) != 0)
 		kwb_metric_add(KWB_METRIC_FENCED, 1);
 	room = atomic_load(&agent->journal.count) + 1;
 	held = calloc(room, sizeof(*held));
@@ -170,7 +170,8 @@
 		struct journal_shard *shard = &agent->journal.shards[i];
 
 		pthread_mutex_lock(&shard->lock);
-		TAILQ_FOREACH(job, &shard->jobs, in_shard) {
+		TAILQ_FOREACH(job, &shard->jobs, in_shard)
+		{
 			if (job->state == JOB_BARRED)
 				continue;
 			job_detach(job, link, 0);
@@ -185,8 +186,8 @@
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 	uint64_t leaving_ns = atomic_load(&agent->leaving_ns);
-	bool hand_over = leaving_ns != 0 &&
-	    now_ns >= leaving_ns + KWB_ORPHAN_NS / 4;
+	bool hand_over =
+	    leaving_ns != 0 && now_ns >= leaving_ns + KWB_ORPHAN_NS / 4;
 	bool full = journal_full(&agent->journal);
 	struct job *job, *next;
 	unsigned i;
@@ -243,7 +244,7 @@
 		return KWB_ERR_CALL_FORGOTTEN;
 	if (run->slot != NULL &&
 	    journal_fence(&agent->journal, run->plan, run->slot->step,
-	        run->slot->attempt) != 0) {
+		run->slot->attempt) != 0) {
 		kwb_metric_add(KWB_METRIC_FENCED, 1);
 		return KWB_ERR_CALL_FENCED;
 	}
@@ -283,8 +284,8 @@
 		    KWB_ERR_CALL_BUSY);
 		return;
 	}
-	kwb_log(KWB_LOG_INFO, "agent", "event=attach key=%s state=%d",
-	    job->key, job->state);
+	kwb_log(KWB_LOG_INFO, "agent", "event=attach key=%s state=%d", job->key,
+	    job->state);
 	job_replay(agent, job);
 }
 
@@ -314,8 +315,7 @@
 		    i >= run->resume_spans[span + 1]->first)
 			span++;
 		kwb_tokens_add(&job->tokens, run->resume[i],
-		    run->n_resume_spans ? run->resume_spans[span]->version
-		                        : 0);
+		    run->n_resume_spans ? run->resume_spans[span]->version : 0);
 	}
 	job_attach(job, link, run->request, (uint32_t)run->n_resume);
 	run_enqueue(agent, job);
@@ -363,8 +363,8 @@
 }
 
 static void
-send_progress_to(struct kwb_agent *agent, struct job *job,
-    struct attachment *to)
+send_progress_to(
+    struct kwb_agent *agent, struct job *job, struct attachment *to)
 {
 	Kwb__Wire__Progress progress = KWB__WIRE__PROGRESS__INIT;
 	KWB_FRAME(frame, PROGRESS, progress, progress);
@@ -387,8 +387,8 @@
 }
 
 static void
-send_done_to(struct kwb_agent *agent, const struct job *job,
-    const struct attachment *to)
+send_done_to(
+    struct kwb_agent *agent, const struct job *job, const struct attachment *to)
 {
 	Kwb__Wire__Done done = KWB__WIRE__DONE__INIT;
 	KWB_FRAME(frame, DONE, done, done);
@@ -401,18 +401,22 @@
 	done.body.data = (uint8_t *)job->body.data;
 	done.body.len = job->body.used_bytes;
 	done.leaving = agent_leaving(agent);
+	done.plan = (char *)job->plan;
+	done.plan_running = run_plan_running(agent, job->plan);
+	done.busy = run_busy(agent);
 	kwb_link_send(&agent->loop, to->link, &frame);
 }
 
 static unsigned
-spans_of(const struct kwb_tokens *tokens, uint32_t first,
-    Kwb__Wire__Span *spans)
+spans_of(
+    const struct kwb_tokens *tokens, uint32_t first, Kwb__Wire__Span *spans)
 {
 	unsigned count = 0;
 	uint32_t i;
 
 	for (i = first; i < tokens->count; i++) {
-		if (count > 0 && spans[count - 1].version == tokens->version[i]) {
+		if (count > 0 &&
+		    spans[count - 1].version == tokens->version[i]) {
 			spans[count - 1].count++;
 			continue;
 		}
@@ -463,8 +467,8 @@
 	pthread_mutex_lock(&journal->fences_lock);
 	for (i = 0; i < KWB_PLANS_MAX; i++)
 		if (strcmp(journal->fences[i].plan, job->plan) == 0)
-			past =
-			    job->frame->run->slot->step < journal->fences[i].step;
+			past = job->frame->run->slot->step <
+			    journal->fences[i].step;
 	pthread_mutex_unlock(&journal->fences_lock);
 	return past;
 }
@@ -477,7 +481,8 @@
 	unsigned count = 0;
 
 	pthread_mutex_lock(&shard->lock);
-	TAILQ_FOREACH(job, &shard->jobs, in_shard) {
+	TAILQ_FOREACH(job, &shard->jobs, in_shard)
+	{
 		if (count == room || !job_is_sample(job) ||
 		    strcmp(job->plan, find->plan) != 0 ||
 		    job->frame->run->slot->step != find->step)
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -34,13 +34,12 @@
 	kwb_cond_init(&queue->changed);
 	TAILQ_INIT(&queue->waiting);
 	agent->workers_count = agent->settings->slots;
-	agent->workers =
-	    calloc(agent->workers_count, sizeof(*agent->workers));
+	agent->workers = calloc(agent->workers_count, sizeof(*agent->workers));
 	if (agent->workers == NULL)
 		return KWB_ERR_MEMORY;
 	for (i = 0; i < agent->workers_count; i++)
-		if (pthread_create(&agent->workers[i], NULL, worker_run,
-		        agent) != 0)
+		if (pthread_create(
+			&agent->workers[i], NULL, worker_run, agent) != 0)
 			return KWB_ERR_SYSTEM;
 	return 0;
 }
@@ -177,10 +176,9 @@
 	for (;;) {
 		best = NULL;
 		TAILQ_FOREACH(job, &queue->waiting, in_queue)
-			if (may_start(agent, job,
-			        plan_use(queue, job->plan)) &&
-			    (best == NULL || goes_before(job, best)))
-				best = job;
+		if (may_start(agent, job, plan_use(queue, job->plan)) &&
+		    (best == NULL || goes_before(job, best)))
+			best = job;
 		if (best != NULL || queue->stopping)
 			break;
 		kwb_cond_wait_until(&queue->changed, &queue->lock,
@@ -307,8 +305,8 @@
 	pthread_mutex_lock(&agent->queue.lock);
 	agent->queue.ending_count++;
 	pthread_mutex_unlock(&agent->queue.lock);
-	while (!upstream_ended(agent, key) &&
-	    kwb_clock_now_ns() < give_up_ns && !agent->queue.stopping)
+	while (!upstream_ended(agent, key) && kwb_clock_now_ns() < give_up_ns &&
+	    !agent->queue.stopping)
 		kwb_clock_sleep_ns(ENDING_POLL_NS);
 	pthread_mutex_lock(&agent->queue.lock);
 	agent->queue.ending_count--;
--- a/src/agent/upstream.c
+++ b/src/agent/upstream.c
@@ -28,8 +28,8 @@
 static bool stream_data(void *context, const char *data, size_t length_bytes);
 static bool stream_should_stop(void *context);
 static void stream_line(struct stream *stream, const char *line);
-static void stream_token(struct stream *stream, const char *text,
-    uint64_t version);
+static void stream_token(
+    struct stream *stream, const char *text, uint64_t version);
 static void generate_settle(struct stream *stream, int error,
     const struct kwb_http_answer *answer, const struct model_state *before);
 static void watch_parse(struct kwb_agent *agent, const char *text);
@@ -61,8 +61,8 @@
 	}
 	stream.assumed_version = before.version;
 	kwb_buf_init(&stream.line);
-	snprintf(url, sizeof(url), "%s/v1/completions",
-	    agent->settings->upstream);
+	snprintf(
+	    url, sizeof(url), "%s/v1/completions", agent->settings->upstream);
 	body = generate_body(job);
 	request.body = body;
 	request.body_bytes = strlen(body);
@@ -91,8 +91,8 @@
 	struct journal_shard *shard;
 	int error;
 
-	snprintf(url, sizeof(url), "%s%s", agent->settings->upstream,
-	    run->path);
+	snprintf(
+	    url, sizeof(url), "%s%s", agent->settings->upstream, run->path);
 	request.timeout_ms = (uint32_t)kwb_clock_left_ms(job->deadline_ns) + 1;
 	error = kwb_http_do(&request, &answer);
 	shard = journal_lock(&agent->journal, job->key);
@@ -104,8 +104,8 @@
 		kwb_buf_add(&job->body, kwb_buf_text(&answer.body),
 		    answer.body.used_bytes);
 	} else {
-		job->outcome = answer.sent ? KWB_OUTCOME_UNKNOWN
-		                           : KWB_OUTCOME_NOT_RUN;
+		job->outcome =
+		    answer.sent ? KWB_OUTCOME_UNKNOWN : KWB_OUTCOME_NOT_RUN;
 		job->error = KWB_ERR_CALL_UPSTREAM;
 	}
 	journal_unlock(shard);
@@ -181,8 +181,8 @@
 }
 
 bool
-upstream_version(struct kwb_agent *agent, const char *model,
-    struct model_state *state)
+upstream_version(
+    struct kwb_agent *agent, const char *model, struct model_state *state)
 {
 	bool found = false;
 	unsigned i;
@@ -206,10 +206,9 @@
 	uint32_t i;
 
 	for (i = 0; i < job->tokens.count; i++)
-		json_array_append_new(resume,
-		    json_string(job->tokens.text[i]));
-	root = json_pack("{s:s, s:s, s:s, s:i, s:I, s:i, s:b, s:o}",
-	    "request", job->key, "model", run->model, "prompt", run->prompt, "max_tokens",
+		json_array_append_new(resume, json_string(job->tokens.text[i]));
+	root = json_pack("{s:s, s:s, s:s, s:i, s:I, s:i, s:b, s:o}", "request",
+	    job->key, "model", run->model, "prompt", run->prompt, "max_tokens",
 	    (int)run->max_tokens, "seed", (json_int_t)run->seed, "priority",
 	    (int)run->priority, "stream", 1, "resume", resume);
 	text = json_dumps(root, JSON_COMPACT);
@@ -262,7 +261,7 @@
 	if (text != NULL)
 		stream_token(stream, text,
 		    version ? (uint64_t)json_integer_value(version)
-		            : stream->assumed_version);
+			    : stream->assumed_version);
 	if (json_object_get(root, "finish") != NULL)
 		stream->finished = true;
 	json_decref(root);
@@ -338,9 +337,9 @@
 	state->running =
 	    (uint32_t)json_integer_value(json_object_get(root, "running"));
 	state->models_count = 0;
-	json_object_foreach(models, name, item) {
-		struct model_state *model =
-		    &state->models[state->models_count];
+	json_object_foreach(models, name, item)
+	{
+		struct model_state *model = &state->models[state->models_count];
 
 		if (state->models_count == KWB_MODELS_MAX)
 			break;
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -35,12 +35,11 @@
 static void verdict(struct exchange *exchange, const Kwb__Wire__Done *done);
 static void settle(struct exchange *exchange);
 static bool may_repeat(const struct exchange *exchange);
-static void answer_set(struct call_answer *answer, enum kwb_outcome outcome,
-    int error);
+static void answer_set(
+    struct call_answer *answer, enum kwb_outcome outcome, int error);
 
 void
-call_run(struct kwb_entry *entry, struct call *call,
-    struct call_answer *answer)
+call_run(struct kwb_entry *entry, struct call *call, struct call_answer *answer)
 {
 	struct plan_gate *gate = entry_gate(entry, call->plan);
 	struct exchange exchange = {
@@ -75,8 +74,8 @@
 call_mint(struct kwb_entry *entry, const char *plan, const char *pool,
     struct kwb_pin *pin)
 {
-	struct kwb_route route = {.random = entry_random(), .exclude = -1,
-	    .priority = true};
+	struct kwb_route route = {
+	    .random = entry_random(), .exclude = -1, .priority = true};
 	struct target target;
 	int error = peers_pick(entry, &route, plan, NULL, pin->key, &target);
 
@@ -129,13 +128,13 @@
 	int error;
 
 	if (!call->pinned && call->pin.vm[0] == '\0') {
-		error = call_mint(exchange->entry, call->plan, call->pool,
-		    &call->pin);
+		error = call_mint(
+		    exchange->entry, call->plan, call->pool, &call->pin);
 		if (error != 0)
 			return error;
 	}
-	error = peers_target(exchange->entry, call->pin.vm, call->plan, NULL,
-	    &exchange->target);
+	error = peers_target(
+	    exchange->entry, call->pin.vm, call->plan, NULL, &exchange->target);
 	if (error != 0 && !call->pinned)
 		memset(&call->pin, 0, sizeof(call->pin));
 	return error;
@@ -149,8 +148,8 @@
 	struct call *call = exchange->call;
 	struct target *target = &exchange->target;
 
-	exchange->request = registry_open(&exchange->entry->registry,
-	    &exchange->inbox, target->link, NULL);
+	exchange->request = registry_open(
+	    &exchange->entry->registry, &exchange->inbox, target->link, NULL);
 	run.request = exchange->request;
 	run.key = call->pin.key;
 	run.plan = (char *)call->plan;
@@ -174,8 +173,8 @@
 {
 	struct event *event;
 
-	answer_set(exchange->answer, KWB_OUTCOME_UNKNOWN,
-	    KWB_ERR_CALL_DEADLINE);
+	answer_set(
+	    exchange->answer, KWB_OUTCOME_UNKNOWN, KWB_ERR_CALL_DEADLINE);
 	while ((event = inbox_wait(&exchange->inbox, exchange->give_up_ns)) !=
 	    NULL) {
 		bool ours = event->request == exchange->request;
@@ -190,8 +189,8 @@
 		event_free(event);
 		if (!ours || !lost)
 			continue;
-		answer_set(exchange->answer, KWB_OUTCOME_UNKNOWN,
-		    KWB_ERR_WIRE_CLOSED);
+		answer_set(
+		    exchange->answer, KWB_OUTCOME_UNKNOWN, KWB_ERR_WIRE_CLOSED);
 		if (exchange->call->idempotent)
 			return;
 		settle(exchange);
@@ -232,7 +231,7 @@
 	peers_release(entry, &exchange->target, KWB_ERR_WIRE_CLOSED);
 	while (kwb_clock_now_ns() < exchange->give_up_ns) {
 		if (peers_target(entry, pin->vm, exchange->call->plan, NULL,
-		        &exchange->target) != 0) {
+			&exchange->target) != 0) {
 			kwb_clock_sleep_ns(KWB_QUEUE_POLL_NS);
 			continue;
 		}
@@ -263,8 +262,8 @@
 	exchange->target.peer = -1;
 	settle(exchange);
 	if (exchange->answer->outcome == KWB_OUTCOME_NOT_RUN)
-		answer_set(exchange->answer, KWB_OUTCOME_UNKNOWN,
-		    KWB_ERR_ROUTE_NONE);
+		answer_set(
+		    exchange->answer, KWB_OUTCOME_UNKNOWN, KWB_ERR_ROUTE_NONE);
 	if (exchange->answer->error == 0) {
 		await_verdict(exchange);
 		registry_close(&exchange->entry->registry, exchange->request);
@@ -286,8 +285,8 @@
 	query.agent_incarnation = exchange->call->pin.incarnation;
 	kwb_log(KWB_LOG_INFO, "call", "event=query key=%s vm=%s", query.key,
 	    exchange->target.vm);
-	return kwb_link_send(&exchange->entry->loop, exchange->target.link,
-	    &frame);
+	return kwb_link_send(
+	    &exchange->entry->loop, exchange->target.link, &frame);
 }
 
 /*
@@ -303,7 +302,7 @@
 	if (call->pinned)
 		return answer->outcome == KWB_OUTCOME_NOT_RUN &&
 		    (answer->error == KWB_ERR_CALL_BUSY ||
-		        answer->error == KWB_ERR_CALL_STALE_LISTS);
+			answer->error == KWB_ERR_CALL_STALE_LISTS);
 	if (answer->error == KWB_ERR_ARGUMENT)
 		return false;
 	if (answer->outcome == KWB_OUTCOME_NOT_RUN || call->idempotent) {
--- a/src/call/generation.c
+++ b/src/call/generation.c
@@ -10,12 +10,12 @@
 
 #define SPANS_MAX 256
 
-static int generation_send(struct kwb_entry *entry,
-    struct generation *generation);
-static void generation_progress(struct generation *generation,
-    const Kwb__Wire__Progress *progress);
-static void generation_break(struct kwb_entry *entry,
-    struct generation *generation, int error);
+static int generation_send(
+    struct kwb_entry *entry, struct generation *generation);
+static void generation_progress(
+    struct generation *generation, const Kwb__Wire__Progress *progress);
+static void generation_break(
+    struct kwb_entry *entry, struct generation *generation, int error);
 static unsigned spans_fill(const struct kwb_tokens *tokens,
     Kwb__Wire__Span *spans, Kwb__Wire__Span **pointers);
 
@@ -69,8 +69,8 @@
 generation_attach(struct kwb_entry *entry, struct generation *generation,
     const char *vm, const char *key)
 {
-	int error = peers_target(entry, vm, generation->plan,
-	    generation->model, &generation->target);
+	int error = peers_target(entry, vm, generation->plan, generation->model,
+	    &generation->target);
 
 	if (error != 0)
 		return error;
@@ -112,8 +112,8 @@
 
 /* Ends interest; with keep the agent goes on, for a later attempt. */
 void
-generation_stop(struct kwb_entry *entry, struct generation *generation,
-    bool keep)
+generation_stop(
+    struct kwb_entry *entry, struct generation *generation, bool keep)
 {
 	Kwb__Wire__Cancel cancel = KWB__WIRE__CANCEL__INIT;
 	KWB_FRAME(frame, CANCEL, cancel, cancel);
@@ -136,8 +136,8 @@
 	struct target *target = &generation->target;
 	int error;
 
-	generation->request = registry_open(&entry->registry,
-	    generation->inbox, target->link, generation);
+	generation->request = registry_open(
+	    &entry->registry, generation->inbox, target->link, generation);
 	run.request = generation->request;
 	run.key = generation->key;
 	run.plan = (char *)generation->plan;
@@ -175,8 +175,8 @@
 
 /* Tokens not yet known; an agent may replay from the start. */
 static void
-generation_progress(struct generation *generation,
-    const Kwb__Wire__Progress *progress)
+generation_progress(
+    struct generation *generation, const Kwb__Wire__Progress *progress)
 {
 	size_t i, span = 0;
 
@@ -198,8 +198,8 @@
 }
 
 static void
-generation_break(struct kwb_entry *entry, struct generation *generation,
-    int error)
+generation_break(
+    struct kwb_entry *entry, struct generation *generation, int error)
 {
 	kwb_log(KWB_LOG_INFO, "call",
 	    "event=broken key=%s vm=%s error=%s tokens=%u", generation->key,
--- a/src/call/inbox.c
+++ b/src/call/inbox.c
@@ -43,8 +43,7 @@
 	pthread_mutex_lock(&inbox->lock);
 	while ((event = STAILQ_FIRST(&inbox->events)) == NULL &&
 	    kwb_clock_now_ns() < deadline_ns)
-		kwb_cond_wait_until(&inbox->changed, &inbox->lock,
-		    deadline_ns);
+		kwb_cond_wait_until(&inbox->changed, &inbox->lock, deadline_ns);
 	if (event != NULL)
 		STAILQ_REMOVE_HEAD(&inbox->events, next);
 	pthread_mutex_unlock(&inbox->lock);
@@ -80,8 +79,8 @@
 }
 
 uint64_t
-registry_open(struct registry *registry, struct inbox *inbox, uint64_t link,
-    void *owner)
+registry_open(
+    struct registry *registry, struct inbox *inbox, uint64_t link, void *owner)
 {
 	struct request *request = calloc(1, sizeof(*request));
 	struct registry_shard *shard;
@@ -140,9 +139,9 @@
 
 		pthread_mutex_lock(&shard->lock);
 		TAILQ_FOREACH(request, &shard->requests, next)
-			if (request->link == link)
-				inbox_post(request->inbox, EVENT_LINK_LOST,
-				    request, NULL);
+		if (request->link == link)
+			inbox_post(
+			    request->inbox, EVENT_LINK_LOST, request, NULL);
 		pthread_mutex_unlock(&shard->lock);
 	}
 }
@@ -159,8 +158,8 @@
 	struct request *request;
 
 	TAILQ_FOREACH(request, &shard->requests, next)
-		if (request->id == id)
-			return request;
+	if (request->id == id)
+		return request;
 	return NULL;
 }
 
--- a/src/call/journal.c
+++ b/src/call/journal.c
@@ -60,14 +60,14 @@
 	struct job *job;
 
 	TAILQ_FOREACH(job, &shard->jobs, in_shard)
-		if (strcmp(job->key, key) == 0)
-			return job;
+	if (strcmp(job->key, key) == 0)
+		return job;
 	return NULL;
 }
 
 struct job *
-journal_add(struct journal *journal, struct journal_shard *shard,
-    const char *key)
+journal_add(
+    struct journal *journal, struct journal_shard *shard, const char *key)
 {
 	struct job *job = calloc(1, sizeof(*job));
 
@@ -82,8 +82,8 @@
 }
 
 void
-journal_remove(struct journal *journal, struct journal_shard *shard,
-    struct job *job)
+journal_remove(
+    struct journal *journal, struct journal_shard *shard, struct job *job)
 {
 	TAILQ_REMOVE(&shard->jobs, job, in_shard);
 	atomic_fetch_sub(&journal->count, 1);
@@ -110,11 +110,10 @@
 	uint32_t i;
 
 	for (i = 0; i < job->tokens.count; i++)
-		bytes += strlen(job->tokens.text[i]) + 1 +
-		    sizeof(char *) + sizeof(uint64_t);
+		bytes += strlen(job->tokens.text[i]) + 1 + sizeof(char *) +
+		    sizeof(uint64_t);
 	job->kept_bytes = bytes;
-	job->forget_ns =
-	    kwb_clock_now_ns() + KWB_JOB_KEEP_MS * KWB_MS_NS;
+	job->forget_ns = kwb_clock_now_ns() + KWB_JOB_KEEP_MS * KWB_MS_NS;
 	atomic_fetch_add(&journal->kept_bytes, bytes);
 }
 
@@ -123,8 +122,8 @@
  * by handle_expired; an attempt below the fence is refused.
  */
 int
-journal_fence(struct journal *journal, const char *plan, uint64_t step,
-    uint32_t attempt)
+journal_fence(
+    struct journal *journal, const char *plan, uint64_t step, uint32_t attempt)
 {
 	struct step_fence *fence = NULL;
 	unsigned i;
@@ -149,8 +148,8 @@
 }
 
 bool
-job_attach(struct job *job, uint64_t link, uint64_t request,
-    uint32_t sent_tokens)
+job_attach(
+    struct job *job, uint64_t link, uint64_t request, uint32_t sent_tokens)
 {
 	struct attachment *to;
 
--- a/src/call/ticket.c
+++ b/src/call/ticket.c
@@ -43,9 +43,9 @@
 	int used = 0;
 
 	memset(pin, 0, sizeof(*pin));
-	if (sscanf(text,
-	        PREFIX ".%63[^.].%" SCNu64 ".%" SCNu64 ".%191s%n", pin->vm,
-	        &pin->incarnation, &pin->minted_ms, pin->key, &used) != 4 ||
+	if (sscanf(text, PREFIX ".%63[^.].%" SCNu64 ".%" SCNu64 ".%191s%n",
+		pin->vm, &pin->incarnation, &pin->minted_ms, pin->key,
+		&used) != 4 ||
 	    text[used] != '\0' || !key_is_good(pin->key))
 		return KWB_ERR_ARGUMENT;
 	return 0;
@@ -57,8 +57,8 @@
  * decided: an insert that may still be on its way must not be given up.
  */
 int
-kwb_claim(const struct kwb_platform *platform, const char *plan,
-    struct kwb_pin *pin)
+kwb_claim(
+    const struct kwb_platform *platform, const char *plan, struct kwb_pin *pin)
 {
 	char name[CLAIM_MAX_BYTES];
 	struct kwb_buf value;
@@ -71,8 +71,8 @@
 	kwb_buf_init(&value);
 	kwb_ticket_print(pin, &value);
 	for (tries = 0; tries < CLAIM_TRIES; tries++) {
-		error = kwb_table_put(platform, name, value.data,
-		    value.used_bytes, 0, &revision);
+		error = kwb_table_put(
+		    platform, name, value.data, value.used_bytes, 0, &revision);
 		if (error != KWB_ERR_PLATFORM_DOWN)
 			break;
 	}
--- a/src/core/buf.c
+++ b/src/core/buf.c
@@ -65,8 +65,8 @@
 	if (length < 0 || kwb_buf_reserve(buf, (size_t)length) != 0)
 		return KWB_ERR_MEMORY;
 	va_start(args, format);
-	vsnprintf(buf->data + buf->used_bytes, (size_t)length + 1, format,
-	    args);
+	vsnprintf(
+	    buf->data + buf->used_bytes, (size_t)length + 1, format, args);
 	va_end(args);
 	buf->used_bytes += (size_t)length;
 	return 0;
--- a/src/core/clock.c
+++ b/src/core/clock.c
@@ -57,8 +57,8 @@
 }
 
 void
-kwb_cond_wait_until(pthread_cond_t *cond, pthread_mutex_t *lock,
-    uint64_t deadline_ns)
+kwb_cond_wait_until(
+    pthread_cond_t *cond, pthread_mutex_t *lock, uint64_t deadline_ns)
 {
 	struct timespec ts;
 
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -29,8 +29,8 @@
 void
 kwb_metric_add(enum kwb_metric metric, uint64_t amount)
 {
-	atomic_fetch_add_explicit(&values[metric], amount,
-	    memory_order_relaxed);
+	atomic_fetch_add_explicit(
+	    &values[metric], amount, memory_order_relaxed);
 }
 
 void
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -40,13 +40,13 @@
     UINT(struct kwb_entry_settings, subset),
     UINT(struct kwb_entry_settings, drain_ms),
     CYAML_FIELD_SEQUENCE("seeds", OPT | CYAML_FLAG_POINTER,
-        struct kwb_entry_settings, seeds, &seed_schema, 0, KWB_SEEDS_MAX),
+	struct kwb_entry_settings, seeds, &seed_schema, 0, KWB_SEEDS_MAX),
     CYAML_FIELD_END,
 };
 
 static const cyaml_schema_value_t entry_schema = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct kwb_entry_settings,
-        entry_fields),
+    CYAML_VALUE_MAPPING(
+	CYAML_FLAG_POINTER, struct kwb_entry_settings, entry_fields),
 };
 
 static const cyaml_strval_t upstream_kinds[] = {
@@ -61,10 +61,11 @@
     TEXT(struct kwb_agent_settings, platform),
     TEXT(struct kwb_agent_settings, pool),
     TEXT(struct kwb_agent_settings, upstream),
+    TEXT(struct kwb_agent_settings, metrics),
     CYAML_FIELD_ENUM("upstream_kind", OPT, struct kwb_agent_settings,
-        upstream_kind, upstream_kinds, 2),
-    CYAML_FIELD_BOOL("upstream_fences", OPT, struct kwb_agent_settings,
-        upstream_fences),
+	upstream_kind, upstream_kinds, 2),
+    CYAML_FIELD_BOOL(
+	"upstream_fences", OPT, struct kwb_agent_settings, upstream_fences),
     UINT(struct kwb_agent_settings, slots),
     UINT(struct kwb_agent_settings, interactive_reserve),
     UINT(struct kwb_agent_settings, drain_ms),
@@ -72,8 +73,8 @@
 };
 
 static const cyaml_schema_value_t agent_schema = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct kwb_agent_settings,
-        agent_fields),
+    CYAML_VALUE_MAPPING(
+	CYAML_FLAG_POINTER, struct kwb_agent_settings, agent_fields),
 };
 
 static int settings_load(const cyaml_schema_value_t *schema, const char *path,
@@ -136,8 +137,8 @@
 		kwb_faults_add(faults, "%s: policy: '%s' is no policy", path,
 		    entry->policy);
 	for (i = 0; i < entry->seeds_count; i++)
-		check_address(faults, path, "seeds.address",
-		    entry->seeds[i].address);
+		check_address(
+		    faults, path, "seeds.address", entry->seeds[i].address);
 	if (faults->count == 0)
 		return 0;
 	kwb_entry_settings_unload(entry);
@@ -168,6 +169,8 @@
 	check_address(faults, path, "listen", agent->listen);
 	check_url(faults, path, "platform", agent->platform);
 	check_url(faults, path, "upstream", agent->upstream);
+	if (agent->metrics[0] != '\0')
+		check_address(faults, path, "metrics", agent->metrics);
 	check_range(faults, path, "slots", agent->slots, 1, SLOTS_MAX);
 	check_range(faults, path, "interactive_reserve",
 	    agent->interactive_reserve, 0, agent->slots - 1);
@@ -199,8 +202,8 @@
 		return KWB_ERR_SETTINGS;
 	}
 	kwb_yaml_init(&yaml, path, faults);
-	error = kwb_yaml_load(&yaml, text.data, text.used_bytes, schema,
-	    settings);
+	error =
+	    kwb_yaml_load(&yaml, text.data, text.used_bytes, schema, settings);
 	kwb_yaml_finish(&yaml);
 	kwb_buf_finish(&text);
 	return error;
@@ -234,8 +237,8 @@
 	struct kwb_address address;
 
 	if (kwb_address_parse(&address, value) != 0)
-		kwb_faults_add(faults, "%s: %s: '%s' is not IP:PORT", path,
-		    field, value);
+		kwb_faults_add(
+		    faults, "%s: %s: '%s' is not IP:PORT", path, field, value);
 }
 
 static void
--- a/src/core/yaml.c
+++ b/src/core/yaml.c
@@ -14,8 +14,8 @@
 #define IGNORED "Load: Ignoring key: "
 #define IGNORED_FORMAT IGNORED "%s\n"
 
-static void yaml_log(cyaml_log_t level, void *context, const char *format,
-    va_list args);
+static void yaml_log(
+    cyaml_log_t level, void *context, const char *format, va_list args);
 static void yaml_flush(struct kwb_yaml *yaml);
 static void yaml_unknown(struct kwb_yaml *yaml, const char *key);
 
@@ -27,15 +27,15 @@
 	if (faults->count == KWB_FAULTS_MAX)
 		return;
 	va_start(args, format);
-	vsnprintf(faults->text[faults->count], KWB_FAULT_MAX_BYTES, format,
-	    args);
+	vsnprintf(
+	    faults->text[faults->count], KWB_FAULT_MAX_BYTES, format, args);
 	va_end(args);
 	faults->count++;
 }
 
 void
-kwb_yaml_init(struct kwb_yaml *yaml, const char *file,
-    struct kwb_faults *faults)
+kwb_yaml_init(
+    struct kwb_yaml *yaml, const char *file, struct kwb_faults *faults)
 {
 	memset(yaml, 0, sizeof(*yaml));
 	yaml->file = file;
@@ -61,8 +61,8 @@
 	    &yaml->config, schema, (cyaml_data_t **)data, NULL);
 	yaml_flush(yaml);
 	if (error != CYAML_OK && yaml->faults->count == before)
-		kwb_faults_add(yaml->faults, "%s: %s", yaml->file,
-		    cyaml_strerror(error));
+		kwb_faults_add(
+		    yaml->faults, "%s: %s", yaml->file, cyaml_strerror(error));
 	if (yaml->faults->count == before)
 		return 0;
 	if (*data != NULL)
@@ -130,14 +130,15 @@
 	if (yaml->pending.used_bytes == 0)
 		return;
 	if (at != NULL)
-		kwb_faults_add(yaml->faults, "%s:%d: %s", yaml->file,
-		    atoi(at + 7), text);
+		kwb_faults_add(
+		    yaml->faults, "%s:%d: %s", yaml->file, atoi(at + 7), text);
 	else
 		kwb_faults_add(yaml->faults, "%s: %s", yaml->file, text);
 	yaml->pending.used_bytes = 0;
 }
 
-/* libcyaml gives no line for a key it ignores: the first such key's is taken. */
+/* libcyaml gives no line for a key it ignores: the first such key's is taken.
+ */
 static void
 yaml_unknown(struct kwb_yaml *yaml, const char *key)
 {
@@ -153,6 +154,6 @@
 		text += *text == '\n';
 		line++;
 	}
-	kwb_faults_add(yaml->faults, "%s:%d: %s: unknown field", yaml->file,
-	    line, key);
+	kwb_faults_add(
+	    yaml->faults, "%s:%d: %s: unknown field", yaml->file, line, key);
 }
--- a/src/core/yaml.h
+++ b/src/core/yaml.h
@@ -16,8 +16,8 @@
 	cyaml_config_t config;
 };
 
-void kwb_yaml_init(struct kwb_yaml *yaml, const char *file,
-    struct kwb_faults *faults);
+void kwb_yaml_init(
+    struct kwb_yaml *yaml, const char *file, struct kwb_faults *faults);
 int kwb_yaml_load(struct kwb_yaml *yaml, const char *text, size_t length_bytes,
     const cyaml_schema_value_t *schema, void **data);
 void kwb_yaml_finish(struct kwb_yaml *yaml);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -13,13 +13,13 @@
 
 static void *member_run(void *argument);
 static void read_lists(struct kwb_entry *entry);
-static void read_vms(struct kwb_entry *entry, struct kwb_vms *fresh);
-static void seeds_to_vms(const struct kwb_entry_settings *settings,
-    struct kwb_vms *vms);
+static bool read_vms(struct kwb_entry *entry, struct kwb_vms *fresh);
+static void seeds_to_vms(
+    const struct kwb_entry_settings *settings, struct kwb_vms *vms);
 
 int
-kwb_entry_start(struct kwb_entry **started,
-    const struct kwb_entry_settings *settings)
+kwb_entry_start(
+    struct kwb_entry **started, const struct kwb_entry_settings *settings)
 {
 	struct kwb_entry *entry = calloc(1, sizeof(*entry));
 	int error;
@@ -27,8 +27,8 @@
 	if (entry == NULL)
 		return KWB_ERR_MEMORY;
 	entry->settings = settings;
-	entry->incarnation = kwb_clock_wall_ms() * 1000 +
-	    kwb_clock_now_ns() % 1000;
+	entry->incarnation =
+	    kwb_clock_wall_ms() * 1000 + kwb_clock_now_ns() % 1000;
 	kwb_policy_parse(&entry->policy, settings->policy);
 	kwb_platform_init(&entry->platform, settings->platform);
 	peers_init(&entry->peers);
@@ -44,8 +44,7 @@
 		error = kwb_loop_start(&entry->loop);
 	if (error == 0 &&
 	    (pthread_create(&entry->member_thread, NULL, member_run, entry) ||
-	        pthread_create(&entry->leader_thread, NULL, leader_run,
-	            entry)))
+		pthread_create(&entry->leader_thread, NULL, leader_run, entry)))
 		error = KWB_ERR_SYSTEM;
 	if (error == 0)
 		error = http_start(entry);
@@ -67,8 +66,7 @@
 kwb_entry_stop(struct kwb_entry *entry)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
-	uint64_t deadline_ns =
-	    now_ns + entry->settings->drain_ms * KWB_MS_NS;
+	uint64_t deadline_ns = now_ns + entry->settings->drain_ms * KWB_MS_NS;
 	uint64_t balancer_ns = now_ns + BALANCER_NS;
 
 	kwb_log(KWB_LOG_INFO, "entry", "event=draining active=%u",
@@ -76,7 +74,7 @@
 	atomic_store(&entry->draining, true);
 	while (kwb_clock_now_ns() < deadline_ns &&
 	    (kwb_clock_now_ns() < balancer_ns ||
-	        atomic_load(&entry->active) > 0))
+		atomic_load(&entry->active) > 0))
 		kwb_clock_sleep_ns(STEP_NS);
 	atomic_store(&entry->stopping, true);
 	http_stop(entry);
@@ -91,6 +89,17 @@
 	free(entry);
 }
 
+/* Notes that a plan is asked for here, so that its homes are connected to. */
+void
+entry_demand(struct kwb_entry *entry, struct plan_gate *gate)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t before_ns = atomic_exchange(&gate->demand_ns, now_ns);
+
+	if (before_ns == 0 || now_ns - before_ns > KWB_DEMAND_NS / 2)
+		atomic_fetch_add(&entry->demand_changes, 1);
+}
+
 /* The plan's gate, made on first sight; the last one when all are taken. */
 struct plan_gate *
 entry_gate(struct kwb_entry *entry, const char *plan)
@@ -135,6 +144,8 @@
 	struct kwb_entry *entry = argument;
 	struct kwb_vms *fresh = calloc(1, sizeof(*fresh));
 	uint64_t lists_ns = 0, vms_ns = 0, now_ns;
+	uint32_t demand = 0;
+	bool changed;
 
 	if (fresh == NULL)
 		return NULL;
@@ -146,10 +157,14 @@
 			read_lists(entry);
 			lists_ns = now_ns + KWB_LISTS_POLL_NS;
 		}
+		changed = demand != atomic_load(&entry->demand_changes);
+		demand = atomic_load(&entry->demand_changes);
 		if (now_ns >= vms_ns) {
-			read_vms(entry, fresh);
+			changed = read_vms(entry, fresh) || changed;
 			vms_ns = now_ns + KWB_VMS_POLL_NS;
 		}
+		if (changed)
+			peers_update(entry, entry->vms);
 		peers_reconnect(entry);
 		kwb_clock_sleep_ns(STEP_NS);
 	}
@@ -166,9 +181,10 @@
 	int error;
 
 	kwb_buf_init(&text);
-	error = kwb_lists_read(&entry->platform, &text, &revision);
+	error = kwb_lists_read(
+	    &entry->platform, kwb_current_revision(), &text, &revision);
 	atomic_store(&entry->platform_up,
-	    error == 0 || error == KWB_ERR_PLATFORM_MISSING);
+	    error >= 0 || error == KWB_ERR_PLATFORM_MISSING);
 	if (error == 0 && revision > kwb_current_revision() &&
 	    kwb_current_offer(text.data, text.used_bytes, revision) > 0)
 		peers_push_lists(entry);
@@ -176,18 +192,16 @@
 }
 
 /* An empty or failed answer changes nothing. */
-static void
+static bool
 read_vms(struct kwb_entry *entry, struct kwb_vms *fresh)
 {
-	struct kwb_vms *old;
-
 	if (kwb_vms_get(&entry->platform, fresh) != 0 || fresh->count == 0)
-		return;
+		return false;
 	pthread_mutex_lock(&entry->vms_lock);
-	old = entry->vms;
-	memcpy(old, fresh, sizeof(*old));
+	memcpy(entry->vms, fresh, sizeof(*fresh));
 	pthread_mutex_unlock(&entry->vms_lock);
-	peers_update(entry, fresh);
+	atomic_fetch_add(&entry->vms_changes, 1);
+	return true;
 }
 
 static void
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -19,7 +19,7 @@
 struct peer_plan {
 	char plan[KWB_NAME_MAX_BYTES];
 	uint32_t units;
-	uint32_t own;    /* requests of this entry */
+	uint32_t own;	 /* requests of this entry */
 	uint32_t others; /* of other entries, at the last report */
 };
 
@@ -35,10 +35,10 @@
 	char failure_domain[KWB_NAME_MAX_BYTES];
 	char pool[KWB_NAME_MAX_BYTES];
 	struct kwb_address address;
-	bool wanted;         /* in the subset now */
+	bool wanted;	     /* in the subset now */
 	bool listed_leaving; /* by the platform's list, or not in it */
-	uint64_t link;       /* 0 when there is none */
-	bool greeted;        /* its hello came on this link */
+	uint64_t link;	     /* 0 when there is none */
+	bool greeted;	     /* its hello came on this link */
 	uint64_t incarnation;
 	uint64_t lists_revision;
 	bool leaving;
@@ -118,6 +118,7 @@
 	pthread_mutex_t predictor_lock;
 	struct kwb_predictor predictor;
 	_Atomic uint64_t trainer_version; /* highest a trainer has named */
+	_Atomic uint64_t demand_ns;	  /* when last asked for */
 };
 
 struct kwb_entry {
@@ -132,10 +133,12 @@
 	pthread_mutex_t gates_lock;
 	struct plan_gate gates[KWB_PLANS_MAX];
 	unsigned gates_count;
-	struct kwb_vms *vms; /* under vms_lock */
+	struct kwb_vms *vms; /* written under vms_lock by one thread */
+	_Atomic uint32_t vms_changes;
+	_Atomic uint32_t demand_changes;
 	pthread_mutex_t vms_lock;
 	_Atomic uint32_t active; /* HTTP requests being served */
-	_Atomic uint32_t pulls;  /* of them, steps being pulled */
+	_Atomic uint32_t pulls;	 /* of them, steps being pulled */
 	_Atomic bool draining;
 	_Atomic bool stopping;
 	_Atomic bool leading;
@@ -154,7 +157,7 @@
 struct generation {
 	enum generation_state state;
 	char name[2 * KWB_NAME_MAX_BYTES]; /* first part of its keys */
-	char key[KWB_KEY_MAX_BYTES];   /* another for each start */
+	char key[KWB_KEY_MAX_BYTES];	   /* another for each start */
 	const char *prompt;
 	const char *model;
 	const char *plan;
@@ -183,15 +186,14 @@
     struct target *target);
 int peers_target(struct kwb_entry *entry, const char *vm, const char *plan,
     const char *model, struct target *target);
-void peers_release(struct kwb_entry *entry, struct target *target,
-    int error);
+void peers_release(struct kwb_entry *entry, struct target *target, int error);
 void peers_update(struct kwb_entry *entry, const struct kwb_vms *vms);
 void peers_reconnect(struct kwb_entry *entry);
 void peers_push_lists(struct kwb_entry *entry);
 unsigned peers_in_pool(struct kwb_entry *entry, const char *pool,
     struct target *targets, unsigned targets_max);
-uint32_t peers_idle_units(struct kwb_entry *entry, const char *plan,
-    int except);
+uint32_t peers_idle_units(
+    struct kwb_entry *entry, const char *plan, int except);
 void peers_print(struct kwb_entry *entry, struct kwb_buf *out);
 extern const struct kwb_link_ops peer_link_ops;
 
@@ -202,24 +204,23 @@
 void event_free(struct event *event);
 void registry_init(struct registry *registry);
 void registry_finish(struct registry *registry);
-uint64_t registry_open(struct registry *registry, struct inbox *inbox,
-    uint64_t link, void *owner);
+uint64_t registry_open(
+    struct registry *registry, struct inbox *inbox, uint64_t link, void *owner);
 void registry_close(struct registry *registry, uint64_t id);
-void registry_post(struct registry *registry, uint64_t id,
-    Kwb__Wire__Frame *frame);
+void registry_post(
+    struct registry *registry, uint64_t id, Kwb__Wire__Frame *frame);
 void registry_link_lost(struct registry *registry, uint64_t link);
 
 /* generation.c */
 void generation_init(struct generation *generation, struct inbox *inbox);
-void generation_finish(struct kwb_entry *entry,
-    struct generation *generation);
+void generation_finish(struct kwb_entry *entry, struct generation *generation);
 int generation_start(struct kwb_entry *entry, struct generation *generation);
 int generation_attach(struct kwb_entry *entry, struct generation *generation,
     const char *vm, const char *key);
 void generation_event(struct kwb_entry *entry, struct generation *generation,
     const struct event *event);
-void generation_stop(struct kwb_entry *entry, struct generation *generation,
-    bool keep);
+void generation_stop(
+    struct kwb_entry *entry, struct generation *generation, bool keep);
 
 /* call.c */
 struct call_answer {
@@ -245,8 +246,8 @@
 	uint64_t deadline_ns;
 };
 
-void call_run(struct kwb_entry *entry, struct call *call,
-    struct call_answer *answer);
+void call_run(
+    struct kwb_entry *entry, struct call *call, struct call_answer *answer);
 int call_mint(struct kwb_entry *entry, const char *plan, const char *pool,
     struct kwb_pin *pin);
 
@@ -258,6 +259,7 @@
 void *leader_run(void *argument);
 
 /* entry.c */
+void entry_demand(struct kwb_entry *entry, struct plan_gate *gate);
 struct plan_gate *entry_gate(struct kwb_entry *entry, const char *plan);
 uint64_t entry_random(void);
 
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -40,25 +40,25 @@
 static int on_metrics(struct mg_connection *connection, void *context);
 static int on_status(struct mg_connection *connection, void *context);
 static void *on_thread_start(const struct mg_context *context, int type);
-static void on_thread_end(const struct mg_context *context, int type,
-    void *thread);
+static void on_thread_end(
+    const struct mg_context *context, int type, void *thread);
 static void dispatch(struct exchange *exchange);
 static int plan_load(struct exchange *exchange);
 static int body_read(struct exchange *exchange);
 static uint64_t deadline_of(struct exchange *exchange, uint32_t fallback_ms);
 static void serve_completion(struct exchange *exchange);
-static void completion_run(struct exchange *exchange,
-    struct generation *generation, bool stream);
+static void completion_run(
+    struct exchange *exchange, struct generation *generation, bool stream);
 static int completion_wait(struct exchange *exchange,
     struct generation *generation, uint32_t *waiting_since);
-static void completion_send(struct exchange *exchange,
-    struct generation *generation, uint32_t from);
-static void completion_whole(struct exchange *exchange,
-    const struct generation *generation);
+static void completion_send(
+    struct exchange *exchange, struct generation *generation, uint32_t from);
+static void completion_whole(
+    struct exchange *exchange, const struct generation *generation);
 static void serve_call(struct exchange *exchange);
 static bool call_name(struct exchange *exchange, struct call *call);
-static void call_reply(struct exchange *exchange,
-    const struct call_answer *answer);
+static void call_reply(
+    struct exchange *exchange, const struct call_answer *answer);
 static void serve_ticket(struct exchange *exchange);
 static void serve_pull(struct exchange *exchange);
 static void send_text(struct mg_connection *connection, int status,
@@ -70,12 +70,18 @@
 {
 	char workers[16];
 	const char *options[] = {
-	    "listening_ports", entry->settings->listen,
-	    "num_threads", workers,
-	    "tcp_nodelay", "1",
-	    "enable_keep_alive", "yes",
-	    "keep_alive_timeout_ms", "3000",
-	    "request_timeout_ms", "30000",
+	    "listening_ports",
+	    entry->settings->listen,
+	    "num_threads",
+	    workers,
+	    "tcp_nodelay",
+	    "1",
+	    "enable_keep_alive",
+	    "yes",
+	    "keep_alive_timeout_ms",
+	    "3000",
+	    "request_timeout_ms",
+	    "30000",
 	    NULL,
 	};
 	struct mg_callbacks callbacks = {0};
@@ -134,8 +140,7 @@
 	uint32_t active = atomic_fetch_add(&entry->active, 1) + 1;
 
 	snprintf(exchange.id, sizeof(exchange.id), "%s-%" PRIx64,
-	    entry->settings->vm,
-	    atomic_fetch_add(&entry->registry.next_id, 1));
+	    entry->settings->vm, atomic_fetch_add(&entry->registry.next_id, 1));
 	kwb_buf_init(&exchange.body);
 	/* A stream holds a worker: refuse while some are left for others. */
 	if (active + WORKERS_SPARE > entry->settings->workers)
@@ -223,8 +228,8 @@
 	kwb_current_drop();
 	if (error != 0)
 		http_refuse(exchange->connection,
-		    error == KWB_ERR_ARGUMENT ? 404 : 503,
-		    KWB_OUTCOME_NOT_RUN, error, "no such plan");
+		    error == KWB_ERR_ARGUMENT ? 404 : 503, KWB_OUTCOME_NOT_RUN,
+		    error, "no such plan");
 	return error;
 }
 
@@ -235,7 +240,7 @@
 	int got;
 
 	while ((got = mg_read(exchange->connection, chunk_bytes,
-	            sizeof(chunk_bytes))) > 0) {
+		    sizeof(chunk_bytes))) > 0) {
 		if (exchange->body.used_bytes + (size_t)got >
 		    KWB_FRAME_MAX_BYTES / 2) {
 			http_refuse(exchange->connection, 413,
@@ -264,8 +269,7 @@
 serve_completion(struct exchange *exchange)
 {
 	json_t *root = json_loads(kwb_buf_text(&exchange->body), 0, NULL);
-	const char *prompt =
-	    json_string_value(json_object_get(root, "prompt"));
+	const char *prompt = json_string_value(json_object_get(root, "prompt"));
 	json_int_t max_tokens =
 	    json_integer_value(json_object_get(root, "max_tokens"));
 	struct generation generation;
@@ -279,8 +283,8 @@
 	}
 	inbox_init(&inbox);
 	generation_init(&generation, &inbox);
-	snprintf(generation.name, sizeof(generation.name), "i/%s",
-	    exchange->id);
+	snprintf(
+	    generation.name, sizeof(generation.name), "i/%s", exchange->id);
 	generation.plan = exchange->plan_name;
 	generation.model = exchange->plan.model;
 	generation.prompt = prompt;
@@ -301,8 +305,8 @@
 }
 
 static void
-completion_run(struct exchange *exchange, struct generation *generation,
-    bool stream)
+completion_run(
+    struct exchange *exchange, struct generation *generation, bool stream)
 {
 	struct mg_connection *connection = exchange->connection;
 	uint32_t sent = 0, waiting_since = 0;
@@ -313,20 +317,19 @@
 	while (generation->state != GENERATION_DONE) {
 		error = 0;
 		if (generation->state == GENERATION_PENDING)
-			error = completion_wait(exchange, generation,
-			    &waiting_since);
+			error = completion_wait(
+			    exchange, generation, &waiting_since);
 		if (error != 0 && !begun) {
 			http_refuse(connection,
 			    error == KWB_ERR_ROUTE_FULL ? 429 : 503,
 			    generation->starts > 0 ? KWB_OUTCOME_UNKNOWN
-			                           : KWB_OUTCOME_NOT_RUN,
+						   : KWB_OUTCOME_NOT_RUN,
 			    error, exchange->id);
 			return;
 		}
 		if (error != 0)
 			break;
-		event = inbox_wait(generation->inbox,
-		    generation->deadline_ns);
+		event = inbox_wait(generation->inbox, generation->deadline_ns);
 		if (event != NULL) {
 			generation_event(exchange->entry, generation, event);
 			event_free(event);
@@ -355,7 +358,7 @@
 		kwb_metric_add(KWB_METRIC_RAN, 1);
 	} else {
 		static const char end[] = "data: {\"error\":\"deadline\","
-		                          "\"outcome\":\"unknown\"}\n\n";
+					  "\"outcome\":\"unknown\"}\n\n";
 
 		mg_send_chunk(connection, end, sizeof(end) - 1);
 		kwb_metric_add(KWB_METRIC_UNKNOWN, 1);
@@ -365,8 +368,8 @@
 
 /* Waits in the plan's queue, bounded in length and time, for a place. */
 static int
-completion_wait(struct exchange *exchange, struct generation *generation,
-    uint32_t *retries)
+completion_wait(
+    struct exchange *exchange, struct generation *generation, uint32_t *retries)
 {
 	struct plan_gate *gate =
 	    entry_gate(exchange->entry, exchange->plan_name);
@@ -396,17 +399,17 @@
 }
 
 static void
-completion_send(struct exchange *exchange, struct generation *generation,
-    uint32_t from)
+completion_send(
+    struct exchange *exchange, struct generation *generation, uint32_t from)
 {
 	struct kwb_buf out;
 	uint32_t i;
 
 	kwb_buf_init(&out);
 	for (i = from; i < generation->tokens.count; i++) {
-		json_t *token = json_pack("{s:s, s:I}", "token",
-		    generation->tokens.text[i], "version",
-		    (json_int_t)generation->tokens.version[i]);
+		json_t *token =
+		    json_pack("{s:s, s:I}", "token", generation->tokens.text[i],
+			"version", (json_int_t)generation->tokens.version[i]);
 		char *text =
 		    json_dumps(token, JSON_COMPACT | JSON_PRESERVE_ORDER);
 
@@ -414,23 +417,22 @@
 		free(text);
 		json_decref(token);
 	}
-	if (mg_send_chunk(exchange->connection, out.data,
-	        (unsigned)out.used_bytes) < 0)
+	if (mg_send_chunk(
+		exchange->connection, out.data, (unsigned)out.used_bytes) < 0)
 		generation->deadline_ns = 0;
 	kwb_buf_finish(&out);
 }
 
 static void
-completion_whole(struct exchange *exchange,
-    const struct generation *generation)
+completion_whole(struct exchange *exchange, const struct generation *generation)
 {
 	json_t *tokens = json_array(), *versions = json_array(), *root;
 	char headers[256], *text;
 	uint32_t i;
 
 	for (i = 0; i < generation->tokens.count; i++) {
-		json_array_append_new(tokens,
-		    json_string(generation->tokens.text[i]));
+		json_array_append_new(
+		    tokens, json_string(generation->tokens.text[i]));
 		json_array_append_new(versions,
 		    json_integer((json_int_t)generation->tokens.version[i]));
 	}
@@ -469,11 +471,11 @@
 	if (call.content_type == NULL)
 		call.content_type = "application/octet-stream";
 	rule = kwb_plan_rule(&exchange->plan, method, path);
-	call.idempotent = rule ? rule->idempotent
-	                       : strcmp(method, "GET") == 0 ||
-	        strcmp(method, "HEAD") == 0;
-	call.deadline_ns = deadline_of(exchange,
-	    rule ? rule->timeout_ms : KWB_CALL_TIMEOUT_MS);
+	call.idempotent = rule
+	    ? rule->idempotent
+	    : strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+	call.deadline_ns = deadline_of(
+	    exchange, rule ? rule->timeout_ms : KWB_CALL_TIMEOUT_MS);
 	if (!call_name(exchange, &call))
 		return;
 	call_run(exchange->entry, &call, &answer);
@@ -501,8 +503,8 @@
 	if (key == NULL)
 		return true;
 	call->pinned = true;
-	length = snprintf(call->pin.key, sizeof(call->pin.key), "c/%s/%s",
-	    call->plan, key);
+	length = snprintf(
+	    call->pin.key, sizeof(call->pin.key), "c/%s/%s", call->plan, key);
 	if (length >= (int)sizeof(call->pin.key) ||
 	    strpbrk(key, " \t") != NULL || key[0] == '\0') {
 		http_refuse(connection, 400, KWB_OUTCOME_NOT_RUN,
@@ -511,8 +513,8 @@
 	}
 	error = call_mint(exchange->entry, call->plan, call->pool, &call->pin);
 	if (error == 0)
-		error = kwb_claim(&exchange->entry->platform, call->plan,
-		    &call->pin);
+		error = kwb_claim(
+		    &exchange->entry->platform, call->plan, &call->pin);
 	if (error == 0)
 		return true;
 	/* This key may have run before, and that can't be looked up now. */
@@ -545,7 +547,7 @@
 	    "X-Kwb-Outcome: ran\r\nX-Kwb-Request: %s\r\n", exchange->id);
 	send_text(exchange->connection, (int)answer->status,
 	    answer->content_type[0] ? answer->content_type
-	                            : "application/octet-stream",
+				    : "application/octet-stream",
 	    headers, kwb_buf_text(&answer->body), answer->body.used_bytes);
 }
 
@@ -554,8 +556,8 @@
 {
 	struct kwb_pin pin = {0};
 	struct kwb_buf text;
-	int error = call_mint(exchange->entry, exchange->plan_name,
-	    exchange->plan.pool, &pin);
+	int error = call_mint(
+	    exchange->entry, exchange->plan_name, exchange->plan.pool, &pin);
 
 	if (error != 0) {
 		http_refuse(exchange->connection, 503, KWB_OUTCOME_NOT_RUN,
@@ -588,8 +590,8 @@
 on_health(struct mg_connection *connection, void *context)
 {
 	struct kwb_entry *entry = context;
-	bool well = !atomic_load(&entry->draining) &&
-	    kwb_current_revision() > 0;
+	bool well =
+	    !atomic_load(&entry->draining) && kwb_current_revision() > 0;
 
 	send_text(connection, well ? 200 : 503, "text/plain", "",
 	    well ? "ok\n" : "no\n", 3);
@@ -629,8 +631,8 @@
 	    atomic_load(&entry->active));
 	peers_print(entry, &out);
 	kwb_buf_printf(&out, "}\n");
-	send_text(connection, 200, "application/json", "", out.data,
-	    out.used_bytes);
+	send_text(
+	    connection, 200, "application/json", "", out.data, out.used_bytes);
 	kwb_buf_finish(&out);
 	return 200;
 }
@@ -643,7 +645,7 @@
 	mg_printf(connection,
 	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
 	    "%s\r\n",
-	    status, mg_get_response_code_text(connection, status),
-	    content_type, length_bytes, headers);
+	    status, mg_get_response_code_text(connection, status), content_type,
+	    length_bytes, headers);
 	mg_write(connection, text, length_bytes);
 }
--- a/src/limit/share.c
+++ b/src/limit/share.c
@@ -8,17 +8,35 @@
 static unsigned rank_of(const char *plan,
     const struct kwb_share_member *members, unsigned count, unsigned self);
 
-/* An equal part; the remainder goes to the first by rendezvous rank. */
+/*
+ * Few members hold much each, so that one entry reaches a plan's whole
+ * allowance over few links, and few servers load its weights; never fewer
+ * than spread the load well.
+ */
+uint32_t
+kwb_share_homes(uint32_t allowance, unsigned members)
+{
+	uint32_t homes = (allowance + KWB_HOME_UNITS - 1) / KWB_HOME_UNITS;
+
+	if (homes < KWB_HOME_AGENTS_MIN)
+		homes = KWB_HOME_AGENTS_MIN;
+	return homes < members ? homes : members;
+}
+
+/*
+ * An equal part for the homes, the first members by rendezvous rank; the
+ * remainder goes to the first of these.
+ */
 uint32_t
 kwb_share_fair(uint32_t allowance, const char *plan,
     const struct kwb_share_member *members, unsigned count, unsigned self)
 {
-	uint32_t part = allowance / count;
-	uint32_t remainder = allowance % count;
+	uint32_t homes = kwb_share_homes(allowance, count);
+	unsigned rank = rank_of(plan, members, count, self);
 
-	if (remainder == 0)
-		return part;
-	return part + (rank_of(plan, members, count, self) < remainder);
+	if (rank >= homes)
+		return 0;
+	return allowance / homes + (rank < allowance % homes);
 }
 
 /*
--- a/src/limit/share_keeper.c
+++ b/src/limit/share_keeper.c
@@ -13,6 +13,7 @@
 #include "../agent/agent.h"
 
 #define MEMBERS_MAX KWB_VMS_MAX
+#define MISSING_MAX 64
 #define UNSETTLED_NS (500 * KWB_MS_NS)
 #define STEP_NS (100 * KWB_MS_NS)
 #define MEMBER_POLL_NS (5 * KWB_MS_NS)
@@ -27,10 +28,11 @@
 	struct kwb_agent *agent;
 	char row_key[KWB_KEY_MAX_BYTES];
 	uint64_t row_revision;
-	json_t *row; /* as last read or written; NULL before */
+	json_t *row;	/* as last read, with own changes; NULL before */
+	bool row_dirty; /* it has own changes */
 	uint64_t writes;
 	unsigned missing_count;
-	struct missing missing[64];
+	struct missing missing[MISSING_MAX];
 	struct kwb_share_member members[MEMBERS_MAX];
 };
 
@@ -39,12 +41,12 @@
 static int row_write(struct keeper *keeper);
 static json_t *row_members(const struct keeper *keeper);
 static json_t *own_units(struct keeper *keeper);
-static unsigned members_for(struct keeper *keeper, const char *plan,
-    unsigned *self);
-static bool plan_lower(struct keeper *keeper, const char *plan,
-    uint32_t allowance);
-static bool plan_next(struct keeper *keeper, const char *plan,
-    uint32_t allowance, bool *settled);
+static unsigned members_for(
+    struct keeper *keeper, const char *plan, unsigned *self);
+static void plan_lower(
+    struct keeper *keeper, const char *plan, uint32_t allowance);
+static bool plan_next(
+    struct keeper *keeper, const char *plan, uint32_t allowance, bool *settled);
 static void plans_apply(struct keeper *keeper, json_t *units);
 static bool drop_gone(struct keeper *keeper);
 static bool gone_long(struct keeper *keeper, const char *vm);
@@ -77,7 +79,7 @@
 			poll_ns = kwb_clock_now_ns() +
 			    (settled ? KWB_SHARE_POLL_NS : UNSETTLED_NS) +
 			    json_object_size(row_members(keeper)) *
-			        MEMBER_POLL_NS;
+				MEMBER_POLL_NS;
 		}
 		kwb_clock_sleep_ns(STEP_NS);
 	}
@@ -124,6 +126,8 @@
 		if (keeper->row == NULL)
 			return;
 		*settled = true;
+		changed = json_object_get(row_members(keeper),
+			      keeper->agent->settings->vm) == NULL;
 		units = own_units(keeper);
 		lists = kwb_current_hold();
 		for (i = 0; lists != NULL && i < lists->plans_count; i++) {
@@ -134,11 +138,9 @@
 			if (strcmp(plan->pool, keeper->agent->settings->pool) !=
 			    0)
 				continue;
-			if (!plan_lower(keeper, plan->name,
-			        allowance->concurrent))
-				changed = true;
-			if (plan_next(keeper, plan->name,
-			        allowance->concurrent, settled))
+			plan_lower(keeper, plan->name, allowance->concurrent);
+			if (plan_next(keeper, plan->name, allowance->concurrent,
+				settled))
 				changed = true;
 		}
 		kwb_current_drop();
@@ -157,6 +159,9 @@
 			return;
 		}
 		json_decref(units);
+		/* What was not written is not held. */
+		if (row_read(keeper) == 0)
+			plans_apply(keeper, own_units(keeper));
 		kwb_clock_sleep_ns((kwb_clock_now_ns() % 20 + 1) * KWB_MS_NS);
 	}
 }
@@ -170,8 +175,12 @@
 	int error;
 
 	kwb_buf_init(&value);
-	error = kwb_table_get(&keeper->agent->platform, keeper->row_key,
-	    &value, &revision);
+	error = kwb_table_poll(&keeper->agent->platform, keeper->row_key,
+	    keeper->row_dirty ? 0 : keeper->row_revision, &value, &revision);
+	if (error > 0) {
+		kwb_buf_finish(&value);
+		return 0;
+	}
 	if (error == 0)
 		row = json_loads(kwb_buf_text(&value), 0, NULL);
 	if (error == KWB_ERR_PLATFORM_MISSING)
@@ -182,6 +191,7 @@
 	json_decref(keeper->row);
 	keeper->row = row;
 	keeper->row_revision = revision;
+	keeper->row_dirty = false;
 	return 0;
 }
 
@@ -197,6 +207,7 @@
 	    keeper->agent->settings->vm,
 	    (unsigned long long)keeper->agent->incarnation,
 	    (unsigned long long)++keeper->writes);
+	keeper->row_dirty = true;
 	json_object_set_new(keeper->row, "writer", json_string(writer));
 	text = json_dumps(keeper->row, JSON_COMPACT);
 	error = kwb_table_put(&keeper->agent->platform, keeper->row_key, text,
@@ -232,7 +243,8 @@
 	json_t *units;
 	unsigned count = 0;
 
-	json_object_foreach(row_members(keeper), vm, units) {
+	json_object_foreach(row_members(keeper), vm, units)
+	{
 		struct kwb_share_member *member = &keeper->members[count];
 
 		if (count == MEMBERS_MAX)
@@ -240,8 +252,8 @@
 		if (strcmp(vm, keeper->agent->settings->vm) == 0)
 			*self = count;
 		kwb_text_copy(member->vm, sizeof(member->vm), vm);
-		member->units = (uint32_t)json_integer_value(
-		    json_object_get(units, plan));
+		member->units =
+		    (uint32_t)json_integer_value(json_object_get(units, plan));
 		count++;
 	}
 	return count;
@@ -249,41 +261,44 @@
 
 /*
  * Brings the cap in force down to the fair part and to what the row grants,
- * before anything else is decided. Returns false when the plan is new in the
- * row.
+ * before anything else is decided.
  */
-static bool
+static void
 plan_lower(struct keeper *keeper, const char *plan, uint32_t allowance)
 {
 	unsigned self = 0;
 	unsigned count = members_for(keeper, plan, &self);
-	uint32_t fair = kwb_share_fair(allowance, plan, keeper->members, count,
-	    self);
+	uint32_t fair =
+	    kwb_share_fair(allowance, plan, keeper->members, count, self);
 	uint32_t held = keeper->members[self].units;
 
 	run_set_units(keeper->agent, plan, held < fair ? held : fair);
-	return json_object_get(own_units(keeper), plan) != NULL;
 }
 
 /* Writes into the row what to hold next; true when that is a change. */
 static bool
-plan_next(struct keeper *keeper, const char *plan, uint32_t allowance,
-    bool *settled)
+plan_next(
+    struct keeper *keeper, const char *plan, uint32_t allowance, bool *settled)
 {
 	unsigned self = 0;
 	unsigned count = members_for(keeper, plan, &self);
 	uint32_t running = run_plan_running(keeper->agent, plan);
 	uint32_t held = keeper->members[self].units;
-	uint32_t fair = kwb_share_fair(allowance, plan, keeper->members, count,
-	    self);
-	uint32_t next = kwb_share_next(allowance, plan, keeper->members, count,
-	    self, running);
+	uint32_t fair =
+	    kwb_share_fair(allowance, plan, keeper->members, count, self);
+	uint32_t next = kwb_share_next(
+	    allowance, plan, keeper->members, count, self, running);
 
 	if (next != fair)
 		*settled = false;
-	if (next == held && json_object_get(own_units(keeper), plan) != NULL)
+	if (next == held)
 		return false;
-	json_object_set_new(own_units(keeper), plan, json_integer(next));
+	keeper->row_dirty = true;
+	if (next > 0)
+		json_object_set_new(
+		    own_units(keeper), plan, json_integer(next));
+	else
+		json_object_del(own_units(keeper), plan);
 	kwb_log(KWB_LOG_INFO, "limit",
 	    "event=share plan=%s units=%u was=%u fair=%u running=%u "
 	    "members=%u",
@@ -299,7 +314,8 @@
 	const char *plan;
 	json_t *value;
 
-	json_object_foreach(units, plan, value) {
+	json_object_foreach(units, plan, value)
+	{
 		const struct kwb_allowance *allowance =
 		    lists ? kwb_lists_allowance(lists, plan) : NULL;
 		unsigned self = 0, count = members_for(keeper, plan, &self);
@@ -327,12 +343,12 @@
 	bool listed, dropped = false;
 	uint32_t i;
 
-	if (vms == NULL ||
-	    kwb_vms_get(&keeper->agent->platform, vms) != 0) {
+	if (vms == NULL || kwb_vms_get(&keeper->agent->platform, vms) != 0) {
 		free(vms);
 		return false;
 	}
-	json_object_foreach_safe(row_members(keeper), next, vm, units) {
+	json_object_foreach_safe(row_members(keeper), next, vm, units)
+	{
 		listed = strcmp(vm, keeper->agent->settings->vm) == 0;
 		for (i = 0; i < vms->count && !listed; i++)
 			listed = strcmp(vms->vms[i].vm, vm) == 0;
@@ -356,8 +372,7 @@
 	for (i = 0; i < keeper->missing_count; i++)
 		if (strcmp(keeper->missing[i].vm, vm) == 0)
 			return now_ns >= keeper->missing[i].gone_deadline_ns;
-	if (keeper->missing_count ==
-	    sizeof(keeper->missing) / sizeof(keeper->missing[0]))
+	if (keeper->missing_count == MISSING_MAX)
 		keeper->missing_count = 0;
 	missing = &keeper->missing[keeper->missing_count++];
 	kwb_text_copy(missing->vm, sizeof(missing->vm), vm);
--- a/src/lists/check.c
+++ b/src/lists/check.c
@@ -21,22 +21,22 @@
 	struct kwb_faults *faults;
 };
 
-static void check_plan(const struct check *check,
-    const struct kwb_lists *lists, uint32_t index);
-static void check_allowance(const struct check *check,
-    const struct kwb_lists *lists, uint32_t index);
-static void check_rules(const struct check *check, const struct kwb_plan *plan,
-    uint32_t index);
+static void check_plan(
+    const struct check *check, const struct kwb_lists *lists, uint32_t index);
+static void check_allowance(
+    const struct check *check, const struct kwb_lists *lists, uint32_t index);
+static void check_rules(
+    const struct check *check, const struct kwb_plan *plan, uint32_t index);
 static void fault(const struct check *check, const char *list, uint32_t index,
     const char *field, const char *what);
-static int field_line(const char *text, const char *list, uint32_t index,
-    const char *field);
+static int field_line(
+    const char *text, const char *list, uint32_t index, const char *field);
+static bool line_has(const char *line, const char *field);
 static bool name_is_good(const char *name);
 
 int
-kwb_lists_check(const struct kwb_lists *lists,
-    const struct kwb_source *sources, unsigned sources_count,
-    struct kwb_faults *faults)
+kwb_lists_check(const struct kwb_lists *lists, const struct kwb_source *sources,
+    unsigned sources_count, struct kwb_faults *faults)
 {
 	struct check check = {sources, sources_count, faults};
 	unsigned before = faults->count;
@@ -50,8 +50,8 @@
 }
 
 static void
-check_plan(const struct check *check, const struct kwb_lists *lists,
-    uint32_t index)
+check_plan(
+    const struct check *check, const struct kwb_lists *lists, uint32_t index)
 {
 	const struct kwb_plan *plan = &lists->plans[index];
 	uint32_t i;
@@ -87,8 +87,8 @@
 }
 
 static void
-check_rules(const struct check *check, const struct kwb_plan *plan,
-    uint32_t index)
+check_rules(
+    const struct check *check, const struct kwb_plan *plan, uint32_t index)
 {
 	uint32_t i;
 
@@ -107,15 +107,14 @@
 }
 
 static void
-check_allowance(const struct check *check, const struct kwb_lists *lists,
-    uint32_t index)
+check_allowance(
+    const struct check *check, const struct kwb_lists *lists, uint32_t index)
 {
 	const struct kwb_allowance *allowance = &lists->allowances[index];
 	uint32_t i;
 
 	if (kwb_lists_plan(lists, allowance->plan) == NULL)
-		fault(check, "allowances", index, "plan",
-		    "refers to no plan");
+		fault(check, "allowances", index, "plan", "refers to no plan");
 	for (i = 0; i < index; i++)
 		if (strcmp(lists->allowances[i].plan, allowance->plan) == 0)
 			fault(check, "allowances", index, "plan",
@@ -152,17 +151,17 @@
  * first line when the field is not there; 0 when the list is not there.
  */
 static int
-field_line(const char *text, const char *list, uint32_t index,
-    const char *field)
+field_line(
+    const char *text, const char *list, uint32_t index, const char *field)
 {
-	size_t list_length = strlen(list), field_length = strlen(field);
+	size_t list_length = strlen(list);
 	bool inside = false;
 	int line = 0, item_line = 0;
 	size_t item_indent = SIZE_MAX;
 	uint32_t items = 0;
 
-	for (; *text != '\0'; text += strcspn(text, "\n"),
-	    text += *text == '\n') {
+	for (; *text != '\0';
+	     text += strcspn(text, "\n"), text += *text == '\n') {
 		size_t indent = strspn(text, " ");
 		const char *word = text + indent;
 
@@ -179,14 +178,28 @@
 				item_line = line;
 			word += 1 + strspn(word + 1, " ");
 		}
-		if (items == index + 1 &&
-		    strncmp(word, field, field_length) == 0 &&
-		    word[field_length] == ':')
+		if (items == index + 1 && line_has(word, field))
 			return line;
 	}
 	return item_line;
 }
 
+/* Whether the line has the field, in block or in flow style. */
+static bool
+line_has(const char *line, const char *field)
+{
+	size_t length = strlen(field), end = strcspn(line, "\n");
+	const char *at = line;
+
+	while ((at = strstr(at, field)) != NULL && at < line + end) {
+		if (at[length] == ':' &&
+		    (at == line || at[-1] == ' ' || at[-1] == '{'))
+			return true;
+		at += length;
+	}
+	return false;
+}
+
 static bool
 name_is_good(const char *name)
 {
--- a/src/lists/lists.c
+++ b/src/lists/lists.c
@@ -42,13 +42,13 @@
     CYAML_FIELD_ENUM("kind", OPT, struct kwb_plan, kind, plan_kinds, 3),
     TEXT(struct kwb_plan, pool),
     TEXT(struct kwb_plan, model),
-    CYAML_FIELD_ENUM("objective", OPT, struct kwb_plan, objective, objectives,
-        2),
+    CYAML_FIELD_ENUM(
+	"objective", OPT, struct kwb_plan, objective, objectives, 2),
     UINT(struct kwb_plan, staleness_versions),
     CYAML_FIELD_BOOL("mixed_versions", OPT, struct kwb_plan, mixed_versions),
     UINT(struct kwb_plan, max_tokens),
     CYAML_FIELD_SEQUENCE("rules", OPT | CYAML_FLAG_POINTER, struct kwb_plan,
-        rules, &rule_schema, 0, KWB_RULES_MAX),
+	rules, &rule_schema, 0, KWB_RULES_MAX),
     CYAML_FIELD_END,
 };
 
@@ -64,16 +64,16 @@
 };
 
 static const cyaml_schema_value_t allowance_schema = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, struct kwb_allowance,
-        allowance_fields),
+    CYAML_VALUE_MAPPING(
+	CYAML_FLAG_DEFAULT, struct kwb_allowance, allowance_fields),
 };
 
 static const cyaml_schema_field_t lists_fields[] = {
     CYAML_FIELD_UINT("revision", OPT, struct kwb_lists, revision),
     CYAML_FIELD_SEQUENCE("plans", OPT | CYAML_FLAG_POINTER, struct kwb_lists,
-        plans, &plan_schema, 0, KWB_PLANS_MAX),
+	plans, &plan_schema, 0, KWB_PLANS_MAX),
     CYAML_FIELD_SEQUENCE("allowances", OPT | CYAML_FLAG_POINTER,
-        struct kwb_lists, allowances, &allowance_schema, 0, KWB_PLANS_MAX),
+	struct kwb_lists, allowances, &allowance_schema, 0, KWB_PLANS_MAX),
     CYAML_FIELD_END,
 };
 
@@ -157,8 +157,7 @@
 
 /* The first rule whose method matches and whose path is a prefix. */
 const struct kwb_rule *
-kwb_plan_rule(const struct kwb_plan *plan, const char *method,
-    const char *path)
+kwb_plan_rule(const struct kwb_plan *plan, const char *method, const char *path)
 {
 	uint32_t i;
 
--- a/src/lists/merge.c
+++ b/src/lists/merge.c
@@ -8,8 +8,8 @@
 #include "kwb.h"
 
 static void plan_print(const struct kwb_plan *plan, struct kwb_buf *out);
-static void allowance_print(const struct kwb_allowance *allowance,
-    struct kwb_buf *out);
+static void allowance_print(
+    const struct kwb_allowance *allowance, struct kwb_buf *out);
 static void entry_text(const struct kwb_lists *lists, bool plans,
     const char *name, struct kwb_buf *out);
 static uint32_t names_of(const struct kwb_lists *const *lists, unsigned count,
@@ -40,7 +40,7 @@
 			entry_text(from, plans != 0, names[i], &old_text);
 			entry_text(to, plans != 0, names[i], &new_text);
 			if (strcmp(kwb_buf_text(&old_text),
-			        kwb_buf_text(&new_text)) == 0)
+				kwb_buf_text(&new_text)) == 0)
 				continue;
 			differing++;
 			if (old_text.used_bytes > 0)
@@ -119,8 +119,7 @@
     const char *name)
 {
 	const struct kwb_plan *plan = kwb_lists_plan(from, name);
-	const struct kwb_allowance *allowance =
-	    kwb_lists_allowance(from, name);
+	const struct kwb_allowance *allowance = kwb_lists_allowance(from, name);
 	struct kwb_plan *to;
 	void *grown;
 
@@ -135,8 +134,8 @@
 		merged->allowances[merged->allowances_count++] = *allowance;
 		return 0;
 	}
-	grown = realloc(merged->plans,
-	    (merged->plans_count + 1) * sizeof(*plan));
+	grown =
+	    realloc(merged->plans, (merged->plans_count + 1) * sizeof(*plan));
 	if (grown == NULL)
 		return KWB_ERR_MEMORY;
 	merged->plans = grown;
@@ -150,8 +149,8 @@
 		to->rules_count = 0;
 		return KWB_ERR_MEMORY;
 	}
-	memcpy(to->rules, plan->rules,
-	    plan->rules_count * sizeof(*plan->rules));
+	memcpy(
+	    to->rules, plan->rules, plan->rules_count * sizeof(*plan->rules));
 	return 0;
 }
 
@@ -165,7 +164,7 @@
 
 	for (side = 0; side < count; side++) {
 		entries = plans ? lists[side]->plans_count
-		                : lists[side]->allowances_count;
+				: lists[side]->allowances_count;
 		for (i = 0; i < entries; i++) {
 			const char *name = plans
 			    ? lists[side]->plans[i].name
@@ -198,8 +197,8 @@
 static void
 plan_print(const struct kwb_plan *plan, struct kwb_buf *out)
 {
-	static const char *const kinds[] = {"training", "interactive",
-	    "service"};
+	static const char *const kinds[] = {
+	    "training", "interactive", "service"};
 	uint32_t i;
 
 	kwb_buf_printf(out,
@@ -212,8 +211,7 @@
 	for (i = 0; i < plan->rules_count; i++)
 		kwb_buf_printf(out, " rule=%s:%s:%s:%ums",
 		    plan->rules[i].method, plan->rules[i].path,
-		    plan->rules[i].idempotent ? "idempotent"
-		                              : "not-idempotent",
+		    plan->rules[i].idempotent ? "idempotent" : "not-idempotent",
 		    plan->rules[i].timeout_ms);
 }
 
--- a/src/lists/store.c
+++ b/src/lists/store.c
@@ -16,18 +16,18 @@
 #define TRIES 10
 #define PAUSE_NS (200 * KWB_MS_NS)
 
-static int parse_text(struct kwb_buf *text, uint64_t revision,
-    struct kwb_lists **lists);
+static int parse_text(
+    struct kwb_buf *text, uint64_t revision, struct kwb_lists **lists);
 static int apply_once(const struct kwb_platform *platform,
-    const struct kwb_lists *ours, uint64_t *revision,
-    struct kwb_buf *conflicts, struct kwb_faults *faults);
+    const struct kwb_lists *ours, uint64_t *revision, struct kwb_buf *conflicts,
+    struct kwb_faults *faults);
 static int merged_with(const struct kwb_platform *platform,
     const struct kwb_lists *ours, const struct kwb_lists *now,
     struct kwb_lists **merged, struct kwb_buf *conflicts);
 static int lists_write(const struct kwb_platform *platform,
     const struct kwb_lists *lists, uint64_t expected, uint64_t *revision);
-static void keep_history(const struct kwb_platform *platform,
-    uint64_t revision, const struct kwb_buf *text);
+static void keep_history(const struct kwb_platform *platform, uint64_t revision,
+    const struct kwb_buf *text);
 
 int
 kwb_lists_fetch(const struct kwb_platform *platform, struct kwb_lists **lists)
@@ -37,7 +37,7 @@
 	int error;
 
 	kwb_buf_init(&text);
-	error = kwb_lists_read(platform, &text, &revision);
+	error = kwb_lists_read(platform, 0, &text, &revision);
 	if (error == KWB_ERR_PLATFORM_MISSING) {
 		kwb_buf_printf(&text, "revision: 0\n");
 		error = 0;
@@ -73,14 +73,13 @@
 /* ours->revision is the revision that the edit began from. */
 int
 kwb_lists_apply(const struct kwb_platform *platform,
-    const struct kwb_lists *ours, uint64_t *revision,
-    struct kwb_buf *conflicts, struct kwb_faults *faults)
+    const struct kwb_lists *ours, uint64_t *revision, struct kwb_buf *conflicts,
+    struct kwb_faults *faults)
 {
 	int tries, error = 0;
 
 	for (tries = 0; tries < TRIES; tries++) {
-		error = apply_once(platform, ours, revision, conflicts,
-		    faults);
+		error = apply_once(platform, ours, revision, conflicts, faults);
 		if (error != KWB_ERR_PLATFORM_DOWN &&
 		    error != KWB_ERR_PLATFORM_CONFLICT)
 			break;
@@ -141,8 +140,8 @@
 }
 
 static int
-lists_write(const struct kwb_platform *platform,
-    const struct kwb_lists *lists, uint64_t expected, uint64_t *revision)
+lists_write(const struct kwb_platform *platform, const struct kwb_lists *lists,
+    uint64_t expected, uint64_t *revision)
 {
 	struct kwb_buf text, old;
 	uint64_t old_revision;
@@ -152,7 +151,7 @@
 	kwb_buf_init(&old);
 	/* An earlier writer may have died before it kept the history. */
 	if (expected > 0 &&
-	    kwb_lists_read(platform, &old, &old_revision) == 0 &&
+	    kwb_lists_read(platform, 0, &old, &old_revision) == 0 &&
 	    old_revision == expected)
 		keep_history(platform, expected, &old);
 	error = kwb_lists_print(lists, &text);
--- a/src/member/lease.c
+++ b/src/member/lease.c
@@ -25,8 +25,8 @@
 static int row_write(struct kwb_lease *lease,
     const struct kwb_platform *platform, const char *holder, uint64_t token,
     uint64_t expected);
-static bool row_is_ours(const struct kwb_lease *lease,
-    const struct lease_row *row);
+static bool row_is_ours(
+    const struct kwb_lease *lease, const struct lease_row *row);
 static bool row_is_free(struct kwb_lease *lease, const struct lease_row *row,
     uint64_t revision, uint64_t now_ns);
 
@@ -112,8 +112,8 @@
 	error = kwb_table_get(platform, name, &value, revision);
 	if (error == 0 &&
 	    sscanf(kwb_buf_text(&value),
-	        "%63s %" SCNu64 " %" SCNu64 " %" SCNu64, row->holder,
-	        &row->incarnation, &row->token, &row->renewals) != 4)
+		"%63s %" SCNu64 " %" SCNu64 " %" SCNu64, row->holder,
+		&row->incarnation, &row->token, &row->renewals) != 4)
 		error = KWB_ERR_PLATFORM_DOWN;
 	kwb_buf_finish(&value);
 	return error;
@@ -132,8 +132,8 @@
 	length = snprintf(value, sizeof(value),
 	    "%s %" PRIu64 " %" PRIu64 " %" PRIu64, holder, lease->incarnation,
 	    token, lease->renewals);
-	return kwb_table_put(platform, lease->name, value, (size_t)length,
-	    expected, &revision);
+	return kwb_table_put(
+	    platform, lease->name, value, (size_t)length, expected, &revision);
 }
 
 static bool
--- a/src/member/peers.c
+++ b/src/member/peers.c
@@ -10,22 +10,27 @@
 #include "../entry/entry.h"
 
 static void on_open(void *context, uint64_t link, uint32_t tag);
-static void on_frame(void *context, uint64_t link, uint32_t tag,
-    Kwb__Wire__Frame *frame);
+static void on_frame(
+    void *context, uint64_t link, uint32_t tag, Kwb__Wire__Frame *frame);
 static void on_close(void *context, uint64_t link, uint32_t tag);
 static void on_heartbeat(void *context, uint64_t link, uint32_t tag);
 static void peer_hello(struct kwb_entry *entry, uint64_t link, uint32_t tag,
     const Kwb__Wire__Hello *hello);
-static void peer_status(struct peer *peer, uint64_t revision,
-    const Kwb__Wire__Status *status);
+static void peer_status(
+    struct peer *peer, uint64_t revision, const Kwb__Wire__Status *status);
+static void peer_load(struct kwb_entry *entry, uint64_t link, struct peer *peer,
+    const Kwb__Wire__Done *done);
 static void peer_lists(struct kwb_entry *entry, uint64_t link, uint32_t tag);
 static bool peer_usable(const struct peer *peer, uint64_t now_ns);
 static struct peer *peer_slot(struct peers *peers, const struct kwb_vm *vm);
+static unsigned homes_in_demand(struct kwb_entry *entry,
+    const struct kwb_vms *vms, uint32_t *chosen, unsigned chosen_max);
+static void peer_settle(struct peer *peer, const struct kwb_vms *vms);
 static void peer_candidate(struct kwb_entry *entry, struct peer *peer,
     const char *plan, const char *model, struct kwb_candidate *candidate);
 static struct peer_plan *plan_of(struct peer *peer, const char *plan);
-static const struct peer_model *model_of(const struct peer *peer,
-    const char *model);
+static const struct peer_model *model_of(
+    const struct peer *peer, const char *model);
 static void target_take(struct peer *peer, int index, const char *plan,
     const char *model, struct target *target);
 
@@ -52,8 +57,7 @@
 /* Chooses a peer of the plan's pool, takes a place there and logs why. */
 int
 peers_pick(struct kwb_entry *entry, const struct kwb_route *route,
-    const char *plan, const char *model, const char *key,
-    struct target *target)
+    const char *plan, const char *model, const char *key, struct target *target)
 {
 	struct peers *peers = &entry->peers;
 	struct kwb_candidate candidates[KWB_PEERS_MAX];
@@ -63,8 +67,8 @@
 	target->peer = -1;
 	pthread_mutex_lock(&peers->lock);
 	for (i = 0; i < KWB_PEERS_MAX; i++)
-		peer_candidate(entry, &peers->peers[i], plan, model,
-		    &candidates[i]);
+		peer_candidate(
+		    entry, &peers->peers[i], plan, model, &candidates[i]);
 	choice = kwb_route_pick(route, candidates, KWB_PEERS_MAX);
 	if (choice.index >= 0)
 		target_take(&peers->peers[choice.index], choice.index, plan,
@@ -78,9 +82,9 @@
 	    " same_domain=%d",
 	    plan, key, target->vm, choice.reason,
 	    candidates[choice.index].in_plan, candidates[choice.index].units,
-	    candidates[choice.index].in_flight,
-	    candidates[choice.index].slots, target->version,
-	    route->min_version, candidates[choice.index].same_domain);
+	    candidates[choice.index].in_flight, candidates[choice.index].slots,
+	    target->version, route->min_version,
+	    candidates[choice.index].same_domain);
 	return 0;
 }
 
@@ -141,39 +145,76 @@
 	target->peer = -1;
 }
 
-/* Brings the table in line with the subset of the platform's list. */
+/* Brings the table in line with the platform's list and with demand. */
 void
 peers_update(struct kwb_entry *entry, const struct kwb_vms *vms)
 {
 	struct peers *peers = &entry->peers;
-	uint32_t chosen[KWB_PEERS_MAX];
+	uint32_t chosen[2 * KWB_PEERS_MAX];
 	unsigned i, count;
 
 	count = kwb_subset(vms, entry->settings->vm,
 	    entry->settings->failure_domain, entry->settings->subset, chosen,
 	    KWB_PEERS_MAX);
+	count += homes_in_demand(
+	    entry, vms, chosen + count, 2 * KWB_PEERS_MAX - count);
 	pthread_mutex_lock(&peers->lock);
 	for (i = 0; i < KWB_PEERS_MAX; i++)
 		peers->peers[i].wanted = false;
 	for (i = 0; i < count; i++) {
-		const struct kwb_vm *vm = &vms->vms[chosen[i]];
-		struct peer *peer = peer_slot(peers, vm);
+		struct peer *peer = peer_slot(peers, &vms->vms[chosen[i]]);
 
-		if (peer == NULL)
-			continue;
-		peer->wanted = true;
-		peer->listed_leaving = vm->state == KWB_VM_LEAVING;
+		if (peer != NULL)
+			peer->wanted = true;
 	}
-	for (i = 0; i < KWB_PEERS_MAX; i++) {
-		struct peer *peer = &peers->peers[i];
+	for (i = 0; i < KWB_PEERS_MAX; i++)
+		peer_settle(&peers->peers[i], vms);
+	pthread_mutex_unlock(&peers->lock);
+}
 
-		if (peer->vm[0] == '\0' || peer->wanted)
+/* The homes of the training plans that are pulled through this entry. */
+static unsigned
+homes_in_demand(struct kwb_entry *entry, const struct kwb_vms *vms,
+    uint32_t *chosen, unsigned chosen_max)
+{
+	const struct kwb_lists *lists = kwb_current_hold();
+	uint64_t now_ns = kwb_clock_now_ns(), demand_ns;
+	unsigned used = 0;
+	uint32_t i;
+
+	for (i = 0; lists != NULL && i < lists->plans_count; i++) {
+		const struct kwb_plan *plan = &lists->plans[i];
+		const struct kwb_allowance *allowance =
+		    kwb_lists_allowance(lists, plan->name);
+
+		demand_ns =
+		    atomic_load(&entry_gate(entry, plan->name)->demand_ns);
+		if (plan->kind != KWB_PLAN_TRAINING || demand_ns == 0 ||
+		    now_ns - demand_ns > KWB_DEMAND_NS)
 			continue;
-		peer->listed_leaving = true;
-		if (peer->own == 0 && peer->link == 0)
-			memset(peer, 0, sizeof(*peer));
+		used += kwb_home(vms, plan->pool, plan->name,
+		    kwb_share_homes(allowance->concurrent, vms->count),
+		    chosen + used, chosen_max - used);
 	}
-	pthread_mutex_unlock(&peers->lock);
+	kwb_current_drop();
+	return used;
+}
+
+/* What the list says of a peer; one no longer wanted goes when it is idle. */
+static void
+peer_settle(struct peer *peer, const struct kwb_vms *vms)
+{
+	uint32_t i;
+
+	if (peer->vm[0] == '\0')
+		return;
+	for (i = 0; i < vms->count; i++)
+		if (strcmp(vms->vms[i].vm, peer->vm) == 0)
+			break;
+	peer->listed_leaving =
+	    i == vms->count || vms->vms[i].state == KWB_VM_LEAVING;
+	if (!peer->wanted && peer->own == 0 && peer->link == 0)
+		memset(peer, 0, sizeof(*peer));
 }
 
 void
@@ -187,7 +228,7 @@
 	for (i = 0; i < KWB_PEERS_MAX; i++) {
 		struct peer *peer = &peers->peers[i];
 
-		if (peer->vm[0] == '\0' || peer->link != 0 ||
+		if (!peer->wanted || peer->link != 0 ||
 		    now_ns < peer->reconnect_ns)
 			continue;
 		peer->reconnect_ns = now_ns + KWB_RECONNECT_NS;
@@ -215,8 +256,8 @@
 }
 
 unsigned
-peers_in_pool(struct kwb_entry *entry, const char *pool,
-    struct target *targets, unsigned targets_max)
+peers_in_pool(struct kwb_entry *entry, const char *pool, struct target *targets,
+    unsigned targets_max)
 {
 	struct peers *peers = &entry->peers;
 	unsigned count = 0;
@@ -231,8 +272,8 @@
 		targets[count].peer = i;
 		targets[count].link = peer->link;
 		targets[count].incarnation = peer->incarnation;
-		kwb_text_copy(targets[count].vm, sizeof(targets[count].vm),
-		    peer->vm);
+		kwb_text_copy(
+		    targets[count].vm, sizeof(targets[count].vm), peer->vm);
 		count++;
 	}
 	pthread_mutex_unlock(&peers->lock);
@@ -285,9 +326,8 @@
 		    printed++ ? "," : "", peer->vm, peer->failure_domain,
 		    peer->pool, peer->greeted ? "true" : "false",
 		    peer->leaving || peer->listed_leaving ? "true" : "false",
-		    peer->upstream_up ? "true" : "false",
-		    peer->lists_revision, peer->own, peer->others,
-		    peer->slots);
+		    peer->upstream_up ? "true" : "false", peer->lists_revision,
+		    peer->own, peer->others, peer->slots);
 		for (j = 0; j < peer->models_count; j++)
 			kwb_buf_printf(out, "%s\"%s\":%" PRIu64, j ? "," : "",
 			    peer->models[j].model, peer->models[j].version);
@@ -325,18 +365,19 @@
 
 	switch (frame->body_case) {
 	case KWB__WIRE__FRAME__BODY_PROGRESS:
-		registry_post(&entry->registry, frame->progress->request,
-		    frame);
+		registry_post(
+		    &entry->registry, frame->progress->request, frame);
 		return;
 	case KWB__WIRE__FRAME__BODY_DONE:
+		peer_load(entry, link, peer, frame->done);
 		registry_post(&entry->registry, frame->done->request, frame);
 		return;
 	case KWB__WIRE__FRAME__BODY_FOUND:
 		registry_post(&entry->registry, frame->found->request, frame);
 		return;
 	case KWB__WIRE__FRAME__BODY_ORDER_REPLY:
-		registry_post(&entry->registry, frame->order_reply->request,
-		    frame);
+		registry_post(
+		    &entry->registry, frame->order_reply->request, frame);
 		return;
 	case KWB__WIRE__FRAME__BODY_HELLO:
 		peer_hello(entry, link, tag, frame->hello);
@@ -351,8 +392,7 @@
 		break;
 	case KWB__WIRE__FRAME__BODY_LISTS:
 		if (kwb_current_offer((const char *)frame->lists->document.data,
-		        frame->lists->document.len,
-		        frame->lists->revision) > 0)
+			frame->lists->document.len, frame->lists->revision) > 0)
 			peers_push_lists(entry);
 		break;
 	default:
@@ -370,8 +410,8 @@
 	pthread_mutex_lock(&entry->peers.lock);
 	if (peer->link == link) {
 		if (peer->greeted)
-			kwb_log(KWB_LOG_WARN, "member",
-			    "event=link_lost vm=%s", peer->vm);
+			kwb_log(KWB_LOG_WARN, "member", "event=link_lost vm=%s",
+			    peer->vm);
 		peer->link = 0;
 		peer->greeted = false;
 	}
@@ -403,15 +443,14 @@
 
 	pthread_mutex_lock(&entry->peers.lock);
 	/* Behind the address there may by now be another VM. */
-	wrong = hello->protocol != KWB_PROTOCOL ||
-	    strcmp(hello->vm, peer->vm) != 0;
+	wrong =
+	    hello->protocol != KWB_PROTOCOL || strcmp(hello->vm, peer->vm) != 0;
 	if (peer->link == link && !wrong) {
 		peer->greeted = true;
 		peer->incarnation = hello->incarnation;
 		peer->failures = 0;
 		if (hello->status != NULL)
-			peer_status(peer, hello->lists_revision,
-			    hello->status);
+			peer_status(peer, hello->lists_revision, hello->status);
 		kwb_log(KWB_LOG_INFO, "member",
 		    "event=link_up vm=%s incarnation=%" PRIu64, peer->vm,
 		    peer->incarnation);
@@ -424,8 +463,8 @@
 }
 
 static void
-peer_status(struct peer *peer, uint64_t revision,
-    const Kwb__Wire__Status *status)
+peer_status(
+    struct peer *peer, uint64_t revision, const Kwb__Wire__Status *status)
 {
 	uint32_t busy = status->running + status->waiting;
 	size_t i;
@@ -445,8 +484,7 @@
 		model->swapping = status->versions[i]->swapping;
 	}
 	for (i = 0; i < status->n_plans; i++) {
-		struct peer_plan *use =
-		    plan_of(peer, status->plans[i]->plan);
+		struct peer_plan *use = plan_of(peer, status->plans[i]->plan);
 
 		if (use == NULL)
 			continue;
@@ -457,6 +495,28 @@
 	}
 }
 
+/* Each answer brings the load along, fresher than the last status. */
+static void
+peer_load(struct kwb_entry *entry, uint64_t link, struct peer *peer,
+    const Kwb__Wire__Done *done)
+{
+	struct peer_plan *use;
+
+	pthread_mutex_lock(&entry->peers.lock);
+	if (peer->link == link && done->leaving)
+		peer->leaving = true;
+	if (peer->link == link && done->plan[0] != '\0') {
+		peer->others =
+		    done->busy > peer->own ? done->busy - peer->own : 0;
+		use = plan_of(peer, done->plan);
+		if (use != NULL)
+			use->others = done->plan_running > use->own
+			    ? done->plan_running - use->own
+			    : 0;
+	}
+	pthread_mutex_unlock(&entry->peers.lock);
+}
+
 /* Sends the lists to a peer that knows an older revision. */
 static void
 peer_lists(struct kwb_entry *entry, uint64_t link, uint32_t tag)
@@ -468,8 +528,8 @@
 	bool behind;
 
 	pthread_mutex_lock(&entry->peers.lock);
-	behind = peer->link == link &&
-	    peer->lists_revision < kwb_current_revision();
+	behind =
+	    peer->link == link && peer->lists_revision < kwb_current_revision();
 	pthread_mutex_unlock(&entry->peers.lock);
 	if (!behind)
 		return;
@@ -537,8 +597,8 @@
 	if (use == NULL || (model != NULL && state == NULL))
 		return;
 	candidate->usable = use->units > 0;
-	candidate->same_domain = strcmp(peer->failure_domain,
-	                             entry->settings->failure_domain) == 0;
+	candidate->same_domain =
+	    strcmp(peer->failure_domain, entry->settings->failure_domain) == 0;
 	if (state != NULL) {
 		candidate->version = state->version;
 		candidate->swapping = state->swapping;
--- a/src/member/subset.c
+++ b/src/member/subset.c
@@ -1,22 +1,31 @@
 /*
- * Deterministic subset of agents an entry connects to, by rendezvous hashing:
- * per pool, own failure domain first, every other domain present. Connections
- * then grow with the subset and not with the fleet.
+ * Which agents an entry connects to. Its own subset, by rendezvous hashing
+ * per pool: one agent of every failure domain, then its own domain first, so
+ * that connections grow with the subset and not with the fleet. And the homes
+ * of a plan: the agents that hold the plan's allowance.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include <xxhash.h>
 
 #include "kwb.h"
 
-static int best_left(const struct kwb_vms *vms, const char *self,
-    const char *pool, const char *failure_domain, const bool *taken);
-static uint64_t score(const struct kwb_vm *vm, const char *self);
-static bool first_of_pool(const struct kwb_vms *vms, uint32_t index);
-static bool first_of_domain(const struct kwb_vms *vms, uint32_t index);
-static unsigned pool_subset(const struct kwb_vms *vms, const char *self,
-    const char *failure_domain, const char *pool, unsigned wanted,
-    bool *taken, uint32_t *chosen);
+/* An agent of the list with its rendezvous score. */
+struct scored {
+	const struct kwb_vm *vm;
+	uint32_t index;
+	uint64_t score;
+	bool taken;
+};
+
+static unsigned score_agents(const struct kwb_vms *vms, const char *pool,
+    uint64_t seed, struct scored *agents);
+static int by_pool_and_score(const void *a, const void *b);
+static unsigned pool_subset(struct scored *agents, unsigned count,
+    const char *failure_domain, unsigned wanted, uint32_t *chosen);
+static bool domain_taken(
+    const struct scored *agents, unsigned count, const char *failure_domain);
 
 uint64_t
 kwb_hash(const char *text, uint64_t seed)
@@ -29,113 +38,107 @@
     const char *failure_domain, unsigned wanted, uint32_t *chosen,
     unsigned chosen_max)
 {
-	bool taken[KWB_VMS_MAX] = {false};
-	unsigned used = 0;
-	uint32_t i;
-
-	for (i = 0; i < vms->count; i++) {
-		unsigned room = chosen_max - used;
-
-		if (strcmp(vms->vms[i].role, "agent") != 0 ||
-		    !first_of_pool(vms, i))
+	struct scored *agents = calloc(vms->count + 1, sizeof(*agents));
+	unsigned count, first, end, room, used = 0;
+
+	if (agents == NULL)
+		return 0;
+	count = score_agents(vms, NULL, kwb_hash(self, 0), agents);
+	for (first = 0; first < count; first = end) {
+		for (end = first; end < count &&
+		     strcmp(agents[end].vm->pool, agents[first].vm->pool) == 0;
+		     end++)
 			continue;
-		used += pool_subset(vms, self, failure_domain,
-		    vms->vms[i].pool, wanted < room ? wanted : room, taken,
-		    chosen + used);
+		room = chosen_max - used;
+		used += pool_subset(agents + first, end - first, failure_domain,
+		    wanted < room ? wanted : room, chosen + used);
 	}
+	free(agents);
 	return used;
 }
 
-static unsigned
-pool_subset(const struct kwb_vms *vms, const char *self,
-    const char *failure_domain, const char *pool, unsigned wanted,
-    bool *taken, uint32_t *chosen)
+unsigned
+kwb_home(const struct kwb_vms *vms, const char *pool, const char *plan,
+    unsigned wanted, uint32_t *chosen, unsigned chosen_max)
 {
-	unsigned used = 0;
-	uint32_t i;
-	int best;
-
-	/* One of each other domain, so that the loss of one leaves others. */
-	for (i = 0; i < vms->count && used < wanted; i++) {
-		if (strcmp(vms->vms[i].pool, pool) != 0 ||
-		    !first_of_domain(vms, i))
-			continue;
-		best = best_left(vms, self, pool, vms->vms[i].failure_domain,
-		    taken);
-		if (best < 0)
-			continue;
-		taken[best] = true;
-		chosen[used++] = (uint32_t)best;
-	}
-	while (used < wanted) {
-		best = best_left(vms, self, pool, failure_domain, taken);
-		if (best < 0)
-			best = best_left(vms, self, pool, NULL, taken);
-		if (best < 0)
-			break;
-		taken[best] = true;
-		chosen[used++] = (uint32_t)best;
-	}
-	return used;
+	struct scored *agents = calloc(vms->count + 1, sizeof(*agents));
+	unsigned i, count;
+
+	if (agents == NULL)
+		return 0;
+	count = score_agents(vms, pool, kwb_hash(plan, 0), agents);
+	for (i = 0; i < count && i < wanted && i < chosen_max; i++)
+		chosen[i] = agents[i].index;
+	free(agents);
+	return i;
 }
 
-static int
-best_left(const struct kwb_vms *vms, const char *self, const char *pool,
-    const char *failure_domain, const bool *taken)
+/* The agents of one pool or of all, by pool and falling score. */
+static unsigned
+score_agents(const struct kwb_vms *vms, const char *pool, uint64_t seed,
+    struct scored *agents)
 {
-	uint64_t best_score = 0, this_score;
-	int best = -1;
+	unsigned count = 0;
 	uint32_t i;
 
 	for (i = 0; i < vms->count; i++) {
 		const struct kwb_vm *vm = &vms->vms[i];
 
-		if (taken[i] || strcmp(vm->role, "agent") != 0 ||
-		    strcmp(vm->pool, pool) != 0)
+		if (strcmp(vm->role, "agent") != 0 ||
+		    (pool != NULL && strcmp(vm->pool, pool) != 0))
 			continue;
-		if (failure_domain != NULL &&
-		    strcmp(vm->failure_domain, failure_domain) != 0)
-			continue;
-		this_score = score(vm, self);
-		if (best < 0 || this_score > best_score) {
-			best = (int)i;
-			best_score = this_score;
-		}
+		agents[count].vm = vm;
+		agents[count].index = i;
+		agents[count].score = kwb_hash(vm->vm, seed);
+		count++;
 	}
-	return best;
+	qsort(agents, count, sizeof(*agents), by_pool_and_score);
+	return count;
 }
 
-static uint64_t
-score(const struct kwb_vm *vm, const char *self)
+static int
+by_pool_and_score(const void *a, const void *b)
 {
-	return kwb_hash(vm->vm, kwb_hash(self, 0));
+	const struct scored *left = a, *right = b;
+	int order = strcmp(left->vm->pool, right->vm->pool);
+
+	if (order != 0)
+		return order;
+	if (left->score != right->score)
+		return left->score > right->score ? -1 : 1;
+	return strcmp(left->vm->vm, right->vm->vm);
 }
 
-static bool
-first_of_pool(const struct kwb_vms *vms, uint32_t index)
+static unsigned
+pool_subset(struct scored *agents, unsigned count, const char *failure_domain,
+    unsigned wanted, uint32_t *chosen)
 {
-	uint32_t i;
-
-	for (i = 0; i < index; i++)
-		if (strcmp(vms->vms[i].role, "agent") == 0 &&
-		    strcmp(vms->vms[i].pool, vms->vms[index].pool) == 0)
-			return false;
-	return true;
+	unsigned i, pass, used = 0;
+
+	for (pass = 0; pass < 3; pass++) {
+		for (i = 0; i < count && used < wanted; i++) {
+			const char *domain = agents[i].vm->failure_domain;
+			bool near = strcmp(domain, failure_domain) == 0;
+
+			if (agents[i].taken || (pass == 1 && !near) ||
+			    (pass == 0 && domain_taken(agents, i, domain)))
+				continue;
+			agents[i].taken = true;
+			chosen[used++] = agents[i].index;
+		}
+	}
+	return used;
 }
 
 static bool
-first_of_domain(const struct kwb_vms *vms, uint32_t index)
+domain_taken(
+    const struct scored *agents, unsigned count, const char *failure_domain)
 {
-	const struct kwb_vm *vm = &vms->vms[index];
-	uint32_t i;
+	unsigned i;
 
-	if (strcmp(vm->role, "agent") != 0)
-		return false;
-	for (i = 0; i < index; i++)
-		if (strcmp(vms->vms[i].role, "agent") == 0 &&
-		    strcmp(vms->vms[i].pool, vm->pool) == 0 &&
-		    strcmp(vms->vms[i].failure_domain, vm->failure_domain) ==
-		        0)
-			return false;
-	return true;
+	for (i = 0; i < count; i++)
+		if (agents[i].taken &&
+		    strcmp(agents[i].vm->failure_domain, failure_domain) == 0)
+			return true;
+	return false;
 }
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -29,8 +29,8 @@
 static int on_wait(void *context, curl_off_t down_total, curl_off_t down,
     curl_off_t up_total, curl_off_t up);
 static struct curl_slist *headers_for(const struct kwb_http_request *request);
-static void handle_prepare(CURL *curl, struct exchange *exchange,
-    struct curl_slist *headers);
+static void handle_prepare(
+    CURL *curl, struct exchange *exchange, struct curl_slist *headers);
 
 void
 kwb_http_init(void)
@@ -51,8 +51,8 @@
 }
 
 int
-kwb_http_do(const struct kwb_http_request *request,
-    struct kwb_http_answer *answer)
+kwb_http_do(
+    const struct kwb_http_request *request, struct kwb_http_answer *answer)
 {
 	struct exchange exchange = {request, answer};
 	struct curl_slist *headers;
@@ -69,8 +69,8 @@
 	answer->sent = code != CURLE_COULDNT_CONNECT &&
 	    code != CURLE_COULDNT_RESOLVE_HOST && code != CURLE_URL_MALFORMAT;
 	if (code == CURLE_OK)
-		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
-		    &answer->status);
+		curl_easy_getinfo(
+		    curl, CURLINFO_RESPONSE_CODE, &answer->status);
 	if (code == CURLE_OPERATION_TIMEDOUT) {
 		double connect_s = 0;
 
@@ -119,16 +119,20 @@
 	if (request->if_match != NULL && request->if_match[0] == '*') {
 		list = curl_slist_append(list, "If-None-Match: *");
 	} else if (request->if_match != NULL) {
-		snprintf(line, sizeof(line), "If-Match: %s",
-		    request->if_match);
+		snprintf(line, sizeof(line), "If-Match: %s", request->if_match);
+		list = curl_slist_append(list, line);
+	}
+	if (request->if_changed != NULL) {
+		snprintf(line, sizeof(line), "If-None-Match: %s",
+		    request->if_changed);
 		list = curl_slist_append(list, line);
 	}
 	return list;
 }
 
 static void
-handle_prepare(CURL *curl, struct exchange *exchange,
-    struct curl_slist *headers)
+handle_prepare(
+    CURL *curl, struct exchange *exchange, struct curl_slist *headers)
 {
 	const struct kwb_http_request *request = exchange->request;
 	long fresh = request->fresh ? 1 : 0;
@@ -137,11 +141,11 @@
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(curl, CURLOPT_URL, request->url);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
-	    (long)KWB_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(
+	    curl, CURLOPT_CONNECTTIMEOUT_MS, (long)KWB_CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
 	    (long)(request->timeout_ms ? request->timeout_ms
-	                               : KWB_HTTP_TIMEOUT_MS));
+				       : KWB_HTTP_TIMEOUT_MS));
 	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, fresh);
 	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, fresh);
@@ -173,13 +177,12 @@
 	size_t length = size * count;
 
 	if (request->on_data != NULL)
-		return request->on_data(request->context, data, length)
-		    ? length
-		    : 0;
+		return request->on_data(request->context, data, length) ? length
+									: 0;
 	if (exchange->answer->body.used_bytes + length > KWB_BODY_MAX_BYTES)
 		return 0;
 	return kwb_buf_add(&exchange->answer->body, data, length) == 0 ? length
-	                                                               : 0;
+								       : 0;
 }
 
 static int
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -15,14 +15,16 @@
 #define LISTS_KEY "lists"
 
 static int platform_do(const struct kwb_platform *platform, const char *method,
-    const char *path, const char *if_match, const void *body,
-    size_t body_bytes, struct kwb_http_answer *answer);
+    const char *path, const char *if_match, const void *body, size_t body_bytes,
+    struct kwb_http_answer *answer);
+static int platform_poll(const struct kwb_platform *platform, const char *path,
+    uint64_t known, struct kwb_http_answer *answer);
 static int status_error(long status);
 static int put_settled(const struct kwb_platform *platform, const char *key,
     const char *value, size_t length_bytes, uint64_t *revision);
 static void vm_from_json(struct kwb_vm *vm, json_t *item);
-static void text_from_json(char *to, size_t room_bytes, json_t *item,
-    const char *key);
+static void text_from_json(
+    char *to, size_t room_bytes, json_t *item, const char *key);
 
 void
 kwb_platform_init(struct kwb_platform *platform, const char *url)
@@ -33,17 +35,24 @@
 int
 kwb_table_get(const struct kwb_platform *platform, const char *key,
     struct kwb_buf *value, uint64_t *revision)
+{
+	return kwb_table_poll(platform, key, 0, value, revision);
+}
+
+int
+kwb_table_poll(const struct kwb_platform *platform, const char *key,
+    uint64_t known, struct kwb_buf *value, uint64_t *revision)
 {
 	struct kwb_http_answer answer;
 	char path[PATH_MAX_BYTES];
 	int error;
 
 	snprintf(path, sizeof(path), "/table/%s", key);
-	error = platform_do(platform, "GET", path, NULL, NULL, 0, &answer);
+	error = platform_poll(platform, path, known, &answer);
 	if (error == 0) {
 		*revision = answer.revision;
-		error = kwb_buf_add(value, kwb_buf_text(&answer.body),
-		    answer.body.used_bytes);
+		error = kwb_buf_add(
+		    value, kwb_buf_text(&answer.body), answer.body.used_bytes);
 	}
 	kwb_http_answer_finish(&answer);
 	return error;
@@ -66,8 +75,8 @@
 	/* No answer, or a refusal that our own lost write may have caused. */
 	if ((error == KWB_ERR_PLATFORM_DOWN && answer.sent) ||
 	    error == KWB_ERR_PLATFORM_CONFLICT) {
-		if (put_settled(platform, key, value, length_bytes,
-		        revision) == 0)
+		if (put_settled(platform, key, value, length_bytes, revision) ==
+		    0)
 			error = 0;
 	}
 	kwb_http_answer_finish(&answer);
@@ -83,15 +92,15 @@
 	int error;
 
 	snprintf(path, sizeof(path), "/objects/%s", name);
-	error = platform_do(platform, "PUT", path, NULL, data, length_bytes,
-	    &answer);
+	error = platform_do(
+	    platform, "PUT", path, NULL, data, length_bytes, &answer);
 	kwb_http_answer_finish(&answer);
 	return error;
 }
 
 int
-kwb_object_get(const struct kwb_platform *platform, const char *name,
-    struct kwb_buf *data)
+kwb_object_get(
+    const struct kwb_platform *platform, const char *name, struct kwb_buf *data)
 {
 	struct kwb_http_answer answer;
 	char path[PATH_MAX_BYTES];
@@ -100,15 +109,15 @@
 	snprintf(path, sizeof(path), "/objects/%s", name);
 	error = platform_do(platform, "GET", path, NULL, NULL, 0, &answer);
 	if (error == 0)
-		error = kwb_buf_add(data, kwb_buf_text(&answer.body),
-		    answer.body.used_bytes);
+		error = kwb_buf_add(
+		    data, kwb_buf_text(&answer.body), answer.body.used_bytes);
 	kwb_http_answer_finish(&answer);
 	return error;
 }
 
 int
-kwb_weights_newest(const struct kwb_platform *platform, const char *model,
-    uint64_t *version)
+kwb_weights_newest(
+    const struct kwb_platform *platform, const char *model, uint64_t *version)
 {
 	struct kwb_http_answer answer;
 	char path[PATH_MAX_BYTES];
@@ -127,12 +136,14 @@
 {
 	struct kwb_http_answer answer;
 	json_t *root = NULL, *item;
+	uint64_t revision;
 	size_t i;
 	int error;
 
-	error = platform_do(platform, "GET", "/vms", NULL, NULL, 0, &answer);
+	error = platform_poll(platform, "/vms", vms->revision, &answer);
 	if (error == 0)
 		root = json_loads(kwb_buf_text(&answer.body), 0, NULL);
+	revision = answer.revision;
 	kwb_http_answer_finish(&answer);
 	if (error != 0)
 		return error;
@@ -141,29 +152,52 @@
 		return KWB_ERR_PLATFORM_DOWN;
 	}
 	vms->count = 0;
-	json_array_foreach(root, i, item) {
+	json_array_foreach(root, i, item)
+	{
 		if (vms->count == KWB_VMS_MAX)
 			break;
 		vm_from_json(&vms->vms[vms->count], item);
 		if (vms->vms[vms->count].address.port != 0)
 			vms->count++;
 	}
-	vms->read_ns = kwb_clock_now_ns();
+	vms->revision = revision;
 	json_decref(root);
 	return 0;
 }
 
 int
-kwb_lists_read(const struct kwb_platform *platform, struct kwb_buf *text,
-    uint64_t *revision)
+kwb_lists_read(const struct kwb_platform *platform, uint64_t known,
+    struct kwb_buf *text, uint64_t *revision)
+{
+	return kwb_table_poll(platform, LISTS_KEY, known, text, revision);
+}
+
+/* Reads unless still at the known revision, which is told by a 1. */
+static int
+platform_poll(const struct kwb_platform *platform, const char *path,
+    uint64_t known, struct kwb_http_answer *answer)
 {
-	return kwb_table_get(platform, LISTS_KEY, text, revision);
+	char url[PATH_MAX_BYTES + KWB_URL_MAX_BYTES], revision[32];
+	struct kwb_http_request request = {
+	    .method = "GET",
+	    .url = url,
+	    .if_changed = known ? revision : NULL,
+	    .timeout_ms = KWB_HTTP_TIMEOUT_MS,
+	};
+	int error;
+
+	snprintf(url, sizeof(url), "%s%s", platform->url, path);
+	snprintf(revision, sizeof(revision), "%llu", (unsigned long long)known);
+	error = kwb_http_do(&request, answer);
+	if (error == 0 && answer->status == 304)
+		return 1;
+	return error ? error : status_error(answer->status);
 }
 
 static int
 platform_do(const struct kwb_platform *platform, const char *method,
-    const char *path, const char *if_match, const void *body,
-    size_t body_bytes, struct kwb_http_answer *answer)
+    const char *path, const char *if_match, const void *body, size_t body_bytes,
+    struct kwb_http_answer *answer)
 {
 	char url[PATH_MAX_BYTES + KWB_URL_MAX_BYTES];
 	struct kwb_http_request request = {
@@ -209,7 +243,7 @@
 	error = kwb_table_get(platform, key, &now, &found);
 	if (error == 0 &&
 	    (now.used_bytes != length_bytes ||
-	        memcmp(kwb_buf_text(&now), value, length_bytes) != 0))
+		memcmp(kwb_buf_text(&now), value, length_bytes) != 0))
 		error = KWB_ERR_PLATFORM_CONFLICT;
 	if (error == 0)
 		*revision = found;
--- a/src/rollout/decide.c
+++ b/src/rollout/decide.c
@@ -15,8 +15,8 @@
 #define WASTE_FLOOR_TOKENS 256
 #define COPIES_MAX 2
 
-static bool predictor_bound(const struct kwb_predictor *predictor,
-    double *bound);
+static bool predictor_bound(
+    const struct kwb_predictor *predictor, double *bound);
 
 void
 kwb_predictor_init(struct kwb_predictor *predictor)
--- a/src/rollout/step.c
+++ b/src/rollout/step.c
@@ -58,15 +58,14 @@
 	struct sample *samples;
 };
 
-static int step_parse(struct step *step, const char *plan, const char *body,
-    const char **fault);
-static int groups_parse(struct step *step, json_t *groups,
-    const char **fault);
+static int step_parse(
+    struct step *step, const char *plan, const char *body, const char **fault);
+static int groups_parse(struct step *step, json_t *groups, const char **fault);
 static void have_parse(struct step *step, json_t *have);
-static void sample_init(struct step *step, struct sample *sample,
-    json_t *group, uint32_t index);
-static struct sample *sample_find(struct step *step, uint64_t group,
-    uint64_t index);
+static void sample_init(
+    struct step *step, struct sample *sample, json_t *group, uint32_t index);
+static struct sample *sample_find(
+    struct step *step, uint64_t group, uint64_t index);
 static void step_find(struct step *step);
 static void found_take(struct step *step, const struct target *target,
     const Kwb__Wire__Found *found);
@@ -119,8 +118,8 @@
 }
 
 static int
-step_parse(struct step *step, const char *plan, const char *body,
-    const char **fault)
+step_parse(
+    struct step *step, const char *plan, const char *body, const char **fault)
 {
 	const struct kwb_plan *found;
 	json_t *value;
@@ -136,6 +135,7 @@
 		return KWB_ERR_ARGUMENT;
 	}
 	step->gate = entry_gate(step->entry, plan);
+	entry_demand(step->entry, step->gate);
 	step->pull = json_loads(body, 0, NULL);
 	if (!json_is_object(step->pull)) {
 		*fault = "body is no JSON object";
@@ -159,10 +159,10 @@
 	    (uint64_t)json_integer_value(value) < step->bound_versions)
 		step->bound_versions = (uint32_t)json_integer_value(value);
 	if (step->trainer_version > atomic_load(&step->gate->trainer_version))
-		atomic_store(&step->gate->trainer_version,
-		    step->trainer_version);
-	if (groups_parse(step, json_object_get(step->pull, "groups"),
-	        fault) != 0)
+		atomic_store(
+		    &step->gate->trainer_version, step->trainer_version);
+	if (groups_parse(step, json_object_get(step->pull, "groups"), fault) !=
+	    0)
 		return KWB_ERR_ARGUMENT;
 	have_parse(step, json_object_get(step->pull, "have"));
 	return 0;
@@ -177,7 +177,8 @@
 	uint64_t total = 0;
 	uint32_t index;
 
-	json_array_foreach(groups, i, group) {
+	json_array_foreach(groups, i, group)
+	{
 		wanted = json_integer_value(json_object_get(group, "samples"));
 		if (wanted < 1 || wanted > SAMPLES_MAX ||
 		    !json_is_integer(json_object_get(group, "group")) ||
@@ -194,20 +195,20 @@
 	step->samples = calloc(total, sizeof(*step->samples));
 	if (step->samples == NULL)
 		return KWB_ERR_MEMORY;
-	json_array_foreach(groups, i, group) {
+	json_array_foreach(groups, i, group)
+	{
 		wanted = json_integer_value(json_object_get(group, "samples"));
 		for (index = 0; index < wanted; index++)
-			sample_init(step,
-			    &step->samples[step->samples_count++], group,
-			    index);
+			sample_init(step, &step->samples[step->samples_count++],
+			    group, index);
 	}
 	step->left = step->samples_count;
 	return 0;
 }
 
 static void
-sample_init(struct step *step, struct sample *sample, json_t *group,
-    uint32_t index)
+sample_init(
+    struct step *step, struct sample *sample, json_t *group, uint32_t index)
 {
 	struct generation *generation = &sample->generation;
 	json_int_t seed = json_integer_value(json_object_get(group, "seed"));
@@ -218,8 +219,8 @@
 	kwb__wire__slot__init(&sample->slot);
 	sample->slot.step = step->number;
 	sample->slot.attempt = step->attempt;
-	sample->slot.group = (uint32_t)json_integer_value(
-	    json_object_get(group, "group"));
+	sample->slot.group =
+	    (uint32_t)json_integer_value(json_object_get(group, "group"));
 	sample->slot.index = index;
 	generation->slot = &sample->slot;
 	generation->plan = step->plan.name;
@@ -244,7 +245,8 @@
 	json_t *pair;
 	size_t i;
 
-	json_array_foreach(have, i, pair) {
+	json_array_foreach(have, i, pair)
+	{
 		sample = sample_find(step,
 		    (uint64_t)json_integer_value(json_array_get(pair, 0)),
 		    (uint64_t)json_integer_value(json_array_get(pair, 1)));
@@ -271,7 +273,7 @@
 static void
 step_find(struct step *step)
 {
-	struct target targets[KWB_PEERS_MAX];
+	struct target *targets = calloc(KWB_PEERS_MAX, sizeof(*targets));
 	uint64_t requests[KWB_PEERS_MAX];
 	Kwb__Wire__Find find = KWB__WIRE__FIND__INIT;
 	KWB_FRAME(frame, FIND, find, find);
@@ -280,13 +282,15 @@
 	struct event *event;
 	unsigned i, count, answered = 0;
 
+	if (targets == NULL)
+		return;
 	count = peers_in_pool(entry, step->plan.pool, targets, KWB_PEERS_MAX);
 	find.plan = step->plan.name;
 	find.step = step->number;
 	find.attempt = step->attempt;
 	for (i = 0; i < count; i++) {
-		requests[i] = registry_open(&entry->registry, &step->inbox,
-		    targets[i].link, NULL);
+		requests[i] = registry_open(
+		    &entry->registry, &step->inbox, targets[i].link, NULL);
 		find.request = requests[i];
 		kwb_link_send(&entry->loop, targets[i].link, &frame);
 	}
@@ -298,14 +302,15 @@
 			answered++;
 			if (event->kind == EVENT_FRAME &&
 			    event->frame->body_case ==
-			        KWB__WIRE__FRAME__BODY_FOUND)
-				found_take(step, &targets[i],
-				    event->frame->found);
+				KWB__WIRE__FRAME__BODY_FOUND)
+				found_take(
+				    step, &targets[i], event->frame->found);
 		}
 		event_free(event);
 	}
 	for (i = 0; i < count; i++)
 		registry_close(&entry->registry, requests[i]);
+	free(targets);
 }
 
 static void
@@ -320,21 +325,21 @@
 
 		if (held->slot == NULL)
 			continue;
-		sample = sample_find(step, held->slot->group,
-		    held->slot->index);
+		sample =
+		    sample_find(step, held->slot->group, held->slot->index);
 		if (sample == NULL || sample->delivered ||
 		    (sample->attachable &&
-		        (sample->held_done ||
-		            sample->held_tokens >= held->tokens) &&
-		        !(held->done && !sample->held_done)))
+			(sample->held_done ||
+			    sample->held_tokens >= held->tokens) &&
+			!(held->done && !sample->held_done)))
 			continue;
 		sample->attachable = true;
 		sample->held_done = held->done;
 		sample->held_tokens = held->tokens;
-		kwb_text_copy(sample->held_vm, sizeof(sample->held_vm),
-		    target->vm);
-		kwb_text_copy(sample->held_key, sizeof(sample->held_key),
-		    held->key);
+		kwb_text_copy(
+		    sample->held_vm, sizeof(sample->held_vm), target->vm);
+		kwb_text_copy(
+		    sample->held_key, sizeof(sample->held_key), held->key);
 	}
 }
 
@@ -357,11 +362,9 @@
 	step->refill = true;
 	while (!step_over(step)) {
 		step_fill(step);
-		event = inbox_wait(&step->inbox,
-		    kwb_clock_now_ns() + SCAN_NS);
+		event = inbox_wait(&step->inbox, kwb_clock_now_ns() + SCAN_NS);
 		step->refill = event == NULL;
-		for (; event != NULL;
-		     event = inbox_wait(&step->inbox, 0)) {
+		for (; event != NULL; event = inbox_wait(&step->inbox, 0)) {
 			step_event(step, event);
 			event_free(event);
 		}
@@ -404,8 +407,8 @@
 			    resumed != (pass == 0))
 				continue;
 			sample->generation.min_version = version;
-			error = generation_start(step->entry,
-			    &sample->generation);
+			error =
+			    generation_start(step->entry, &sample->generation);
 			if (error == KWB_ERR_ROUTE_FULL ||
 			    error == KWB_ERR_ROUTE_NONE)
 				return;
@@ -474,8 +477,8 @@
 
 	if (sample_acceptable(step, sample)) {
 		pthread_mutex_lock(&step->gate->predictor_lock);
-		kwb_predictor_learn(&step->gate->predictor,
-		    generation->tokens.count);
+		kwb_predictor_learn(
+		    &step->gate->predictor, generation->tokens.count);
 		pthread_mutex_unlock(&step->gate->predictor_lock);
 		sample_write(step, sample);
 		return;
@@ -501,9 +504,8 @@
 	const struct kwb_tokens *tokens = &sample->generation.tokens;
 	uint64_t named = atomic_load(&step->gate->trainer_version);
 	struct kwb_sample_age age = {
-	    .trainer_version = named > step->trainer_version
-	        ? named
-	        : step->trainer_version,
+	    .trainer_version =
+		named > step->trainer_version ? named : step->trainer_version,
 	    .oldest_version = kwb_tokens_oldest(tokens),
 	    .bound_versions = step->bound_versions,
 	};
@@ -536,7 +538,7 @@
 			continue;
 		json_array_append_new(spans,
 		    json_pack("[I,i,i]", (json_int_t)tokens->version[i],
-		        (int)first, (int)(i + 1 - first)));
+			(int)first, (int)(i + 1 - first)));
 		first = i + 1;
 	}
 	snprintf(checksum, sizeof(checksum), "%016" PRIx64,
@@ -578,8 +580,7 @@
 	if (step->entry->policy != KWB_POLICY_KWB)
 		return;
 	for (i = 0; i < step->samples_count; i++)
-		input.unstarted +=
-		    !step->samples[i].delivered &&
+		input.unstarted += !step->samples[i].delivered &&
 		    step->samples[i].generation.state == GENERATION_PENDING;
 	if (input.unstarted > 0)
 		return;
@@ -590,8 +591,8 @@
 		if (generation->state != GENERATION_RUNNING)
 			continue;
 		input.silent_ns = now_ns - generation->token_ns;
-		input.idle_units = peers_idle_units(step->entry,
-		    step->plan.name, generation->target.peer);
+		input.idle_units = peers_idle_units(
+		    step->entry, step->plan.name, generation->target.peer);
 		if (kwb_hedge_wanted(&input))
 			sample_move(step, sample);
 	}
@@ -602,9 +603,8 @@
 {
 	struct generation *generation = &sample->generation;
 
-	kwb_log(KWB_LOG_INFO, "rollout",
-	    "event=hedge key=%s from=%s tokens=%u", generation->key,
-	    generation->target.vm, generation->tokens.count);
+	kwb_log(KWB_LOG_INFO, "rollout", "event=hedge key=%s from=%s tokens=%u",
+	    generation->key, generation->target.vm, generation->tokens.count);
 	kwb_metric_add(KWB_METRIC_HEDGES, 1);
 	generation_stop(step->entry, generation, false);
 	generation_start(step->entry, generation);
@@ -620,13 +620,13 @@
 	length = snprintf(line, sizeof(line),
 	    "{\"end\":true,\"complete\":%s,\"delivered\":%u,\"left\":%u,"
 	    "\"made_again\":%u,\"reason\":\"%s\"}\n",
-	    step->left == 0 ? "true" : "false", step->delivered_now,
-	    step->left, step->stale,
-	    step->left == 0          ? "complete"
-	        : step->superseded   ? "superseded"
-	        : step->client_gone  ? "client_gone"
-	        : kwb_clock_now_ns() >= step->deadline_ns ? "deadline"
-	                                                  : "draining");
+	    step->left == 0 ? "true" : "false", step->delivered_now, step->left,
+	    step->stale,
+	    step->left == 0				  ? "complete"
+		: step->superseded			  ? "superseded"
+		: step->client_gone			  ? "client_gone"
+		: kwb_clock_now_ns() >= step->deadline_ns ? "deadline"
+							  : "draining");
 	chunk(step, line, (size_t)length);
 	if (!step->client_gone)
 		mg_send_chunk(step->connection, "", 0);
@@ -645,8 +645,8 @@
 	uint32_t i;
 
 	for (i = 0; i < step->samples_count; i++) {
-		generation_stop(step->entry, &step->samples[i].generation,
-		    true);
+		generation_stop(
+		    step->entry, &step->samples[i].generation, true);
 		generation_finish(step->entry, &step->samples[i].generation);
 	}
 	inbox_finish(&step->inbox);
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -12,8 +12,8 @@
 #define DOMAIN_PENALTY 0.05
 #define COST_NONE 1e9
 
-static bool has_room(const struct kwb_route *route,
-    const struct kwb_candidate *candidate);
+static bool has_room(
+    const struct kwb_route *route, const struct kwb_candidate *candidate);
 static bool may_serve(const struct kwb_route *route,
     const struct kwb_candidate *candidate, int index);
 static double cost_of(const struct kwb_candidate *candidate);
@@ -45,8 +45,8 @@
 	if (route->policy == KWB_POLICY_LEAST)
 		return pick_least(route, candidates, count);
 	if (route->policy == KWB_POLICY_ROUND_ROBIN) {
-		choice.index = nth_open(route, candidates, count,
-		    (unsigned)(route->random % open));
+		choice.index = nth_open(
+		    route, candidates, count, (unsigned)(route->random % open));
 		choice.error = 0;
 		choice.reason = "round_robin";
 		return choice;
@@ -82,10 +82,10 @@
 		tries[0] = affine(route, candidates, count, -1);
 		tries[1] = affine(route, candidates, count, tries[0]);
 	}
-	tries[2] = nth_open(route, candidates, count,
-	    (unsigned)(route->random % open));
-	tries[3] = nth_open(route, candidates, count,
-	    (unsigned)((route->random >> 32) % open));
+	tries[2] = nth_open(
+	    route, candidates, count, (unsigned)(route->random % open));
+	tries[3] = nth_open(
+	    route, candidates, count, (unsigned)((route->random >> 32) % open));
 	for (i = 0; i < 4; i++) {
 		if (tries[i] < 0)
 			continue;
@@ -114,7 +114,7 @@
 			continue;
 		if (choice.index < 0 ||
 		    candidates[i].in_flight <
-		        candidates[choice.index].in_flight)
+			candidates[choice.index].in_flight)
 			choice.index = (int)i;
 	}
 	return choice;
--- a/src/weights/leader.c
+++ b/src/weights/leader.c
@@ -48,6 +48,7 @@
 	struct inbox inbox;
 	unsigned leads_count;
 	struct lead *leads[LEADS_MAX];
+	struct target targets[KWB_PEERS_MAX]; /* of the servers looked at */
 };
 
 static void leads_update(struct leader *leader);
@@ -58,10 +59,10 @@
 static void lead_poll(struct leader *leader, struct lead *lead);
 static void lead_order(struct leader *leader, struct lead *lead);
 static unsigned servers_of(struct leader *leader, const struct lead *lead,
-    struct kwb_swap_server *servers, struct target *targets);
+    struct kwb_swap_server *servers);
 static bool order_is_open(const struct lead *lead, const char *vm);
-static void order_send(struct leader *leader, struct lead *lead,
-    const struct target *target);
+static void order_send(
+    struct leader *leader, struct lead *lead, const struct target *target);
 static void order_event(struct leader *leader, const struct event *event);
 static void order_close(struct leader *leader, struct order_open *order);
 
@@ -70,6 +71,8 @@
 {
 	struct kwb_entry *entry = argument;
 	struct leader *leader = calloc(1, sizeof(*leader));
+	uint64_t revision = 0, known;
+	uint32_t changes = 0, now_changes;
 	struct event *event;
 	bool leading;
 	unsigned i;
@@ -79,9 +82,14 @@
 	kwb_current_thread_init();
 	leader->entry = entry;
 	inbox_init(&leader->inbox);
-	while (!atomic_load(&entry->stopping) &&
-	    !atomic_load(&entry->draining)) {
-		leads_update(leader);
+	while (
+	    !atomic_load(&entry->stopping) && !atomic_load(&entry->draining)) {
+		known = kwb_current_revision();
+		now_changes = atomic_load(&entry->vms_changes);
+		if (known != revision || now_changes != changes)
+			leads_update(leader);
+		revision = known;
+		changes = now_changes;
 		leading = false;
 		for (i = 0; i < leader->leads_count; i++) {
 			struct lead *lead = leader->leads[i];
@@ -96,10 +104,9 @@
 			lead_order(leader, lead);
 		}
 		atomic_store(&entry->leading, leading);
-		event = inbox_wait(&leader->inbox,
-		    kwb_clock_now_ns() + LOOP_NS);
-		for (; event != NULL;
-		     event = inbox_wait(&leader->inbox, 0)) {
+		event =
+		    inbox_wait(&leader->inbox, kwb_clock_now_ns() + LOOP_NS);
+		for (; event != NULL; event = inbox_wait(&leader->inbox, 0)) {
 			order_event(leader, event);
 			event_free(event);
 		}
@@ -158,7 +165,7 @@
 	for (i = 0; i < leader->leads_count && lead == NULL; i++)
 		if (strcmp(leader->leads[i]->plan, plan->name) == 0 &&
 		    strcmp(leader->leads[i]->failure_domain, failure_domain) ==
-		        0)
+			0)
 			lead = leader->leads[i];
 	if (lead == NULL) {
 		if (leader->leads_count == LEADS_MAX)
@@ -170,8 +177,8 @@
 		kwb_text_copy(lead->plan, sizeof(lead->plan), plan->name);
 		kwb_text_copy(lead->failure_domain,
 		    sizeof(lead->failure_domain), failure_domain);
-		snprintf(name, sizeof(name), "leases/weights/%s/%s",
-		    plan->name, failure_domain);
+		snprintf(name, sizeof(name), "leases/weights/%s/%s", plan->name,
+		    failure_domain);
 		kwb_lease_init(&lead->lease, name, leader->entry->settings->vm,
 		    leader->entry->incarnation);
 	}
@@ -224,8 +231,8 @@
 	if (now_ns < lead->poll_ns)
 		return;
 	lead->poll_ns = now_ns + KWB_WEIGHTS_POLL_NS;
-	if (kwb_weights_newest(&leader->entry->platform, lead->model,
-	        &version) == 0 &&
+	if (kwb_weights_newest(
+		&leader->entry->platform, lead->model, &version) == 0 &&
 	    version > lead->newest)
 		lead->newest = version;
 }
@@ -234,7 +241,6 @@
 lead_order(struct leader *leader, struct lead *lead)
 {
 	struct kwb_swap_server servers[KWB_PEERS_MAX];
-	struct target targets[KWB_PEERS_MAX];
 	uint64_t now_ns = kwb_clock_now_ns();
 	unsigned i, count;
 	int pick;
@@ -243,18 +249,19 @@
 		if (lead->orders[i].request != 0 &&
 		    now_ns >= lead->orders[i].deadline_ns)
 			order_close(leader, &lead->orders[i]);
-	count = servers_of(leader, lead, servers, targets);
-	while ((pick = kwb_swap_pick(servers, count, lead->newest,
-	            lead->objective)) >= 0) {
-		order_send(leader, lead, &targets[pick]);
+	count = servers_of(leader, lead, servers);
+	while ((pick = kwb_swap_pick(
+		    servers, count, lead->newest, lead->objective)) >= 0) {
+		order_send(leader, lead, &leader->targets[pick]);
 		servers[pick].swapping = true;
 	}
 }
 
 static unsigned
 servers_of(struct leader *leader, const struct lead *lead,
-    struct kwb_swap_server *servers, struct target *targets)
+    struct kwb_swap_server *servers)
 {
+	struct target *targets = leader->targets;
 	struct peers *peers = &leader->entry->peers;
 	unsigned i, j, count = 0;
 
@@ -278,8 +285,8 @@
 			server->swapping = true;
 		targets[count].peer = (int)i;
 		targets[count].link = peer->link;
-		kwb_text_copy(targets[count].vm, sizeof(targets[count].vm),
-		    peer->vm);
+		kwb_text_copy(
+		    targets[count].vm, sizeof(targets[count].vm), peer->vm);
 		count++;
 	}
 	pthread_mutex_unlock(&peers->lock);
@@ -299,8 +306,8 @@
 }
 
 static void
-order_send(struct leader *leader, struct lead *lead,
-    const struct target *target)
+order_send(
+    struct leader *leader, struct lead *lead, const struct target *target)
 {
 	struct kwb_entry *entry = leader->entry;
 	Kwb__Wire__Order wire = KWB__WIRE__ORDER__INIT;
@@ -313,8 +320,8 @@
 			order = &lead->orders[i];
 	if (order == NULL)
 		return;
-	order->request = registry_open(&entry->registry, &leader->inbox,
-	    target->link, lead);
+	order->request =
+	    registry_open(&entry->registry, &leader->inbox, target->link, lead);
 	order->deadline_ns =
 	    kwb_clock_now_ns() + KWB_SWAP_TIMEOUT_MS * KWB_MS_NS;
 	kwb_text_copy(order->vm, sizeof(order->vm), target->vm);
@@ -375,8 +382,8 @@
 	const char *self = entry->settings->vm;
 	uint64_t seed = kwb_hash(lead->lease.name, 0);
 	uint64_t own = kwb_hash(self, seed);
-	bool own_near = strcmp(entry->settings->failure_domain,
-	                    lead->failure_domain) == 0;
+	bool own_near =
+	    strcmp(entry->settings->failure_domain, lead->failure_domain) == 0;
 	unsigned rank = 0;
 	uint32_t i;
 
@@ -386,11 +393,9 @@
 		bool near =
 		    strcmp(vm->failure_domain, lead->failure_domain) == 0;
 
-		if (strcmp(vm->role, "entry") != 0 ||
-		    strcmp(vm->vm, self) == 0)
+		if (strcmp(vm->role, "entry") != 0 || strcmp(vm->vm, self) == 0)
 			continue;
-		if (near != own_near ? near
-		                     : kwb_hash(vm->vm, seed) > own)
+		if (near != own_near ? near : kwb_hash(vm->vm, seed) > own)
 			rank++;
 	}
 	pthread_mutex_unlock(&entry->vms_lock);
--- a/src/weights/order.c
+++ b/src/weights/order.c
@@ -18,8 +18,7 @@
     Kwb__Wire__OrderReply *reply);
 static struct order_fence *fence_of(struct orders *orders, const char *plan);
 static int fence_learn(struct kwb_agent *agent, struct order_fence *fence);
-static int engine_order(struct kwb_agent *agent,
-    const Kwb__Wire__Order *order);
+static int engine_order(struct kwb_agent *agent, const Kwb__Wire__Order *order);
 
 void
 order_accept(struct kwb_agent *agent, uint64_t link, Kwb__Wire__Frame *frame)
@@ -33,8 +32,7 @@
 	}
 	order->link = link;
 	order->frame = frame;
-	order->deadline_ns =
-	    kwb_clock_now_ns() + KWB_LEASE_MS * KWB_MS_NS / 2;
+	order->deadline_ns = kwb_clock_now_ns() + KWB_LEASE_MS * KWB_MS_NS / 2;
 	pthread_mutex_lock(&orders->lock);
 	STAILQ_INSERT_TAIL(&orders->waiting, order, next);
 	pthread_cond_signal(&orders->changed);
@@ -183,7 +181,7 @@
 	error = kwb_http_do(&request, &answer);
 	if (error != 0 || answer.status != 200)
 		error = answer.status == 409 ? KWB_ERR_CALL_FENCED
-		                             : KWB_ERR_WEIGHTS_SWAP;
+					     : KWB_ERR_WEIGHTS_SWAP;
 	kwb_http_answer_finish(&answer);
 	free(body);
 	return error;
--- a/src/wire/frame.c
+++ b/src/wire/frame.c
@@ -44,8 +44,8 @@
 		return KWB_ERR_WIRE_SIZE;
 	if (in->used_bytes < HEADER_BYTES + (size_t)length)
 		return 0;
-	*frame = kwb__wire__frame__unpack(NULL, length,
-	    (const uint8_t *)in->data + HEADER_BYTES);
+	*frame = kwb__wire__frame__unpack(
+	    NULL, length, (const uint8_t *)in->data + HEADER_BYTES);
 	kwb_buf_consume(in, HEADER_BYTES + (size_t)length);
 	if (*frame == NULL)
 		return KWB_ERR_WIRE_FRAME;
--- a/src/wire/kwb_wire.pb-c.c
+++ b/src/wire/kwb_wire.pb-c.c
@@ -1866,7 +1866,7 @@
   (ProtobufCMessageInit) kwb__wire__progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kwb__wire__done__field_descriptors[7] =
+static const ProtobufCFieldDescriptor kwb__wire__done__field_descriptors[10] =
 {
   {
     "request",
@@ -1952,20 +1952,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "plan",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Kwb__Wire__Done, plan),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "plan_running",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kwb__Wire__Done, plan_running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "busy",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kwb__Wire__Done, busy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kwb__wire__done__field_indices_by_name[] = {
   5,   /* field[5] = body */
+  9,   /* field[9] = busy */
   4,   /* field[4] = content_type */
   2,   /* field[2] = error */
   6,   /* field[6] = leaving */
   1,   /* field[1] = outcome */
+  7,   /* field[7] = plan */
+  8,   /* field[8] = plan_running */
   0,   /* field[0] = request */
   3,   /* field[3] = status */
 };
 static const ProtobufCIntRange kwb__wire__done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor kwb__wire__done__descriptor =
 {
@@ -1975,7 +2014,7 @@
   "Kwb__Wire__Done",
   "kwb.wire",
   sizeof(Kwb__Wire__Done),
-  7,
+  10,
   kwb__wire__done__field_descriptors,
   kwb__wire__done__field_indices_by_name,
   1,  kwb__wire__done__number_ranges,
--- a/src/wire/kwb_wire.pb-c.h
+++ b/src/wire/kwb_wire.pb-c.h
@@ -241,10 +241,16 @@
   char *content_type;
   ProtobufCBinaryData body;
   protobuf_c_boolean leaving;
+  /*
+   * Load at the agent, this request still counted.
+   */
+  char *plan;
+  uint32_t plan_running;
+  uint32_t busy;
 };
 #define KWB__WIRE__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kwb__wire__done__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
