--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -28,20 +28,20 @@
 static void loop_accept(struct kwb_loop *loop);
 static void loop_tick(struct kwb_loop *loop);
 static struct kwb_link *link_lock(struct kwb_loop *loop, uint64_t id);
-static int link_add(struct kwb_loop *loop, int fd, uint32_t tag,
-    bool connecting, uint64_t *id);
+static int link_add(
+    struct kwb_loop *loop, int fd, uint32_t tag, bool connecting, uint64_t *id);
 static void link_ready(struct kwb_loop *loop, uint64_t id, uint32_t events);
 static int link_read(struct kwb_loop *loop, uint64_t id);
 static int link_flush(struct kwb_loop *loop, struct kwb_link *link);
-static void link_watch(struct kwb_loop *loop, struct kwb_link *link,
-    bool writable);
+static void link_watch(
+    struct kwb_loop *loop, struct kwb_link *link, bool writable);
 static void link_drop(struct kwb_loop *loop, uint64_t id);
 static int socket_prepare(int fd);
 static bool is_control(const struct Kwb__Wire__Frame *frame);
 
 int
-kwb_loop_init(struct kwb_loop *loop, const struct kwb_link_ops *ops,
-    void *context)
+kwb_loop_init(
+    struct kwb_loop *loop, const struct kwb_link_ops *ops, void *context)
 {
 	unsigned i;
 
@@ -69,8 +69,8 @@
 	in.sin_port = htons(address->port);
 	if (inet_pton(AF_INET, address->ip, &in.sin_addr) != 1)
 		return KWB_ERR_ARGUMENT;
-	loop->listen_fd = socket(AF_INET,
-	    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	loop->listen_fd =
+	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (loop->listen_fd < 0)
 		return KWB_ERR_SYSTEM;
 	setsockopt(loop->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -126,7 +126,7 @@
 		return KWB_ERR_SYSTEM;
 	if (socket_prepare(fd) != 0 ||
 	    (connect(fd, (struct sockaddr *)&in, sizeof(in)) != 0 &&
-	        errno != EINPROGRESS)) {
+		errno != EINPROGRESS)) {
 		close(fd);
 		return KWB_ERR_WIRE_CLOSED;
 	}
@@ -134,8 +134,8 @@
 }
 
 int
-kwb_link_send(struct kwb_loop *loop, uint64_t id,
-    const struct Kwb__Wire__Frame *frame)
+kwb_link_send(
+    struct kwb_loop *loop, uint64_t id, const struct Kwb__Wire__Frame *frame)
 {
 	struct kwb_link *link = link_lock(loop, id);
 	size_t before;
@@ -149,8 +149,8 @@
 	else
 		error = kwb_frame_pack(frame, &link->out);
 	if (error == 0 && is_control(frame))
-		kwb_metric_add(KWB_METRIC_CONTROL_BYTES,
-		    link->out.used_bytes - before);
+		kwb_metric_add(
+		    KWB_METRIC_CONTROL_BYTES, link->out.used_bytes - before);
 	if (error == 0 && before == 0 && !link->connecting)
 		link_flush(loop, link);
 	pthread_mutex_unlock(&link->lock);
@@ -187,19 +187,22 @@
 {
 	struct kwb_loop *loop = argument;
 	struct epoll_event events[EVENTS_MAX];
+	uint64_t tick_ns = 0;
 	int i, count;
 
 	kwb_current_thread_init();
 	while (!loop->stopping) {
-		count =
-		    epoll_wait(loop->epoll_fd, events, EVENTS_MAX, TICK_MS);
+		count = epoll_wait(loop->epoll_fd, events, EVENTS_MAX, TICK_MS);
 		for (i = 0; i < count; i++) {
 			if (events[i].data.u64 == LISTEN_TOKEN)
 				loop_accept(loop);
 			else
-				link_ready(loop, events[i].data.u64,
-				    events[i].events);
+				link_ready(
+				    loop, events[i].data.u64, events[i].events);
 		}
+		if (kwb_clock_now_ns() < tick_ns)
+			continue;
+		tick_ns = kwb_clock_now_ns() + TICK_MS * KWB_MS_NS;
 		loop_tick(loop);
 	}
 	kwb_current_thread_finish();
@@ -269,8 +272,8 @@
 }
 
 static int
-link_add(struct kwb_loop *loop, int fd, uint32_t tag, bool connecting,
-    uint64_t *id)
+link_add(
+    struct kwb_loop *loop, int fd, uint32_t tag, bool connecting, uint64_t *id)
 {
 	struct epoll_event event;
 	struct kwb_link *link = NULL;
--- a/tests/faults.c
+++ b/tests/faults.c
@@ -17,7 +17,6 @@
 
 #define SLOTS 4
 #define BASE_PORT 21000
-#define PORTS_EACH 120
 #define SESSIONS_MAX 512
 #define KNOWN_RED "KNOWN-RED.txt"
 
@@ -51,8 +50,8 @@
 static int run_one(const struct plan_line *line, uint16_t base_port);
 static int run_all(const struct plan_line *lines, unsigned count);
 static bool known_red(const struct plan_line *line);
-static void line_print(const struct plan_line *line, char *text,
-    size_t room_bytes);
+static void line_print(
+    const struct plan_line *line, char *text, size_t room_bytes);
 
 int
 main(int argc, char **argv)
@@ -66,12 +65,14 @@
 	if (argc == 3 && strcmp(argv[1], "--soak") == 0) {
 		count = (unsigned)atoi(argv[2]) % SESSIONS_MAX;
 		for (i = 0; i < count; i++) {
-			lines[i].first = session_faults[(unsigned)rand_r(
-			                     &state) %
-			    session_faults_count].name;
-			lines[i].second = session_faults[(unsigned)rand_r(
-			                      &state) %
-			    session_faults_count].name;
+			lines[i].first =
+			    session_faults[(unsigned)rand_r(&state) %
+				session_faults_count]
+				.name;
+			lines[i].second =
+			    session_faults[(unsigned)rand_r(&state) %
+				session_faults_count]
+				.name;
 			lines[i].seed = (unsigned)rand_r(&state);
 		}
 		return run_all(lines, count);
@@ -129,7 +130,8 @@
 	for (i = 0; i < session.reasons_count; i++)
 		printf("         %s\n", session.reasons[i]);
 	if (!passed)
-		printf("         again with: build/tests/faults %s; logs in %s\n",
+		printf(
+		    "         again with: build/tests/faults %s; logs in %s\n",
 		    text, session.world.directory);
 	fflush(stdout);
 	return passed ? 0 : 1;
@@ -155,7 +157,7 @@
 			if (pids[slot] == 0)
 				_exit(run_one(&lines[next],
 				    (uint16_t)(BASE_PORT +
-				        slot * PORTS_EACH)));
+					slot * WORLD_PORTS)));
 			next++;
 		}
 		pid = wait(&status);
--- a/tests/session.c
+++ b/tests/session.c
@@ -67,29 +67,33 @@
 static void *sample(void *argument);
 static void *edit(void *argument);
 static void order_one(struct worker *worker, unsigned count);
-static bool answer_is_true(const char *text, const char *prompt,
-    uint64_t seed);
+static bool answer_is_true(const char *text, const char *prompt, uint64_t seed);
 static unsigned entry_for(struct worker *worker);
 static void entry_url(struct session *session, unsigned entry, char *url);
-static void note_broken(struct session *session, unsigned entry,
-    uint64_t begun_ns, int status);
+static void note_broken(
+    struct session *session, unsigned entry, uint64_t begun_ns, int status);
 static void sample_allowance(struct session *session);
 static void sample_revisions(struct session *session, uint64_t *seen);
 static void judge(struct session *session);
 static void judge_orders(struct session *session);
 static void judge_force(struct session *session);
-static int64_t leaver_started(struct session *session,
-    const struct fault *fault, unsigned index);
+static int64_t leaver_started(
+    struct session *session, const struct fault *fault, unsigned index);
 
 bool
 session_run(struct session *session, const struct fault *first,
     const struct fault *second, uint64_t seed, uint16_t base_port)
 {
-	struct world_shape shape = {.entries = ENTRIES, .engines = ENGINES,
-	    .services = SERVICES, .domains = 2, .relays = true,
-	    .models = "m,c", .slots = 16, .reserve = 2,
+	struct world_shape shape = {.entries = ENTRIES,
+	    .engines = ENGINES,
+	    .services = SERVICES,
+	    .domains = 2,
+	    .relays = true,
+	    .models = "m,c",
+	    .slots = 16,
+	    .reserve = 2,
 	    .engine_args = "--token_us 3000 --length_median 60 "
-	                   "--length_spread 60",
+			   "--length_spread 60",
 	    .lists = lists_text};
 	struct worker workers[CALLERS + ORDERERS + 3];
 	unsigned i, count = 0, index = (unsigned)(seed * 7919 % 65536);
@@ -112,9 +116,9 @@
 		workers[i].number = i;
 		workers[i].state = (unsigned)seed * 131 + i;
 		pthread_create(&workers[i].thread, NULL,
-		    i < 3                 ? runs[i]
-		        : i < 3 + CALLERS ? ask
-		                          : order,
+		    i < 3		  ? runs[i]
+			: i < 3 + CALLERS ? ask
+					  : order,
 		    &workers[i]);
 		count++;
 	}
@@ -172,10 +176,15 @@
 	struct worker *worker = argument;
 	struct session *session = worker->session;
 	char urls[ENTRIES][64];
-	struct trainer trainer = {.entries_count = ENTRIES, .plan = "quotes",
-	    .groups = 6, .samples = 4, .max_tokens = MAX_TOKENS,
-	    .weight_version = 1, .bound_versions = BOUND_VERSIONS,
-	    .length_median = LENGTH_MEDIAN, .length_spread = LENGTH_SPREAD,
+	struct trainer trainer = {.entries_count = ENTRIES,
+	    .plan = "quotes",
+	    .groups = 6,
+	    .samples = 4,
+	    .max_tokens = MAX_TOKENS,
+	    .weight_version = 1,
+	    .bound_versions = BOUND_VERSIONS,
+	    .length_median = LENGTH_MEDIAN,
+	    .length_spread = LENGTH_SPREAD,
 	    .resend_ms = RESEND_MS};
 	struct trainer_result result;
 	uint64_t step;
@@ -235,12 +244,13 @@
 		note_broken(session, entry, begun_ns, status);
 		pthread_mutex_lock(&session->lock);
 		if (status == 200) {
-			bool whole = strstr(kwb_buf_text(&answer),
-			                 "[DONE]") != NULL;
+			bool whole =
+			    strstr(kwb_buf_text(&answer), "[DONE]") != NULL;
 
 			session->answers += whole;
-			if (whole && !answer_is_true(kwb_buf_text(&answer),
-			                 prompt, count))
+			if (whole &&
+			    !answer_is_true(
+				kwb_buf_text(&answer), prompt, count))
 				session->wrong_answers++;
 			if (!whole && session->planned)
 				session->cut_off++;
@@ -340,15 +350,15 @@
 answer_is_true(const char *text, const char *prompt, uint64_t seed)
 {
 	uint64_t sequence = fake_sequence(prompt, seed);
-	uint32_t length =
-	    fake_length(sequence, LENGTH_MEDIAN, LENGTH_SPREAD);
+	uint32_t length = fake_length(sequence, LENGTH_MEDIAN, LENGTH_SPREAD);
 	char expected[FAKE_TOKEN_BYTES], token[FAKE_TOKEN_BYTES];
 	unsigned long long version;
 	uint32_t index = 0;
 
 	while ((text = strstr(text, "data: {\"token\":\"")) != NULL) {
-		if (sscanf(text, "data: {\"token\":\"%31[^\"]\",\"version\":%llu",
-		        token, &version) != 2)
+		if (sscanf(text,
+			"data: {\"token\":\"%31[^\"]\",\"version\":%llu", token,
+			&version) != 2)
 			return false;
 		fake_token(expected, sequence, index++, version);
 		if (strcmp(token, expected) != 0)
@@ -386,8 +396,8 @@
 
 /* Cut off: no whole answer though every stop was planned. Hung: too late. */
 static void
-note_broken(struct session *session, unsigned entry, uint64_t begun_ns,
-    int status)
+note_broken(
+    struct session *session, unsigned entry, uint64_t begun_ns, int status)
 {
 	uint64_t passed_ns = kwb_clock_now_ns() - begun_ns;
 
@@ -409,8 +419,7 @@
 	pthread_mutex_lock(&session->lock);
 	newest = session->trainer_version;
 	pthread_mutex_unlock(&session->lock);
-	if (newest > *published &&
-	    world_publish(&session->world, "m", newest))
+	if (newest > *published && world_publish(&session->world, "m", newest))
 		*published = newest;
 }
 
@@ -446,18 +455,18 @@
 	for (i = 1; i <= ENGINES + SERVICES; i++) {
 		bool engine = i <= ENGINES;
 
-		snprintf(name, sizeof(name), engine ? "engine-%u" : "service-%u",
-		    i);
+		snprintf(
+		    name, sizeof(name), engine ? "engine-%u" : "service-%u", i);
 		world_url(&session->world, name, url, 64);
 		strcat(url, engine ? "/load" : "/health");
 		kwb_buf_init(&text);
 		world_http("GET", url, NULL, NULL, &text, NULL, 200);
 		root = json_loads(kwb_buf_text(&text), 0, NULL);
 		models = json_object_get(root, "models");
-		quotes += json_integer_value(json_object_get(
-		    json_object_get(models, "m"), "running"));
-		search += json_integer_value(json_object_get(
-		    json_object_get(models, "c"), "running"));
+		quotes += json_integer_value(
+		    json_object_get(json_object_get(models, "m"), "running"));
+		search += json_integer_value(
+		    json_object_get(json_object_get(models, "c"), "running"));
 		if (!engine)
 			orders += json_integer_value(
 			    json_object_get(root, "running"));
@@ -512,8 +521,8 @@
 		const char *arguments[] = {"--wait-ms", "0", "edit",
 		    "allowance", "search", assignment, NULL};
 
-		snprintf(assignment, sizeof(assignment), "queue=%u",
-		    100 + count);
+		snprintf(
+		    assignment, sizeof(assignment), "queue=%u", 100 + count);
 		world_ctl(&worker->session->world, arguments, "/dev/null");
 		kwb_clock_sleep_ns(700 * KWB_MS_NS);
 	}
@@ -525,8 +534,8 @@
 judge_force(struct session *session)
 {
 	char wait[16];
-	const char *arguments[] = {"--wait-ms", wait, "edit", "allowance",
-	    "search", "queue=99", NULL};
+	const char *arguments[] = {
+	    "--wait-ms", wait, "edit", "allowance", "search", "queue=99", NULL};
 	uint64_t begun_ns = kwb_clock_now_ns();
 	int code;
 
@@ -543,30 +552,28 @@
 judge(struct session *session)
 {
 	if (session->steps == 0 || session->incomplete > 0)
-		session_fail(session, "%u steps whole, %u not",
-		    session->steps, session->incomplete);
+		session_fail(session, "%u steps whole, %u not", session->steps,
+		    session->incomplete);
 	if (session->doubled > 0)
 		session_fail(session, "%u samples doubled", session->doubled);
 	if (session->wrong > 0)
-		session_fail(session, "%u samples not as made",
-		    session->wrong);
+		session_fail(session, "%u samples not as made", session->wrong);
 	if (session->stale > 0)
-		session_fail(session, "%u samples over the bound",
-		    session->stale);
+		session_fail(
+		    session, "%u samples over the bound", session->stale);
 	if (session->answers == 0 || session->wrong_answers > 0)
 		session_fail(session, "%u answers, %u wrong", session->answers,
 		    session->wrong_answers);
 	if (session->hung > 0)
 		session_fail(session, "%u requests hung", session->hung);
 	if (session->cut_off > 0)
-		session_fail(session, "%u requests cut off",
-		    session->cut_off);
+		session_fail(session, "%u requests cut off", session->cut_off);
 	if (session->over_allowance > 0)
 		session_fail(session, "over the allowance in %u rounds",
 		    session->over_allowance);
 	if (session->reverted > 0)
-		session_fail(session, "the lists reverted %u times",
-		    session->reverted);
+		session_fail(
+		    session, "the lists reverted %u times", session->reverted);
 	judge_orders(session);
 }
 
@@ -600,13 +607,13 @@
 		false_not_run += record->fate == ORDER_NOT_RUN && times > 0;
 	}
 	if (ran == 0)
-		session_fail(session, "no order ran of %u",
-		    session->orders_count);
+		session_fail(
+		    session, "no order ran of %u", session->orders_count);
 	if (doubled > 0)
 		session_fail(session, "%u orders ran twice", doubled);
 	if (lost > 0)
-		session_fail(session, "%u orders said to have run had not",
-		    lost);
+		session_fail(
+		    session, "%u orders said to have run had not", lost);
 	if (false_not_run > 0)
 		session_fail(session, "%u orders said not to have run had",
 		    false_not_run);
@@ -615,8 +622,8 @@
 
 /* Requests begun at the upstream that leaves; -1 when none does. */
 static int64_t
-leaver_started(struct session *session, const struct fault *fault,
-    unsigned index)
+leaver_started(
+    struct session *session, const struct fault *fault, unsigned index)
 {
 	char name[WORLD_NAME_BYTES];
 
--- a/tests/session.h
+++ b/tests/session.h
@@ -20,7 +20,7 @@
 	void (*come)(struct session *session, unsigned index);
 	void (*go)(struct session *session, unsigned index);
 	uint32_t hold_ms;
-	bool planned;      /* no request may be cut off */
+	bool planned;	    /* no request may be cut off */
 	const char *leaver; /* "llm" or "shop": upstream without new work */
 };
 
--- a/tests/session_faults.c
+++ b/tests/session_faults.c
@@ -57,15 +57,15 @@
                                                                                \
 		if (kind == T_ENTRY)                                           \
 			session->frozen_entry = index % ENTRIES + 1;           \
-		world_signal(&session->world, target(kind, index, name),       \
-		    first);                                                    \
+		world_signal(                                                  \
+		    &session->world, target(kind, index, name), first);        \
 	}                                                                      \
 	static void function##_go(struct session *session, unsigned index)     \
 	{                                                                      \
 		char name[WORLD_NAME_BYTES];                                   \
                                                                                \
-		world_signal(&session->world, target(kind, index, name),       \
-		    second);                                                   \
+		world_signal(                                                  \
+		    &session->world, target(kind, index, name), second);       \
 	}
 
 #define SWITCH_RELAY(function, kind, control, on)                              \
@@ -92,15 +92,15 @@
 	{                                                                      \
 		char name[WORLD_NAME_BYTES];                                   \
                                                                                \
-		world_set(&session->world, target(kind, index, name), control, \
-		    on);                                                       \
+		world_set(                                                     \
+		    &session->world, target(kind, index, name), control, on);  \
 	}                                                                      \
 	static void function##_go(struct session *session, unsigned index)     \
 	{                                                                      \
 		char name[WORLD_NAME_BYTES];                                   \
                                                                                \
-		world_set(&session->world, target(kind, index, name), control, \
-		    0);                                                        \
+		world_set(                                                     \
+		    &session->world, target(kind, index, name), control, 0);   \
 	}
 
 #define SWITCH_PLATFORM(function, control, on)                                 \
@@ -121,8 +121,8 @@
 	{                                                                      \
 		char name[WORLD_NAME_BYTES];                                   \
                                                                                \
-		world_signal(&session->world, target(kind, index, name),       \
-		    SIGTERM);                                                  \
+		world_signal(                                                  \
+		    &session->world, target(kind, index, name), SIGTERM);      \
 	}                                                                      \
 	static void function##_go(struct session *session, unsigned index)     \
 	{                                                                      \
@@ -241,7 +241,10 @@
 	(void)index;
 }
 
-#define FAULT(name, hold) {#name, name##_come, name##_go, hold, false, NULL}
+#define FAULT(name, hold)                                                      \
+	{                                                                      \
+#name, name##_come, name##_go, hold, false, NULL               \
+	}
 
 const struct fault session_faults[] = {
     FAULT(kill_entry, HOLD_MS),
@@ -278,7 +281,7 @@
     {"stop_shop", stop_shop_come, stop_shop_go, HOLD_MS, true, "shop"},
     {"listed_gone", listed_gone_come, listed_gone_go, HOLD_MS, true, "llm"},
     {"start_in_outage", start_in_outage_come, table_down_go, HOLD_MS, false,
-        NULL},
+	NULL},
     {"operators_race", operators_race_come, nothing_go, HOLD_MS, true, NULL},
 };
 const unsigned session_faults_count =
--- a/tests/world.c
+++ b/tests/world.c
@@ -16,11 +16,13 @@
 #include "world.h"
 
 #define PLATFORM_PORT 0
-#define ENTRY_PORT 10
-#define AGENT_PORT 20
-#define UPSTREAM_PORT 40
-#define RELAY_PORT 60
-#define RELAY_CONTROL_PORT 80
+#define ENTRY_PORT 4
+#define AGENT_PORT 16
+#define UPSTREAM_PORT 56
+#define RELAY_PORT 96
+#define RELAY_CONTROL_PORT 148
+#define METRICS_PORT 200
+#define RELAY_ENTRY_SLOT 40
 #define SETTLE_MS 20000
 #define BUILD_ENV "KWB_BUILD"
 
@@ -31,27 +33,27 @@
 static void add_upstream(struct world *world, unsigned index, bool engine);
 static void add_agent(struct world *world, unsigned index, bool engine);
 static void add_entry(struct world *world, unsigned index);
-static void add_relay(struct world *world, const char *name, unsigned slot,
-    unsigned target);
-static const char *domain_of(const struct world *world, unsigned index,
-    char *text);
-static void file_write(const struct world *world, const char *name,
-    const char *text);
+static void add_relay(
+    struct world *world, const char *name, unsigned slot, unsigned target);
+static const char *domain_of(
+    const struct world *world, unsigned index, char *text);
+static void file_write(
+    const struct world *world, const char *name, const char *text);
 static bool units_settled(struct world *world, json_t *lists);
 static pid_t spawn(const struct world *world, const struct world_proc *proc,
     const char *output);
 
 int
-world_start(struct world *world, const struct world_shape *shape,
-    uint16_t base_port)
+world_start(
+    struct world *world, const struct world_shape *shape, uint16_t base_port)
 {
 	unsigned i;
 
 	memset(world, 0, sizeof(*world));
 	world->shape = *shape;
 	world->base_port = base_port;
-	snprintf(world->directory, sizeof(world->directory),
-	    "/tmp/kwb-%d-%u", (int)getpid(), base_port);
+	snprintf(world->directory, sizeof(world->directory), "/tmp/kwb-%d-%u",
+	    (int)getpid(), base_port);
 	mkdir(world->directory, 0700);
 	argue(proc_add(world, "platform", "fake-platform", PLATFORM_PORT),
 	    "--listen\n127.0.0.1:%u", base_port + PLATFORM_PORT);
@@ -146,8 +148,8 @@
 }
 
 int64_t
-world_set(struct world *world, const char *name, const char *control,
-    int64_t value)
+world_set(
+    struct world *world, const char *name, const char *control, int64_t value)
 {
 	char url[128];
 	struct kwb_buf answer;
@@ -199,9 +201,9 @@
 			continue;
 		number = (unsigned)atoi(strchr(proc->name, '-') + 1) - 1;
 		port = world->base_port +
-		    (entry                      ? ENTRY_PORT
-		            : world->shape.relays ? RELAY_PORT
-		                                  : AGENT_PORT) +
+		    (entry			  ? ENTRY_PORT
+			    : world->shape.relays ? RELAY_PORT
+						  : AGENT_PORT) +
 		    number;
 		role = entry ? "entry" : "agent";
 		pool = entry ? "" : llm ? "llm" : "shop";
@@ -242,8 +244,7 @@
 }
 
 int
-world_ctl(struct world *world, const char *const *arguments,
-    const char *output)
+world_ctl(struct world *world, const char *const *arguments, const char *output)
 {
 	struct world_proc proc = {.name = "kwbctl"};
 	int status = -1;
@@ -294,6 +295,17 @@
 	    world_proc(world, name)->control_port);
 }
 
+void
+world_metrics_url(
+    struct world *world, const char *name, char *url, size_t room_bytes)
+{
+	unsigned port = world_proc(world, name)->control_port;
+
+	if (strncmp(name, "entry-", 6) != 0)
+		port += METRICS_PORT - AGENT_PORT;
+	snprintf(url, room_bytes, "http://127.0.0.1:%u/metrics", port);
+}
+
 /* A client of its own, so that it shares no state with the one under test. */
 struct answer_sink {
 	struct kwb_buf *body;
@@ -389,15 +401,16 @@
 	char name[WORLD_NAME_BYTES], extra[512], *rest = extra, *one;
 	struct world_proc *proc;
 
-	snprintf(name, sizeof(name), engine ? "engine-%u" : "service-%u",
-	    index + 1);
-	proc = proc_add(world, name, engine ? "fake-engine" : "fake-service",
-	    port);
+	snprintf(
+	    name, sizeof(name), engine ? "engine-%u" : "service-%u", index + 1);
+	proc = proc_add(
+	    world, name, engine ? "fake-engine" : "fake-service", port);
 	argue(proc, "--listen\n127.0.0.1:%u", world->base_port + port);
 	if (!engine)
 		return;
-	argue(proc, "--models\n%s\n--platform\nhttp://127.0.0.1:%u\n--slots\n"
-	            "%u",
+	argue(proc,
+	    "--models\n%s\n--platform\nhttp://127.0.0.1:%u\n--slots\n"
+	    "%u",
 	    world->shape.models, world->base_port + PLATFORM_PORT,
 	    world->shape.slots);
 	kwb_text_copy(extra, sizeof(extra),
@@ -419,11 +432,13 @@
 	    "vm: %s\nfailure_domain: %s\nlisten: 127.0.0.1:%u\n"
 	    "platform: http://127.0.0.1:%u\npool: %s\n"
 	    "upstream: http://127.0.0.1:%u\nupstream_kind: %s\nslots: %u\n"
-	    "interactive_reserve: %u\ndrain_ms: 20000\n",
+	    "interactive_reserve: %u\ndrain_ms: 20000\n"
+	    "metrics: 127.0.0.1:%u\n",
 	    name, domain_of(world, index, domain), base + AGENT_PORT + index,
 	    base + PLATFORM_PORT, engine ? "llm" : "shop",
 	    base + UPSTREAM_PORT + index, engine ? "engine" : "service",
-	    world->shape.slots, engine ? world->shape.reserve : 0);
+	    world->shape.slots, engine ? world->shape.reserve : 0,
+	    base + METRICS_PORT + index);
 	file_write(world, file, text);
 	argue(proc_add(world, name, "kwb-agent", AGENT_PORT + index),
 	    "--settings\n%s/%s", world->directory, file);
@@ -437,7 +452,7 @@
 add_entry(struct world *world, unsigned index)
 {
 	char name[WORLD_NAME_BYTES], file[64], text[2048], domain[16];
-	unsigned slot = 16 + index, i;
+	unsigned slot = RELAY_ENTRY_SLOT + index, i;
 	struct kwb_buf seeds;
 
 	snprintf(name, sizeof(name), "entry-%u", index + 1);
@@ -450,7 +465,7 @@
 		    i ? "" : "seeds:\n",
 		    i < world->shape.engines ? "llm" : "shop", i + 1,
 		    world->base_port +
-		        (world->shape.relays ? RELAY_PORT : AGENT_PORT) + i,
+			(world->shape.relays ? RELAY_PORT : AGENT_PORT) + i,
 		    domain_of(world, i, domain),
 		    i < world->shape.engines ? "llm" : "shop");
 	snprintf(text, sizeof(text),
@@ -460,7 +475,7 @@
 	    name, domain_of(world, index, domain),
 	    world->base_port + ENTRY_PORT + index,
 	    world->base_port +
-	        (world->shape.relays ? RELAY_PORT + slot : PLATFORM_PORT),
+		(world->shape.relays ? RELAY_PORT + slot : PLATFORM_PORT),
 	    world->shape.policy ? "policy: " : "",
 	    world->shape.policy ? world->shape.policy : "",
 	    kwb_buf_text(&seeds));
@@ -475,8 +490,7 @@
 }
 
 static void
-add_relay(struct world *world, const char *name, unsigned slot,
-    unsigned target)
+add_relay(struct world *world, const char *name, unsigned slot, unsigned target)
 {
 	argue(proc_add(world, name, "fake-relay", RELAY_CONTROL_PORT + slot),
 	    "--relay\n127.0.0.1:%u\n--target\n127.0.0.1:%u\n"
@@ -531,20 +545,20 @@
 		kwb_buf_finish(&text);
 		json_array_foreach(json_object_get(status, "agents"), i, agent)
 		{
-			connected += json_is_true(
-			    json_object_get(agent, "connected"));
+			connected +=
+			    json_is_true(json_object_get(agent, "connected"));
 			units = json_object_get(agent, "units");
 			json_object_foreach(units, plan, value)
-				json_object_set_new(sums, plan,
-				    json_integer(json_integer_value(value) +
-				        json_integer_value(json_object_get(
-				            sums, plan))));
+			    json_object_set_new(sums, plan,
+				json_integer(json_integer_value(value) +
+				    json_integer_value(
+					json_object_get(sums, plan))));
 		}
 		json_decref(status);
-		json_object_foreach(wanted, plan, value)
-			if (json_integer_value(json_object_get(sums, plan)) !=
-			    json_integer_value(value))
-				settled = false;
+		json_object_foreach(wanted, plan,
+		    value) if (json_integer_value(json_object_get(sums,
+				   plan)) != json_integer_value(value))
+		    settled = false;
 		if (connected == 0)
 			settled = false;
 	}
--- a/tests/world.h
+++ b/tests/world.h
@@ -9,7 +9,8 @@
 
 #include "kwb.h"
 
-#define WORLD_PROCS_MAX 96
+#define WORLD_PROCS_MAX 160
+#define WORLD_PORTS 240
 #define WORLD_NAME_BYTES 32
 
 struct world_shape {
@@ -17,13 +18,13 @@
 	unsigned engines;
 	unsigned services;
 	unsigned domains;
-	bool relays;             /* between entries, agents and platform */
-	const char *models;      /* of engines, comma-separated */
+	bool relays;		 /* between entries, agents and platform */
+	const char *models;	 /* of engines, comma-separated */
 	const char *engine_args; /* further arguments, space-separated */
-	const char *policy;      /* of entries; NULL for the default */
+	const char *policy;	 /* of entries; NULL for the default */
 	unsigned slots;
 	unsigned reserve;
-	const char *lists;       /* YAML of both lists */
+	const char *lists; /* YAML of both lists */
 };
 
 struct world_proc {
@@ -63,6 +64,8 @@
 bool world_settled(struct world *world, uint32_t timeout_ms);
 void world_url(struct world *world, const char *name, char *url,
     size_t room_bytes); /* of an entry, engine, service or the platform */
+void world_metrics_url(struct world *world, const char *name, char *url,
+    size_t room_bytes); /* of an entry or agent */
 int world_http(const char *method, const char *url, const char *header,
     const char *body, struct kwb_buf *answer, char *outcome,
     uint32_t timeout_ms); /* status, 0 when none; outcome of 16 bytes */
