--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 FAKES = $(B)/fake-platform $(B)/fake-engine $(B)/fake-service \
 	$(B)/fake-relay $(B)/fake-trainer
 EXAMPLES = $(patsubst examples/%.c,$(B)/examples/%,$(wildcard examples/*.c))
-TESTS = $(B)/tests/unit $(B)/tests/faults
+TESTS = $(B)/tests/unit $(B)/tests/contract $(B)/tests/golden \
+	$(B)/tests/faults
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
 
 all: $(DAEMONS) $(FAKES) $(EXAMPLES)
@@ -54,6 +55,10 @@
 $(B)/tests/unit: $(B)/tests/unit.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lcunit
 
+$(B)/tests/contract $(B)/tests/golden: %: %.o $(B)/tests/world.o \
+		$(B)/libkwb.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
 $(B)/tests/faults: $(B)/tests/faults.o $(B)/tests/session.o \
 		$(B)/tests/session_faults.o $(B)/tests/world.o \
 		$(B)/fakes/text.o $(B)/fakes/trainer.o $(B)/libkwb.a
@@ -61,11 +66,65 @@
 
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
-.PHONY: all clean
-clean:
-	rm -rf $(B)
+
+SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard include/*.h src/*/*.[ch] \
+	daemons/*.[ch] cli/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] \
+	examples/*.c))
+LINT_SRC = $(filter-out %.pb-c.c,$(LIB_SRC)) $(wildcard daemons/*.c cli/*.c)
+
+# Builds everything and runs all tests; the last line counts them.
+check: all $(TESTS)
+	@tests/check.sh $(B)
+
+# The whole path on the stand-ins, with a table at the end.
+demo: packages all
+	@examples/demo.sh $(B)
+
+bench: all $(BENCHES)
+	$(B)/bench/policies
+
+slopes: all $(BENCHES)
+	$(B)/bench/slopes
+
+soak: all $(TESTS)
+	$(B)/tests/faults --soak 200
+
+# Takes one mechanism out at a time; the proof of it must then fail.
+mutants:
+	tests/mutants.sh
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint:
+	cppcheck --quiet --error-exitcode=1 --std=c11 -Iinclude -j8 \
+		--enable=warning,portability --suppress=ctuuninitvar --suppress='*:*.pb-c.h' \
+		'-Djson_object_foreach(o,k,v)=for(k=0,v=0;k;)' \
+		'-Djson_object_foreach_safe(o,n,k,v)=for(k=0,v=0;k;)' \
+		'-Djson_array_foreach(a,i,v)=for(i=0,v=0;v;i++)' \
+		'-DTAILQ_FOREACH(v,h,f)=for(v=0;v;)' $(LINT_SRC)
+	printf '%s\n' $(LINT_SRC) | xargs -P8 -I{} clang-tidy --quiet {} -- \
+		-std=gnu11 -D_GNU_SOURCE \
+		-Iinclude
+
+# Daemons and tests under the address and undefined-behaviour sanitizers.
+sanitize:
+	$(MAKE) B=build/sanitized OPT=-O1 \
+		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
+		all build/sanitized/tests/unit build/sanitized/tests/contract \
+		build/sanitized/tests/faults
+	@tests/sanitize.sh build/sanitized
 
 packages:
 	apt-get update -qq
 	DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES) \
 		clang-format clang-tidy cppcheck >/dev/null
+
+clean:
+	rm -rf $(B)
+
+.PHONY: all check demo bench slopes soak mutants format format-check lint \
+	sanitize packages clean
--- a/bench/measure.c
+++ b/bench/measure.c
@@ -4,12 +4,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
+#include <time.h>
 
 #include "measure.h"
 
-#define STAT_FIELDS_BEFORE_UTIME 11
-
 static double metric_read(
     struct world *world, const char *name, const char *metric);
 static int by_value(const void *a, const void *b);
@@ -18,25 +16,15 @@
 account_take(struct world *world, const char *name, struct account *account)
 {
 	struct world_proc *proc = world_proc(world, name);
-	unsigned long user = 0, kernel = 0;
 	char path[64], text[1024];
-	const char *at;
+	struct timespec cpu = {0};
+	clockid_t clock;
 	FILE *file;
-	unsigned i;
 
 	memset(account, 0, sizeof(*account));
-	snprintf(path, sizeof(path), "/proc/%d/stat", (int)proc->pid);
-	file = fopen(path, "r");
-	if (file != NULL && fgets(text, sizeof(text), file) != NULL) {
-		at = strrchr(text, ')') + 2;
-		for (i = 0; i < STAT_FIELDS_BEFORE_UTIME; i++)
-			at = strchr(at, ' ') + 1;
-		sscanf(at, "%lu %lu", &user, &kernel);
-	}
-	if (file != NULL)
-		fclose(file);
-	account->cpu_ms =
-	    (double)(user + kernel) * 1000.0 / (double)sysconf(_SC_CLK_TCK);
+	if (clock_getcpuclockid(proc->pid, &clock) == 0)
+		clock_gettime(clock, &cpu);
+	account->cpu_ms = (double)cpu.tv_sec * 1e3 + (double)cpu.tv_nsec / 1e6;
 	snprintf(path, sizeof(path), "/proc/%d/status", (int)proc->pid);
 	file = fopen(path, "r");
 	while (file != NULL && fgets(text, sizeof(text), file) != NULL)
--- a/cli/files.c
+++ b/cli/files.c
@@ -51,8 +51,10 @@
 
 	if (ctl->arguments_count == 0)
 		return EXIT_USAGE;
-	if (ctl_files_load(ctl, &files, &lists, &faults) != 0 ||
-	    kwb_lists_check(lists, files.sources, files.count, &faults) != 0) {
+	ctl_files_load(ctl, &files, &lists, &faults);
+	if (lists != NULL)
+		kwb_lists_check(lists, files.sources, files.count, &faults);
+	if (faults.count > 0) {
 		ctl_faults_print(ctl, &faults);
 		code = EXIT_INVALID;
 	}
@@ -77,6 +79,7 @@
 	if (error != 0)
 		return ctl_fail(error, "diff");
 	if (ctl_files_load(ctl, &files, &lists, &faults) == 0) {
+		lists_fill(lists, now);
 		code = kwb_lists_diff(now, lists, &text) ? EXIT_DIFFERS
 							 : EXIT_DONE;
 		fputs(kwb_buf_text(&text), stdout);
@@ -102,15 +105,16 @@
 	error = kwb_lists_fetch(&ctl->platform, &now);
 	if (error != 0)
 		return ctl_fail(error, "apply");
-	if (ctl_files_load(ctl, &files, &lists, &faults) == 0) {
+	ctl_files_load(ctl, &files, &lists, &faults);
+	if (lists != NULL) {
 		/* A file without a revision was edited from the newest. */
 		if (lists->revision == 0)
 			lists->revision = now->revision;
 		lists_fill(lists, now);
-		if (kwb_lists_check(
-			lists, files.sources, files.count, &faults) == 0)
-			code = ctl_publish(ctl, lists);
+		kwb_lists_check(lists, files.sources, files.count, &faults);
 	}
+	if (lists != NULL && faults.count == 0)
+		code = ctl_publish(ctl, lists);
 	ctl_faults_print(ctl, &faults);
 	kwb_lists_unload(now);
 	kwb_lists_unload(lists);
@@ -224,7 +228,8 @@
 			kwb_faults_add(
 			    faults, "%s: cannot be read", source->file);
 		source->text = kwb_buf_text(text);
-		if (kwb_lists_parse(&one, source, faults) != 0)
+		kwb_lists_parse(&one, source, faults);
+		if (one == NULL)
 			continue;
 		if (*lists == NULL) {
 			*lists = one;
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -231,7 +231,8 @@
 };
 
 int kwb_lists_parse(struct kwb_lists **lists, const struct kwb_source *source,
-    struct kwb_faults *faults);
+    struct kwb_faults
+	*faults); /* with faults, lists may be there for more checks */
 int kwb_lists_print(const struct kwb_lists *lists, struct kwb_buf *out);
 void kwb_lists_unload(struct kwb_lists *lists);
 int kwb_lists_check(const struct kwb_lists *lists,
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -170,6 +170,7 @@
 bool job_attach(
     struct job *job, uint64_t link, uint64_t request, uint32_t sent_tokens);
 bool job_detach(struct job *job, uint64_t link, uint64_t request);
+const Kwb__Wire__Slot *job_slot(const struct job *job);
 bool job_is_sample(const struct job *job);
 
 /* agent.c */
--- a/src/agent/handle.c
+++ b/src/agent/handle.c
@@ -459,16 +459,16 @@
 static bool
 sample_is_past(struct journal *journal, const struct job *job)
 {
+	const Kwb__Wire__Slot *slot = job_slot(job);
 	bool past = false;
 	unsigned i;
 
-	if (!job_is_sample(job))
+	if (slot == NULL)
 		return false;
 	pthread_mutex_lock(&journal->fences_lock);
 	for (i = 0; i < KWB_PLANS_MAX; i++)
 		if (strcmp(journal->fences[i].plan, job->plan) == 0)
-			past = job->frame->run->slot->step <
-			    journal->fences[i].step;
+			past = slot->step < journal->fences[i].step;
 	pthread_mutex_unlock(&journal->fences_lock);
 	return past;
 }
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -10,6 +10,7 @@
 
 #define WAITING_PRIORITY_MAX 16
 #define WAITING_MAX 1
+#define IDLE_WAIT_NS (1000 * KWB_MS_NS)
 #define ENDING_NS (60000 * KWB_MS_NS)
 #define ENDING_POLL_NS (100 * KWB_MS_NS)
 
@@ -182,7 +183,7 @@
 		if (best != NULL || queue->stopping)
 			break;
 		kwb_cond_wait_until(&queue->changed, &queue->lock,
-		    kwb_clock_now_ns() + 100 * KWB_MS_NS);
+		    kwb_clock_now_ns() + IDLE_WAIT_NS);
 	}
 	if (best != NULL) {
 		TAILQ_REMOVE(&queue->waiting, best, in_queue);
--- a/src/call/journal.c
+++ b/src/call/journal.c
@@ -186,10 +186,17 @@
 	return found;
 }
 
+/* The place of a sample in its step; NULL for other jobs. */
+const Kwb__Wire__Slot *
+job_slot(const struct job *job)
+{
+	return job->frame != NULL ? job->frame->run->slot : NULL;
+}
+
 bool
 job_is_sample(const struct job *job)
 {
-	return job->frame != NULL && job->frame->run->slot != NULL;
+	return job_slot(job) != NULL;
 }
 
 static void
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -77,7 +77,7 @@
 	CYAML_FLAG_POINTER, struct kwb_agent_settings, agent_fields),
 };
 
-static int settings_load(const cyaml_schema_value_t *schema, const char *path,
+static void settings_load(const cyaml_schema_value_t *schema, const char *path,
     struct kwb_faults *faults, void **settings);
 static void settings_free(const cyaml_schema_value_t *schema, void *settings);
 static void check_text(struct kwb_faults *faults, const char *path,
@@ -119,7 +119,8 @@
 	enum kwb_policy policy;
 	uint32_t i;
 
-	if (settings_load(&entry_schema, path, faults, (void **)settings) != 0)
+	settings_load(&entry_schema, path, faults, (void **)settings);
+	if (*settings == NULL)
 		return KWB_ERR_SETTINGS;
 	entry = *settings;
 	default_to(&entry->workers, WORKERS_DEFAULT);
@@ -158,7 +159,8 @@
 {
 	struct kwb_agent_settings *agent;
 
-	if (settings_load(&agent_schema, path, faults, (void **)settings) != 0)
+	settings_load(&agent_schema, path, faults, (void **)settings);
+	if (*settings == NULL)
 		return KWB_ERR_SETTINGS;
 	agent = *settings;
 	default_to(&agent->slots, SLOTS_DEFAULT);
@@ -188,25 +190,23 @@
 	settings_free(&agent_schema, settings);
 }
 
-static int
+static void
 settings_load(const cyaml_schema_value_t *schema, const char *path,
     struct kwb_faults *faults, void **settings)
 {
 	struct kwb_yaml yaml;
 	struct kwb_buf text;
-	int error;
 
+	*settings = NULL;
 	kwb_buf_init(&text);
 	if (kwb_file_read(path, &text) != 0) {
 		kwb_faults_add(faults, "%s: cannot be read", path);
-		return KWB_ERR_SETTINGS;
+		return;
 	}
 	kwb_yaml_init(&yaml, path, faults);
-	error =
-	    kwb_yaml_load(&yaml, text.data, text.used_bytes, schema, settings);
+	kwb_yaml_load(&yaml, text.data, text.used_bytes, schema, settings);
 	kwb_yaml_finish(&yaml);
 	kwb_buf_finish(&text);
-	return error;
 }
 
 static void
--- a/src/core/yaml.c
+++ b/src/core/yaml.c
@@ -63,11 +63,9 @@
 	if (error != CYAML_OK && yaml->faults->count == before)
 		kwb_faults_add(
 		    yaml->faults, "%s: %s", yaml->file, cyaml_strerror(error));
+	/* With unknown fields alone the rest is there, for further checks. */
 	if (yaml->faults->count == before)
 		return 0;
-	if (*data != NULL)
-		cyaml_free(&yaml->config, schema, *data, 0);
-	*data = NULL;
 	return KWB_ERR_SETTINGS;
 }
 
--- a/src/lists/lists.c
+++ b/src/lists/lists.c
@@ -94,10 +94,9 @@
 	error = kwb_yaml_load(&yaml, source->text, strlen(source->text),
 	    &lists_schema, (void **)lists);
 	kwb_yaml_finish(&yaml);
-	if (error != 0)
-		return KWB_ERR_LISTS_INVALID;
-	fill_defaults(*lists);
-	return 0;
+	if (*lists != NULL)
+		fill_defaults(*lists);
+	return error ? KWB_ERR_LISTS_INVALID : 0;
 }
 
 int
--- a/src/lists/store.c
+++ b/src/lists/store.c
@@ -182,7 +182,11 @@
 	struct kwb_faults faults = {0};
 	int error = kwb_lists_parse(lists, &source, &faults);
 
-	if (error == 0)
+	if (error == 0) {
 		(*lists)->revision = revision;
+		return 0;
+	}
+	kwb_lists_unload(*lists);
+	*lists = NULL;
 	return error;
 }
--- a/src/member/peers.c
+++ b/src/member/peers.c
@@ -16,6 +16,7 @@
 static void on_heartbeat(void *context, uint64_t link, uint32_t tag);
 static void peer_hello(struct kwb_entry *entry, uint64_t link, uint32_t tag,
     const Kwb__Wire__Hello *hello);
+static void peer_forget(struct peer *peer);
 static void peer_status(
     struct peer *peer, uint64_t revision, const Kwb__Wire__Status *status);
 static void peer_load(struct kwb_entry *entry, uint64_t link, struct peer *peer,
@@ -446,6 +447,8 @@
 	wrong =
 	    hello->protocol != KWB_PROTOCOL || strcmp(hello->vm, peer->vm) != 0;
 	if (peer->link == link && !wrong) {
+		if (peer->incarnation != hello->incarnation)
+			peer_forget(peer);
 		peer->greeted = true;
 		peer->incarnation = hello->incarnation;
 		peer->failures = 0;
@@ -462,6 +465,19 @@
 		peer_lists(entry, link, tag);
 }
 
+/* What an earlier process on the VM held is not what this one holds. */
+static void
+peer_forget(struct peer *peer)
+{
+	unsigned i;
+
+	for (i = 0; i < peer->plans_count; i++) {
+		peer->plans[i].units = 0;
+		peer->plans[i].others = 0;
+	}
+	peer->others = 0;
+}
+
 static void
 peer_status(
     struct peer *peer, uint64_t revision, const Kwb__Wire__Status *status)
--- /dev/null
+++ b/tests/contract.c
@@ -0,0 +1,419 @@
+/*
+ * Contract of the inner protocol: a bare client speaks to a real agent, beside
+ * an engine that ignores fencing tokens and a service that counts. Cases stand
+ * in a table; each sends one frame and names the answer it must get.
+ */
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../src/wire/wire.h"
+#include "world.h"
+
+#define BASE_PORT 26000
+#define ANSWER_MS 4000
+#define PORT_LLM 16
+#define PORT_SHOP 17
+
+static const char lists_text[] =
+    "plans:\n"
+    "  - {name: quotes, customer: a, kind: training, pool: llm, model: m}\n"
+    "  - {name: orders, customer: a, kind: service, pool: shop}\n"
+    "allowances:\n"
+    "  - {plan: quotes, concurrent: 4, queue: 4}\n"
+    "  - {plan: orders, concurrent: 2, queue: 4}\n";
+
+/* A connection to an agent and what its hello said. */
+struct client {
+	int fd;
+	struct kwb_buf in;
+	uint64_t incarnation;
+	uint64_t revision;
+};
+
+static unsigned passed, failed;
+
+static void client_open(struct client *client, unsigned port);
+static void client_close(struct client *client);
+static bool client_send(struct client *client, Kwb__Wire__Frame *frame);
+static Kwb__Wire__Frame *client_await(struct client *client,
+    Kwb__Wire__Frame__BodyCase kind, uint64_t request, uint32_t timeout_ms);
+static void check(bool right, const char *name, const char *detail);
+static void check_calls(struct world *world);
+static void check_orders(struct world *world);
+static void check_attempts(void);
+static void check_bytes(void);
+
+int
+main(void)
+{
+	static struct world world;
+	struct world_shape shape = {.entries = 1,
+	    .engines = 1,
+	    .services = 1,
+	    .domains = 1,
+	    .models = "m",
+	    .slots = 8,
+	    .reserve = 1,
+	    .engine_args = "--ignore_fence 1 --token_us 3000",
+	    .lists = lists_text};
+
+	kwb_log_init("contract", KWB_LOG_ERROR);
+	kwb_http_init();
+	signal(SIGPIPE, SIG_IGN);
+	check(world_start(&world, &shape, BASE_PORT) == 0, "the world starts",
+	    "");
+	check_calls(&world);
+	check_orders(&world);
+	check_attempts();
+	check_bytes();
+	world_stop(&world);
+	printf("contract tests: %u passed, %u failed\n", passed, failed);
+	return failed > 0;
+}
+
+/* Plain calls: what is refused, what is barred, what is replayed. */
+static void
+check_calls(struct world *world)
+{
+	static const struct {
+		const char *name;
+		const char *key;
+		bool query; /* a query in place of a run */
+		int revision_behind;
+		int incarnation_off;
+		uint64_t minted_before_ms;
+		enum kwb_outcome outcome;
+		int error;
+	} cases[] = {
+	    {"a call runs", "k1", false, 0, 0, 0, KWB_OUTCOME_RAN, 0},
+	    {"its key again is replayed", "k1", false, 0, 0, 0, KWB_OUTCOME_RAN,
+		0},
+	    {"a query of it is replayed", "k1", true, 0, 0, 0, KWB_OUTCOME_RAN,
+		0},
+	    {"a query bars a key not seen", "k2", true, 0, 0, 0,
+		KWB_OUTCOME_NOT_RUN, KWB_ERR_CALL_BARRED},
+	    {"a barred key never runs", "k2", false, 0, 0, 0,
+		KWB_OUTCOME_NOT_RUN, KWB_ERR_CALL_BARRED},
+	    {"old lists are refused", "k3", false, 1, 0, 0, KWB_OUTCOME_NOT_RUN,
+		KWB_ERR_CALL_STALE_LISTS},
+	    {"an earlier incarnation is refused", "k4", false, 0, 1, 0,
+		KWB_OUTCOME_NOT_RUN, KWB_ERR_CALL_INCARNATION},
+	    {"of an earlier incarnation nothing is known", "k5", true, 0, 1, 0,
+		KWB_OUTCOME_UNKNOWN, KWB_ERR_CALL_INCARNATION},
+	    {"a key from long ago may have been forgotten", "k6", false, 0, 0,
+		KWB_JOB_KEEP_MS, KWB_OUTCOME_UNKNOWN, KWB_ERR_CALL_FORGOTTEN},
+	    {"no key is malformed", "", false, 0, 0, 0, KWB_OUTCOME_NOT_RUN,
+		KWB_ERR_ARGUMENT},
+	};
+	struct client client;
+	size_t i;
+
+	client_open(&client, PORT_SHOP);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		Kwb__Wire__Run run = KWB__WIRE__RUN__INIT;
+		KWB_FRAME(run_frame, RUN, run, run);
+		Kwb__Wire__Query query = KWB__WIRE__QUERY__INIT;
+		KWB_FRAME(query_frame, QUERY, query, query);
+		Kwb__Wire__Frame *answer;
+		char detail[96];
+
+		run.request = query.request = i + 1;
+		run.key = query.key = (char *)cases[i].key;
+		run.plan = "orders";
+		run.method = "POST";
+		run.path = "/orders";
+		run.content_type = "text/plain";
+		run.budget_ms = 2000;
+		run.priority = 1;
+		run.minted_ms = kwb_clock_wall_ms() - cases[i].minted_before_ms;
+		run.lists_revision =
+		    client.revision - (uint64_t)cases[i].revision_behind;
+		run.agent_incarnation = query.agent_incarnation =
+		    client.incarnation - (uint64_t)cases[i].incarnation_off;
+		run.body.data = (uint8_t *)cases[i].key;
+		run.body.len = strlen(cases[i].key);
+		client_send(
+		    &client, cases[i].query ? &query_frame : &run_frame);
+		answer = client_await(
+		    &client, KWB__WIRE__FRAME__BODY_DONE, i + 1, ANSWER_MS);
+		snprintf(detail, sizeof(detail), "%s, %s",
+		    answer ? kwb_outcome_name(answer->done->outcome) : "none",
+		    answer ? kwb_error_name(answer->done->error) : "none");
+		check(answer != NULL &&
+			answer->done->outcome == cases[i].outcome &&
+			answer->done->error == cases[i].error,
+		    cases[i].name, detail);
+		kwb_frame_free(answer);
+	}
+	client_close(&client);
+	check(world_get(world, "service-2", "ran") == 1,
+	    "the service ran one call in all", "");
+}
+
+/* Weight orders by fencing token, before an engine that ignores tokens. */
+static void
+check_orders(struct world *world)
+{
+	static const struct {
+		const char *name;
+		uint64_t token;
+		uint64_t version;
+		int error;
+		uint64_t version_after;
+	} cases[] = {
+	    {"an order loads a version", 50, 2, 0, 2},
+	    {"a lower token is refused", 49, 3, KWB_ERR_CALL_FENCED, 2},
+	    {"the same token goes on", 50, 3, 0, 3},
+	    {"a version never goes back", 51, 1, 0, 3},
+	    {"a higher token takes over", 60, 4, 0, 4},
+	    {"the former holder is refused", 51, 5, KWB_ERR_CALL_FENCED, 4},
+	};
+	struct client client;
+	size_t i;
+
+	client_open(&client, PORT_LLM);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		Kwb__Wire__Order order = KWB__WIRE__ORDER__INIT;
+		KWB_FRAME(frame, ORDER, order, order);
+		Kwb__Wire__Frame *answer;
+
+		order.request = i + 1;
+		order.plan = "quotes";
+		order.model = "m";
+		order.version = cases[i].version;
+		order.fencing_token = cases[i].token;
+		client_send(&client, &frame);
+		answer = client_await(&client,
+		    KWB__WIRE__FRAME__BODY_ORDER_REPLY, i + 1, ANSWER_MS);
+		check(answer != NULL &&
+			answer->order_reply->error == cases[i].error &&
+			answer->order_reply->version == cases[i].version_after,
+		    cases[i].name,
+		    answer ? kwb_error_name(answer->order_reply->error)
+			   : "none");
+		kwb_frame_free(answer);
+	}
+	client_close(&client);
+	check(world_get(world, "engine-1", "orders_old") == 0,
+	    "the engine saw no old token", "");
+	/* The highest token is in no memory now: the table has to say. */
+	world_kill(world, "llm-1");
+	world_set(world, "platform", "down", 1);
+	world_run(world, "llm-1");
+	kwb_clock_sleep_ns(500 * KWB_MS_NS);
+	client_open(&client, PORT_LLM);
+	{
+		Kwb__Wire__Order order = KWB__WIRE__ORDER__INIT;
+		KWB_FRAME(frame, ORDER, order, order);
+		Kwb__Wire__Frame *answer;
+
+		order.request = 1;
+		order.plan = "quotes";
+		order.model = "m";
+		order.version = 9;
+		order.fencing_token = 99;
+		client_send(&client, &frame);
+		answer = client_await(
+		    &client, KWB__WIRE__FRAME__BODY_ORDER_REPLY, 1, ANSWER_MS);
+		check(answer != NULL &&
+			answer->order_reply->error == KWB_ERR_WEIGHTS_UNKNOWN,
+		    "a fresh agent takes no order before it knows the token",
+		    "");
+		kwb_frame_free(answer);
+	}
+	client_close(&client);
+	world_set(world, "platform", "down", 0);
+	world_settled(world, 15000);
+}
+
+/* A later attempt of a step fences the earlier one off. */
+static void
+check_attempts(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t find_attempt; /* 0: a run of attempt run_attempt */
+		uint32_t run_attempt;
+		int error;
+	} cases[] = {
+	    {"attempt 1 starts", 0, 1, 0},
+	    {"attempt 2 is named", 2, 0, 0},
+	    {"a run of attempt 1 is refused", 0, 1, KWB_ERR_CALL_FENCED},
+	    {"a run of attempt 2 is taken", 0, 2, 0},
+	};
+	struct client client;
+	size_t i;
+
+	client_open(&client, PORT_LLM);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		Kwb__Wire__Run run = KWB__WIRE__RUN__INIT;
+		KWB_FRAME(run_frame, RUN, run, run);
+		Kwb__Wire__Find find = KWB__WIRE__FIND__INIT;
+		KWB_FRAME(find_frame, FIND, find, find);
+		Kwb__Wire__Slot slot = KWB__WIRE__SLOT__INIT;
+		Kwb__Wire__Frame *answer;
+		char key[16];
+
+		snprintf(key, sizeof(key), "s%zu", i);
+		slot.step = 7;
+		slot.attempt = cases[i].run_attempt;
+		slot.group = (uint32_t)i;
+		run.request = find.request = i + 1;
+		run.key = key;
+		run.plan = find.plan = "quotes";
+		run.model = "m";
+		run.prompt = "p";
+		run.max_tokens = 5;
+		run.budget_ms = 2000;
+		run.slot = &slot;
+		run.lists_revision = client.revision;
+		run.agent_incarnation = client.incarnation;
+		find.step = 7;
+		find.attempt = cases[i].find_attempt;
+		client_send(
+		    &client, cases[i].find_attempt ? &find_frame : &run_frame);
+		answer = client_await(&client,
+		    cases[i].find_attempt ? KWB__WIRE__FRAME__BODY_FOUND
+					  : KWB__WIRE__FRAME__BODY_DONE,
+		    i + 1, ANSWER_MS);
+		check(answer != NULL &&
+			(cases[i].find_attempt
+				? answer->found->n_held == 1
+				: answer->done->error == cases[i].error),
+		    cases[i].name,
+		    answer && !cases[i].find_attempt
+			? kwb_error_name(answer->done->error)
+			: "");
+		kwb_frame_free(answer);
+	}
+	client_close(&client);
+}
+
+/* Bytes that are no frame end the link; the agent serves on. */
+static void
+check_bytes(void)
+{
+	static const struct {
+		const char *name;
+		const char *bytes;
+		size_t length_bytes;
+	} cases[] = {
+	    {"an oversized frame", "\xff\xff\xff\xff....", 8},
+	    {"a malformed frame", "\0\0\0\2\xff\xff", 6},
+	    {"an empty frame", "\0\0\0\0", 4},
+	};
+	struct client client;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		client_open(&client, PORT_LLM);
+		check(send(client.fd, cases[i].bytes, cases[i].length_bytes,
+			  MSG_NOSIGNAL) > 0 &&
+			client_await(&client, KWB__WIRE__FRAME__BODY_DONE, 1,
+			    1500) == NULL &&
+			client.fd < 0,
+		    cases[i].name, "");
+		client_close(&client);
+	}
+	client_open(&client, PORT_LLM);
+	check(client.incarnation != 0, "a new link is greeted after these", "");
+	client_close(&client);
+}
+
+/* Connects, says hello and reads the agent's. */
+static void
+client_open(struct client *client, unsigned port)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET};
+	Kwb__Wire__Hello hello = KWB__WIRE__HELLO__INIT;
+	KWB_FRAME(frame, HELLO, hello, hello);
+	Kwb__Wire__Frame *answer;
+
+	memset(client, 0, sizeof(*client));
+	kwb_buf_init(&client->in);
+	client->fd = socket(AF_INET, SOCK_STREAM, 0);
+	in.sin_port = htons((uint16_t)(BASE_PORT + port));
+	inet_pton(AF_INET, "127.0.0.1", &in.sin_addr);
+	if (connect(client->fd, (struct sockaddr *)&in, sizeof(in)) != 0)
+		return;
+	hello.protocol = KWB_PROTOCOL;
+	hello.vm = "client";
+	client_send(client, &frame);
+	answer = client_await(client, KWB__WIRE__FRAME__BODY_HELLO, 0, 2000);
+	if (answer != NULL) {
+		client->incarnation = answer->hello->incarnation;
+		client->revision = answer->hello->lists_revision;
+	}
+	kwb_frame_free(answer);
+}
+
+static void
+client_close(struct client *client)
+{
+	if (client->fd >= 0)
+		close(client->fd);
+	kwb_buf_finish(&client->in);
+}
+
+static bool
+client_send(struct client *client, Kwb__Wire__Frame *frame)
+{
+	struct kwb_buf out;
+	ssize_t sent;
+
+	kwb_buf_init(&out);
+	kwb_frame_pack(frame, &out);
+	sent = send(client->fd, out.data, out.used_bytes, MSG_NOSIGNAL);
+	kwb_buf_finish(&out);
+	return sent > 0;
+}
+
+/* The next frame of the kind for the request; others are passed over. */
+static Kwb__Wire__Frame *
+client_await(struct client *client, Kwb__Wire__Frame__BodyCase kind,
+    uint64_t request, uint32_t timeout_ms)
+{
+	uint64_t deadline_ns = kwb_clock_now_ns() + timeout_ms * KWB_MS_NS;
+	struct timeval wait = {0, 50000};
+	Kwb__Wire__Frame *frame;
+	char chunk[4096];
+	ssize_t got;
+
+	setsockopt(client->fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	while (kwb_clock_now_ns() < deadline_ns) {
+		while (kwb_frame_unpack(&client->in, &frame) == 1) {
+			bool ours = frame->body_case == kind;
+
+			if (kind == KWB__WIRE__FRAME__BODY_DONE && ours)
+				ours = frame->done->request == request;
+			if (ours)
+				return frame;
+			kwb_frame_free(frame);
+		}
+		got = recv(client->fd, chunk, sizeof(chunk), 0);
+		if (got > 0)
+			kwb_buf_add(&client->in, chunk, (size_t)got);
+		if (got == 0) {
+			close(client->fd);
+			client->fd = -1;
+			return NULL;
+		}
+	}
+	return NULL;
+}
+
+static void
+check(bool right, const char *name, const char *detail)
+{
+	if (right) {
+		passed++;
+		return;
+	}
+	failed++;
+	printf("FAILED %s: %s\n", name, detail);
+}
--- /dev/null
+++ b/tests/sanitize.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Runs tests of a sanitizer build; a report of any process fails.
+set -u
+export KWB_BUILD=$1
+export ASAN_OPTIONS=log_path=$PWD/$1/report,detect_leaks=1
+export UBSAN_OPTIONS=log_path=$PWD/$1/report,print_stacktrace=1
+rm -f "$1"/report.*
+code=0
+"$1/tests/unit" | tail -1 || code=1
+"$1/tests/contract" || code=1
+for session in "stop_entry 30" "stop_llm 31" "silent_shop 16" "kill_shop 3"; do
+	# shellcheck disable=SC2086
+	"$1/tests/faults" $session || code=1
+done
+if ls "$1"/report.* >/dev/null 2>&1; then
+	cat "$1"/report.* | head -60
+	code=1
+fi
+exit $code
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -485,6 +485,7 @@
 		CU_ASSERT_EQUAL(kwb_lists_parse(&lists, &source, &faults),
 		    KWB_ERR_LISTS_INVALID);
 		CU_ASSERT(faults.count >= 1);
+		kwb_lists_unload(lists);
 		if (strncmp(faults.text[0], cases[i].fault,
 			strlen(cases[i].fault)) != 0)
 			fprintf(stderr, "lists: %s", faults.text[0]);
