Keep whole streams that span a swap; join before taking a share

(1) The agent took the last event of a stream, which has no token, as one without a version, so that after a swap it threw the whole stream away. (2) At a cold start the first agent took the whole allowance and gave it back only as its work ended; jobs waited there for up to 2 s. Ruled out: the fake engine's pace (300 tokens of 8 streams in 0.974 s, ideal 0.972) and routing (all three policies alike). Change: only a token without a version is bracketed by the agent's reads; an agent registers, and takes units half a second later; a job that has waited 60 ms (250 for callers) goes back to its entry; a trainer's word of newer weights makes the leader look at once. Tests: contract, a stream across a swap; the harness waits for equal parts.

--- a/cli/status.c
+++ b/cli/status.c
@@ -131,8 +131,7 @@
 	if ((uint64_t)json_integer_value(
 		json_object_get(status, "lists_revision")) < revision)
 		survey->behind++;
-	json_array_foreach(json_object_get(status, "agents"), i, agent)
-	{
+	json_array_foreach (json_object_get(status, "agents"), i, agent) {
 		const char *vm =
 		    json_string_value(json_object_get(agent, "vm"));
 
@@ -180,8 +179,7 @@
 	    json_is_true(json_object_get(status, "platform_up")),
 	    json_is_true(json_object_get(status, "draining")),
 	    json_integer_value(json_object_get(status, "active")));
-	json_array_foreach(json_object_get(status, "agents"), i, agent)
-	{
+	json_array_foreach (json_object_get(status, "agents"), i, agent) {
 		printf("  agent %-12s %-10s connected=%d leaving=%d up=%d "
 		       "revision=%lld",
 		    json_string_value(json_object_get(agent, "vm")),
@@ -191,10 +189,12 @@
 		    json_is_true(json_object_get(agent, "upstream_up")),
 		    json_integer_value(
 			json_object_get(agent, "lists_revision")));
-		json_object_foreach(json_object_get(agent, "versions"), name,
-		    value) printf(" %s=v%lld", name, json_integer_value(value));
-		json_object_foreach(json_object_get(agent, "units"), name,
-		    value) printf(" %s:%lld", name, json_integer_value(value));
+		json_object_foreach (
+		    json_object_get(agent, "versions"), name, value)
+			printf(" %s=v%lld", name, json_integer_value(value));
+		json_object_foreach (
+		    json_object_get(agent, "units"), name, value)
+			printf(" %s:%lld", name, json_integer_value(value));
 		printf("\n");
 	}
 }
--- a/fakes/fake-engine.c
+++ b/fakes/fake-engine.c
@@ -264,8 +264,7 @@
 	kwb_buf_init(&name);
 	fake_read(connection, &name);
 	pthread_mutex_lock(&lock);
-	TAILQ_FOREACH(sequence, &sequences, next)
-	{
+	TAILQ_FOREACH (sequence, &sequences, next) {
 		if (strcmp(sequence->name, kwb_buf_text(&name)) != 0)
 			continue;
 		status = 200;
@@ -427,10 +426,11 @@
 
 	while (switches[RUNNING].value < switches[SLOTS].value) {
 		best = NULL;
-		TAILQ_FOREACH(sequence, &sequences, next)
-		if (!sequence->running && !sequence->cancelled &&
-		    (best == NULL || sequence->priority > best->priority))
-			best = sequence;
+		TAILQ_FOREACH (sequence, &sequences, next)
+			if (!sequence->running && !sequence->cancelled &&
+			    (best == NULL ||
+				sequence->priority > best->priority))
+				best = sequence;
 		if (best == NULL)
 			break;
 		best->running = true;
@@ -443,8 +443,7 @@
 	}
 	if (switches[STUCK].value)
 		return step_us * 1000;
-	TAILQ_FOREACH(sequence, &sequences, next)
-	{
+	TAILQ_FOREACH (sequence, &sequences, next) {
 		if (!sequence->running || sequence->full ||
 		    sequence->model->swapping || sequence->model->version == 0)
 			continue;
--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -267,9 +267,9 @@
 {
 	struct row *row;
 
-	LIST_FOREACH(row, &rows, next)
-	if (strcmp(row->name, name) == 0)
-		return row;
+	LIST_FOREACH (row, &rows, next)
+		if (strcmp(row->name, name) == 0)
+			return row;
 	if (!make)
 		return NULL;
 	row = calloc(1, sizeof(*row));
--- a/fakes/trainer.c
+++ b/fakes/trainer.c
@@ -213,8 +213,7 @@
 	sequence =
 	    fake_sequence(prompt, (uint64_t)group * SEED_SPACING + sample);
 	XXH64_reset(hash, 0);
-	json_array_foreach(tokens, i, token)
-	{
+	json_array_foreach (tokens, i, token) {
 		const char *text = json_string_value(token);
 
 		version = version_at(spans, (uint32_t)i);
@@ -248,8 +247,7 @@
 	json_t *span;
 	size_t i;
 
-	json_array_foreach(spans, i, span)
-	{
+	json_array_foreach (spans, i, span) {
 		json_int_t first = json_integer_value(json_array_get(span, 1));
 		json_int_t count = json_integer_value(json_array_get(span, 2));
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -33,6 +33,8 @@
 	uint32_t attempt;	 /* of a sample, the highest that asked */
 	uint64_t deadline_ns;
 	uint64_t slack_deadline_ns;
+	uint64_t wait_ns; /* deadline for a start, then it is refused */
+	bool waited_out;
 	uint64_t forget_ns;   /* deadline for keeping a finished job */
 	uint64_t orphan_ns;   /* deadline to be adopted; 0 when attached */
 	uint64_t progress_ns; /* next time for progress */
--- a/src/agent/handle.c
+++ b/src/agent/handle.c
@@ -117,8 +117,7 @@
 		struct journal_shard *shard = &agent->journal.shards[i];
 
 		pthread_mutex_lock(&shard->lock);
-		TAILQ_FOREACH(job, &shard->jobs, in_shard)
-		{
+		TAILQ_FOREACH (job, &shard->jobs, in_shard) {
 			if (!job_detach(job, link, cancel->request))
 				continue;
 			if (!cancel->keep && job->attached == 0)
@@ -170,8 +169,7 @@
 		struct journal_shard *shard = &agent->journal.shards[i];
 
 		pthread_mutex_lock(&shard->lock);
-		TAILQ_FOREACH(job, &shard->jobs, in_shard)
-		{
+		TAILQ_FOREACH (job, &shard->jobs, in_shard) {
 			if (job->state == JOB_BARRED)
 				continue;
 			job_detach(job, link, 0);
@@ -481,8 +479,7 @@
 	unsigned count = 0;
 
 	pthread_mutex_lock(&shard->lock);
-	TAILQ_FOREACH(job, &shard->jobs, in_shard)
-	{
+	TAILQ_FOREACH (job, &shard->jobs, in_shard) {
 		if (count == room || !job_is_sample(job) ||
 		    strcmp(job->plan, find->plan) != 0 ||
 		    job->frame->run->slot->step != find->step)
--- a/src/agent/run.c
+++ b/src/agent/run.c
@@ -11,11 +11,15 @@
 #define WAITING_PRIORITY_MAX 16
 #define WAITING_MAX 1
 #define IDLE_WAIT_NS (1000 * KWB_MS_NS)
+#define QUEUE_WAIT_NS (20 * KWB_MS_NS)
+#define WAIT_PRIORITY_NS (250 * KWB_MS_NS)
+#define WAIT_NS (60 * KWB_MS_NS)
 #define ENDING_NS (60000 * KWB_MS_NS)
 #define ENDING_POLL_NS (100 * KWB_MS_NS)
 
 static void *worker_run(void *argument);
 static struct job *take_next(struct kwb_agent *agent);
+static struct job *best_waiting(struct kwb_agent *agent);
 static bool may_start(const struct kwb_agent *agent, const struct job *job,
     const struct plan_use *use);
 static bool goes_before(const struct job *a, const struct job *b);
@@ -87,6 +91,8 @@
 	struct run_queue *queue = &agent->queue;
 	struct plan_use *use;
 
+	job->wait_ns = kwb_clock_now_ns() +
+	    (job->frame->run->priority ? WAIT_PRIORITY_NS : WAIT_NS);
 	pthread_mutex_lock(&queue->lock);
 	TAILQ_INSERT_TAIL(&queue->waiting, job, in_queue);
 	queue->waiting_count++;
@@ -170,20 +176,17 @@
 take_next(struct kwb_agent *agent)
 {
 	struct run_queue *queue = &agent->queue;
-	struct job *job, *best;
 	struct plan_use *use;
+	struct job *best;
 
 	pthread_mutex_lock(&queue->lock);
 	for (;;) {
-		best = NULL;
-		TAILQ_FOREACH(job, &queue->waiting, in_queue)
-		if (may_start(agent, job, plan_use(queue, job->plan)) &&
-		    (best == NULL || goes_before(job, best)))
-			best = job;
+		best = best_waiting(agent);
 		if (best != NULL || queue->stopping)
 			break;
 		kwb_cond_wait_until(&queue->changed, &queue->lock,
-		    kwb_clock_now_ns() + IDLE_WAIT_NS);
+		    kwb_clock_now_ns() +
+			(queue->waiting_count ? QUEUE_WAIT_NS : IDLE_WAIT_NS));
 	}
 	if (best != NULL) {
 		TAILQ_REMOVE(&queue->waiting, best, in_queue);
@@ -197,7 +200,31 @@
 	return best;
 }
 
-/* A job that is past its deadline or cancelled may "start", to be refused. */
+/*
+ * The job to start next. One that has waited too long is taken as well, to be
+ * refused: its entry may know a better place.
+ */
+static struct job *
+best_waiting(struct kwb_agent *agent)
+{
+	struct run_queue *queue = &agent->queue;
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct job *job, *best = NULL;
+
+	TAILQ_FOREACH (job, &queue->waiting, in_queue)
+		if (may_start(agent, job, plan_use(queue, job->plan)) &&
+		    (best == NULL || goes_before(job, best)))
+			best = job;
+	if (best != NULL)
+		return best;
+	TAILQ_FOREACH (job, &queue->waiting, in_queue)
+		if (now_ns >= job->wait_ns || atomic_load(&job->cancelled)) {
+			job->waited_out = true;
+			return job;
+		}
+	return NULL;
+}
+
 static bool
 may_start(const struct kwb_agent *agent, const struct job *job,
     const struct plan_use *use)
@@ -249,6 +276,8 @@
 
 	if (atomic_load(&job->cancelled))
 		error = KWB_ERR_CALL_CANCELLED;
+	else if (job->waited_out)
+		error = KWB_ERR_CALL_BUSY;
 	else if (kwb_clock_now_ns() >= job->deadline_ns)
 		error = KWB_ERR_CALL_DEADLINE;
 	else if (job->frame->run->lists_revision < kwb_current_revision())
--- a/src/agent/upstream.c
+++ b/src/agent/upstream.c
@@ -256,7 +256,7 @@
 		return;
 	text = json_string_value(json_object_get(root, "token"));
 	version = json_object_get(root, "version");
-	if (version == NULL)
+	if (text != NULL && version == NULL)
 		stream->assumed = true;
 	if (text != NULL)
 		stream_token(stream, text,
@@ -337,8 +337,7 @@
 	state->running =
 	    (uint32_t)json_integer_value(json_object_get(root, "running"));
 	state->models_count = 0;
-	json_object_foreach(models, name, item)
-	{
+	json_object_foreach (models, name, item) {
 		struct model_state *model = &state->models[state->models_count];
 
 		if (state->models_count == KWB_MODELS_MAX)
--- a/src/call/inbox.c
+++ b/src/call/inbox.c
@@ -138,10 +138,10 @@
 		struct registry_shard *shard = &registry->shards[i];
 
 		pthread_mutex_lock(&shard->lock);
-		TAILQ_FOREACH(request, &shard->requests, next)
-		if (request->link == link)
-			inbox_post(
-			    request->inbox, EVENT_LINK_LOST, request, NULL);
+		TAILQ_FOREACH (request, &shard->requests, next)
+			if (request->link == link)
+				inbox_post(request->inbox, EVENT_LINK_LOST,
+				    request, NULL);
 		pthread_mutex_unlock(&shard->lock);
 	}
 }
@@ -157,9 +157,9 @@
 {
 	struct request *request;
 
-	TAILQ_FOREACH(request, &shard->requests, next)
-	if (request->id == id)
-		return request;
+	TAILQ_FOREACH (request, &shard->requests, next)
+		if (request->id == id)
+			return request;
 	return NULL;
 }
 
--- a/src/call/journal.c
+++ b/src/call/journal.c
@@ -59,9 +59,9 @@
 {
 	struct job *job;
 
-	TAILQ_FOREACH(job, &shard->jobs, in_shard)
-	if (strcmp(job->key, key) == 0)
-		return job;
+	TAILQ_FOREACH (job, &shard->jobs, in_shard)
+		if (strcmp(job->key, key) == 0)
+			return job;
 	return NULL;
 }
 
--- a/src/limit/share_keeper.c
+++ b/src/limit/share_keeper.c
@@ -28,8 +28,9 @@
 	struct kwb_agent *agent;
 	char row_key[KWB_KEY_MAX_BYTES];
 	uint64_t row_revision;
-	json_t *row;	/* as last read, with own changes; NULL before */
-	bool row_dirty; /* it has own changes */
+	json_t *row;	  /* as last read, with own changes; NULL before */
+	uint64_t take_ns; /* not before: others may be joining too */
+	bool row_dirty;	  /* it has own changes */
 	uint64_t writes;
 	unsigned missing_count;
 	struct missing missing[MISSING_MAX];
@@ -73,7 +74,8 @@
 	while (!atomic_load(&agent->stopping)) {
 		uint64_t now_ns = kwb_clock_now_ns();
 
-		if (now_ns >= poll_ns || revision != kwb_current_revision()) {
+		if (kwb_current_revision() > 0 &&
+		    (now_ns >= poll_ns || revision != kwb_current_revision())) {
 			revision = kwb_current_revision();
 			keeper_poll(keeper, &settled);
 			poll_ns = kwb_clock_now_ns() +
@@ -116,7 +118,7 @@
 keeper_poll(struct keeper *keeper, bool *settled)
 {
 	const struct kwb_lists *lists;
-	bool reachable, changed = false;
+	bool reachable, joined, changed = false;
 	json_t *units;
 	int tries;
 	uint32_t i;
@@ -126,8 +128,11 @@
 		if (keeper->row == NULL)
 			return;
 		*settled = true;
-		changed = json_object_get(row_members(keeper),
-			      keeper->agent->settings->vm) == NULL;
+		joined = json_object_get(row_members(keeper),
+			     keeper->agent->settings->vm) == NULL;
+		if (joined)
+			keeper->take_ns = kwb_clock_now_ns() + UNSETTLED_NS;
+		changed = joined;
 		units = own_units(keeper);
 		lists = kwb_current_hold();
 		for (i = 0; lists != NULL && i < lists->plans_count; i++) {
@@ -139,6 +144,11 @@
 			    0)
 				continue;
 			plan_lower(keeper, plan->name, allowance->concurrent);
+			/* First known to all, so that parts are fair. */
+			if (kwb_clock_now_ns() < keeper->take_ns) {
+				*settled = false;
+				continue;
+			}
 			if (plan_next(keeper, plan->name, allowance->concurrent,
 				settled))
 				changed = true;
@@ -231,6 +241,7 @@
 
 	if (own == NULL) {
 		own = json_object();
+		keeper->row_dirty = true;
 		json_object_set_new(row_members(keeper), vm, own);
 	}
 	return own;
@@ -243,8 +254,7 @@
 	json_t *units;
 	unsigned count = 0;
 
-	json_object_foreach(row_members(keeper), vm, units)
-	{
+	json_object_foreach (row_members(keeper), vm, units) {
 		struct kwb_share_member *member = &keeper->members[count];
 
 		if (count == MEMBERS_MAX)
@@ -314,8 +324,7 @@
 	const char *plan;
 	json_t *value;
 
-	json_object_foreach(units, plan, value)
-	{
+	json_object_foreach (units, plan, value) {
 		const struct kwb_allowance *allowance =
 		    lists ? kwb_lists_allowance(lists, plan) : NULL;
 		unsigned self = 0, count = members_for(keeper, plan, &self);
@@ -347,8 +356,7 @@
 		free(vms);
 		return false;
 	}
-	json_object_foreach_safe(row_members(keeper), next, vm, units)
-	{
+	json_object_foreach_safe (row_members(keeper), next, vm, units) {
 		listed = strcmp(vm, keeper->agent->settings->vm) == 0;
 		for (i = 0; i < vms->count && !listed; i++)
 			listed = strcmp(vms->vms[i].vm, vm) == 0;
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -152,8 +152,7 @@
 		return KWB_ERR_PLATFORM_DOWN;
 	}
 	vms->count = 0;
-	json_array_foreach(root, i, item)
-	{
+	json_array_foreach (root, i, item) {
 		if (vms->count == KWB_VMS_MAX)
 			break;
 		vm_from_json(&vms->vms[vms->count], item);
--- a/src/rollout/step.c
+++ b/src/rollout/step.c
@@ -177,8 +177,7 @@
 	uint64_t total = 0;
 	uint32_t index;
 
-	json_array_foreach(groups, i, group)
-	{
+	json_array_foreach (groups, i, group) {
 		wanted = json_integer_value(json_object_get(group, "samples"));
 		if (wanted < 1 || wanted > SAMPLES_MAX ||
 		    !json_is_integer(json_object_get(group, "group")) ||
@@ -195,8 +194,7 @@
 	step->samples = calloc(total, sizeof(*step->samples));
 	if (step->samples == NULL)
 		return KWB_ERR_MEMORY;
-	json_array_foreach(groups, i, group)
-	{
+	json_array_foreach (groups, i, group) {
 		wanted = json_integer_value(json_object_get(group, "samples"));
 		for (index = 0; index < wanted; index++)
 			sample_init(step, &step->samples[step->samples_count++],
@@ -245,8 +243,7 @@
 	json_t *pair;
 	size_t i;
 
-	json_array_foreach(have, i, pair)
-	{
+	json_array_foreach (have, i, pair) {
 		sample = sample_find(step,
 		    (uint64_t)json_integer_value(json_array_get(pair, 0)),
 		    (uint64_t)json_integer_value(json_array_get(pair, 1)));
--- a/src/weights/leader.c
+++ b/src/weights/leader.c
@@ -18,6 +18,7 @@
 #define RANK_MAX 4
 #define TRY_NS (1000 * KWB_MS_NS)
 #define TRY_RANK_NS (2000 * KWB_MS_NS)
+#define HINT_NS (100 * KWB_MS_NS)
 #define FAILED_PAUSE_NS (1000 * KWB_MS_NS)
 
 /* An order under way at one agent. */
@@ -39,6 +40,7 @@
 	struct kwb_lease lease;
 	uint64_t try_ns;
 	uint64_t poll_ns;
+	uint64_t hint_ns; /* not before, on a trainer's word */
 	uint64_t newest;
 	struct order_open orders[ORDERS_MAX];
 };
@@ -226,11 +228,16 @@
 lead_poll(struct leader *leader, struct lead *lead)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
-	uint64_t version = 0;
+	uint64_t version = 0, named;
 
-	if (now_ns < lead->poll_ns)
+	/* A trainer that names newer weights has published them. */
+	named = atomic_load(
+	    &entry_gate(leader->entry, lead->plan)->trainer_version);
+	if (now_ns < lead->poll_ns &&
+	    (named <= lead->newest || now_ns < lead->hint_ns))
 		return;
 	lead->poll_ns = now_ns + KWB_WEIGHTS_POLL_NS;
+	lead->hint_ns = now_ns + HINT_NS;
 	if (kwb_weights_newest(
 		&leader->entry->platform, lead->model, &version) == 0 &&
 	    version > lead->newest)
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -33,6 +33,7 @@
 	struct kwb_buf in;
 	uint64_t incarnation;
 	uint64_t revision;
+	uint32_t last_done; /* outcome of the last answer passed over */
 };
 
 static unsigned passed, failed;
@@ -45,6 +46,7 @@
 static void check(bool right, const char *name, const char *detail);
 static void check_calls(struct world *world);
 static void check_orders(struct world *world);
+static void check_swap(void);
 static void check_attempts(void);
 static void check_bytes(void);
 
@@ -70,6 +72,7 @@
 	check_calls(&world);
 	check_orders(&world);
 	check_attempts();
+	check_swap();
 	check_bytes();
 	world_stop(&world);
 	printf("contract tests: %u passed, %u failed\n", passed, failed);
@@ -294,6 +297,56 @@
 	client_close(&client);
 }
 
+/* A stream across a swap ends whole, with a span of each version. */
+static void
+check_swap(void)
+{
+	Kwb__Wire__Run run = KWB__WIRE__RUN__INIT;
+	KWB_FRAME(run_frame, RUN, run, run);
+	Kwb__Wire__Order order = KWB__WIRE__ORDER__INIT;
+	KWB_FRAME(order_frame, ORDER, order, order);
+	Kwb__Wire__Frame *answer;
+	struct client client;
+	uint64_t first = 0, last = 0;
+	uint32_t tokens = 0;
+
+	client_open(&client, PORT_LLM);
+	run.request = 1;
+	run.key = "across";
+	run.plan = "quotes";
+	run.model = "m";
+	run.prompt = "p";
+	run.seed = 4;
+	run.max_tokens = 100;
+	run.budget_ms = 5000;
+	run.priority = 1;
+	run.lists_revision = client.revision;
+	run.agent_incarnation = client.incarnation;
+	client_send(&client, &run_frame);
+	kwb_clock_sleep_ns(60 * KWB_MS_NS);
+	order.request = 2;
+	order.plan = "quotes";
+	order.model = "m";
+	order.version = 20;
+	order.fencing_token = 200;
+	client_send(&client, &order_frame);
+	while ((answer = client_await(&client, KWB__WIRE__FRAME__BODY_PROGRESS,
+		    1, 700)) != NULL) {
+		const Kwb__Wire__Progress *progress = answer->progress;
+
+		if (first == 0)
+			first = progress->spans[0]->version;
+		last = progress->spans[progress->n_spans - 1]->version;
+		tokens += (uint32_t)progress->n_tokens;
+		kwb_frame_free(answer);
+	}
+	check(client.last_done == KWB_OUTCOME_RAN,
+	    "a stream across a swap runs to its end", "");
+	check(first == 4 && last == 20 && tokens > 0, "it names both versions",
+	    "");
+	client_close(&client);
+}
+
 /* Bytes that are no frame end the link; the agent serves on. */
 static void
 check_bytes(void)
@@ -393,6 +446,8 @@
 				ours = frame->done->request == request;
 			if (ours)
 				return frame;
+			if (frame->body_case == KWB__WIRE__FRAME__BODY_DONE)
+				client->last_done = frame->done->outcome;
 			kwb_frame_free(frame);
 		}
 		got = recv(client->fd, chunk, sizeof(chunk), 0);
--- a/tests/world.c
+++ b/tests/world.c
@@ -39,7 +39,8 @@
     const struct world *world, unsigned index, char *text);
 static void file_write(
     const struct world *world, const char *name, const char *text);
-static bool units_settled(struct world *world, json_t *lists);
+static bool units_settled(struct world *world, json_t *wanted);
+static bool parts_equal(json_t *agents, json_t *wanted);
 static pid_t spawn(const struct world *world, const struct world_proc *proc,
     const char *output);
 
@@ -518,54 +519,58 @@
 	fclose(file);
 }
 
+/* Whether each entry sees every plan's allowance held, in equal parts. */
 static bool
 units_settled(struct world *world, json_t *wanted)
 {
-	char url[128];
+	char url[128], name[WORLD_NAME_BYTES];
 	struct kwb_buf text;
-	json_t *status, *agent, *units, *value, *sums = json_object();
-	const char *plan;
-	size_t i;
-	unsigned entry, connected = 0;
+	json_t *status;
+	unsigned entry;
 	bool settled = true;
 
 	for (entry = 1; entry <= world->shape.entries; entry++) {
-		char name[WORLD_NAME_BYTES];
-
 		snprintf(name, sizeof(name), "entry-%u", entry);
 		if (world_proc(world, name)->pid == 0)
 			continue;
-		json_object_clear(sums);
-		connected = 0;
 		world_url(world, name, url, sizeof(url));
 		strcat(url, "/status");
 		kwb_buf_init(&text);
 		world_http("GET", url, NULL, NULL, &text, NULL, 1000);
 		status = json_loads(kwb_buf_text(&text), 0, NULL);
 		kwb_buf_finish(&text);
-		json_array_foreach(json_object_get(status, "agents"), i, agent)
-		{
-			connected +=
-			    json_is_true(json_object_get(agent, "connected"));
-			units = json_object_get(agent, "units");
-			json_object_foreach(units, plan, value)
-			    json_object_set_new(sums, plan,
-				json_integer(json_integer_value(value) +
-				    json_integer_value(
-					json_object_get(sums, plan))));
-		}
-		json_decref(status);
-		json_object_foreach(wanted, plan,
-		    value) if (json_integer_value(json_object_get(sums,
-				   plan)) != json_integer_value(value))
-		    settled = false;
-		if (connected == 0)
+		if (!parts_equal(json_object_get(status, "agents"), wanted))
 			settled = false;
+		json_decref(status);
 	}
-	json_decref(sums);
 	return settled;
 }
 
+static bool
+parts_equal(json_t *agents, json_t *wanted)
+{
+	json_t *agent, *allowance;
+	const char *plan;
+	size_t i;
+
+	json_object_foreach (wanted, plan, allowance) {
+		json_int_t sum = 0, most = 0, holders = 0, units;
+
+		json_array_foreach (agents, i, agent) {
+			units = json_integer_value(json_object_get(
+			    json_object_get(agent, "units"), plan));
+			sum += units;
+			holders += units > 0;
+			if (units > most)
+				most = units;
+		}
+		if (sum != json_integer_value(allowance) ||
+		    most > (sum + holders - 1) / holders)
+			return false;
+	}
+	return true;
+}
+
 static pid_t
 spawn(const struct world *world, const struct world_proc *proc,
     const char *output)
