--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 B ?= build
 PACKAGES = libcivetweb-dev liburcu-dev libprotobuf-c-dev protobuf-c-compiler \
 	libcyaml-dev libyaml-dev libcunit1-dev libcurl4-openssl-dev \
-	libjansson-dev libxxhash-dev pkg-config
+	libjansson-dev libxxhash-dev pkg-config curl
 OPT ?= -O2
 CFLAGS += -std=gnu11 -D_GNU_SOURCE -g $(OPT) -Wall -Wextra -Werror -Wmissing-prototypes \
 	-Wno-unused-parameter -Wframe-larger-than=49152 -Iinclude -pthread $(SANITIZE)
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -4,7 +4,7 @@
  *
  *   slopes            all
  *   slopes NAME       one: links, requests, tokens, streams, changes, plans,
- *                     platform, lists
+ *                     platform, lists, overhead
  */
 #include <signal.h>
 #include <stdio.h>
@@ -37,6 +37,7 @@
 static void slope_plans(void);
 static void slope_platform(void);
 static void slope_lists(void);
+static void slope_overhead(void);
 static void world_make(
     struct world *world, unsigned entries, unsigned engines, unsigned plans);
 static void lists_make(struct kwb_buf *text, unsigned plans);
@@ -61,6 +62,7 @@
 	    {"plans", slope_plans},
 	    {"platform", slope_platform},
 	    {"lists", slope_lists},
+	    {"overhead", slope_overhead},
 	};
 	unsigned i;
 
@@ -357,6 +359,41 @@
 	line_print(&share, "agent, share of a plan", "VM", "us");
 }
 
+/* What entry and agent add to a request, asked directly in turn with it. */
+static void
+slope_overhead(void)
+{
+	static double direct[2000], through[2000];
+	static struct world world;
+	char engine[160], entry[160];
+	unsigned i;
+
+	world_make(&world, 1, 1, 2);
+	world_url(&world, "engine-1", engine, 64);
+	strcat(engine, "/v1/completions");
+	world_url(&world, "entry-1", entry, 64);
+	strcat(entry, "/v1/plans/search/completions");
+	for (i = 0; i < 2000; i++) {
+		char body[160];
+		uint64_t begun_ns = kwb_clock_now_ns();
+
+		snprintf(body, sizeof(body),
+		    "{\"model\":\"c\",\"prompt\":\"find it\",\"seed\":%u,"
+		    "\"max_tokens\":10,\"stream\":true}",
+		    i);
+		world_http("POST", engine, NULL, body, NULL, NULL, 5000);
+		direct[i] = (double)(kwb_clock_now_ns() - begun_ns) / 1e6;
+		begun_ns = kwb_clock_now_ns();
+		world_http("POST", entry, NULL, body, NULL, NULL, 5000);
+		through[i] = (double)(kwb_clock_now_ns() - begun_ns) / 1e6;
+	}
+	printf("answers of 10 tokens, 2000 in turn: direct p50 %.2f p99 %.2f "
+	       "ms, through entry and agent p50 %.2f p99 %.2f ms\n",
+	    percentile(direct, 2000, 0.5), percentile(direct, 2000, 0.99),
+	    percentile(through, 2000, 0.5), percentile(through, 2000, 0.99));
+	world_stop(&world);
+}
+
 static void
 world_make(
     struct world *world, unsigned entries, unsigned engines, unsigned plans)
--- /dev/null
+++ b/examples/hedge.c
@@ -0,0 +1,26 @@
+/*
+ * When a sample's silent stream is moved elsewhere: only in the tail of a step
+ * and only on idle room.
+ */
+#include <stdio.h>
+
+#include "kwb.h"
+
+int
+main(void)
+{
+	struct kwb_hedge_input input = {
+	    .idle_units = 3,
+	    .token_ns = 30 * KWB_MS_NS,
+	    .made_tokens = 20000,
+	};
+	uint64_t silent_ms;
+
+	for (silent_ms = 0; silent_ms <= 2000; silent_ms += 400) {
+		input.silent_ns = silent_ms * KWB_MS_NS;
+		printf("silent for %4llu ms: %s\n",
+		    (unsigned long long)silent_ms,
+		    kwb_hedge_wanted(&input) ? "moved" : "left alone");
+	}
+	return 0;
+}
--- a/fakes/fake-trainer.c
+++ b/fakes/fake-trainer.c
@@ -29,6 +29,9 @@
 	    .weight_version = 1,
 	    .bound_versions = 1,
 	};
+	/* The longest sample alone, at the engine's pace. */
+	uint64_t token_us =
+	    strtoull(fake_option(argc, argv, "--token_us", "2020"), NULL, 10);
 	struct trainer_result result;
 	int code = 0;
 
@@ -45,13 +48,14 @@
 		    "step=%" PRIu64 " version=%" PRIu64
 		    " samples=%u doubled=%u wrong=%u stale=%u tokens=%" PRIu64
 		    " oldest=%" PRIu64 " newest=%" PRIu64 " age_mean=%.2f "
-		    "time_ms=%" PRIu64 " attempts=%u\n",
+		    "time_ms=%" PRIu64 " ideal_ms=%" PRIu64 " attempts=%u\n",
 		    step, trainer.weight_version, result.received,
 		    result.doubled, result.wrong, result.stale, result.tokens,
 		    result.oldest_version, result.newest_version,
 		    result.received ? (double)result.age_sum / result.received
 				    : 0,
-		    (uint64_t)(result.time_ns / KWB_MS_NS), result.attempts);
+		    (uint64_t)(result.time_ns / KWB_MS_NS),
+		    result.tokens_longest * token_us / 1000, result.attempts);
 		fflush(stdout);
 		if (!result.complete || result.doubled || result.wrong ||
 		    result.stale)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -100,6 +100,53 @@
 		atomic_fetch_add(&entry->demand_changes, 1);
 }
 
+/*
+ * Notes whether the weights of a plan are rolled out from here in a failure
+ * domain, so that the plan's homes there are connected to.
+ */
+void
+entry_lead(struct kwb_entry *entry, const char *plan,
+    const char *failure_domain, bool leads)
+{
+	struct plan_gate *gate = entry_gate(entry, plan);
+	unsigned i;
+
+	if (entry_leads(entry, plan, failure_domain) == leads)
+		return;
+	pthread_mutex_lock(&entry->gates_lock);
+	for (i = 0; i < gate->lead_domains_count; i++)
+		if (strcmp(gate->lead_domains[i], failure_domain) == 0)
+			break;
+	if (!leads) {
+		gate->lead_domains_count--;
+		memmove(gate->lead_domains[i], gate->lead_domains[i + 1],
+		    (gate->lead_domains_count - i) *
+			sizeof(gate->lead_domains[i]));
+	} else if (i < GATE_LEADS_MAX) {
+		kwb_text_copy(gate->lead_domains[i],
+		    sizeof(gate->lead_domains[i]), failure_domain);
+		gate->lead_domains_count++;
+	}
+	pthread_mutex_unlock(&entry->gates_lock);
+	atomic_fetch_add(&entry->demand_changes, 1);
+}
+
+bool
+entry_leads(
+    struct kwb_entry *entry, const char *plan, const char *failure_domain)
+{
+	struct plan_gate *gate = entry_gate(entry, plan);
+	bool leads = false;
+	unsigned i;
+
+	pthread_mutex_lock(&entry->gates_lock);
+	for (i = 0; i < gate->lead_domains_count; i++)
+		if (strcmp(gate->lead_domains[i], failure_domain) == 0)
+			leads = true;
+	pthread_mutex_unlock(&entry->gates_lock);
+	return leads;
+}
+
 /* The plan's gate, made on first sight; the last one when all are taken. */
 struct plan_gate *
 entry_gate(struct kwb_entry *entry, const char *plan)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -47,8 +47,9 @@
 	uint32_t own;
 	uint32_t others;
 	uint64_t reconnect_ns;
-	uint64_t tripped_ns; /* deadline of being left out */
-	uint64_t busy_ns;    /* deadline of being taken as full */
+	uint64_t reconnect_delay_ns; /* doubles while tries fail */
+	uint64_t tripped_ns;	     /* deadline of being left out */
+	uint64_t busy_ns;	     /* deadline of being taken as full */
 	unsigned failures;
 	unsigned models_count;
 	struct peer_model models[KWB_MODELS_MAX];
@@ -110,7 +111,9 @@
 	struct registry_shard shards[KWB_SHARDS];
 };
 
-/* Queue length and retry budget of a plan at this entry. */
+#define GATE_LEADS_MAX 16
+
+/* What this entry knows and holds of a plan. */
 struct plan_gate {
 	char plan[KWB_NAME_MAX_BYTES];
 	_Atomic uint32_t waiting;
@@ -119,6 +122,8 @@
 	struct kwb_predictor predictor;
 	_Atomic uint64_t trainer_version; /* highest a trainer has named */
 	_Atomic uint64_t demand_ns;	  /* when last asked for */
+	unsigned lead_domains_count;	  /* under gates_lock */
+	char lead_domains[GATE_LEADS_MAX][KWB_NAME_MAX_BYTES];
 };
 
 struct kwb_entry {
@@ -260,6 +265,10 @@
 
 /* entry.c */
 void entry_demand(struct kwb_entry *entry, struct plan_gate *gate);
+void entry_lead(struct kwb_entry *entry, const char *plan,
+    const char *failure_domain, bool leads);
+bool entry_leads(
+    struct kwb_entry *entry, const char *plan, const char *failure_domain);
 struct plan_gate *entry_gate(struct kwb_entry *entry, const char *plan);
 uint64_t entry_random(void);
 
--- a/src/member/peers.c
+++ b/src/member/peers.c
@@ -26,6 +26,9 @@
 static struct peer *peer_slot(struct peers *peers, const struct kwb_vm *vm);
 static unsigned homes_in_demand(struct kwb_entry *entry,
     const struct kwb_vms *vms, uint32_t *chosen, unsigned chosen_max);
+static unsigned homes_of(struct kwb_entry *entry, const struct kwb_vms *vms,
+    const struct kwb_plan *plan, const struct kwb_allowance *allowance,
+    uint32_t *chosen, unsigned chosen_max);
 static void peer_settle(struct peer *peer, const struct kwb_vms *vms);
 static void peer_candidate(struct kwb_entry *entry, struct peer *peer,
     const char *plan, const char *model, struct kwb_candidate *candidate);
@@ -173,13 +176,15 @@
 	pthread_mutex_unlock(&peers->lock);
 }
 
-/* The homes of the training plans that are pulled through this entry. */
+/*
+ * The homes of the training plans that are pulled through this entry, and of
+ * those whose weights are rolled out from here, in the domains led.
+ */
 static unsigned
 homes_in_demand(struct kwb_entry *entry, const struct kwb_vms *vms,
     uint32_t *chosen, unsigned chosen_max)
 {
 	const struct kwb_lists *lists = kwb_current_hold();
-	uint64_t now_ns = kwb_clock_now_ns(), demand_ns;
 	unsigned used = 0;
 	uint32_t i;
 
@@ -188,19 +193,37 @@
 		const struct kwb_allowance *allowance =
 		    kwb_lists_allowance(lists, plan->name);
 
-		demand_ns =
-		    atomic_load(&entry_gate(entry, plan->name)->demand_ns);
-		if (plan->kind != KWB_PLAN_TRAINING || demand_ns == 0 ||
-		    now_ns - demand_ns > KWB_DEMAND_NS)
+		if (plan->kind != KWB_PLAN_TRAINING)
 			continue;
-		used += kwb_home(vms, plan->pool, plan->name,
-		    kwb_share_homes(allowance->concurrent, vms->count),
-		    chosen + used, chosen_max - used);
+		used += homes_of(entry, vms, plan, allowance, chosen + used,
+		    chosen_max - used);
 	}
 	kwb_current_drop();
 	return used;
 }
 
+static unsigned
+homes_of(struct kwb_entry *entry, const struct kwb_vms *vms,
+    const struct kwb_plan *plan, const struct kwb_allowance *allowance,
+    uint32_t *chosen, unsigned chosen_max)
+{
+	uint64_t demand_ns =
+	    atomic_load(&entry_gate(entry, plan->name)->demand_ns);
+	bool pulled =
+	    demand_ns != 0 && kwb_clock_now_ns() - demand_ns <= KWB_DEMAND_NS;
+	unsigned i, used = 0, count;
+
+	count = kwb_home(vms, plan->pool, plan->name,
+	    kwb_share_homes(allowance->concurrent, vms->count), chosen,
+	    chosen_max);
+	for (i = 0; i < count; i++)
+		if (pulled ||
+		    entry_leads(
+			entry, plan->name, vms->vms[chosen[i]].failure_domain))
+			chosen[used++] = chosen[i];
+	return used;
+}
+
 /* What the list says of a peer; one no longer wanted goes when it is idle. */
 static void
 peer_settle(struct peer *peer, const struct kwb_vms *vms)
@@ -232,7 +255,12 @@
 		if (!peer->wanted || peer->link != 0 ||
 		    now_ns < peer->reconnect_ns)
 			continue;
-		peer->reconnect_ns = now_ns + KWB_RECONNECT_NS;
+		peer->reconnect_delay_ns *= 2;
+		if (peer->reconnect_delay_ns < KWB_RECONNECT_NS)
+			peer->reconnect_delay_ns = KWB_RECONNECT_NS;
+		if (peer->reconnect_delay_ns > KWB_RECONNECT_MAX_NS)
+			peer->reconnect_delay_ns = KWB_RECONNECT_MAX_NS;
+		peer->reconnect_ns = now_ns + peer->reconnect_delay_ns;
 		peer->greeted = false;
 		kwb_loop_connect(&entry->loop, &peer->address, i, &peer->link);
 	}
@@ -451,6 +479,7 @@
 			peer_forget(peer);
 		peer->greeted = true;
 		peer->incarnation = hello->incarnation;
+		peer->reconnect_delay_ns = 0;
 		peer->failures = 0;
 		if (hello->status != NULL)
 			peer_status(peer, hello->lists_revision, hello->status);
--- a/src/rollout/step.c
+++ b/src/rollout/step.c
@@ -23,7 +23,6 @@
 struct sample {
 	struct generation generation;
 	Kwb__Wire__Slot slot;
-	uint32_t expected_tokens;
 	bool delivered; /* now or in an earlier attempt */
 	bool attachable;
 	bool held_done;
@@ -552,6 +551,7 @@
 	free(line);
 	if (step->client_gone)
 		return;
+	kwb_tokens_finish(&sample->generation.tokens);
 	sample->delivered = true;
 	step->left--;
 	step->delivered_now++;
--- a/src/weights/leader.c
+++ b/src/weights/leader.c
@@ -219,6 +219,7 @@
 		lead->leads = true;
 	else if (error == KWB_ERR_PLATFORM_CONFLICT)
 		lead->leads = false;
+	entry_lead(entry, lead->plan, lead->failure_domain, lead->leads);
 	now_ns = kwb_clock_now_ns();
 	lead->try_ns = now_ns +
 	    (lead->leads ? KWB_LEASE_RENEW_NS : TRY_NS + rank * TRY_RANK_NS);
