Swaps of busy servers wait while there is slack; prediction taken out

Cause: a swap pauses every stream of its server for its length; with the idle objective all servers swapped at the start of each step. Change: with the idle objective and the kwb policy a busy server may stay behind by the staleness bound less one; one that is idle, or has no slack left, swaps. Ruled out: swapping all idle servers at once (callers would wait).

--- a/include/kwb.h
+++ b/include/kwb.h
@@ -529,27 +529,13 @@
 
 /* ---- Rollout: order of a step's work, hedging -------------------------- */
 
-struct kwb_predictor {
-	double log_mean;   /* of token counts */
-	double log_square; /* of token counts */
-	uint64_t count;
-	uint64_t covered; /* predictions whose interval held */
-};
-
-void kwb_predictor_init(struct kwb_predictor *predictor);
-void kwb_predictor_learn(struct kwb_predictor *predictor, uint32_t tokens);
-bool kwb_predictor_upper(const struct kwb_predictor *predictor,
-    uint32_t *tokens); /* false until accurate enough */
-
 struct kwb_hedge_input {
-	uint32_t unstarted;	 /* samples still to start */
-	uint32_t idle_units;	 /* free places elsewhere */
-	uint32_t remaining_high; /* predicted tokens left, upper bound */
-	uint64_t silent_ns;	 /* since the last token */
-	uint64_t token_ns;	 /* usual time between tokens */
-	uint64_t wasted_tokens;	 /* thrown away by hedges so far */
+	uint32_t unstarted;	/* samples still to start */
+	uint32_t idle_units;	/* free places elsewhere */
+	uint64_t silent_ns;	/* since the last token */
+	uint64_t token_ns;	/* usual time between tokens */
+	uint64_t wasted_tokens; /* thrown away by hedges so far */
 	uint64_t made_tokens;
-	uint32_t copies;
 	enum kwb_objective objective;
 };
 
@@ -572,8 +558,14 @@
 	uint32_t in_flight;
 };
 
-int kwb_swap_pick(const struct kwb_swap_server *servers, unsigned count,
-    uint64_t target, enum kwb_objective objective); /* index or -1 */
+struct kwb_swap {
+	uint64_t target;	 /* version to swap to */
+	uint32_t slack_versions; /* a busy server may be this far behind */
+	enum kwb_objective objective;
+};
+
+int kwb_swap_pick(const struct kwb_swap *swap,
+    const struct kwb_swap_server *servers, unsigned count); /* index or -1 */
 
 /* ---- Daemons ------------------------------------------------------------ */
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -165,8 +165,6 @@
 		entry->gates_count++;
 		kwb_text_copy(gate->plan, sizeof(gate->plan), plan);
 		kwb_budget_init(&gate->budget);
-		pthread_mutex_init(&gate->predictor_lock, NULL);
-		kwb_predictor_init(&gate->predictor);
 	}
 	pthread_mutex_unlock(&entry->gates_lock);
 	return gate;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -118,8 +118,6 @@
 	char plan[KWB_NAME_MAX_BYTES];
 	_Atomic uint32_t waiting;
 	struct kwb_budget budget;
-	pthread_mutex_t predictor_lock;
-	struct kwb_predictor predictor;
 	_Atomic uint64_t trainer_version; /* highest a trainer has named */
 	_Atomic uint64_t demand_ns;	  /* when last asked for */
 	unsigned lead_domains_count;	  /* under gates_lock */
--- a/src/rollout/step.c
+++ b/src/rollout/step.c
@@ -472,10 +472,6 @@
 	struct generation *generation = &sample->generation;
 
 	if (sample_acceptable(step, sample)) {
-		pthread_mutex_lock(&step->gate->predictor_lock);
-		kwb_predictor_learn(
-		    &step->gate->predictor, generation->tokens.count);
-		pthread_mutex_unlock(&step->gate->predictor_lock);
 		sample_write(step, sample);
 		return;
 	}
--- a/src/weights/leader.c
+++ b/src/weights/leader.c
@@ -35,6 +35,7 @@
 	char pool[KWB_NAME_MAX_BYTES];
 	char failure_domain[KWB_NAME_MAX_BYTES];
 	enum kwb_objective objective;
+	uint32_t slack_versions;
 	bool wanted;
 	bool leads; /* holds the lease, or did when the table went out */
 	struct kwb_lease lease;
@@ -56,6 +57,8 @@
 static void leads_update(struct leader *leader);
 static void lead_want(struct leader *leader, const struct kwb_plan *plan,
     const char *failure_domain);
+static uint32_t slack_of(
+    const struct kwb_entry *entry, const struct kwb_plan *plan);
 static unsigned rank_of(struct kwb_entry *entry, const struct lead *lead);
 static void lead_lease(struct leader *leader, struct lead *lead);
 static void lead_poll(struct leader *leader, struct lead *lead);
@@ -186,10 +189,25 @@
 	}
 	lead->wanted = true;
 	lead->objective = plan->objective;
+	lead->slack_versions = slack_of(leader->entry, plan);
 	kwb_text_copy(lead->model, sizeof(lead->model), plan->model);
 	kwb_text_copy(lead->pool, sizeof(lead->pool), plan->pool);
 }
 
+/*
+ * How far behind a busy server may stay: the trainer goes on by one version in
+ * the meantime, and what the server makes has still to be within the bound.
+ */
+static uint32_t
+slack_of(const struct kwb_entry *entry, const struct kwb_plan *plan)
+{
+	if (entry->policy != KWB_POLICY_KWB ||
+	    plan->objective != KWB_OBJECTIVE_IDLE ||
+	    plan->staleness_versions == 0)
+		return 0;
+	return plan->staleness_versions - 1;
+}
+
 static void
 lead_lease(struct leader *leader, struct lead *lead)
 {
@@ -249,6 +267,9 @@
 lead_order(struct leader *leader, struct lead *lead)
 {
 	struct kwb_swap_server servers[KWB_PEERS_MAX];
+	struct kwb_swap swap = {.target = lead->newest,
+	    .slack_versions = lead->slack_versions,
+	    .objective = lead->objective};
 	uint64_t now_ns = kwb_clock_now_ns();
 	unsigned i, count;
 	int pick;
@@ -258,8 +279,7 @@
 		    now_ns >= lead->orders[i].deadline_ns)
 			order_close(leader, &lead->orders[i]);
 	count = servers_of(leader, lead, servers);
-	while ((pick = kwb_swap_pick(
-		    servers, count, lead->newest, lead->objective)) >= 0) {
+	while ((pick = kwb_swap_pick(&swap, servers, count)) >= 0) {
 		order_send(leader, lead, &leader->targets[pick]);
 		servers[pick].swapping = true;
 	}
--- a/src/weights/swap.c
+++ b/src/weights/swap.c
@@ -7,12 +7,24 @@
 #define IDLE_AT_ONCE_DIVISOR 4
 #define STALENESS_AT_ONCE_DIVISOR 2
 
-/* Among servers behind the target, the one with the least in flight. */
+static bool
+is_due(const struct kwb_swap *swap, const struct kwb_swap_server *server)
+{
+	uint32_t slack = server->in_flight > 0 ? swap->slack_versions : 0;
+
+	return server->usable && !server->swapping &&
+	    server->version + slack < swap->target;
+}
+
+/*
+ * Among servers that are due, the one with the least in flight. A swap pauses
+ * what runs: with slack, a busy server waits until it is idle.
+ */
 int
-kwb_swap_pick(const struct kwb_swap_server *servers, unsigned count,
-    uint64_t target, enum kwb_objective objective)
+kwb_swap_pick(const struct kwb_swap *swap,
+    const struct kwb_swap_server *servers, unsigned count)
 {
-	unsigned divisor = objective == KWB_OBJECTIVE_STALENESS
+	unsigned divisor = swap->objective == KWB_OBJECTIVE_STALENESS
 	    ? STALENESS_AT_ONCE_DIVISOR
 	    : IDLE_AT_ONCE_DIVISOR;
 	unsigned i, swapping = 0, usable = 0, at_once;
@@ -28,8 +40,7 @@
 	if (swapping >= at_once)
 		return -1;
 	for (i = 0; i < count; i++) {
-		if (!servers[i].usable || servers[i].swapping ||
-		    servers[i].version >= target)
+		if (!is_due(swap, &servers[i]))
 			continue;
 		if (best < 0 || servers[i].in_flight < servers[best].in_flight)
 			best = (int)i;
