Split large files; one place for spans

Change: step_pull.c reads a pull and what agents hold; http_call.c and http_completion.c serve the two kinds of callers; peer_link.c has the links; wire_spans() serves both ends. Behaviour is as before. Ruled out: sharing the two daemons' main functions, which differ in every type.

--- a/src/agent/handle.c
+++ b/src/agent/handle.c
@@ -7,8 +7,6 @@
 
 #include "agent.h"
 
-#define SPANS_MAX 256
-
 static int run_refusal(struct kwb_agent *agent, const Kwb__Wire__Run *run);
 static void run_attach(struct kwb_agent *agent, uint64_t link, struct job *job,
     const Kwb__Wire__Run *run);
@@ -26,8 +24,6 @@
 static void job_replay(struct kwb_agent *agent, struct job *job);
 static bool job_expire(struct kwb_agent *agent, struct journal_shard *shard,
     struct job *job, uint64_t now_ns, bool hand_over);
-static unsigned spans_of(
-    const struct kwb_tokens *tokens, uint32_t first, Kwb__Wire__Span *spans);
 static bool sample_is_past(struct journal *journal, const struct job *job);
 static unsigned find_in_shard(struct journal_shard *shard,
     const Kwb__Wire__Find *find, Kwb__Wire__Held *held, unsigned room);
@@ -384,9 +380,7 @@
 {
 	Kwb__Wire__Progress progress = KWB__WIRE__PROGRESS__INIT;
 	KWB_FRAME(frame, PROGRESS, progress, progress);
-	Kwb__Wire__Span spans[SPANS_MAX];
-	Kwb__Wire__Span *span_pointers[SPANS_MAX];
-	unsigned i;
+	struct wire_span_list spans;
 
 	if (to->sent_tokens >= job->tokens.count)
 		return;
@@ -394,10 +388,8 @@
 	progress.first = to->sent_tokens;
 	progress.tokens = job->tokens.text + to->sent_tokens;
 	progress.n_tokens = job->tokens.count - to->sent_tokens;
-	progress.n_spans = spans_of(&job->tokens, to->sent_tokens, spans);
-	for (i = 0; i < progress.n_spans; i++)
-		span_pointers[i] = &spans[i];
-	progress.spans = span_pointers;
+	progress.n_spans = wire_spans(&job->tokens, to->sent_tokens, &spans);
+	progress.spans = spans.pointers;
 	if (kwb_link_send(&agent->loop, to->link, &frame) == 0)
 		to->sent_tokens = job->tokens.count;
 }
@@ -423,30 +415,6 @@
 	kwb_link_send(&agent->loop, to->link, &frame);
 }
 
-static unsigned
-spans_of(
-    const struct kwb_tokens *tokens, uint32_t first, Kwb__Wire__Span *spans)
-{
-	unsigned count = 0;
-	uint32_t i;
-
-	for (i = first; i < tokens->count; i++) {
-		if (count > 0 &&
-		    spans[count - 1].version == tokens->version[i]) {
-			spans[count - 1].count++;
-			continue;
-		}
-		if (count == SPANS_MAX)
-			break;
-		kwb__wire__span__init(&spans[count]);
-		spans[count].version = tokens->version[i];
-		spans[count].first = i;
-		spans[count].count = 1;
-		count++;
-	}
-	return count;
-}
-
 /* Returns true when the job was removed. */
 static bool
 job_expire(struct kwb_agent *agent, struct journal_shard *shard,
--- a/src/call/generation.c
+++ b/src/call/generation.c
@@ -8,16 +8,12 @@
 
 #include "../entry/entry.h"
 
-#define SPANS_MAX 256
-
 static int generation_send(
     struct kwb_entry *entry, struct generation *generation);
 static void generation_progress(
     struct generation *generation, const Kwb__Wire__Progress *progress);
 static void generation_break(
     struct kwb_entry *entry, struct generation *generation, int error);
-static unsigned spans_fill(const struct kwb_tokens *tokens,
-    Kwb__Wire__Span *spans, Kwb__Wire__Span **pointers);
 
 void
 generation_init(struct generation *generation, struct inbox *inbox)
@@ -131,8 +127,7 @@
 {
 	Kwb__Wire__Run run = KWB__WIRE__RUN__INIT;
 	KWB_FRAME(frame, RUN, run, run);
-	Kwb__Wire__Span spans[SPANS_MAX];
-	Kwb__Wire__Span *span_pointers[SPANS_MAX];
+	struct wire_span_list spans;
 	struct target *target = &generation->target;
 	int error;
 
@@ -155,9 +150,8 @@
 	run.min_version = generation->min_version;
 	run.resume = generation->tokens.text;
 	run.n_resume = generation->tokens.count;
-	run.resume_spans = span_pointers;
-	run.n_resume_spans =
-	    spans_fill(&generation->tokens, spans, span_pointers);
+	run.resume_spans = spans.pointers;
+	run.n_resume_spans = wire_spans(&generation->tokens, 0, &spans);
 	run.slot = generation->slot;
 	error = kwb_link_send(&entry->loop, target->link, &frame);
 	if (error != 0) {
@@ -211,28 +205,3 @@
 	registry_close(&entry->registry, generation->request);
 	peers_release(entry, &generation->target, error);
 }
-
-static unsigned
-spans_fill(const struct kwb_tokens *tokens, Kwb__Wire__Span *spans,
-    Kwb__Wire__Span **pointers)
-{
-	unsigned count = 0;
-	uint32_t i;
-
-	for (i = 0; i < tokens->count; i++) {
-		if (count > 0 &&
-		    spans[count - 1].version == tokens->version[i]) {
-			spans[count - 1].count++;
-			continue;
-		}
-		if (count == SPANS_MAX)
-			break;
-		kwb__wire__span__init(&spans[count]);
-		spans[count].version = tokens->version[i];
-		spans[count].first = i;
-		spans[count].count = 1;
-		pointers[count] = &spans[count];
-		count++;
-	}
-	return count;
-}
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -12,28 +12,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <civetweb.h>
-#include <jansson.h>
+#include "http.h"
 
-#include "entry.h"
-
-#define PATH_MAX_BYTES 1024
 #define WORKERS_SPARE 4
 #define TIMEOUT_MS_MAX 600000
-#define REQUEST_ID_BYTES 96
-
-/* One HTTP request and what was read of it. */
-struct exchange {
-	struct kwb_entry *entry;
-	struct mg_connection *connection;
-	const struct mg_request_info *info;
-	char id[REQUEST_ID_BYTES];
-	char plan_name[KWB_NAME_MAX_BYTES];
-	const char *rest; /* path after the plan */
-	struct kwb_plan plan;
-	uint32_t queue_max;
-	struct kwb_buf body;
-};
 
 static int on_request(struct mg_connection *connection, void *context);
 static int on_health(struct mg_connection *connection, void *context);
@@ -45,25 +27,7 @@
 static void dispatch(struct exchange *exchange);
 static int plan_load(struct exchange *exchange);
 static int body_read(struct exchange *exchange);
-static uint64_t deadline_of(struct exchange *exchange, uint32_t fallback_ms);
-static void serve_completion(struct exchange *exchange);
-static void completion_run(
-    struct exchange *exchange, struct generation *generation, bool stream);
-static int completion_wait(struct exchange *exchange,
-    struct generation *generation, uint32_t *waiting_since);
-static void completion_send(
-    struct exchange *exchange, struct generation *generation, uint32_t from);
-static void completion_whole(
-    struct exchange *exchange, const struct generation *generation);
-static void serve_call(struct exchange *exchange);
-static bool call_name(struct exchange *exchange, struct call *call);
-static void call_reply(
-    struct exchange *exchange, const struct call_answer *answer);
-static void serve_ticket(struct exchange *exchange);
 static void serve_pull(struct exchange *exchange);
-static void send_text(struct mg_connection *connection, int status,
-    const char *content_type, const char *headers, const char *text,
-    size_t length_bytes);
 
 int
 http_start(struct kwb_entry *entry)
@@ -124,7 +88,7 @@
 	snprintf(headers, sizeof(headers), "X-Kwb-Outcome: %s\r\n%s",
 	    kwb_outcome_name(outcome),
 	    status == 429 || status == 503 ? "Retry-After: 1\r\n" : "");
-	send_text(connection, status, "application/json", headers, body,
+	http_send(connection, status, "application/json", headers, body,
 	    (size_t)length);
 }
 
@@ -180,13 +144,13 @@
 
 	if (post && strcmp(exchange->rest, "/completions") == 0 &&
 	    kind != KWB_PLAN_SERVICE)
-		serve_completion(exchange);
+		http_completion(exchange);
 	else if (strncmp(exchange->rest, "/call/", 6) == 0 &&
 	    kind == KWB_PLAN_SERVICE)
-		serve_call(exchange);
+		http_call(exchange);
 	else if (post && strcmp(exchange->rest, "/tickets") == 0 &&
 	    kind == KWB_PLAN_SERVICE)
-		serve_ticket(exchange);
+		http_ticket(exchange);
 	else if (post && strncmp(exchange->rest, "/steps/", 7) == 0 &&
 	    kind == KWB_PLAN_TRAINING)
 		serve_pull(exchange);
@@ -253,8 +217,8 @@
 	return 0;
 }
 
-static uint64_t
-deadline_of(struct exchange *exchange, uint32_t fallback_ms)
+uint64_t
+http_deadline(struct exchange *exchange, uint32_t fallback_ms)
 {
 	const char *text =
 	    mg_get_header(exchange->connection, "X-Kwb-Timeout-Ms");
@@ -265,313 +229,6 @@
 	return kwb_clock_now_ns() + wanted * KWB_MS_NS;
 }
 
-static void
-serve_completion(struct exchange *exchange)
-{
-	json_t *root = json_loads(kwb_buf_text(&exchange->body), 0, NULL);
-	const char *prompt = json_string_value(json_object_get(root, "prompt"));
-	json_int_t max_tokens =
-	    json_integer_value(json_object_get(root, "max_tokens"));
-	struct generation generation;
-	struct inbox inbox;
-
-	if (prompt == NULL) {
-		http_refuse(exchange->connection, 400, KWB_OUTCOME_NOT_RUN,
-		    KWB_ERR_ARGUMENT, "prompt must be a string");
-		json_decref(root);
-		return;
-	}
-	inbox_init(&inbox);
-	generation_init(&generation, &inbox);
-	snprintf(
-	    generation.name, sizeof(generation.name), "i/%s", exchange->id);
-	generation.plan = exchange->plan_name;
-	generation.model = exchange->plan.model;
-	generation.prompt = prompt;
-	generation.max_tokens = exchange->plan.max_tokens;
-	if (max_tokens > 0 &&
-	    max_tokens < (json_int_t)exchange->plan.max_tokens)
-		generation.max_tokens = (uint32_t)max_tokens;
-	generation.seed =
-	    (uint64_t)json_integer_value(json_object_get(root, "seed"));
-	generation.priority = 1;
-	generation.deadline_ns = deadline_of(exchange, KWB_CALL_TIMEOUT_MS);
-	generation.slack_deadline_ns = generation.deadline_ns;
-	completion_run(exchange, &generation,
-	    json_is_true(json_object_get(root, "stream")));
-	generation_finish(exchange->entry, &generation);
-	inbox_finish(&inbox);
-	json_decref(root);
-}
-
-static void
-completion_run(
-    struct exchange *exchange, struct generation *generation, bool stream)
-{
-	struct mg_connection *connection = exchange->connection;
-	uint32_t sent = 0, waiting_since = 0;
-	struct event *event;
-	bool begun = false;
-	int error;
-
-	while (generation->state != GENERATION_DONE) {
-		error = 0;
-		if (generation->state == GENERATION_PENDING)
-			error = completion_wait(
-			    exchange, generation, &waiting_since);
-		if (error != 0 && !begun) {
-			http_refuse(connection,
-			    error == KWB_ERR_ROUTE_FULL ? 429 : 503,
-			    generation->starts > 0 ? KWB_OUTCOME_UNKNOWN
-						   : KWB_OUTCOME_NOT_RUN,
-			    error, exchange->id);
-			return;
-		}
-		if (error != 0)
-			break;
-		event = inbox_wait(generation->inbox, generation->deadline_ns);
-		if (event != NULL) {
-			generation_event(exchange->entry, generation, event);
-			event_free(event);
-		}
-		if (!stream || generation->tokens.count == sent)
-			continue;
-		if (!begun)
-			mg_printf(connection,
-			    "HTTP/1.1 200 OK\r\nContent-Type: "
-			    "text/event-stream\r\nX-Kwb-Request: %s\r\n"
-			    "Transfer-Encoding: chunked\r\n\r\n",
-			    exchange->id);
-		begun = true;
-		completion_send(exchange, generation, sent);
-		sent = generation->tokens.count;
-	}
-	if (!begun) {
-		completion_whole(exchange, generation);
-		return;
-	}
-	if (generation->state == GENERATION_DONE) {
-		static const char end[] =
-		    "data: {\"finish\":\"stop\"}\n\ndata: [DONE]\n\n";
-
-		mg_send_chunk(connection, end, sizeof(end) - 1);
-		kwb_metric_add(KWB_METRIC_RAN, 1);
-	} else {
-		static const char end[] = "data: {\"error\":\"deadline\","
-					  "\"outcome\":\"unknown\"}\n\n";
-
-		mg_send_chunk(connection, end, sizeof(end) - 1);
-		kwb_metric_add(KWB_METRIC_UNKNOWN, 1);
-	}
-	mg_send_chunk(connection, "", 0);
-}
-
-/* Waits in the plan's queue, bounded in length and time, for a place. */
-static int
-completion_wait(
-    struct exchange *exchange, struct generation *generation, uint32_t *retries)
-{
-	struct plan_gate *gate =
-	    entry_gate(exchange->entry, exchange->plan_name);
-	int error;
-
-	if (generation->starts == 0)
-		kwb_budget_try(&gate->budget);
-	else if (generation->error != KWB_ERR_CALL_BUSY && (*retries)++ > 0 &&
-	    !kwb_budget_retry(&gate->budget))
-		return KWB_ERR_ROUTE_FULL;
-	error = generation_start(exchange->entry, generation);
-	if (error == 0)
-		return 0;
-	if (atomic_fetch_add(&gate->waiting, 1) >= exchange->queue_max)
-		error = KWB_ERR_ROUTE_FULL;
-	else
-		error = -1;
-	while (error == -1) {
-		kwb_clock_sleep_ns(KWB_QUEUE_POLL_NS);
-		error = generation_start(exchange->entry, generation);
-		if (error == 0)
-			break;
-		if (kwb_clock_now_ns() < generation->deadline_ns)
-			error = -1;
-	}
-	atomic_fetch_sub(&gate->waiting, 1);
-	return error;
-}
-
-static void
-completion_send(
-    struct exchange *exchange, struct generation *generation, uint32_t from)
-{
-	struct kwb_buf out;
-	uint32_t i;
-
-	kwb_buf_init(&out);
-	for (i = from; i < generation->tokens.count; i++) {
-		json_t *token =
-		    json_pack("{s:s, s:I}", "token", generation->tokens.text[i],
-			"version", (json_int_t)generation->tokens.version[i]);
-		char *text =
-		    json_dumps(token, JSON_COMPACT | JSON_PRESERVE_ORDER);
-
-		kwb_buf_printf(&out, "data: %s\n\n", text);
-		free(text);
-		json_decref(token);
-	}
-	if (mg_send_chunk(
-		exchange->connection, out.data, (unsigned)out.used_bytes) < 0)
-		generation->deadline_ns = 0;
-	kwb_buf_finish(&out);
-}
-
-static void
-completion_whole(struct exchange *exchange, const struct generation *generation)
-{
-	json_t *tokens = json_array(), *versions = json_array(), *root;
-	char headers[256], *text;
-	uint32_t i;
-
-	for (i = 0; i < generation->tokens.count; i++) {
-		json_array_append_new(
-		    tokens, json_string(generation->tokens.text[i]));
-		json_array_append_new(versions,
-		    json_integer((json_int_t)generation->tokens.version[i]));
-	}
-	root = json_pack("{s:s, s:o, s:o, s:s}", "request", exchange->id,
-	    "tokens", tokens, "versions", versions, "finish", "stop");
-	text = json_dumps(root, JSON_COMPACT | JSON_PRESERVE_ORDER);
-	snprintf(headers, sizeof(headers),
-	    "X-Kwb-Outcome: ran\r\nX-Kwb-Request: %s\r\n", exchange->id);
-	send_text(exchange->connection, 200, "application/json", headers, text,
-	    strlen(text));
-	kwb_metric_add(KWB_METRIC_RAN, 1);
-	free(text);
-	json_decref(root);
-}
-
-static void
-serve_call(struct exchange *exchange)
-{
-	const char *method = exchange->info->request_method;
-	const char *query = exchange->info->query_string;
-	char path[PATH_MAX_BYTES];
-	const struct kwb_rule *rule;
-	struct call_answer answer;
-	struct call call = {
-	    .plan = exchange->plan_name,
-	    .pool = exchange->plan.pool,
-	    .method = method,
-	    .path = path,
-	    .body = exchange->body.data,
-	    .body_bytes = exchange->body.used_bytes,
-	};
-
-	snprintf(path, sizeof(path), "%s%s%s", exchange->rest + 5,
-	    query ? "?" : "", query ? query : "");
-	call.content_type = mg_get_header(exchange->connection, "Content-Type");
-	if (call.content_type == NULL)
-		call.content_type = "application/octet-stream";
-	rule = kwb_plan_rule(&exchange->plan, method, path);
-	call.idempotent = rule
-	    ? rule->idempotent
-	    : strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
-	call.deadline_ns = deadline_of(
-	    exchange, rule ? rule->timeout_ms : KWB_CALL_TIMEOUT_MS);
-	if (!call_name(exchange, &call))
-		return;
-	call_run(exchange->entry, &call, &answer);
-	call_reply(exchange, &answer);
-	kwb_buf_finish(&answer.body);
-}
-
-/* How the caller named the call: a ticket, its own key, or not at all. */
-static bool
-call_name(struct exchange *exchange, struct call *call)
-{
-	struct mg_connection *connection = exchange->connection;
-	const char *ticket = mg_get_header(connection, "X-Kwb-Ticket");
-	const char *key = mg_get_header(connection, "Idempotency-Key");
-	int length, error;
-
-	if (ticket != NULL) {
-		call->pinned = true;
-		if (kwb_ticket_parse(&call->pin, ticket) == 0)
-			return true;
-		http_refuse(connection, 400, KWB_OUTCOME_NOT_RUN,
-		    KWB_ERR_ARGUMENT, "malformed ticket");
-		return false;
-	}
-	if (key == NULL)
-		return true;
-	call->pinned = true;
-	length = snprintf(
-	    call->pin.key, sizeof(call->pin.key), "c/%s/%s", call->plan, key);
-	if (length >= (int)sizeof(call->pin.key) ||
-	    strpbrk(key, " \t") != NULL || key[0] == '\0') {
-		http_refuse(connection, 400, KWB_OUTCOME_NOT_RUN,
-		    KWB_ERR_ARGUMENT, "malformed Idempotency-Key");
-		return false;
-	}
-	error = call_mint(exchange->entry, call->plan, call->pool, &call->pin);
-	if (error == 0)
-		error = kwb_claim(
-		    &exchange->entry->platform, call->plan, &call->pin);
-	if (error == 0)
-		return true;
-	/* This key may have run before, and that can't be looked up now. */
-	http_refuse(connection, 503, KWB_OUTCOME_UNKNOWN, error, exchange->id);
-	return false;
-}
-
-static void
-call_reply(struct exchange *exchange, const struct call_answer *answer)
-{
-	char headers[256];
-	int status = 503;
-
-	kwb_log(KWB_LOG_INFO, "call",
-	    "event=end request=%s plan=%s vm=%s outcome=%s error=%s",
-	    exchange->id, exchange->plan_name, answer->vm,
-	    kwb_outcome_name(answer->outcome), kwb_error_name(answer->error));
-	if (answer->outcome != KWB_OUTCOME_RAN) {
-		if (answer->outcome == KWB_OUTCOME_UNKNOWN)
-			status = 502;
-		else if (answer->error == KWB_ERR_ROUTE_FULL ||
-		    answer->error == KWB_ERR_CALL_BUSY)
-			status = 429;
-		http_refuse(exchange->connection, status, answer->outcome,
-		    answer->error, exchange->id);
-		return;
-	}
-	kwb_metric_add(KWB_METRIC_RAN, 1);
-	snprintf(headers, sizeof(headers),
-	    "X-Kwb-Outcome: ran\r\nX-Kwb-Request: %s\r\n", exchange->id);
-	send_text(exchange->connection, (int)answer->status,
-	    answer->content_type[0] ? answer->content_type
-				    : "application/octet-stream",
-	    headers, kwb_buf_text(&answer->body), answer->body.used_bytes);
-}
-
-static void
-serve_ticket(struct exchange *exchange)
-{
-	struct kwb_pin pin = {0};
-	struct kwb_buf text;
-	int error = call_mint(
-	    exchange->entry, exchange->plan_name, exchange->plan.pool, &pin);
-
-	if (error != 0) {
-		http_refuse(exchange->connection, 503, KWB_OUTCOME_NOT_RUN,
-		    error, exchange->id);
-		return;
-	}
-	kwb_buf_init(&text);
-	kwb_ticket_print(&pin, &text);
-	send_text(exchange->connection, 200, "text/plain", "", text.data,
-	    text.used_bytes);
-	kwb_buf_finish(&text);
-}
-
 static void
 serve_pull(struct exchange *exchange)
 {
@@ -594,7 +251,7 @@
 	bool well =
 	    !atomic_load(&entry->draining) && kwb_current_revision() > 0;
 
-	send_text(connection, well ? 200 : 503, "text/plain", "",
+	http_send(connection, well ? 200 : 503, "text/plain", "",
 	    well ? "ok\n" : "no\n", 3);
 	return 200;
 }
@@ -607,7 +264,7 @@
 	(void)context;
 	kwb_buf_init(&out);
 	kwb_metrics_print(&out);
-	send_text(connection, 200, "text/plain; version=0.0.4", "", out.data,
+	http_send(connection, 200, "text/plain; version=0.0.4", "", out.data,
 	    out.used_bytes);
 	kwb_buf_finish(&out);
 	return 200;
@@ -632,14 +289,14 @@
 	    atomic_load(&entry->active));
 	peers_print(entry, &out);
 	kwb_buf_printf(&out, "}\n");
-	send_text(
+	http_send(
 	    connection, 200, "application/json", "", out.data, out.used_bytes);
 	kwb_buf_finish(&out);
 	return 200;
 }
 
-static void
-send_text(struct mg_connection *connection, int status,
+void
+http_send(struct mg_connection *connection, int status,
     const char *content_type, const char *headers, const char *text,
     size_t length_bytes)
 {
--- /dev/null
+++ b/src/member/peer_link.c
@@ -0,0 +1,256 @@
+/*
+ * Links to peers: greetings, heartbeats, status, lists, and answers handed to
+ * those who wait for them.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "peer.h"
+
+static void on_open(void *context, uint64_t link, uint32_t tag);
+static void on_frame(
+    void *context, uint64_t link, uint32_t tag, Kwb__Wire__Frame *frame);
+static void on_close(void *context, uint64_t link, uint32_t tag);
+static void on_heartbeat(void *context, uint64_t link, uint32_t tag);
+static void peer_hello(struct kwb_entry *entry, uint64_t link, uint32_t tag,
+    const Kwb__Wire__Hello *hello);
+static void peer_forget(struct peer *peer);
+static void peer_status(
+    struct peer *peer, uint64_t revision, const Kwb__Wire__Status *status);
+static void peer_load(struct kwb_entry *entry, uint64_t link, struct peer *peer,
+    const Kwb__Wire__Done *done);
+static uint32_t others_of(uint32_t reported, uint32_t own);
+
+const struct kwb_link_ops peer_link_ops = {
+    .on_open = on_open,
+    .on_frame = on_frame,
+    .on_close = on_close,
+    .on_heartbeat = on_heartbeat,
+};
+
+/* Sends the lists to a peer that knows an older revision. */
+void
+peer_send_lists(struct kwb_entry *entry, uint64_t link, uint32_t tag)
+{
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+	Kwb__Wire__Lists lists = KWB__WIRE__LISTS__INIT;
+	KWB_FRAME(frame, LISTS, lists, lists);
+	struct kwb_buf text;
+	bool behind;
+
+	pthread_mutex_lock(&entry->peers.lock);
+	behind =
+	    peer->link == link && peer->lists_revision < kwb_current_revision();
+	pthread_mutex_unlock(&entry->peers.lock);
+	if (!behind)
+		return;
+	kwb_buf_init(&text);
+	if (kwb_current_text(&text, &lists.revision) == 0) {
+		lists.document.data = (uint8_t *)text.data;
+		lists.document.len = text.used_bytes;
+		kwb_link_send(&entry->loop, link, &frame);
+		pthread_mutex_lock(&entry->peers.lock);
+		if (peer->link == link)
+			peer->lists_revision = lists.revision;
+		pthread_mutex_unlock(&entry->peers.lock);
+	}
+	kwb_buf_finish(&text);
+}
+
+static void
+on_open(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_entry *entry = context;
+	Kwb__Wire__Hello hello = KWB__WIRE__HELLO__INIT;
+	KWB_FRAME(frame, HELLO, hello, hello);
+
+	(void)tag;
+	hello.protocol = KWB_PROTOCOL;
+	hello.vm = (char *)entry->settings->vm;
+	hello.incarnation = entry->incarnation;
+	hello.failure_domain = (char *)entry->settings->failure_domain;
+	hello.lists_revision = kwb_current_revision();
+	kwb_link_send(&entry->loop, link, &frame);
+}
+
+static void
+on_frame(void *context, uint64_t link, uint32_t tag, Kwb__Wire__Frame *frame)
+{
+	struct kwb_entry *entry = context;
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+
+	switch (frame->body_case) {
+	case KWB__WIRE__FRAME__BODY_PROGRESS:
+		registry_post(
+		    &entry->registry, frame->progress->request, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_DONE:
+		peer_load(entry, link, peer, frame->done);
+		registry_post(&entry->registry, frame->done->request, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_FOUND:
+		registry_post(&entry->registry, frame->found->request, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_ORDER_REPLY:
+		registry_post(
+		    &entry->registry, frame->order_reply->request, frame);
+		return;
+	case KWB__WIRE__FRAME__BODY_HELLO:
+		peer_hello(entry, link, tag, frame->hello);
+		break;
+	case KWB__WIRE__FRAME__BODY_HEARTBEAT:
+		pthread_mutex_lock(&entry->peers.lock);
+		if (peer->link == link && frame->heartbeat->status != NULL)
+			peer_status(peer, frame->heartbeat->lists_revision,
+			    frame->heartbeat->status);
+		pthread_mutex_unlock(&entry->peers.lock);
+		peer_send_lists(entry, link, tag);
+		break;
+	case KWB__WIRE__FRAME__BODY_LISTS:
+		if (kwb_current_offer((const char *)frame->lists->document.data,
+			frame->lists->document.len, frame->lists->revision) > 0)
+			peers_push_lists(entry);
+		break;
+	default:
+		break;
+	}
+	kwb_frame_free(frame);
+}
+
+static void
+on_close(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_entry *entry = context;
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+
+	pthread_mutex_lock(&entry->peers.lock);
+	if (peer->link == link) {
+		if (peer->greeted)
+			kwb_log(KWB_LOG_WARN, "member", "event=link_lost vm=%s",
+			    peer->vm);
+		peer->link = 0;
+		peer->greeted = false;
+	}
+	pthread_mutex_unlock(&entry->peers.lock);
+	registry_link_lost(&entry->registry, link);
+}
+
+static void
+on_heartbeat(void *context, uint64_t link, uint32_t tag)
+{
+	struct kwb_entry *entry = context;
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+	Kwb__Wire__Heartbeat heartbeat = KWB__WIRE__HEARTBEAT__INIT;
+	KWB_FRAME(frame, HEARTBEAT, heartbeat, heartbeat);
+
+	pthread_mutex_lock(&entry->peers.lock);
+	heartbeat.listed_leaving = peer->link == link && peer->listed_leaving;
+	pthread_mutex_unlock(&entry->peers.lock);
+	heartbeat.lists_revision = kwb_current_revision();
+	kwb_link_send(&entry->loop, link, &frame);
+}
+
+static void
+peer_hello(struct kwb_entry *entry, uint64_t link, uint32_t tag,
+    const Kwb__Wire__Hello *hello)
+{
+	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
+	bool wrong;
+
+	pthread_mutex_lock(&entry->peers.lock);
+	/* Behind the address there may by now be another VM. */
+	wrong =
+	    hello->protocol != KWB_PROTOCOL || strcmp(hello->vm, peer->vm) != 0;
+	if (peer->link == link && !wrong) {
+		if (peer->incarnation != hello->incarnation)
+			peer_forget(peer);
+		peer->greeted = true;
+		peer->incarnation = hello->incarnation;
+		peer->reconnect_delay_ns = 0;
+		peer->failures = 0;
+		if (hello->status != NULL)
+			peer_status(peer, hello->lists_revision, hello->status);
+		kwb_log(KWB_LOG_INFO, "member",
+		    "event=link_up vm=%s incarnation=%" PRIu64, peer->vm,
+		    peer->incarnation);
+	}
+	pthread_mutex_unlock(&entry->peers.lock);
+	if (wrong)
+		kwb_link_close(&entry->loop, link);
+	else
+		peer_send_lists(entry, link, tag);
+}
+
+/* What an earlier process on the VM held is not what this one holds. */
+static void
+peer_forget(struct peer *peer)
+{
+	unsigned i;
+
+	for (i = 0; i < peer->plans_count; i++) {
+		peer->plans[i].units = 0;
+		peer->plans[i].others = 0;
+	}
+	peer->others = 0;
+}
+
+static void
+peer_status(
+    struct peer *peer, uint64_t revision, const Kwb__Wire__Status *status)
+{
+	uint32_t busy = status->running + status->waiting;
+	size_t i;
+
+	peer->lists_revision = revision;
+	peer->leaving = status->leaving;
+	peer->upstream_up = status->upstream_up;
+	peer->slots = status->slots;
+	peer->others = others_of(busy, peer->own);
+	peer->models_count = 0;
+	for (i = 0; i < status->n_versions && i < KWB_MODELS_MAX; i++) {
+		struct peer_model *model = &peer->models[peer->models_count++];
+
+		kwb_text_copy(model->model, sizeof(model->model),
+		    status->versions[i]->model);
+		model->version = status->versions[i]->version;
+		model->swapping = status->versions[i]->swapping;
+	}
+	for (i = 0; i < status->n_plans; i++) {
+		struct peer_plan *use =
+		    peer_plan_of(peer, status->plans[i]->plan);
+
+		if (use == NULL)
+			continue;
+		use->units = status->plans[i]->units;
+		use->others = others_of(status->plans[i]->running, use->own);
+	}
+}
+
+/* Each answer brings the load along, fresher than the last status. */
+static void
+peer_load(struct kwb_entry *entry, uint64_t link, struct peer *peer,
+    const Kwb__Wire__Done *done)
+{
+	/* What was refused is counted here and not there. */
+	uint32_t refused = done->error == KWB_ERR_CALL_BUSY;
+	struct peer_plan *use;
+
+	pthread_mutex_lock(&entry->peers.lock);
+	if (peer->link == link && done->leaving)
+		peer->leaving = true;
+	if (peer->link == link && done->plan[0] != '\0') {
+		peer->others = others_of(done->busy + refused, peer->own);
+		use = peer_plan_of(peer, done->plan);
+		if (use != NULL)
+			use->others =
+			    others_of(done->plan_running + refused, use->own);
+	}
+	pthread_mutex_unlock(&entry->peers.lock);
+}
+
+/* Requests of other entries among those an agent reports. */
+static uint32_t
+others_of(uint32_t reported, uint32_t own)
+{
+	return reported > own ? reported - own : 0;
+}
