Heartbeats at the pace of an entry's links; statuses hold what is held

Cause: at 34 links a node (24 of the subset, 10 of led roll-outs) a beat a second each way is about 5.8 KB a second with TCP headers, over the 2 KB that control may use; a status of 48 plans was 235 bytes a second a link. Ruled out: fewer links (24 are needed to reach three domains of a pool). Change: beyond 8 links the period grows by 160 ms a link, the entry says so in its beat and both ends keep three periods as the silence deadline; a status names only plans that hold or run something, and what it leaves out holds nothing. In cut_store an edit must be in force at the entry that is cut off.

--- a/include/kwb.h
+++ b/include/kwb.h
@@ -363,6 +363,7 @@
 	uint32_t tag;
 	bool connecting;
 	bool writable_wanted;
+	uint64_t period_ns; /* between heartbeats, at both ends */
 	uint64_t silent_deadline_ns;
 	uint64_t heartbeat_deadline_ns;
 	struct kwb_buf in;
@@ -394,6 +395,8 @@
 int kwb_link_send(
     struct kwb_loop *loop, uint64_t link, const struct Kwb__Wire__Frame *frame);
 void kwb_link_close(struct kwb_loop *loop, uint64_t link);
+void kwb_link_pace(struct kwb_loop *loop, uint64_t link,
+    uint64_t period_ns); /* time between heartbeats; both ends must agree */
 void kwb_loop_beat(struct kwb_loop *loop); /* heartbeats on all links, soon */
 
 /* ---- Member: subsets and leases --------------------------------------- */
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -27,7 +27,9 @@
 #define KWB_FRAME_MAX_BYTES (4u << 20)
 #define KWB_LINK_OUT_MAX_BYTES (32u << 20)
 #define KWB_HEARTBEAT_NS (1000 * KWB_MS_NS)
-#define KWB_LINK_SILENT_NS (3000 * KWB_MS_NS)
+#define KWB_HEARTBEAT_LINKS 8 /* beyond these, beats come less often */
+#define KWB_HEARTBEAT_LINK_NS (160 * KWB_MS_NS)
+#define KWB_LINK_SILENT_BEATS 3
 #define KWB_RECONNECT_NS (250 * KWB_MS_NS)
 #define KWB_RECONNECT_MAX_NS (2000 * KWB_MS_NS)
 #define KWB_STATUS_BEATS 5
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -174,6 +174,8 @@
 			kwb_link_close(&agent->loop, link);
 		break;
 	case KWB__WIRE__FRAME__BODY_HEARTBEAT:
+		kwb_link_pace(&agent->loop, link,
+		    frame->heartbeat->period_ms * KWB_MS_NS);
 		if (frame->heartbeat->listed_leaving)
 			atomic_store(
 			    &agent->listed_ns, kwb_clock_now_ns() + LISTED_NS);
@@ -222,7 +224,7 @@
 status_fill(struct kwb_agent *agent, struct status_message *message)
 {
 	Kwb__Wire__Status *status = &message->status;
-	unsigned i;
+	unsigned i, agent_plans;
 
 	kwb__wire__status__init(status);
 	status->leaving = agent_leaving(agent);
@@ -236,7 +238,7 @@
 	pthread_mutex_lock(&agent->queue.lock);
 	status->running = agent->queue.running_count;
 	status->waiting = agent->queue.waiting_count;
-	status->n_plans = agent->queue.plans_count;
+	agent_plans = agent->queue.plans_count;
 	memcpy(message->plans, agent->queue.plans, sizeof(message->plans));
 	pthread_mutex_unlock(&agent->queue.lock);
 	for (i = 0; i < status->n_versions; i++) {
@@ -246,12 +248,18 @@
 		message->versions[i].swapping = message->models[i].swapping;
 		message->version_pointers[i] = &message->versions[i];
 	}
-	for (i = 0; i < status->n_plans; i++) {
-		kwb__wire__plan_use__init(&message->uses[i]);
-		message->uses[i].plan = message->plans[i].plan;
-		message->uses[i].units = message->plans[i].units;
-		message->uses[i].running = message->plans[i].running;
-		message->use_pointers[i] = &message->uses[i];
+	for (i = 0; i < agent_plans; i++) {
+		Kwb__Wire__PlanUse *use = &message->uses[status->n_plans];
+
+		/* What is not in a status holds nothing here. */
+		if (message->plans[i].units == 0 &&
+		    message->plans[i].running == 0)
+			continue;
+		kwb__wire__plan_use__init(use);
+		use->plan = message->plans[i].plan;
+		use->units = message->plans[i].units;
+		use->running = message->plans[i].running;
+		message->use_pointers[status->n_plans++] = use;
 	}
 	status->versions = message->version_pointers;
 	status->plans = message->use_pointers;
@@ -285,8 +293,8 @@
 		    message.models[i].swapping;
 	*load = message.status.running + message.status.waiting;
 	for (i = 0; i < message.status.n_plans; i++) {
-		digest = digest * 31 + message.plans[i].units;
-		*load = *load * 31 + message.plans[i].running;
+		digest = digest * 31 + message.uses[i].units;
+		*load = *load * 31 + message.uses[i].running;
 	}
 	return digest;
 }
--- a/src/member/peer_link.c
+++ b/src/member/peer_link.c
@@ -12,6 +12,7 @@
     void *context, uint64_t link, uint32_t tag, Kwb__Wire__Frame *frame);
 static void on_close(void *context, uint64_t link, uint32_t tag);
 static void on_heartbeat(void *context, uint64_t link, uint32_t tag);
+static uint64_t beat_period_ns(const struct peers *peers);
 static void peer_hello(struct kwb_entry *entry, uint64_t link, uint32_t tag,
     const Kwb__Wire__Hello *hello);
 static void peer_forget(struct peer *peer);
@@ -135,6 +136,24 @@
 	registry_link_lost(&entry->registry, link);
 }
 
+/*
+ * Beats come less often the more links there are, so that their sum stays
+ * within what control may use. Called under the table's lock.
+ */
+static uint64_t
+beat_period_ns(const struct peers *peers)
+{
+	uint64_t links = 0, period_ns = KWB_HEARTBEAT_NS;
+	unsigned i;
+
+	for (i = 0; i < KWB_PEERS_MAX; i++)
+		links += peers->peers[i].greeted;
+	if (links > KWB_HEARTBEAT_LINKS)
+		period_ns =
+		    (links - KWB_HEARTBEAT_LINKS) * KWB_HEARTBEAT_LINK_NS;
+	return period_ns > KWB_HEARTBEAT_NS ? period_ns : KWB_HEARTBEAT_NS;
+}
+
 static void
 on_heartbeat(void *context, uint64_t link, uint32_t tag)
 {
@@ -142,12 +161,16 @@
 	struct peer *peer = &entry->peers.peers[tag % KWB_PEERS_MAX];
 	Kwb__Wire__Heartbeat heartbeat = KWB__WIRE__HEARTBEAT__INIT;
 	KWB_FRAME(frame, HEARTBEAT, heartbeat, heartbeat);
+	uint64_t period_ns;
 
 	pthread_mutex_lock(&entry->peers.lock);
 	heartbeat.listed_leaving = peer->link == link && peer->listed_leaving;
+	period_ns = beat_period_ns(&entry->peers);
 	pthread_mutex_unlock(&entry->peers.lock);
 	heartbeat.lists_revision = kwb_current_revision();
+	heartbeat.period_ms = (uint32_t)(period_ns / KWB_MS_NS);
 	kwb_link_send(&entry->loop, link, &frame);
+	kwb_link_pace(&entry->loop, link, period_ns);
 }
 
 static void
@@ -201,6 +224,7 @@
 	uint32_t busy = status->running + status->waiting;
 	size_t i;
 
+	peer_forget(peer);
 	peer->lists_revision = revision;
 	peer->leaving = status->leaving;
 	peer->upstream_up = status->upstream_up;
--- a/src/wire/kwb_wire.pb-c.c
+++ b/src/wire/kwb_wire.pb-c.c
@@ -1222,7 +1222,7 @@
   (ProtobufCMessageInit) kwb__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor kwb__wire__heartbeat__field_descriptors[3] =
+static const ProtobufCFieldDescriptor kwb__wire__heartbeat__field_descriptors[4] =
 {
   {
     "lists_revision",
@@ -1260,16 +1260,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "period_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Kwb__Wire__Heartbeat, period_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned kwb__wire__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = listed_leaving */
   0,   /* field[0] = lists_revision */
+  3,   /* field[3] = period_ms */
   1,   /* field[1] = status */
 };
 static const ProtobufCIntRange kwb__wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor kwb__wire__heartbeat__descriptor =
 {
@@ -1279,7 +1292,7 @@
   "Kwb__Wire__Heartbeat",
   "kwb.wire",
   sizeof(Kwb__Wire__Heartbeat),
-  3,
+  4,
   kwb__wire__heartbeat__field_descriptors,
   kwb__wire__heartbeat__field_indices_by_name,
   1,  kwb__wire__heartbeat__number_ranges,
--- a/src/wire/kwb_wire.pb-c.h
+++ b/src/wire/kwb_wire.pb-c.h
@@ -117,10 +117,14 @@
   uint64_t lists_revision;
   Kwb__Wire__Status *status;
   protobuf_c_boolean listed_leaving;
+  /*
+   * Set by entries: time between heartbeats on this link from now on.
+   */
+  uint32_t period_ms;
 };
 #define KWB__WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&kwb__wire__heartbeat__descriptor) \
-    , 0, NULL, 0 }
+    , 0, NULL, 0, 0 }
 
 
 /*
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -37,6 +37,7 @@
     struct kwb_loop *loop, struct kwb_link *link, bool writable);
 static void link_drop(struct kwb_loop *loop, uint64_t id);
 static int socket_prepare(int fd);
+static uint64_t silence_of(const struct kwb_link *link);
 static bool is_control(const struct Kwb__Wire__Frame *frame);
 
 int
@@ -170,6 +171,21 @@
 	pthread_mutex_unlock(&link->lock);
 }
 
+void
+kwb_link_pace(struct kwb_loop *loop, uint64_t id, uint64_t period_ns)
+{
+	struct kwb_link *link = link_lock(loop, id);
+
+	if (link == NULL)
+		return;
+	if (period_ns >= KWB_HEARTBEAT_NS && period_ns != link->period_ns) {
+		link->period_ns = period_ns;
+		link->silent_deadline_ns =
+		    kwb_clock_now_ns() + silence_of(link);
+	}
+	pthread_mutex_unlock(&link->lock);
+}
+
 void
 kwb_loop_beat(struct kwb_loop *loop)
 {
@@ -245,7 +261,7 @@
 		beat = id != 0 && !link->connecting &&
 		    now_ns >= link->heartbeat_deadline_ns;
 		if (beat)
-			link->heartbeat_deadline_ns = now_ns + KWB_HEARTBEAT_NS;
+			link->heartbeat_deadline_ns = now_ns + link->period_ns;
 		pthread_mutex_unlock(&link->lock);
 		if (silent)
 			link_drop(loop, id);
@@ -299,8 +315,9 @@
 	link->tag = tag;
 	link->connecting = connecting;
 	link->writable_wanted = connecting;
-	link->silent_deadline_ns = now_ns + KWB_LINK_SILENT_NS;
-	link->heartbeat_deadline_ns = now_ns + KWB_HEARTBEAT_NS;
+	link->period_ns = KWB_HEARTBEAT_NS;
+	link->silent_deadline_ns = now_ns + silence_of(link);
+	link->heartbeat_deadline_ns = now_ns + link->period_ns;
 	kwb_buf_init(&link->in);
 	kwb_buf_init(&link->out);
 	*id = link->id;
@@ -361,7 +378,7 @@
 	if (got > 0) {
 		link->in.used_bytes += (size_t)got;
 		link->silent_deadline_ns =
-		    kwb_clock_now_ns() + KWB_LINK_SILENT_NS;
+		    kwb_clock_now_ns() + silence_of(link);
 	}
 	pthread_mutex_unlock(&link->lock);
 	if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
@@ -449,3 +466,10 @@
 		return false;
 	}
 }
+
+/* How long a link may be silent. */
+static uint64_t
+silence_of(const struct kwb_link *link)
+{
+	return KWB_LINK_SILENT_BEATS * link->period_ns;
+}
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -48,6 +48,7 @@
 static void check_orders(struct world *world);
 static void check_swap(void);
 static void check_attempts(void);
+static void check_silence(void);
 static void check_bytes(void);
 
 int
@@ -73,6 +74,7 @@
 	check_orders(&world);
 	check_attempts();
 	check_swap();
+	check_silence();
 	check_bytes();
 	world_stop(&world);
 	printf("contract tests: %u passed, %u failed\n", passed, failed);
@@ -347,6 +349,39 @@
 	client_close(&client);
 }
 
+/* A silent link is dropped after three beats, at the pace its entry set. */
+static void
+check_silence(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t period_ms;
+		uint32_t after_ms;
+		bool open;
+	} cases[] = {
+	    {"open within three beats", 1000, 2500, true},
+	    {"dropped after them", 1000, 3600, false},
+	    {"open within three slower beats", 1500, 4000, true},
+	    {"dropped after these", 1500, 5100, false},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		Kwb__Wire__Heartbeat heartbeat = KWB__WIRE__HEARTBEAT__INIT;
+		KWB_FRAME(frame, HEARTBEAT, heartbeat, heartbeat);
+		struct client client;
+
+		client_open(&client, PORT_LLM);
+		heartbeat.lists_revision = client.revision;
+		heartbeat.period_ms = cases[i].period_ms;
+		client_send(&client, &frame);
+		client_await(
+		    &client, KWB__WIRE__FRAME__BODY_DONE, 1, cases[i].after_ms);
+		check((client.fd >= 0) == cases[i].open, cases[i].name, "");
+		client_close(&client);
+	}
+}
+
 /* Bytes that are no frame end the link; the agent serves on. */
 static void
 check_bytes(void)
--- a/tests/session_faults.c
+++ b/tests/session_faults.c
@@ -146,7 +146,7 @@
 SIGNALS(freeze_engine, T_ENGINE, SIGSTOP, SIGCONT)
 SWITCH_RELAY(cut_llm, T_LLM, "cut", 1)
 SWITCH_RELAY(cut_shop, T_SHOP, "cut", 1)
-SWITCH_RELAY(cut_store, T_ENTRY, "cut", 1)
+SWITCH_RELAY(cut_platform, T_ENTRY, "cut", 1)
 SWITCH_RELAY(oneway_there, T_SHOP, "drop_there", 1)
 SWITCH_RELAY(oneway_back, T_SHOP, "drop_back", 1)
 SWITCH_RELAY(oneway_llm, T_LLM, "drop_back", 1)
@@ -168,6 +168,27 @@
 STOP(stop_llm, T_LLM)
 STOP(stop_shop, T_SHOP)
 
+static void
+cut_store_come(struct session *session, unsigned index)
+{
+	cut_platform_come(session, index);
+}
+
+/* An entry cut from the store hears of a change all the same, in time. */
+static void
+cut_store_go(struct session *session, unsigned index)
+{
+	const char *arguments[] = {"--wait-ms", "6000", "edit", "allowance",
+	    "orders", "queue=77", NULL};
+	int code = world_ctl(&session->world, arguments, "/dev/null");
+
+	if (code != 0)
+		session_fail(session,
+		    "a change not in force at an entry cut off: kwbctl says %d",
+		    code);
+	cut_platform_go(session, index);
+}
+
 static void
 listed_gone_come(struct session *session, unsigned index)
 {
