--- a/tests/session_faults.c
+++ b/tests/session_faults.c
@@ -12,6 +12,7 @@
 #define SERVICES 2
 #define HOLD_MS 4500
 #define FREEZE_MS 8000 /* past every lease and silence deadline */
+#define LOST_MS 17000  /* past the time that a lost VM keeps its share */
 #define SLOW_MS 1200
 
 enum target { T_ENTRY, T_LLM, T_SHOP, T_ENGINE, T_SERVICE };
@@ -224,6 +225,25 @@
 	kill_llm_go(session, index);
 }
 
+/* A VM is lost for good: its part of each allowance goes to the others. */
+static void
+vm_lost_come(struct session *session, unsigned index)
+{
+	listed_gone_come(session, index);
+	kill_llm_come(session, index);
+	kill_engine_come(session, index);
+}
+
+static void
+vm_lost_go(struct session *session, unsigned index)
+{
+	if (!world_settled(&session->world, 1000))
+		session_fail(session, "a lost VM's share was not taken over");
+	kill_engine_go(session, index);
+	kill_llm_go(session, index);
+	listed_gone_go(session, index);
+}
+
 /* An entry starts while the platform is out and learns from its peers. */
 static void
 start_in_outage_come(struct session *session, unsigned index)
@@ -301,6 +321,7 @@
     {"stop_llm", stop_llm_come, stop_llm_go, HOLD_MS, true, "llm"},
     {"stop_shop", stop_shop_come, stop_shop_go, HOLD_MS, true, "shop"},
     {"listed_gone", listed_gone_come, listed_gone_go, HOLD_MS, true, "llm"},
+    FAULT(vm_lost, LOST_MS),
     {"start_in_outage", start_in_outage_come, table_down_go, HOLD_MS, false,
 	NULL},
     {"operators_race", operators_race_come, nothing_go, HOLD_MS, true, NULL},
