--- a/tests/faults.c
+++ b/tests/faults.c
@@ -44,6 +44,8 @@
     {"silent_llm", "silent_llm", 24},
     {"table_loses", "table_down", 25},
     {"listed_gone", "kill_entry", 26},
+    {"late_service", "kill_shop", 27},
+    {"vm_lost", "table_down", 28},
 };
 
 static const struct fault *fault_find(const char *name);
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -135,6 +135,8 @@
 		unsigned count = 1 + seed % 12, i, round;
 		uint32_t allowance = seed % 50, sum, running[12] = {0};
 
+		/* One holds all at first, as after a cold start. */
+		members[0].units = allowance;
 		state = seed;
 		for (i = 0; i < count; i++)
 			snprintf(
@@ -145,9 +147,13 @@
 
 			if (round == 200)
 				allowance = allowance * 2 / 3;
-			running[self] = units && round < 300
-			    ? (uint32_t)rand_r(&state) % (units + 1)
-			    : 0;
+			if (round < 50)
+				running[self] = units;
+			else if (units > 0 && round < 300)
+				running[self] =
+				    (uint32_t)rand_r(&state) % (units + 1);
+			else
+				running[self] = 0;
 			members[self].units = kwb_share_next(allowance,
 			    "quotes", members, count, self, running[self]);
 			sum = 0;
