Read as a newcomer: comments in the public header, unused state out

Cause: half of the functions in kwb.h had no comment; a lease kept a deadline that nothing read, and the age of a key was half of another constant. Ruled out: keeping the deadline as a second fence: in an outage of the table the holder goes on by design.

--- a/include/kwb.h
+++ b/include/kwb.h
@@ -66,7 +66,8 @@
 
 enum kwb_log_level { KWB_LOG_DEBUG, KWB_LOG_INFO, KWB_LOG_WARN, KWB_LOG_ERROR };
 
-void kwb_log_init(const char *process, enum kwb_log_level lowest);
+void kwb_log_init(const char *process,
+    enum kwb_log_level lowest); /* names the process, sets the lowest level */
 void kwb_log(enum kwb_log_level level, const char *module, const char *format,
     ...) __attribute__((format(printf, 3, 4))); /* one key=value line */
 
@@ -78,15 +79,19 @@
 	size_t room_bytes;
 };
 
-void kwb_buf_init(struct kwb_buf *buf);
-void kwb_buf_finish(struct kwb_buf *buf);
-int kwb_buf_reserve(struct kwb_buf *buf, size_t more_bytes);
-int kwb_buf_add(struct kwb_buf *buf, const void *data, size_t length_bytes);
+void kwb_buf_init(struct kwb_buf *buf);	  /* empty buffer */
+void kwb_buf_finish(struct kwb_buf *buf); /* frees it */
+int kwb_buf_reserve(
+    struct kwb_buf *buf, size_t more_bytes); /* room for more, and a NUL */
+int kwb_buf_add(struct kwb_buf *buf, const void *data,
+    size_t length_bytes); /* appends bytes */
 int kwb_buf_printf(struct kwb_buf *buf, const char *format, ...)
-    __attribute__((format(printf, 2, 3)));
-void kwb_buf_consume(struct kwb_buf *buf, size_t length_bytes);
+    __attribute__((format(printf, 2, 3))); /* appends formatted text */
+void kwb_buf_consume(
+    struct kwb_buf *buf, size_t length_bytes); /* takes bytes off the front */
 const char *kwb_buf_text(const struct kwb_buf *buf); /* never NULL */
-void kwb_text_copy(char *to, size_t room_bytes, const char *from);
+void kwb_text_copy(char *to, size_t room_bytes,
+    const char *from); /* bounded copy, always ended */
 
 /* ---- Metrics --------------------------------------------------------- */
 
@@ -111,9 +116,9 @@
 	KWB_METRIC_COUNT
 };
 
-void kwb_metric_add(enum kwb_metric metric, uint64_t amount);
-void kwb_metric_set(enum kwb_metric metric, uint64_t value);
-uint64_t kwb_metric_get(enum kwb_metric metric);
+void kwb_metric_add(enum kwb_metric metric, uint64_t amount); /* counts up */
+void kwb_metric_set(enum kwb_metric metric, uint64_t value);  /* sets a gauge */
+uint64_t kwb_metric_get(enum kwb_metric metric);	      /* reads one */
 void kwb_metrics_print(struct kwb_buf *out); /* text exposition format */
 
 /* ---- Faults in settings and lists ------------------------------------ */
@@ -124,7 +129,8 @@
 };
 
 void kwb_faults_add(struct kwb_faults *faults, const char *format, ...)
-    __attribute__((format(printf, 2, 3)));
+    __attribute__((
+	format(printf, 2, 3))); /* appends one fault, if there is room */
 
 /* ---- Settings of a process ------------------------------------------- */
 
@@ -171,12 +177,15 @@
 };
 
 int kwb_entry_settings_load(struct kwb_entry_settings **settings,
-    const char *path, struct kwb_faults *faults);
-void kwb_entry_settings_unload(struct kwb_entry_settings *settings);
+    const char *path, struct kwb_faults *faults); /* reads and checks a file */
+void kwb_entry_settings_unload(
+    struct kwb_entry_settings *settings); /* frees them */
 int kwb_agent_settings_load(struct kwb_agent_settings **settings,
-    const char *path, struct kwb_faults *faults);
-void kwb_agent_settings_unload(struct kwb_agent_settings *settings);
-int kwb_address_parse(struct kwb_address *address, const char *text);
+    const char *path, struct kwb_faults *faults); /* reads and checks a file */
+void kwb_agent_settings_unload(
+    struct kwb_agent_settings *settings); /* frees them */
+int kwb_address_parse(
+    struct kwb_address *address, const char *text); /* "IP:PORT" */
 
 /* ---- The two lists: plans and allowances ------------------------------ */
 
@@ -233,17 +242,19 @@
 int kwb_lists_parse(struct kwb_lists **lists, const struct kwb_source *source,
     struct kwb_faults
 	*faults); /* with faults, lists may be there for more checks */
-int kwb_lists_print(const struct kwb_lists *lists, struct kwb_buf *out);
-void kwb_lists_unload(struct kwb_lists *lists);
+int kwb_lists_print(
+    const struct kwb_lists *lists, struct kwb_buf *out); /* as YAML */
+void kwb_lists_unload(struct kwb_lists *lists);		 /* frees them */
 int kwb_lists_check(const struct kwb_lists *lists,
     const struct kwb_source *sources, unsigned sources_count,
     struct kwb_faults *faults); /* every fault, with file and line */
-const struct kwb_plan *kwb_lists_plan(
-    const struct kwb_lists *lists, const char *name);
-const struct kwb_allowance *kwb_lists_allowance(
-    const struct kwb_lists *lists, const char *plan);
-const struct kwb_rule *kwb_plan_rule(
-    const struct kwb_plan *plan, const char *method, const char *path);
+const struct kwb_plan *kwb_lists_plan(const struct kwb_lists *lists,
+    const char *name); /* by name; NULL for none */
+const struct kwb_allowance *kwb_lists_allowance(const struct kwb_lists *lists,
+    const char *plan); /* by plan; NULL for none */
+const struct kwb_rule *kwb_plan_rule(const struct kwb_plan *plan,
+    const char *method,
+    const char *path); /* first that matches; NULL for none */
 int kwb_lists_diff(const struct kwb_lists *from, const struct kwb_lists *to,
     struct kwb_buf *out); /* number of differing entries */
 int kwb_lists_merge(struct kwb_lists **merged, const struct kwb_lists *base,
@@ -256,19 +267,20 @@
     struct kwb_lists **lists); /* from the history */
 int kwb_lists_apply(const struct kwb_platform *platform,
     const struct kwb_lists *ours, uint64_t *revision, struct kwb_buf *conflicts,
-    struct kwb_faults *faults);
+    struct kwb_faults *faults); /* writes an edit, merged with later ones */
 
 /* The newest lists this process knows; the revision only rises (RCU). */
-int kwb_current_init(void);
-void kwb_current_finish(void);
+int kwb_current_init(void);	      /* before any thread reads */
+void kwb_current_finish(void);	      /* after the last reader */
 void kwb_current_thread_init(void);   /* each thread that reads, once */
 void kwb_current_thread_finish(void); /* before such a thread ends */
 int kwb_current_offer(const char *text, size_t length_bytes,
-    uint64_t revision); /* 1 when taken, 0 when not newer */
-uint64_t kwb_current_revision(void);
+    uint64_t revision);		     /* 1 when taken, 0 when not newer */
+uint64_t kwb_current_revision(void); /* 0 before the first */
 const struct kwb_lists *kwb_current_hold(void); /* NULL before the first */
 void kwb_current_drop(void);			/* ends a hold */
-int kwb_current_text(struct kwb_buf *out, uint64_t *revision);
+int kwb_current_text(struct kwb_buf *out,
+    uint64_t *revision); /* the document as it was offered */
 
 /* ---- HTTP client ------------------------------------------------------ */
 
@@ -295,11 +307,12 @@
 	struct kwb_buf body;
 };
 
-void kwb_http_init(void);
-void kwb_http_finish(void);
-int kwb_http_do(
-    const struct kwb_http_request *request, struct kwb_http_answer *answer);
-void kwb_http_answer_finish(struct kwb_http_answer *answer);
+void kwb_http_init(void);   /* once, before threads */
+void kwb_http_finish(void); /* once, at the end */
+int kwb_http_do(const struct kwb_http_request *request,
+    struct kwb_http_answer
+	*answer); /* one exchange; finish the answer in any case */
+void kwb_http_answer_finish(struct kwb_http_answer *answer); /* frees it */
 
 /* ---- Platform: table, object store, weight store, VM list ------------- */
 
@@ -324,9 +337,10 @@
 	struct kwb_vm vms[KWB_VMS_MAX];
 };
 
-void kwb_platform_init(struct kwb_platform *platform, const char *url);
+void kwb_platform_init(
+    struct kwb_platform *platform, const char *url); /* names the platform */
 int kwb_table_get(const struct kwb_platform *platform, const char *key,
-    struct kwb_buf *value, uint64_t *revision);
+    struct kwb_buf *value, uint64_t *revision); /* a row and its revision */
 int kwb_table_poll(const struct kwb_platform *platform, const char *key,
     uint64_t known, struct kwb_buf *value,
     uint64_t *revision); /* 1 when the row is still at the known revision */
@@ -334,11 +348,11 @@
     const char *value, size_t length_bytes, uint64_t expected,
     uint64_t *revision); /* expected 0 inserts only; lost answers read back */
 int kwb_object_put(const struct kwb_platform *platform, const char *name,
-    const char *data, size_t length_bytes);
+    const char *data, size_t length_bytes); /* writes an object */
 int kwb_object_get(const struct kwb_platform *platform, const char *name,
-    struct kwb_buf *data);
-int kwb_weights_newest(
-    const struct kwb_platform *platform, const char *model, uint64_t *version);
+    struct kwb_buf *data); /* reads an object */
+int kwb_weights_newest(const struct kwb_platform *platform, const char *model,
+    uint64_t *version); /* newest published version of a model */
 int kwb_vms_get(const struct kwb_platform *platform,
     struct kwb_vms *vms); /* 1 when unchanged since vms->revision */
 int kwb_lists_read(const struct kwb_platform *platform, uint64_t known,
@@ -382,26 +396,33 @@
 	struct kwb_link links[KWB_LINKS_MAX];
 };
 
-int kwb_frame_pack(const struct Kwb__Wire__Frame *frame, struct kwb_buf *out);
-int kwb_frame_unpack(struct kwb_buf *in, struct Kwb__Wire__Frame **frame);
-void kwb_frame_free(struct Kwb__Wire__Frame *frame);
-int kwb_loop_init(
-    struct kwb_loop *loop, const struct kwb_link_ops *ops, void *context);
-int kwb_loop_listen(struct kwb_loop *loop, const struct kwb_address *address);
-int kwb_loop_start(struct kwb_loop *loop);
-void kwb_loop_finish(struct kwb_loop *loop);
+int kwb_frame_pack(const struct Kwb__Wire__Frame *frame,
+    struct kwb_buf *out); /* appends a framed message */
+int kwb_frame_unpack(struct kwb_buf *in,
+    struct Kwb__Wire__Frame *
+	*frame); /* 1 a frame, 0 more bytes wanted, or an error */
+void kwb_frame_free(struct Kwb__Wire__Frame *frame); /* frees one, or NULL */
+int kwb_loop_init(struct kwb_loop *loop, const struct kwb_link_ops *ops,
+    void *context); /* no links yet */
+int kwb_loop_listen(struct kwb_loop *loop,
+    const struct kwb_address *address);	     /* accepts links */
+int kwb_loop_start(struct kwb_loop *loop);   /* begins serving */
+void kwb_loop_finish(struct kwb_loop *loop); /* closes all links */
 int kwb_loop_connect(struct kwb_loop *loop, const struct kwb_address *address,
-    uint32_t tag, uint64_t *link);
-int kwb_link_send(
-    struct kwb_loop *loop, uint64_t link, const struct Kwb__Wire__Frame *frame);
-void kwb_link_close(struct kwb_loop *loop, uint64_t link);
+    uint32_t tag,
+    uint64_t *link); /* begins a link; on_open tells when it is up */
+int kwb_link_send(struct kwb_loop *loop, uint64_t link,
+    const struct Kwb__Wire__Frame *frame); /* queues a frame; never blocks */
+void kwb_link_close(
+    struct kwb_loop *loop, uint64_t link); /* ends a link; on_close follows */
 void kwb_link_pace(struct kwb_loop *loop, uint64_t link,
     uint64_t period_ns); /* time between heartbeats; both ends must agree */
 void kwb_loop_beat(struct kwb_loop *loop); /* heartbeats on all links, soon */
 
 /* ---- Member: subsets and leases --------------------------------------- */
 
-uint64_t kwb_hash(const char *text, uint64_t seed);
+uint64_t kwb_hash(
+    const char *text, uint64_t seed); /* of text, for rendezvous */
 unsigned kwb_subset(const struct kwb_vms *vms, const char *self,
     const char *failure_domain, unsigned wanted, uint32_t *chosen,
     unsigned chosen_max); /* indices into vms of the agents to connect to */
@@ -415,19 +436,17 @@
 	char holder[KWB_NAME_MAX_BYTES];
 	uint64_t incarnation;
 	uint64_t fencing_token; /* valid while held */
-	uint64_t deadline_ns;	/* held until, by this process's clock */
 	uint64_t renewals;
 	uint64_t seen_revision;	   /* another's row, as last seen */
 	uint64_t seen_deadline_ns; /* lapsed if unchanged until then */
 };
 
 void kwb_lease_init(struct kwb_lease *lease, const char *name,
-    const char *holder, uint64_t incarnation);
-bool kwb_lease_held(const struct kwb_lease *lease, uint64_t now_ns);
+    const char *holder, uint64_t incarnation); /* names lease and holder */
 int kwb_lease_try(struct kwb_lease *lease,
     const struct kwb_platform *platform); /* acquire or renew */
-void kwb_lease_release(
-    struct kwb_lease *lease, const struct kwb_platform *platform);
+void kwb_lease_release(struct kwb_lease *lease,
+    const struct kwb_platform *platform); /* gives it up */
 int kwb_lease_token(const struct kwb_platform *platform, const char *name,
     uint64_t *fencing_token); /* highest token ever given out */
 
@@ -454,10 +473,10 @@
 	uint64_t retries;
 };
 
-void kwb_budget_init(struct kwb_budget *budget);
-void kwb_budget_finish(struct kwb_budget *budget);
-void kwb_budget_try(struct kwb_budget *budget);
-bool kwb_budget_retry(struct kwb_budget *budget); /* false when spent */
+void kwb_budget_init(struct kwb_budget *budget);   /* nothing spent */
+void kwb_budget_finish(struct kwb_budget *budget); /* ends it */
+void kwb_budget_try(struct kwb_budget *budget);	   /* counts a first try */
+bool kwb_budget_retry(struct kwb_budget *budget);  /* false when spent */
 
 /* ---- Route: which upstream takes a request ----------------------------- */
 
@@ -491,8 +510,10 @@
 };
 
 struct kwb_choice kwb_route_pick(const struct kwb_route *route,
-    const struct kwb_candidate *candidates, unsigned count);
-int kwb_policy_parse(enum kwb_policy *policy, const char *name);
+    const struct kwb_candidate *candidates,
+    unsigned count); /* the decision; pure */
+int kwb_policy_parse(
+    enum kwb_policy *policy, const char *name); /* by name; empty is kwb */
 
 /* ---- Call: outcomes, keys, journal ------------------------------------- */
 
@@ -503,7 +524,7 @@
 	KWB_OUTCOME_PARTIAL = 4 /* generation broke off; resumable */
 };
 
-const char *kwb_outcome_name(enum kwb_outcome outcome);
+const char *kwb_outcome_name(enum kwb_outcome outcome); /* as callers see it */
 
 struct kwb_pin {
 	char vm[KWB_NAME_MAX_BYTES];
@@ -512,8 +533,9 @@
 	char key[KWB_KEY_MAX_BYTES];
 };
 
-int kwb_ticket_print(const struct kwb_pin *pin, struct kwb_buf *out);
-int kwb_ticket_parse(struct kwb_pin *pin, const char *text);
+int kwb_ticket_print(
+    const struct kwb_pin *pin, struct kwb_buf *out);	     /* a pin as text */
+int kwb_ticket_parse(struct kwb_pin *pin, const char *text); /* text as a pin */
 int kwb_claim(const struct kwb_platform *platform, const char *plan,
     struct kwb_pin *pin); /* insert if absent, else read the first pin */
 
@@ -524,11 +546,12 @@
 	uint64_t *version; /* of each token */
 };
 
-void kwb_tokens_init(struct kwb_tokens *tokens);
-void kwb_tokens_finish(struct kwb_tokens *tokens);
-int kwb_tokens_add(
-    struct kwb_tokens *tokens, const char *text, uint64_t version);
-uint64_t kwb_tokens_oldest(const struct kwb_tokens *tokens);
+void kwb_tokens_init(struct kwb_tokens *tokens);   /* none yet */
+void kwb_tokens_finish(struct kwb_tokens *tokens); /* frees them */
+int kwb_tokens_add(struct kwb_tokens *tokens, const char *text,
+    uint64_t version); /* appends one */
+uint64_t kwb_tokens_oldest(
+    const struct kwb_tokens *tokens); /* oldest version; UINT64_MAX for none */
 
 /* ---- Rollout: order of a step's work, hedging -------------------------- */
 
@@ -542,7 +565,8 @@
 	enum kwb_objective objective;
 };
 
-bool kwb_hedge_wanted(const struct kwb_hedge_input *input);
+bool kwb_hedge_wanted(const struct kwb_hedge_input
+	*input); /* whether to move a silent sample; pure */
 
 struct kwb_sample_age {
 	uint64_t trainer_version;
@@ -550,7 +574,8 @@
 	uint32_t bound_versions;
 };
 
-bool kwb_sample_fresh(const struct kwb_sample_age *age);
+bool kwb_sample_fresh(
+    const struct kwb_sample_age *age); /* within the bound; pure */
 
 /* ---- Weights: order of swaps ------------------------------------------- */
 
@@ -575,11 +600,11 @@
 struct kwb_entry;
 struct kwb_agent;
 
-int kwb_entry_start(
-    struct kwb_entry **entry, const struct kwb_entry_settings *settings);
-void kwb_entry_stop(struct kwb_entry *entry); /* graceful shutdown */
-int kwb_agent_start(
-    struct kwb_agent **agent, const struct kwb_agent_settings *settings);
-void kwb_agent_stop(struct kwb_agent *agent); /* graceful shutdown */
+int kwb_entry_start(struct kwb_entry **entry,
+    const struct kwb_entry_settings *settings); /* serves until stopped */
+void kwb_entry_stop(struct kwb_entry *entry);	/* graceful shutdown */
+int kwb_agent_start(struct kwb_agent **agent,
+    const struct kwb_agent_settings *settings); /* serves until stopped */
+void kwb_agent_stop(struct kwb_agent *agent);	/* graceful shutdown */
 
 #endif
--- a/src/agent/handle.c
+++ b/src/agent/handle.c
@@ -226,14 +226,12 @@
 static int
 run_refusal(struct kwb_agent *agent, const Kwb__Wire__Run *run)
 {
-	uint64_t keep_ms = KWB_JOB_KEEP_MS / 2;
-
 	if (agent_leaving(agent))
 		return KWB_ERR_CALL_LEAVING;
 	if (run->lists_revision > kwb_current_revision())
 		return KWB_ERR_LISTS_NONE;
 	if (run->minted_ms != 0 &&
-	    run->minted_ms + keep_ms < kwb_clock_wall_ms())
+	    run->minted_ms + KWB_TICKET_MS < kwb_clock_wall_ms())
 		return KWB_ERR_CALL_FORGOTTEN;
 	if (run->slot != NULL &&
 	    journal_fence(&agent->journal, run->plan, run->slot->step,
--- a/src/member/lease.c
+++ b/src/member/lease.c
@@ -1,8 +1,9 @@
 /*
  * Named leases with fencing tokens, one table row each: "holder incarnation
- * token renewals". No clock is compared between machines: a holder counts from
- * before it wrote, and another takes over only after it has itself watched the
- * row stay unchanged for a whole lease time.
+ * token renewals". No clock is compared between machines: another takes over
+ * only after it has itself watched the row stay unchanged for a whole lease
+ * time. A holder that paused past it learns so at its next renewal; until then
+ * its orders carry a token that agents refuse.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -40,12 +41,6 @@
 	lease->incarnation = incarnation;
 }
 
-bool
-kwb_lease_held(const struct kwb_lease *lease, uint64_t now_ns)
-{
-	return now_ns < lease->deadline_ns;
-}
-
 int
 kwb_lease_try(struct kwb_lease *lease, const struct kwb_platform *platform)
 {
@@ -64,14 +59,12 @@
 	} else if (row_is_free(lease, &row, revision, started_ns)) {
 		token = row.token + 1;
 	} else {
-		lease->deadline_ns = 0;
 		return KWB_ERR_PLATFORM_CONFLICT;
 	}
 	error = row_write(lease, platform, lease->holder, token, revision);
 	if (error != 0)
 		return error;
 	lease->fencing_token = token;
-	lease->deadline_ns = started_ns + KWB_LEASE_MS * KWB_MS_NS;
 	return 0;
 }
 
@@ -81,7 +74,6 @@
 	uint64_t revision = 0;
 	struct lease_row row;
 
-	lease->deadline_ns = 0;
 	if (row_read(platform, lease->name, &row, &revision) != 0)
 		return;
 	if (row_is_ours(lease, &row))
