Take over a lost VM's share also when all others are settled

Ruled out: the platform's list (it left the VM out from the start). Change: three agents of a pool, by a hash that changes each minute, compare the row with the list at each poll; a VM that is listed again starts anew; an empty list says nothing.

--- a/src/limit/share_keeper.c
+++ b/src/limit/share_keeper.c
@@ -14,6 +14,8 @@
 
 #define MEMBERS_MAX KWB_VMS_MAX
 #define MISSING_MAX 64
+#define WATCHERS 3
+#define WATCH_TURN_MS 60000
 #define UNSETTLED_NS (500 * KWB_MS_NS)
 #define STEP_NS (100 * KWB_MS_NS)
 #define MEMBER_POLL_NS (5 * KWB_MS_NS)
@@ -32,6 +34,7 @@
 	uint64_t take_ns; /* not before: others may be joining too */
 	bool row_dirty;	  /* it has own changes */
 	uint64_t writes;
+	struct kwb_vms *vms; /* the platform's list; NULL until looked at */
 	unsigned missing_count;
 	struct missing missing[MISSING_MAX];
 	struct kwb_share_member members[MEMBERS_MAX];
@@ -50,7 +53,9 @@
     struct keeper *keeper, const char *plan, uint32_t allowance, bool *settled);
 static void plans_apply(struct keeper *keeper, json_t *units);
 static bool drop_gone(struct keeper *keeper);
+static bool watches(const struct keeper *keeper);
 static bool gone_long(struct keeper *keeper, const char *vm);
+static void missing_forget(struct keeper *keeper, const char *vm);
 static bool old_work_ended(struct kwb_agent *agent, uint64_t give_up_ns);
 
 void *
@@ -86,6 +91,7 @@
 		kwb_clock_sleep_ns(STEP_NS);
 	}
 	json_decref(keeper->row);
+	free(keeper->vms);
 	free(keeper);
 	kwb_current_thread_finish();
 	return NULL;
@@ -156,7 +162,9 @@
 		kwb_current_drop();
 		if (!reachable)
 			return;
-		if (!*settled && drop_gone(keeper))
+		if (!watches(keeper))
+			keeper->missing_count = 0;
+		else if (drop_gone(keeper))
 			changed = true;
 		if (!changed) {
 			plans_apply(keeper, units);
@@ -345,31 +353,65 @@
 static bool
 drop_gone(struct keeper *keeper)
 {
-	struct kwb_vms *vms = calloc(1, sizeof(*vms));
+	const struct kwb_platform *platform = &keeper->agent->platform;
+	struct kwb_vms *vms = keeper->vms;
 	const char *vm;
 	json_t *units;
 	void *next;
 	bool listed, dropped = false;
 	uint32_t i;
 
-	if (vms == NULL || kwb_vms_get(&keeper->agent->platform, vms) != 0) {
-		free(vms);
+	if (vms == NULL)
+		vms = keeper->vms = calloc(1, sizeof(*vms));
+	/* An empty list says nothing about anybody. */
+	if (vms == NULL || kwb_vms_get(platform, vms) < 0 || vms->count == 0)
 		return false;
-	}
 	json_object_foreach_safe (row_members(keeper), next, vm, units) {
 		listed = strcmp(vm, keeper->agent->settings->vm) == 0;
 		for (i = 0; i < vms->count && !listed; i++)
 			listed = strcmp(vms->vms[i].vm, vm) == 0;
+		if (listed)
+			missing_forget(keeper, vm);
 		if (listed || !gone_long(keeper, vm))
 			continue;
 		kwb_log(KWB_LOG_WARN, "limit", "event=reclaim vm=%s", vm);
 		json_object_del(row_members(keeper), vm);
+		keeper->row_dirty = true;
 		dropped = true;
 	}
-	free(vms);
 	return dropped;
 }
 
+/*
+ * Whether this agent is one of the few that look for lost members now. The
+ * turn goes round, so that the loss of those whose turn it is ends with it.
+ */
+static bool
+watches(const struct keeper *keeper)
+{
+	uint64_t turn = kwb_clock_wall_ms() / WATCH_TURN_MS;
+	uint64_t own = kwb_hash(keeper->agent->settings->vm, turn);
+	const char *vm;
+	json_t *units;
+	unsigned before = 0;
+
+	json_object_foreach (row_members(keeper), vm, units)
+		before += kwb_hash(vm, turn) > own;
+	return before < WATCHERS;
+}
+
+/* A VM that is listed again starts anew when it goes missing later. */
+static void
+missing_forget(struct keeper *keeper, const char *vm)
+{
+	unsigned i;
+
+	for (i = 0; i < keeper->missing_count; i++)
+		if (strcmp(keeper->missing[i].vm, vm) == 0)
+			keeper->missing[i] =
+			    keeper->missing[--keeper->missing_count];
+}
+
 static bool
 gone_long(struct keeper *keeper, const char *vm)
 {
