A test program that ends badly fails the check

Cause: check.sh took a program's printed count and not its exit code, so that one which printed its count and then crashed would have passed. Change: a bad exit code with no failure counted is a failure of its own. Ruled out: set -e, which would end the run at the first program.

--- a/tests/check.sh
+++ b/tests/check.sh
@@ -4,15 +4,16 @@
 export KWB_BUILD=$1
 passed=0 failed=0
 for name in unit contract golden faults; do
-	out=$("$KWB_BUILD/tests/$name") || true
+	out=$("$KWB_BUILD/tests/$name")
+	code=$?
 	echo "$out" | grep -v '^ *$'
 	counts=$(echo "$out" | grep -oE '[0-9]+ passed, [0-9]+ failed' | tail -1)
-	if [ -z "$counts" ]; then
-		echo "FAILED $name: gave no count"
-		counts='0 passed, 1 failed'
+	if [ -z "$counts" ] || { [ "$code" != 0 ] && [[ $counts = *', 0 failed' ]]; }; then
+		echo "FAILED $name: ended with $code"
+		failed=$((failed + 1))
 	fi
-	passed=$((passed + $(echo "$counts" | cut -d' ' -f1)))
-	failed=$((failed + $(echo "$counts" | cut -d' ' -f3)))
+	passed=$((passed + $(echo "${counts:-0 passed, 0 failed}" | cut -d' ' -f1)))
+	failed=$((failed + $(echo "${counts:-0 passed, 0 failed}" | cut -d' ' -f3)))
 done
 if [ -s KNOWN-RED.txt ]; then
 	echo "known red, passed over:"
