--- a/Makefile
+++ b/Makefile
@@ -4,15 +4,28 @@
 B ?= build
 PACKAGES = libcivetweb-dev liburcu-dev libprotobuf-c-dev protobuf-c-compiler \
 	libcyaml-dev libyaml-dev libcunit1-dev libcurl4-openssl-dev \
-	libjansson-dev libxxhash-dev pkg-config curl
+	libjansson-dev libxxhash-dev libevent-dev libhttp-parser-dev \
+	nettle-dev pkg-config curl
 OPT ?= -O2
 CFLAGS += -std=gnu11 -D_GNU_SOURCE -g $(OPT) -Wall -Wextra -Werror -Wmissing-prototypes \
 	-Wno-unused-parameter -Wframe-larger-than=49152 -Iinclude -pthread $(SANITIZE)
 LDFLAGS += -pthread $(SANITIZE)
 LIBS = -lcivetweb -lurcu-memb -lurcu-common -lprotobuf-c -lcyaml -lcurl \
 	-ljansson -lxxhash -lm
-
-LIB_SRC = $(wildcard src/*/*.c)
+NODE_LIBS = -levent_core -levent_extra -lhttp_parser -lnettle -ljansson -lm
+
+# What a node on the shared platform is made of; its program links no more.
+NODE_SRC = $(wildcard src/net/*.c src/store/*.c src/upstream/*.c \
+	src/forward/*.c src/batch/*.c src/node/*.c platform/*.c) \
+	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
+	$(addprefix src/core/,base64.c buf.c clock.c error.c faults.c log.c \
+	metrics.c timer.c address.c)
+NODE_OBJ = $(NODE_SRC:%.c=$(B)/%.o)
+
+LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
+	src/batch/% src/node/% src/route/node_config.c src/weights/homes.c \
+	src/weights/mover.c src/core/base64.c src/core/timer.c, \
+	$(wildcard src/*/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
 DAEMONS = $(B)/kwb-entry $(B)/kwb-agent $(B)/kwbctl
 FAKES = $(B)/fake-platform $(B)/fake-engine $(B)/fake-service \
@@ -22,7 +35,7 @@
 	$(B)/tests/faults
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
 
-all: $(DAEMONS) $(FAKES) $(EXAMPLES)
+all: $(B)/kwb-node $(DAEMONS) $(FAKES) $(EXAMPLES)
 
 $(B)/libkwb.a: $(LIB_OBJ)
 	rm -f $@
@@ -32,6 +45,12 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -MMD -c -o $@ $<
 
+# Only this one is built for the users' platform.
+node: $(B)/kwb-node
+
+$(B)/kwb-node: $(NODE_OBJ)
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
+
 $(B)/kwb-%: $(B)/daemons/kwb-%.o $(B)/daemons/daemon.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
@@ -68,9 +87,10 @@
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard include/*.h src/*/*.[ch] \
-	daemons/*.[ch] cli/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] \
+	daemons/*.[ch] cli/*.[ch] fakes/*.[ch] tests/*.[ch] tests/platform/*.[ch] \
+	platform/*.[ch] bench/*.[ch] \
 	examples/*.c))
-LINT_SRC = $(filter-out %.pb-c.c,$(LIB_SRC)) $(wildcard daemons/*.c cli/*.c)
+LINT_SRC = $(filter-out %.pb-c.c,$(LIB_SRC)) $(NODE_SRC) $(wildcard daemons/*.c cli/*.c)
 
 # Builds everything and runs all tests; the last line counts them.
 check: all $(TESTS)
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -27,6 +27,20 @@
 	KWB_ERR_WIRE_FRAME = -100,
 	KWB_ERR_WIRE_SIZE = -101,
 	KWB_ERR_WIRE_CLOSED = -102,
+	KWB_ERR_NET_CONNECT = -120,   /* no connection: nothing was sent */
+	KWB_ERR_NET_STALE = -121,     /* a kept connection was closed */
+	KWB_ERR_NET_CLOSED = -122,    /* the peer closed before the end */
+	KWB_ERR_NET_RESET = -123,     /* the peer reset the connection */
+	KWB_ERR_NET_TIMEOUT = -124,   /* no answer in time, or silence */
+	KWB_ERR_NET_MALFORMED = -125, /* not HTTP */
+	KWB_ERR_NET_HEAD_SIZE = -126, /* head over its limit */
+	KWB_ERR_NET_BODY_SIZE = -127, /* body over its limit */
+	KWB_ERR_STORE_CONFLICT = -150, /* a condition did not hold */
+	KWB_ERR_STORE_REFUSED = -151,  /* nothing was done */
+	KWB_ERR_STORE_UNKNOWN = -152,  /* no answer: may be done, or later */
+	KWB_ERR_STORE_HISTORY = -153,  /* the feed's history is gone */
+	KWB_ERR_STORE_MISSING = -154,  /* no such object */
+	KWB_ERR_STORE_VALUE = -155,    /* a row that can't be read */
 	KWB_ERR_PLATFORM_DOWN = -200,
 	KWB_ERR_PLATFORM_CONFLICT = -201,
 	KWB_ERR_PLATFORM_MISSING = -202,
@@ -70,6 +84,8 @@
     enum kwb_log_level lowest); /* names the process, sets the lowest level */
 void kwb_log(enum kwb_log_level level, const char *module, const char *format,
     ...) __attribute__((format(printf, 3, 4))); /* one key=value line */
+void kwb_log_buffer(void); /* lines go to standard output, never blocking */
+void kwb_log_flush(void);  /* writes what is buffered, or drops it */
 
 /* ---- Buffers and text ------------------------------------------------ */
 
@@ -119,6 +135,13 @@
 void kwb_metric_add(enum kwb_metric metric, uint64_t amount); /* counts up */
 void kwb_metric_set(enum kwb_metric metric, uint64_t value);  /* sets a gauge */
 uint64_t kwb_metric_get(enum kwb_metric metric);	      /* reads one */
+enum kwb_histogram {
+	KWB_HISTOGRAM_CALLER, /* a caller's request, to its last byte */
+	KWB_HISTOGRAM_COUNT
+};
+
+void kwb_histogram_add(enum kwb_histogram histogram,
+    uint64_t taken_ns);			     /* counts a latency */
 void kwb_metrics_print(struct kwb_buf *out); /* text exposition format */
 
 /* ---- Faults in settings and lists ------------------------------------ */
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -40,6 +40,61 @@
 #define KWB_HTTP_TIMEOUT_MS 2000
 #define KWB_CONNECT_TIMEOUT_MS 500
 
+/* Connections to upstreams and store */
+#define KWB_IDLE_KEEP_MS 2000  /* kept idle when the server names no time */
+#define KWB_IDLE_MARGIN_MS 700 /* closed this long before the server would */
+#define KWB_IDLE_LINES_MAX 512 /* idle connections of a node */
+#define KWB_IDLE_SWEEP_NS (500 * KWB_MS_NS)
+#define KWB_EXCHANGE_CHECK_NS (250 * KWB_MS_NS) /* between looks at silence */
+
+/* Store of the platform */
+#define KWB_FEED_WAIT_MS 1500 /* a silent feed is noticed before 3 s */
+#define KWB_FOLLOW_RETRY_NS (150 * KWB_MS_NS) /* after a failed call */
+
+/* Upstreams of the shared platform */
+#define KWB_SUSPECT_FAILURES 2 /* in a row, before an upstream is avoided */
+#define KWB_SUSPECT_NS (1000 * KWB_MS_NS)     /* first time it is avoided */
+#define KWB_SUSPECT_MAX_NS (8000 * KWB_MS_NS) /* longest, as it doubles */
+#define KWB_PACE_KEEP_NS (4000 * KWB_MS_NS)   /* a measured pace counts */
+#define KWB_REPORT_KEEP_NS (400 * KWB_MS_NS)  /* a reported load counts */
+#define KWB_REFUSED_NS (60 * KWB_MS_NS)	      /* left alone after it was full */
+#define KWB_MISDIRECTED_NS (1000 * KWB_MS_NS) /* address of another one */
+#define KWB_FORWARD_LEAST_MS 15 /* no new try with less time left */
+#define KWB_FORWARD_RETRY_NS (15 * KWB_MS_NS) /* between looks for a place */
+
+/* Batches */
+#define KWB_ITEM_TTL_MS 30000		       /* when no route names one */
+#define KWB_ITEM_RETRY_NS (100 * KWB_MS_NS)    /* after an upstream's error */
+#define KWB_ITEM_SILENCE_NS (1500 * KWB_MS_NS) /* 40 times a usual pause */
+#define KWB_SCORE_TIMEOUT_MS 1500	       /* when no route names one */
+#define KWB_PUMP_NS (20 * KWB_MS_NS)	     /* between looks for free places */
+#define KWB_BATCH_RETRY_NS (250 * KWB_MS_NS) /* after a failed store call */
+#define KWB_TX_MAX_BYTES (400u << 10) /* of values; 1 MB as text at most */
+#define KWB_RESULTS_MAX 100	      /* results in one answer */
+#define KWB_RESULTS_MAX_BYTES (900u << 10)
+#define KWB_READ_POLL_NS (120 * KWB_MS_NS) /* a reader's look for results */
+#define KWB_MINDER_NS (400 * KWB_MS_NS)	   /* between looks at owners */
+#define KWB_BEAT_NS (800 * KWB_MS_NS)	   /* between beats of an owner */
+#define KWB_BEAT_READS 5 /* reads without a beat before a take-over */
+#define KWB_OWNER_SILENT_NS (3000 * KWB_MS_NS) /* likewise, time */
+#define KWB_CLAIMS_MAX 32 /* conditional writes of heads in progress */
+
+/* Nodes */
+#define KWB_CALLER_IDLE_MS 15000  /* before a config names one */
+#define KWB_CALLER_HEAD_MS 3000	  /* likewise */
+#define KWB_END_TRY_MS 3000	  /* a batch's end is tried for this long */
+#define KWB_READ_WAIT_MAX_MS 1000 /* a reader waits for a result */
+#define KWB_READ_TRY_MS 1500	  /* a read without store is tried */
+#define KWB_NODE_TICK_NS (200 * KWB_MS_NS)
+#define KWB_STORE_SETTLE_NS (3000 * KWB_MS_NS) /* entries may have lapsed */
+#define KWB_ENTRY_BACK_NS (2500 * KWB_MS_NS)   /* and are back after this */
+#define KWB_READY_STORE_NS (5000 * KWB_MS_NS)  /* ready without the store */
+#define KWB_STOP_LEAST_NS (3000 * KWB_MS_NS)   /* the balancer looks thrice */
+#define KWB_STOP_MARGIN_MS 1200		       /* ended before the kill */
+#define KWB_LOG_FLUSH_NS (100 * KWB_MS_NS)
+#define KWB_LOG_BUFFER_BYTES 65536
+#define KWB_LOG_LINES_PER_S 400 /* further lines are counted, not written */
+
 /* Platform */
 #define KWB_LISTS_POLL_NS (1000 * KWB_MS_NS)
 #define KWB_VMS_POLL_NS (2000 * KWB_MS_NS)
@@ -71,5 +126,13 @@
 #define KWB_LEASE_RENEW_NS (2000 * KWB_MS_NS)
 #define KWB_WEIGHTS_POLL_NS (500 * KWB_MS_NS)
 #define KWB_SWAP_TIMEOUT_MS 15000
+#define KWB_MOVER_NS (100 * KWB_MS_NS)	    /* between looks at what to order */
+#define KWB_PLAN_NS (1000 * KWB_MS_NS)	    /* between plans of homes */
+#define KWB_LOAD_NS (1150 * KWB_MS_NS)	    /* a load, and the lag of reports */
+#define KWB_LOAD_LOOK_NS (300 * KWB_MS_NS)  /* between questions after that */
+#define KWB_LOAD_RETRY_NS (500 * KWB_MS_NS) /* after a refused order */
+#define KWB_LOADS_MIN 2	 /* loads at once; more slow each other down */
+#define KWB_LOADS_PART 5 /* one in so many upstreams of a service */
+#define KWB_ORDER_TIMEOUT_MS 1000
 
 #endif
--- /dev/null
+++ b/include/kwb_node.h
@@ -0,0 +1,1027 @@
+/*
+ * knapweedbarrow: the API of a node on a shared platform, section by section.
+ *
+ * A node runs on one event loop. Nothing here blocks: calls that take time end
+ * in a callback on the loop. Conventions of kwb.h hold: 0 or a negative
+ * KWB_ERR_ number, init/finish pairs on memory the caller owns, deadlines in
+ * nanoseconds of kwb_clock_now_ns(), units in names.
+ */
+#ifndef KWB_NODE_H
+#define KWB_NODE_H
+
+#include <http_parser.h>
+#include <sys/queue.h>
+
+#include "kwb.h"
+
+struct bufferevent;
+struct evbuffer;
+struct evconnlistener;
+struct event;
+struct event_base;
+
+/* ---- Net: HTTP/1.1 messages ------------------------------------------- */
+
+struct kwb_header {
+	uint32_t name_at;  /* offset into kwb_message.text */
+	uint32_t value_at; /* offset into kwb_message.text */
+};
+
+struct kwb_message {
+	char method[16];
+	uint16_t status; /* of an answer */
+	uint32_t target_at;
+	struct kwb_buf text; /* target, names and values, each ended by NUL */
+	struct kwb_header *headers;
+	uint32_t headers_count;
+	uint32_t headers_room;
+	struct kwb_buf body;
+	bool keep_alive;
+};
+
+void kwb_message_init(struct kwb_message *message);   /* empty message */
+void kwb_message_finish(struct kwb_message *message); /* frees it */
+void kwb_message_clear(struct kwb_message *message);  /* empty, keeps room */
+const char *kwb_message_target(
+    const struct kwb_message *message); /* path and query */
+const char *kwb_message_header(const struct kwb_message *message,
+    const char *name); /* first value of that name, NULL for none */
+const char *kwb_message_name(
+    const struct kwb_message *message, uint32_t index); /* name by index */
+const char *kwb_message_value(
+    const struct kwb_message *message, uint32_t index); /* value by index */
+int kwb_message_add(struct kwb_message *message, const char *name,
+    const char *value); /* appends a header */
+int kwb_message_copy(struct kwb_message *to,
+    const struct kwb_message *from); /* head and body, into an empty one */
+
+/* ---- Net: connections --------------------------------------------------- */
+
+struct kwb_conn;
+
+struct kwb_conn_ops {
+	void (*on_head)(struct kwb_conn *conn); /* may set conn->streaming */
+	void (*on_data)(struct kwb_conn *conn); /* more in message.body */
+	void (*on_message)(struct kwb_conn *conn);
+	void (*on_close)(struct kwb_conn *conn, int error);
+};
+
+struct kwb_conn {
+	const struct kwb_conn_ops *ops;
+	void *context;
+	struct bufferevent *bev;
+	struct http_parser parser;
+	struct kwb_message message;
+	uint32_t head_bytes;
+	uint32_t head_max_bytes;
+	uint64_t body_max_bytes;
+	bool server;	/* parses requests */
+	bool streaming; /* on_data tells of body bytes as they arrive */
+	bool no_body;	/* answer to HEAD */
+	bool value_open;
+	bool head_done;
+	bool head_told;
+	bool complete;
+	bool connected;
+	bool closing; /* ends once all output is written */
+	bool *gone;   /* set when finished inside a callback */
+};
+
+int kwb_conn_accept(struct kwb_conn *conn, struct event_base *base, int fd,
+    const struct kwb_conn_ops *ops, void *context); /* serves an open fd */
+int kwb_conn_connect(struct kwb_conn *conn, struct event_base *base,
+    const struct kwb_address *address, const struct kwb_conn_ops *ops,
+    void *context);			     /* begins a connection */
+void kwb_conn_finish(struct kwb_conn *conn); /* closes; no callback follows */
+void kwb_conn_reset(struct kwb_conn *conn);  /* closes with a TCP reset */
+void kwb_conn_next(struct kwb_conn *conn);   /* reads the next message */
+void kwb_conn_end(struct kwb_conn *conn);    /* closes after all is written */
+struct evbuffer *kwb_conn_output(struct kwb_conn *conn);
+
+/* ---- Net: exchanges over kept connections ------------------------------- */
+
+struct kwb_line; /* a kept connection to one address */
+TAILQ_HEAD(kwb_lines, kwb_line);
+
+struct kwb_client {
+	struct event_base *base;
+	struct kwb_lines idle;
+	struct event *sweep;
+	uint32_t idle_count;
+	uint64_t opened_count;
+};
+
+struct kwb_exchange;
+
+struct kwb_exchange_ops {
+	void (*on_head)(struct kwb_exchange *exchange); /* may be NULL */
+	void (*on_data)(struct kwb_exchange *exchange); /* may be NULL */
+	void (*on_done)(struct kwb_exchange *exchange, int error);
+};
+
+/* One request and its answer; lives in memory of the caller. */
+struct kwb_exchange {
+	const struct kwb_exchange_ops *ops;
+	void *context;
+	struct kwb_client *client;
+	struct kwb_line *line;
+	struct event *timer;
+	uint64_t deadline_ns;	     /* no answer after this; 0 for none */
+	uint64_t silent_deadline_ns; /* moves on with each byte; 0 for none */
+	uint64_t silence_ns;	     /* allowed between bytes */
+	uint64_t connect_deadline_ns;
+	bool streaming;
+	bool fresh;		   /* wants a new connection */
+	bool reused;		   /* went out on a kept connection */
+	bool no_body;		   /* request was a HEAD */
+	struct kwb_message answer; /* once it is whole */
+};
+
+int kwb_client_init(
+    struct kwb_client *client, struct event_base *base); /* no connections */
+void kwb_client_finish(struct kwb_client *client);	 /* closes the idle */
+void kwb_client_drop(struct kwb_client *client,
+    const struct kwb_address *address); /* closes idle ones to an address */
+int kwb_exchange_start(struct kwb_exchange *exchange, struct kwb_client *client,
+    const struct kwb_address *address,
+    struct evbuffer *request); /* takes the bytes of request */
+bool kwb_exchange_connected(
+    const struct kwb_exchange *exchange); /* has an open connection */
+void kwb_exchange_finish(struct kwb_exchange
+	*exchange); /* closes what is in progress, frees the answer */
+struct kwb_message *kwb_exchange_message(
+    struct kwb_exchange *exchange); /* the answer so far */
+
+/* ---- Net: server-sent events ------------------------------------------- */
+
+struct kwb_event {
+	uint64_t id;
+	bool has_id;
+	uint64_t version; /* of the weights, 0 when not named */
+	struct kwb_buf data;
+};
+
+struct kwb_events {
+	const char *version_field; /* field that names the weights' version */
+	struct kwb_buf line;
+	struct kwb_event event;
+	bool open; /* a field of the current event has been read */
+};
+
+void kwb_events_init(
+    struct kwb_events *events, const char *version_field); /* none yet */
+void kwb_events_finish(struct kwb_events *events);	   /* frees it */
+int kwb_events_feed(struct kwb_events *events, struct kwb_buf *bytes,
+    void (*on_event)(void *context, const struct kwb_event *event),
+    void *context); /* takes all bytes, tells of whole events */
+
+/* ---- Text --------------------------------------------------------------- */
+
+int kwb_base64_encode(struct kwb_buf *out, const void *data,
+    size_t length_bytes); /* appends text */
+int kwb_base64_decode(struct kwb_buf *out, const char *text,
+    size_t length_bytes); /* appends bytes */
+
+/* ---- Timers ------------------------------------------------------------- */
+
+struct event *kwb_timer_new(struct event_base *base,
+    void (*on_time)(int fd, short what, void *context),
+    void *context); /* not armed */
+void kwb_timer_at(
+    struct event *timer, uint64_t deadline_ns); /* arms for a deadline */
+uint64_t kwb_boot_now_ns(void); /* counts time while suspended, too */
+
+/* ---- Store: rows, transactions, feeds, objects --------------------------- */
+
+struct kwb_row {
+	char *table;
+	char *part;
+	char *key;
+	char *value;
+	size_t value_bytes;
+	uint64_t revision; /* 0 when the row does not exist */
+	bool deleted;
+};
+
+struct kwb_store_answer {
+	int error; /* KWB_ERR_STORE_... */
+	struct kwb_row *rows;
+	uint32_t rows_count;
+	bool more;	   /* a range read has more rows */
+	uint64_t revision; /* newest of the store */
+	uint64_t now_ms;   /* the store's steady clock */
+	struct kwb_buf object;
+};
+
+struct kwb_store_call {
+	void (*on_done)(
+	    struct kwb_store_call *call, const struct kwb_store_answer *answer);
+	void *context;
+	void *driver; /* the implementation's; NULL when not in progress */
+};
+
+#define KWB_TX_ROWS_MAX 100
+
+struct kwb_tx_row {
+	const char *table;
+	const char *part;
+	const char *key;
+	const char *value;
+	size_t value_bytes;
+	uint64_t revision; /* expected; 0 for a row that does not exist */
+};
+
+struct kwb_tx {
+	struct kwb_tx_row expect[KWB_TX_ROWS_MAX];
+	uint32_t expect_count;
+	struct kwb_tx_row put[KWB_TX_ROWS_MAX];
+	uint32_t put_count;
+	struct kwb_tx_row remove[KWB_TX_ROWS_MAX];
+	uint32_t remove_count;
+};
+
+struct kwb_range {
+	const char *table;
+	const char *part;
+	const char *from; /* NULL for the first key */
+	const char *to;	  /* exclusive; NULL for no end */
+	uint32_t limit;	  /* 0 for as many as the store gives */
+};
+
+struct kwb_store;
+
+struct kwb_store_ops {
+	int (*transact)(struct kwb_store *store, const struct kwb_tx *tx,
+	    struct kwb_store_call *call);
+	int (*range)(struct kwb_store *store, const struct kwb_range *range,
+	    struct kwb_store_call *call);
+	int (*feed)(struct kwb_store *store, const char *table, uint64_t after,
+	    uint32_t wait_ms, struct kwb_store_call *call);
+	int (*object_put)(struct kwb_store *store, const char *name,
+	    const void *data, size_t length_bytes, struct kwb_store_call *call);
+	int (*object_get)(struct kwb_store *store, const char *name,
+	    struct kwb_store_call *call);
+	int (*object_drop)(struct kwb_store *store, const char *name,
+	    struct kwb_store_call *call);
+	void (*cancel)(struct kwb_store *store, struct kwb_store_call *call);
+};
+
+struct kwb_store {
+	const struct kwb_store_ops *ops;
+	uint64_t answered_ns;	 /* last answer, kwb_clock_now_ns() */
+	uint64_t failed_ns;	 /* last call refused or without answer */
+	int64_t clock_offset_ms; /* store's clock less kwb_boot_now_ns() */
+	uint64_t calls_count;
+};
+
+#define KWB_STORE_VALUE_MAX_BYTES 60000
+
+void kwb_store_cancel(
+    struct kwb_store *store, struct kwb_store_call *call); /* no callback */
+void kwb_store_note(struct kwb_store *store,
+    const struct kwb_store_answer *answer); /* for implementations */
+uint64_t kwb_store_now_ms(
+    const struct kwb_store *store); /* the store's clock, 0 when unknown */
+void kwb_tx_expect(struct kwb_tx *tx, const char *table, const char *part,
+    const char *key, uint64_t revision); /* adds a condition */
+void kwb_tx_put(struct kwb_tx *tx, const char *table, const char *part,
+    const char *key, const char *value,
+    size_t value_bytes); /* adds a row to write */
+void kwb_tx_remove(struct kwb_tx *tx, const char *table, const char *part,
+    const char *key); /* adds a row to remove */
+
+/* Keeps in step with one table's part "", through read and feed. */
+struct kwb_follower_row {
+	char *key;
+	uint64_t revision;
+	bool seen;
+};
+
+struct kwb_follower {
+	void (*on_row)(void *context, const struct kwb_row *row);
+	void (*on_synced)(void *context); /* after each whole read; or NULL */
+	void *context;
+	struct kwb_store *store;
+	const char *table;
+	struct kwb_store_call call;
+	struct event *timer;
+	struct kwb_follower_row *rows;
+	uint32_t rows_count;
+	uint32_t rows_room;
+	char *from; /* next key of a whole read in progress */
+	uint64_t revision;
+	uint64_t read_revision; /* of the first page of a whole read */
+	uint64_t fresh_ns;	/* begin of the newest answered call */
+	uint64_t started_ns;
+	uint32_t failures;
+	bool synced; /* a whole read has been done once */
+	bool reading;
+};
+
+int kwb_follower_init(struct kwb_follower *follower, struct event_base *base,
+    struct kwb_store *store, const char *table,
+    void (*on_row)(void *context, const struct kwb_row *row),
+    void (*on_synced)(void *context), void *context);	 /* begins */
+void kwb_follower_finish(struct kwb_follower *follower); /* ends it */
+bool kwb_follower_current(const struct kwb_follower *follower,
+    uint64_t age_ns); /* synced, and answered within that age */
+
+/* A lease row with a fencing token; one holder among all nodes. */
+struct kwb_store_lease {
+	struct kwb_store *store;
+	struct kwb_store_call call;
+	struct event *timer;
+	const char *name;
+	const char *holder;
+	void (*on_change)(void *context); /* held or lost */
+	void *context;
+	uint64_t lease_ns;     /* length of one term */
+	uint64_t row_revision; /* as last read */
+	uint64_t row_seen_ns;  /* boot time when that revision was first read */
+	uint64_t read_ns;      /* boot time of the last successful read */
+	uint64_t fence;	       /* of our term; 0 when not held */
+	uint64_t row_fence;
+	uint64_t held_until_ns; /* boot time; orders only before this */
+	uint64_t started_ns;	/* boot time of the call in progress */
+	bool writing;
+	bool released;
+};
+
+int kwb_store_lease_init(struct kwb_store_lease *lease, struct event_base *base,
+    struct kwb_store *store, const char *name, const char *holder,
+    uint64_t lease_ns, void (*on_change)(void *context),
+    void *context);					    /* begins to try */
+void kwb_store_lease_finish(struct kwb_store_lease *lease); /* stops trying */
+uint64_t kwb_store_lease_fence(
+    const struct kwb_store_lease *lease); /* token while held, else 0 */
+void kwb_store_lease_lose(
+    struct kwb_store_lease *lease); /* a higher token was seen */
+void kwb_store_lease_step_down(
+    struct kwb_store_lease *lease); /* gives it up for good */
+
+/* ---- Settings of a node ---------------------------------------------------
+ */
+
+struct kwb_node_settings {
+	char node[KWB_NAME_MAX_BYTES];
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	struct kwb_address listen;  /* callers and trainers */
+	struct kwb_address ready;   /* the balancer's question */
+	struct kwb_address store;   /* of the platform */
+	struct kwb_address metrics; /* port 0 for none */
+	uint32_t memory_mb;
+	uint32_t descriptors;
+	uint32_t grace_ms;	/* from SIGTERM to SIGKILL */
+	uint32_t lease_ms;	/* between two holders of orders */
+	uint32_t batch_keep_ms; /* a result is readable for this long */
+	uint32_t row_max_bytes; /* largest value of a row */
+};
+
+void kwb_node_settings_init(
+    struct kwb_node_settings *settings); /* the defaults */
+
+/* ---- Config: routes and services ----------------------------------------- */
+
+enum kwb_route_kind {
+	KWB_ROUTE_IDEMPOTENT,
+	KWB_ROUTE_NON_IDEMPOTENT,
+	KWB_ROUTE_STREAMING,
+	KWB_ROUTE_ROLLOUT
+};
+
+struct kwb_split {
+	char service[KWB_NAME_MAX_BYTES];
+	uint32_t weight;
+};
+
+struct kwb_route_entry {
+	char name[KWB_NAME_MAX_BYTES];
+	char host[KWB_KEY_MAX_BYTES];
+	char prefix[KWB_URL_MAX_BYTES];
+	enum kwb_route_kind kind;
+	bool resumable;
+	bool single_version;
+	uint32_t timeout_ms;
+	uint32_t target_ms;	  /* latency target */
+	uint32_t run_deadline_ms; /* of a batch */
+	uint32_t item_ttl_ms;	  /* when an item may be given up */
+	uint32_t max_attempts;
+	uint32_t priority;
+	struct kwb_split *splits;
+	uint32_t splits_count;
+};
+
+struct kwb_service {
+	char name[KWB_NAME_MAX_BYTES];
+	char health_path[KWB_URL_MAX_BYTES];
+	uint32_t max_conns;
+	uint32_t slots; /* 0 when not an engine */
+	char (*models)[KWB_NAME_MAX_BYTES];
+	uint32_t models_count;
+};
+
+struct kwb_node_config {
+	uint64_t version;
+	struct kwb_route_entry *routes;
+	uint32_t routes_count;
+	struct kwb_service *services;
+	uint32_t services_count;
+	uint32_t max_header_bytes;
+	uint64_t max_body_bytes;
+	uint32_t header_timeout_ms;
+	uint32_t idle_timeout_ms;
+};
+
+void kwb_node_config_finish(struct kwb_node_config *config); /* frees it */
+const struct kwb_route_entry *kwb_node_config_route(
+    const struct kwb_node_config *config, const char *host,
+    const char *target); /* longest prefix of that host; NULL for none */
+const struct kwb_service *kwb_node_config_service(
+    const struct kwb_node_config *config, const char *name); /* or NULL */
+const char *kwb_route_entry_service(const struct kwb_route_entry *route,
+    uint64_t random); /* one of its services, by weight */
+
+/* ---- Upstreams: registry and choice -------------------------------------- */
+
+struct kwb_upstream_model {
+	char name[KWB_NAME_MAX_BYTES];
+	uint64_t version;
+};
+
+/* What an upstream says of itself in its heartbeat. */
+struct kwb_upstream_status {
+	char id[KWB_NAME_MAX_BYTES];
+	char service[KWB_NAME_MAX_BYTES];
+	struct kwb_address address;
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	uint32_t slots;
+	bool draining;
+	uint64_t incarnation_ms; /* wall-clock start, 0 when not told */
+	uint64_t order_seq;	 /* orders accepted since its start */
+	struct kwb_upstream_model models[KWB_MODELS_MAX];
+	uint32_t models_count;
+};
+
+struct kwb_upstream {
+	struct kwb_upstream_status status;
+	bool listed;	       /* still in the platform's list */
+	uint64_t gone_ns;      /* when it left the list, 0 while listed */
+	uint32_t in_flight;    /* requests of this node there */
+	uint32_t references;   /* keeps the memory while used */
+	uint32_t reported;     /* running and waiting, by its last answer */
+	uint32_t reported_own; /* own in_flight when that came */
+	uint64_t reported_ns;
+	uint32_t failures; /* in a row */
+	uint64_t suspect_until_ns;
+	bool probing;	  /* one request tries a suspect upstream */
+	uint64_t pace_ns; /* smoothed time a piece of work takes; 0 unknown */
+	uint64_t pace_at_ns;	   /* when it was last measured */
+	uint64_t refused_until_ns; /* answered that it is full or swapping */
+	char home_model[KWB_NAME_MAX_BYTES]; /* model it is kept current for */
+	uint64_t expected_version; /* of that model, ordered but not yet seen */
+};
+
+struct kwb_registry {
+	struct kwb_upstream **upstreams;
+	uint32_t count;
+	uint32_t room;
+};
+
+void kwb_registry_init(struct kwb_registry *registry);	 /* empty */
+void kwb_registry_finish(struct kwb_registry *registry); /* frees all */
+struct kwb_upstream *kwb_registry_put(struct kwb_registry *registry,
+    const struct kwb_upstream_status *status); /* adds or renews */
+void kwb_registry_remove(
+    struct kwb_registry *registry, const char *id); /* left the list */
+struct kwb_upstream *kwb_registry_find(
+    const struct kwb_registry *registry, const char *id); /* or NULL */
+void kwb_upstream_hold(struct kwb_upstream *upstream);	  /* a reference */
+void kwb_upstream_drop(struct kwb_registry *registry,
+    struct kwb_upstream *upstream); /* ends a reference */
+uint64_t kwb_upstream_version(const struct kwb_upstream *upstream,
+    const char *model); /* of its weights, 0 when it lacks the model */
+void kwb_upstream_set_version(struct kwb_upstream *upstream, const char *model,
+    uint64_t version); /* as an answer named it */
+void kwb_upstream_ok(
+    struct kwb_upstream *upstream); /* an answer came: trusted again */
+void kwb_upstream_failed(struct kwb_upstream *upstream,
+    uint64_t now_ns); /* a failure; after some it is suspected */
+void kwb_upstream_pace(struct kwb_upstream *upstream,
+    uint64_t taken_ns); /* measured time of a piece of work */
+
+/* What a choice of upstream looks at; see kwb_upstream_pick(). */
+struct kwb_pick {
+	const char *service;
+	const char *failure_domain; /* preferred, NULL for none */
+	const char *model;	    /* NULL for plain services */
+	uint64_t min_version;	    /* oldest weights allowed */
+	const struct kwb_upstream *const *exclude;
+	uint32_t exclude_count;
+	const char *affinity; /* id of an upstream that read the prompt */
+	bool within_slots;    /* only where a slot is free */
+	uint64_t now_ns;
+	uint64_t random;
+};
+
+struct kwb_upstream *kwb_upstream_pick(const struct kwb_registry *registry,
+    const struct kwb_pick *pick); /* the decision; NULL for none */
+
+/* ---- Dialect: what is spoken with clients and upstreams --------------------
+ */
+
+enum kwb_call_kind {
+	KWB_CALL_FORWARD, /* a request for a route */
+	KWB_CALL_RESULTS, /* read results of a batch */
+	KWB_CALL_ITEM,	  /* read an item's body */
+	KWB_CALL_END	  /* end a batch */
+};
+
+/* A client's call, decoded. Texts live as long as the message. */
+struct kwb_call_head {
+	enum kwb_call_kind kind;
+	const char *id; /* of the request, "" when absent */
+	const char *host;
+	uint64_t deadline_ns;
+	char batch[KWB_KEY_MAX_BYTES];
+	char item[KWB_KEY_MAX_BYTES];
+	uint32_t after;	  /* first position wanted */
+	uint32_t wait_ms; /* how long a read may wait for a result */
+};
+
+/* A request to an upstream. */
+struct kwb_upstream_request {
+	const char *method;
+	const char *target;
+	const char *host;
+	const char *id;
+	const struct kwb_message *headers; /* copied but for hop-by-hop ones */
+	const void *body;
+	size_t body_bytes;
+	const char *expect_incarnation; /* id of the upstream meant */
+	uint64_t deadline_ns;
+	uint64_t resume_after;	 /* last event that is there; 0 for none */
+	uint64_t expect_version; /* weights wanted; 0 for any */
+	int32_t priority;	 /* 0 first; -1 for none */
+};
+
+/* The head of an upstream's answer, decoded. */
+struct kwb_upstream_answer {
+	uint16_t status;
+	const char *id;	     /* of the request it answers, NULL when absent */
+	const char *receipt; /* NULL when absent */
+	bool not_run;	     /* surely not run */
+	bool has_load;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	uint64_t version; /* of the weights, 0 when not named */
+	uint64_t keep_alive_ms;
+};
+
+enum kwb_item_state { KWB_ITEM_COMPLETED, KWB_ITEM_ERRORED };
+
+/* A result of an item, before it is listed. */
+struct kwb_result {
+	const char *id;
+	enum kwb_item_state state;
+	const char *output;
+	size_t output_bytes;
+	const uint64_t *versions;
+	uint32_t versions_count;
+	const char *score; /* receipt of the reward call */
+};
+
+/* An order to an upstream to change its weights. */
+struct kwb_order {
+	const char *model;
+	uint64_t version;
+	const char *holder;
+	uint64_t fence;
+	uint64_t expect_seq;
+	const char *expect_incarnation;
+};
+
+/* The state an upstream reports of itself when asked. */
+struct kwb_upstream_report {
+	uint64_t order_seq;
+	bool busy; /* an order is being carried out */
+	struct kwb_upstream_model models[KWB_MODELS_MAX];
+	uint32_t models_count;
+};
+
+struct kwb_batch_spec;
+
+struct kwb_dialect {
+	const char *version_field; /* of events */
+	void (*read_call)(
+	    const struct kwb_message *message, struct kwb_call_head *call);
+	void (*write_request)(
+	    const struct kwb_upstream_request *request, struct evbuffer *out);
+	void (*write_order)(const struct kwb_order *order,
+	    const struct kwb_address *address, struct evbuffer *out);
+	void (*write_report_request)(
+	    const struct kwb_address *address, struct evbuffer *out);
+	int (*read_report)(const struct kwb_message *message,
+	    struct kwb_upstream_report *report);
+	void (*read_answer)(const struct kwb_message *message,
+	    struct kwb_upstream_answer *answer);
+	int (*write_result)(const struct kwb_result *result,
+	    struct kwb_buf *out); /* one entry of a list of results */
+	int (*write_results)(const char *const *results, uint32_t count,
+	    uint32_t total, uint32_t next,
+	    struct kwb_buf *out); /* the whole answer */
+	int (*read_batch)(const char *body, size_t body_bytes,
+	    struct kwb_batch_spec *spec); /* a submission */
+};
+
+/* Documents of the platform's store that a node follows. */
+struct kwb_documents {
+	const char *operator_table;
+	const char *config_key;
+	const char *version_prefix; /* of keys that name a model's version */
+	const char *upstream_table;
+	int (*read_config)(struct kwb_node_config *config, const char *value,
+	    size_t value_bytes, struct kwb_faults *faults);
+	int (*read_upstream)(struct kwb_upstream_status *status, const char *id,
+	    const char *value, size_t value_bytes);
+	int (*read_version)(const char *value, size_t value_bytes, char *model,
+	    size_t model_bytes, uint64_t *version);
+};
+
+/* ---- Forward: one request to upstreams -------------------------------------
+ */
+
+enum kwb_forward_outcome {
+	KWB_FORWARD_ANSWERED, /* an upstream's whole answer */
+	KWB_FORWARD_NOT_RUN,  /* surely not run, and never will be */
+	KWB_FORWARD_UNKNOWN,  /* may have run; no answer came */
+	KWB_FORWARD_TIMEOUT   /* may have run; time is up */
+};
+
+struct kwb_forward;
+
+struct kwb_forward_env {
+	struct event_base *base;
+	struct kwb_client *client;
+	struct kwb_registry *registry;
+	const struct kwb_dialect *dialect;
+	const char *failure_domain;
+};
+
+struct kwb_forward_attempt {
+	struct kwb_exchange exchange;
+	struct kwb_forward *forward;
+	struct kwb_upstream *upstream; /* NULL when not in use */
+	uint64_t started_ns;
+};
+
+#define KWB_FORWARD_ATTEMPTS_MAX 8
+
+/* Lives in memory of the caller. */
+struct kwb_forward {
+	void (*on_done)(struct kwb_forward *forward);
+	/* Gets each piece of a streamed answer; NULL to take answers whole. */
+	void (*on_head)(struct kwb_forward *forward);
+	void (*on_data)(struct kwb_forward *forward, struct kwb_buf *data);
+	void *context;
+	const struct kwb_forward_env *env;
+	struct kwb_upstream_request request;
+	char service[KWB_NAME_MAX_BYTES];
+	bool repeatable;    /* may run more than once */
+	bool passes_errors; /* an upstream's 5xx ends it */
+	uint32_t max_attempts;
+	uint64_t deadline_ns;
+	uint64_t hedge_ns; /* when a second upstream is tried; 0 for never */
+	/* state */
+	struct event *timer;
+	struct kwb_forward_attempt attempts[2];
+	const struct kwb_upstream *tried[KWB_FORWARD_ATTEMPTS_MAX];
+	uint32_t tried_count;
+	uint32_t sent_count; /* upstreams it may have run on */
+	uint64_t retry_ns;   /* when to look for an upstream again */
+	bool done;
+	bool streaming;
+	bool streamed; /* the head went to the caller */
+	/* outcome */
+	enum kwb_forward_outcome outcome;
+	const char *reason;
+	struct kwb_message answer;
+	char upstream_id[KWB_NAME_MAX_BYTES];
+};
+
+void kwb_forward_start(struct kwb_forward *forward);  /* on_done follows */
+void kwb_forward_cancel(struct kwb_forward *forward); /* no callback */
+void kwb_forward_finish(struct kwb_forward *forward); /* frees its parts */
+
+/* ---- Batch: submissions of trainers
+ * ------------------------------------------ */
+
+struct kwb_batch_item {
+	char *id;
+	char *target; /* path */
+	char *group;
+	struct kwb_message headers; /* of the item; no body */
+	char *body;
+	size_t body_bytes;
+	uint64_t tokens;
+	uint64_t length_hint; /* expected output tokens; 0 unknown */
+	char *score_id;	      /* NULL when it is not scored */
+	char *score_host;
+	char *score_target;
+	char *score_body;
+	size_t score_body_bytes;
+};
+
+struct kwb_batch_spec {
+	uint64_t step;
+	char model[KWB_NAME_MAX_BYTES];
+	uint64_t min_version;
+	uint32_t target_groups;
+	struct kwb_batch_item *items;
+	uint32_t items_count;
+};
+
+void kwb_batch_spec_finish(struct kwb_batch_spec *spec); /* frees it */
+
+/* Row that says that a batch exists, who runs it and whether it has ended. */
+struct kwb_batch_head {
+	char id[KWB_KEY_MAX_BYTES];
+	char owner[KWB_NAME_MAX_BYTES]; /* node, "" when released */
+	uint64_t owner_incarnation;
+	char host[KWB_KEY_MAX_BYTES];
+	char target[KWB_URL_MAX_BYTES];
+	char model[KWB_NAME_MAX_BYTES];
+	uint64_t min_version;
+	uint64_t accepted_ms; /* the store's clock */
+	uint64_t tokens;
+	uint32_t total; /* items */
+	bool ended;
+	bool listed; /* all items have a result */
+	uint64_t revision;
+};
+
+int kwb_batch_head_parse(
+    struct kwb_batch_head *head, const struct kwb_row *row); /* from its row */
+int kwb_batch_head_print(const struct kwb_batch_head *head,
+    struct kwb_buf *out); /* as the value of its row */
+
+/* What the order of items looks at; see kwb_item_rank_compare(). */
+struct kwb_item_rank {
+	uint32_t group_index;	/* order of its group in the batch */
+	uint32_t group_begun;	/* items of its group that run or are done */
+	uint32_t target_groups; /* groups the trainer waits for */
+	uint64_t length_hint;	/* expected output tokens */
+	uint64_t made;		/* events that are there already */
+};
+
+int kwb_item_rank_compare(const struct kwb_item_rank *a,
+    const struct kwb_item_rank *b); /* below 0 when a starts first; pure */
+
+/* All batches that this node knows of, and those it runs. */
+struct kwb_batch_env {
+	struct event_base *base;
+	struct kwb_store *store;
+	const struct kwb_forward_env *forward;
+	const struct kwb_node_config *const *config; /* newest, may be NULL */
+	const struct kwb_node_settings *settings;
+	uint64_t incarnation; /* of this process */
+};
+
+struct kwb_batch;
+struct kwb_read;
+TAILQ_HEAD(kwb_batch_list, kwb_batch);
+TAILQ_HEAD(kwb_read_list, kwb_read);
+
+struct kwb_node_beat {
+	char node[KWB_NAME_MAX_BYTES];
+	uint64_t revision;
+	uint64_t seen_ns; /* boot time when that revision was first read */
+	uint32_t reads;	  /* successful reads since then */
+};
+
+struct kwb_batches {
+	const struct kwb_batch_env *env;
+	struct kwb_follower follower; /* of the heads */
+	struct kwb_batch_head **heads;
+	uint32_t heads_count;
+	uint32_t heads_room;
+	struct kwb_batch_list running;
+	struct kwb_read_list reads;
+	struct event *pump;   /* starts items */
+	struct event *minder; /* takes over what has no living owner */
+	bool pump_armed;
+	bool leaving;		    /* starts and takes over nothing more */
+	struct kwb_store_call beat; /* own heartbeat */
+	struct kwb_store_call look; /* heartbeats of others */
+	struct kwb_node_beat *beats;
+	uint32_t beats_count;
+	uint64_t beat_ns;		  /* last own heartbeat */
+	void (*on_change)(void *context); /* a batch began or ended */
+	void *context;
+};
+
+int kwb_batches_init(struct kwb_batches *batches,
+    const struct kwb_batch_env *env, void (*on_change)(void *context),
+    void *context);				      /* follows the heads */
+void kwb_batches_finish(struct kwb_batches *batches); /* drops everything */
+void kwb_batches_kick(struct kwb_batches *batches);   /* looks for places */
+void kwb_batches_leave(
+    struct kwb_batches *batches); /* hands all over to other nodes */
+bool kwb_batches_idle(
+    const struct kwb_batches *batches); /* nothing is left to hand over */
+struct kwb_batch_head *kwb_batches_head(
+    const struct kwb_batches *batches, const char *id); /* or NULL */
+
+/* Accepts a submission: durable before it is answered, and only once. */
+enum kwb_accept_outcome {
+	KWB_ACCEPT_TAKEN,   /* durable, now or before */
+	KWB_ACCEPT_REFUSED, /* nothing is stored and nothing runs */
+	KWB_ACCEPT_UNKNOWN, /* may be stored */
+	KWB_ACCEPT_INVALID  /* can't be read */
+};
+
+struct kwb_accept {
+	void (*on_done)(struct kwb_accept *accept);
+	void *context;
+	struct kwb_batches *batches;
+	struct kwb_store_call call;
+	struct kwb_batch_head head;
+	struct kwb_batch_spec spec;
+	const char *body; /* as submitted; lives as long as the accept */
+	size_t body_bytes;
+	bool reading_back;
+	enum kwb_accept_outcome outcome;
+	const char *reason;
+};
+
+void kwb_accept_start(struct kwb_accept *accept);  /* on_done follows */
+void kwb_accept_finish(struct kwb_accept *accept); /* no callback after */
+
+/* Ends a batch. */
+struct kwb_end {
+	void (*on_done)(struct kwb_end *end);
+	void *context;
+	struct kwb_batches *batches;
+	struct kwb_store_call call;
+	struct event *timer;
+	struct kwb_batch_head head;
+	uint64_t deadline_ns;
+	bool reading;
+	int error; /* 0, KWB_ERR_STORE_MISSING, or why it isn't certain */
+};
+
+void kwb_end_start(struct kwb_end *end);  /* on_done follows */
+void kwb_end_finish(struct kwb_end *end); /* no callback after */
+
+/* Reads results, or the body of one item. */
+struct kwb_read {
+	void (*on_done)(struct kwb_read *read);
+	void *context;
+	struct kwb_batches *batches;
+	struct kwb_store_call call;
+	struct event *timer;
+	char batch[KWB_KEY_MAX_BYTES];
+	char item[KWB_KEY_MAX_BYTES]; /* "" for results */
+	uint32_t after;
+	uint64_t wait_deadline_ns; /* an empty list is held back until then */
+	uint64_t deadline_ns;
+	uint32_t total;
+	uint32_t next;
+	bool head_read;
+	bool linked;
+	TAILQ_ENTRY(kwb_read) entry;
+	/* outcome */
+	int error; /* 0, KWB_ERR_STORE_MISSING, or why it isn't certain */
+	struct kwb_buf answer; /* results as sent, or the body */
+};
+
+void kwb_read_start(struct kwb_read *read);  /* on_done follows */
+void kwb_read_finish(struct kwb_read *read); /* no callback after */
+
+/* ---- Weights: homes of models and orders ------------------------------------
+ */
+
+struct kwb_home_upstream {
+	const char *id;
+	char model[KWB_NAME_MAX_BYTES]; /* current home, "" for none */
+};
+
+struct kwb_home_model {
+	const char *name;
+	uint64_t demand; /* tokens of its newest batch, 0 unknown */
+};
+
+void kwb_homes_plan(struct kwb_home_upstream *upstreams,
+    uint32_t upstreams_count, const struct kwb_home_model *models,
+    uint32_t models_count); /* assigns homes, moving as few as it can; pure */
+
+/* What decides whether an upstream gets new weights now. */
+struct kwb_load_input {
+	uint64_t version; /* it has */
+	uint64_t newest;  /* version that is named */
+	uint64_t needed;  /* oldest that open batches allow */
+	bool batch_open;  /* the model has work */
+	uint32_t loading; /* upstreams of the service that load */
+	uint32_t loading_max;
+};
+
+bool kwb_load_wanted(const struct kwb_load_input *input); /* pure */
+
+struct kwb_mover_upstream {
+	char id[KWB_NAME_MAX_BYTES];
+	char model[KWB_NAME_MAX_BYTES];
+	uint64_t target; /* version ordered or named in its row */
+	uint64_t revision;
+	uint64_t order_seq; /* as last reported */
+	bool seq_known;
+	uint64_t busy_until_ns; /* an order may be in progress until then */
+	uint64_t look_ns;	/* when to ask for its state */
+	bool ordered;		/* waits for the order to complete */
+	bool changed;		/* its row is to be written */
+	struct kwb_exchange exchange;
+	bool asking; /* exchange in progress: a question */
+	bool ordering;
+	struct kwb_mover *mover;
+	TAILQ_ENTRY(kwb_mover_upstream) entry;
+};
+
+TAILQ_HEAD(kwb_mover_list, kwb_mover_upstream);
+
+struct kwb_named_version {
+	char model[KWB_NAME_MAX_BYTES];
+	uint64_t version;
+};
+
+struct kwb_mover {
+	const struct kwb_batch_env *env;
+	const struct kwb_batches *batches;
+	struct kwb_store_lease lease;
+	struct kwb_follower homes;
+	struct kwb_store_call call;
+	struct event *timer;
+	struct kwb_mover_list upstreams;
+	struct kwb_named_version versions[KWB_MODELS_MAX];
+	uint32_t versions_count;
+	uint64_t plan_ns; /* when homes are planned again */
+	bool writing;
+};
+
+int kwb_mover_init(struct kwb_mover *mover, const struct kwb_batch_env *env,
+    const struct kwb_batches *batches); /* begins to try for the lease */
+void kwb_mover_finish(struct kwb_mover *mover);
+void kwb_mover_name(struct kwb_mover *mover, const char *model,
+    uint64_t version); /* a trainer has named a version */
+void kwb_mover_leave(struct kwb_mover *mover); /* gives the lease up */
+void kwb_mover_upstream(
+    struct kwb_mover *mover, struct kwb_upstream *upstream); /* listed */
+uint64_t kwb_mover_named(
+    const struct kwb_mover *mover, const char *model); /* 0 for none */
+
+/* ---- Node
+ * ----------------------------------------------------------------------- */
+
+struct kwb_caller;
+TAILQ_HEAD(kwb_caller_list, kwb_caller);
+
+struct kwb_gone_upstream {
+	char id[KWB_NAME_MAX_BYTES];
+	uint64_t deadline_ns; /* taken off the list then */
+};
+
+struct kwb_node {
+	struct event_base *base;
+	const struct kwb_node_settings *settings;
+	struct kwb_store *store;
+	const struct kwb_dialect *dialect;
+	const struct kwb_documents *documents;
+	struct kwb_client client;
+	struct kwb_registry registry;
+	struct kwb_forward_env forward;
+	struct kwb_batch_env batch_env;
+	struct kwb_batches batches;
+	struct kwb_mover mover;
+	struct kwb_follower operator_rows;
+	struct kwb_follower upstream_rows;
+	struct kwb_node_config *config; /* newest, NULL before the first */
+	struct evconnlistener *listener;
+	struct evconnlistener *ready_listener;
+	struct evconnlistener *metrics_listener;
+	struct kwb_caller_list callers;
+	struct event *timer;
+	uint64_t incarnation;
+	uint64_t stop_deadline_ns; /* 0 while not stopping */
+	uint64_t stop_begin_ns;
+	uint32_t callers_busy;
+	void (*on_stopped)(void *context);
+	void *context;
+};
+
+int kwb_node_init(struct kwb_node *node, struct event_base *base,
+    const struct kwb_node_settings *settings, struct kwb_store *store,
+    const struct kwb_dialect *dialect, const struct kwb_documents *documents,
+    void (*on_stopped)(void *context),
+    void *context);			     /* begins to serve on the loop */
+void kwb_node_stop(struct kwb_node *node);   /* graceful; on_stopped follows */
+void kwb_node_finish(struct kwb_node *node); /* closes everything */
+
+#endif
--- /dev/null
+++ b/src/batch/batch.h
@@ -0,0 +1,110 @@
+/*
+ * Inside of the batch package: a batch that this node runs, and its items.
+ */
+#ifndef KWB_BATCH_H
+#define KWB_BATCH_H
+
+#include "kwb_node.h"
+
+#define TABLE_HEADS "heads"	/* one row a batch, part "" */
+#define TABLE_RESULTS "results" /* part: batch, key: position */
+#define TABLE_DONE "done"	/* part: batch, key: item, value: position */
+#define TABLE_PARTIAL "partial" /* part: batch, key: item */
+#define TABLE_NODES "nodes"	/* heartbeats of nodes that own batches */
+
+#define POSITION_DIGITS 6
+#define ITEM_VERSIONS_MAX 8
+#define LEAVE_ROWS_MAX 20 /* texts handed over in one transaction */
+
+enum item_state {
+	ITEM_WAITING,
+	ITEM_RUNNING,
+	ITEM_SCORING,
+	ITEM_READY,   /* to be listed */
+	ITEM_LISTING, /* in a transaction */
+	ITEM_LISTED
+};
+
+struct item_run {
+	struct kwb_batch *batch;
+	const struct kwb_batch_item *item;
+	uint32_t group;
+	enum item_state state;
+	struct kwb_exchange exchange;
+	struct kwb_events events;
+	struct kwb_upstream *upstream; /* while running */
+	struct kwb_buf text;
+	uint64_t last_event;
+	uint64_t event_ns; /* when it came */
+	uint64_t version;  /* of the events that come now */
+	uint64_t versions[ITEM_VERSIONS_MAX];
+	uint32_t versions_count;
+	uint32_t errors;       /* answers of 500 */
+	uint32_t score_errors; /* likewise, of its reward call */
+	uint64_t retry_ns;     /* not before */
+	bool order_broken;     /* an event was missing */
+	struct kwb_forward score;
+	bool score_open;
+	char *receipt; /* of the reward call */
+	enum kwb_item_state result;
+};
+
+struct batch_group {
+	const char *name;
+	uint32_t begun;			      /* items that run or are done */
+	char upstream_id[KWB_NAME_MAX_BYTES]; /* that read its prompt last */
+};
+
+struct kwb_batch {
+	struct kwb_batches *batches;
+	struct kwb_batch_head head;
+	struct kwb_batch_spec spec;
+	struct item_run *runs;
+	struct batch_group *groups;
+	uint32_t groups_count;
+	struct kwb_store_call call; /* loads, lists, hands over */
+	uint64_t loading_ns;	    /* when a failed load is tried again */
+	bool loaded;		    /* spec and done items are known */
+	bool listing;
+	bool reconciling; /* reads what is listed after a doubt */
+	bool leaving;	  /* is handed over */
+	bool closing;	  /* has ended, or another node owns it */
+	uint32_t listed;
+	uint32_t leave_next; /* next run whose text is handed over */
+	TAILQ_ENTRY(kwb_batch) entry;
+};
+
+/* load.c: a batch from the store into memory, and out of it */
+struct kwb_batch *batch_new(
+    struct kwb_batches *batches, const struct kwb_batch_head *head);
+int batch_set_spec(struct kwb_batch *batch, struct kwb_batch_spec *spec);
+void batch_load(struct kwb_batch *batch);
+void batch_free(struct kwb_batch *batch);
+struct kwb_batch *batch_find(const struct kwb_batches *batches, const char *id);
+void object_name(char *name, size_t room_bytes, const char *batch);
+
+/* run.c: items at upstreams */
+bool batch_pump(struct kwb_batch *batch); /* true when items wait */
+void run_stop(struct item_run *run);	  /* gives its place back */
+void run_finish(struct item_run *run);
+
+/* list.c: results into the store */
+void batch_list(struct kwb_batch *batch);
+void batch_reconcile(struct kwb_batch *batch);
+void batch_listed(struct kwb_batch *batch); /* nothing is left to do */
+
+/* own.c: who runs which batch */
+int own_init(struct kwb_batches *batches);
+void own_finish(struct kwb_batches *batches);
+void own_look(struct kwb_batches *batches);
+void batch_leave(struct kwb_batch *batch);
+
+/* heads.c */
+void heads_put(struct kwb_batches *batches, const struct kwb_batch_head *head);
+void head_write(const struct kwb_batch_head *head, struct kwb_tx *tx,
+    struct kwb_buf *value); /* a conditional write of its row */
+
+/* read.c */
+void reads_wake(struct kwb_batches *batches, const char *batch);
+
+#endif
--- /dev/null
+++ b/src/batch/heads.c
@@ -0,0 +1,165 @@
+/*
+ * All batches that the store knows of, followed by every node; and the pump
+ * that starts items of those that this node runs.
+ */
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch.h"
+
+struct kwb_batch_head *
+kwb_batches_head(const struct kwb_batches *batches, const char *id)
+{
+	uint32_t i;
+
+	for (i = batches->heads_count; i > 0; i--)
+		if (strcmp(batches->heads[i - 1]->id, id) == 0)
+			return batches->heads[i - 1];
+	return NULL;
+}
+
+void
+heads_put(struct kwb_batches *batches, const struct kwb_batch_head *head)
+{
+	struct kwb_batch_head *known = kwb_batches_head(batches, head->id);
+	uint32_t room = batches->heads_room ? batches->heads_room * 2 : 16;
+	struct kwb_batch_head **heads;
+
+	if (known != NULL && known->revision >= head->revision)
+		return;
+	if (known == NULL && batches->heads_count == batches->heads_room) {
+		heads = realloc(
+		    batches->heads, room * sizeof(struct kwb_batch_head *));
+		if (heads == NULL)
+			return;
+		batches->heads = heads;
+		batches->heads_room = room;
+	}
+	if (known == NULL) {
+		known = malloc(sizeof(*known));
+		if (known == NULL)
+			return;
+		batches->heads[batches->heads_count++] = known;
+	}
+	*known = *head;
+	own_look(batches);
+	batches->on_change(batches->context);
+}
+
+void
+head_write(
+    const struct kwb_batch_head *head, struct kwb_tx *tx, struct kwb_buf *value)
+{
+	kwb_batch_head_print(head, value);
+	kwb_tx_expect(tx, TABLE_HEADS, "", head->id, head->revision);
+	kwb_tx_put(tx, TABLE_HEADS, "", head->id, kwb_buf_text(value),
+	    value->used_bytes);
+}
+
+static void
+head_row(void *context, const struct kwb_row *row)
+{
+	struct kwb_batches *batches = context;
+	struct kwb_batch_head head;
+	uint32_t i;
+
+	if (row->deleted) {
+		for (i = 0; i < batches->heads_count; i++)
+			if (strcmp(batches->heads[i]->id, row->key) == 0) {
+				free(batches->heads[i]);
+				batches->heads[i] =
+				    batches->heads[--batches->heads_count];
+				break;
+			}
+		own_look(batches);
+		return;
+	}
+	if (kwb_batch_head_parse(&head, row) != 0) {
+		kwb_log(KWB_LOG_WARN, "batch",
+		    "event=head_unreadable batch=%s revision=%llu", row->key,
+		    (unsigned long long)row->revision);
+		return;
+	}
+	heads_put(batches, &head);
+}
+
+static void
+pump_time(int fd, short what, void *context)
+{
+	struct kwb_batches *batches = context;
+	struct kwb_batch *batch;
+	bool left = false;
+
+	(void)fd;
+	(void)what;
+	batches->pump_armed = false;
+	if (batches->leaving)
+		return;
+	TAILQ_FOREACH (batch, &batches->running, entry)
+		left |= batch_pump(batch);
+	if (left && !batches->pump_armed) {
+		batches->pump_armed = true;
+		kwb_timer_at(batches->pump, kwb_clock_now_ns() + KWB_PUMP_NS);
+	}
+}
+
+void
+kwb_batches_kick(struct kwb_batches *batches)
+{
+	batches->pump_armed = true;
+	kwb_timer_at(batches->pump, 0);
+}
+
+int
+kwb_batches_init(struct kwb_batches *batches, const struct kwb_batch_env *env,
+    void (*on_change)(void *context), void *context)
+{
+	int code;
+
+	memset(batches, 0, sizeof(*batches));
+	batches->env = env;
+	batches->on_change = on_change;
+	batches->context = context;
+	TAILQ_INIT(&batches->running);
+	TAILQ_INIT(&batches->reads);
+	batches->pump = kwb_timer_new(env->base, pump_time, batches);
+	if (batches->pump == NULL)
+		return KWB_ERR_MEMORY;
+	code = own_init(batches);
+	if (code != 0)
+		return code;
+	return kwb_follower_init(&batches->follower, env->base, env->store,
+	    TABLE_HEADS, head_row, NULL, batches);
+}
+
+void
+kwb_batches_finish(struct kwb_batches *batches)
+{
+	uint32_t i;
+
+	kwb_follower_finish(&batches->follower);
+	while (!TAILQ_EMPTY(&batches->running))
+		batch_free(TAILQ_FIRST(&batches->running));
+	own_finish(batches);
+	event_free(batches->pump);
+	for (i = 0; i < batches->heads_count; i++)
+		free(batches->heads[i]);
+	free(batches->heads);
+}
+
+void
+kwb_batches_leave(struct kwb_batches *batches)
+{
+	struct kwb_batch *batch;
+
+	batches->leaving = true;
+	TAILQ_FOREACH (batch, &batches->running, entry)
+		batch_leave(batch);
+}
+
+bool
+kwb_batches_idle(const struct kwb_batches *batches)
+{
+	return TAILQ_EMPTY(&batches->running);
+}
--- /dev/null
+++ b/src/batch/list.c
@@ -0,0 +1,199 @@
+/*
+ * Results into the store. A result is shown only once it is durable: position
+ * and item are both keys of rows that must not exist, so neither is ever
+ * written twice, whoever else lists results of the batch.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "batch.h"
+
+#define LIST_ROWS_MAX (KWB_TX_ROWS_MAX / 4) /* two conditions, two rows each   \
+					     */
+
+struct listing {
+	struct kwb_tx tx;
+	struct kwb_buf values[LIST_ROWS_MAX];
+	char positions[LIST_ROWS_MAX][POSITION_DIGITS + 8];
+	uint32_t count;
+	size_t bytes;
+};
+
+static void list_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer);
+
+static int
+result_value(const struct item_run *run, struct kwb_buf *value)
+{
+	bool completed = run->result == KWB_ITEM_COMPLETED;
+	struct kwb_result result = {.id = run->item->id,
+	    .state = run->result,
+	    .output = completed ? kwb_buf_text(&run->text) : "",
+	    .output_bytes = completed ? run->text.used_bytes : 0,
+	    .versions = run->versions,
+	    .versions_count = completed ? run->versions_count : 0,
+	    .score = run->receipt};
+
+	return run->batch->batches->env->forward->dialect->write_result(
+	    &result, value);
+}
+
+static bool
+listing_add(
+    struct listing *listing, struct kwb_batch *batch, struct item_run *run)
+{
+	uint32_t at = listing->count;
+	struct kwb_buf *value = &listing->values[at];
+	char *position = listing->positions[at];
+
+	kwb_buf_init(value);
+	if (result_value(run, value) != 0) {
+		kwb_log(KWB_LOG_ERROR, "batch",
+		    "event=result_unwritable batch=%s item=%s bytes=%zu",
+		    batch->head.id, run->item->id, run->text.used_bytes);
+		return false;
+	}
+	if (at > 0 && listing->bytes + value->used_bytes > KWB_TX_MAX_BYTES) {
+		kwb_buf_finish(value);
+		return false;
+	}
+	listing->bytes += value->used_bytes;
+	listing->count++;
+	snprintf(position, sizeof(listing->positions[at]), "%0*u",
+	    POSITION_DIGITS, batch->listed + at);
+	kwb_tx_expect(&listing->tx, TABLE_RESULTS, batch->head.id, position, 0);
+	kwb_tx_expect(
+	    &listing->tx, TABLE_DONE, batch->head.id, run->item->id, 0);
+	kwb_tx_put(&listing->tx, TABLE_RESULTS, batch->head.id, position,
+	    value->data, value->used_bytes);
+	kwb_tx_put(&listing->tx, TABLE_DONE, batch->head.id, run->item->id,
+	    position, strlen(position));
+	run->state = ITEM_LISTING;
+	return true;
+}
+
+void
+batch_list(struct kwb_batch *batch)
+{
+	static struct listing listing;
+	struct kwb_store *store = batch->batches->env->store;
+	uint32_t i;
+	int code;
+
+	if (batch->listing || batch->reconciling || !batch->loaded)
+		return;
+	memset(&listing, 0, sizeof(listing));
+	for (i = 0; i < batch->spec.items_count; i++) {
+		if (batch->runs[i].state != ITEM_READY)
+			continue;
+		if (listing.count == LIST_ROWS_MAX ||
+		    !listing_add(&listing, batch, &batch->runs[i]))
+			break;
+	}
+	if (listing.count == 0)
+		return;
+	batch->listing = true;
+	batch->call.context = batch;
+	batch->call.on_done = list_answer;
+	code = store->ops->transact(store, &listing.tx, &batch->call);
+	for (i = 0; i < listing.count; i++)
+		kwb_buf_finish(&listing.values[i]);
+	if (code != 0) {
+		batch->listing = false;
+		batch_reconcile(batch);
+	}
+}
+
+/* All items have a result: no other node needs to look after the batch. */
+void
+batch_listed(struct kwb_batch *batch)
+{
+	batch->head.listed = true;
+	batch->closing = true;
+	kwb_log(KWB_LOG_INFO, "batch", "event=all_listed batch=%s items=%u",
+	    batch->head.id, batch->spec.items_count);
+	own_look(batch->batches);
+}
+
+static void
+list_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+	uint32_t i;
+
+	batch->listing = false;
+	if (answer->error != 0) {
+		kwb_log(KWB_LOG_INFO, "batch",
+		    "event=listing_in_doubt batch=%s error=%s", batch->head.id,
+		    kwb_error_name(answer->error));
+		batch_reconcile(batch);
+		return;
+	}
+	for (i = 0; i < batch->spec.items_count; i++) {
+		if (batch->runs[i].state != ITEM_LISTING)
+			continue;
+		batch->runs[i].state = ITEM_LISTED;
+		batch->groups[batch->runs[i].group].begun++;
+		batch->listed++;
+		run_finish(&batch->runs[i]);
+	}
+	reads_wake(batch->batches, batch->head.id);
+	if (batch->listed == batch->spec.items_count)
+		batch_listed(batch);
+	else
+		batch_list(batch);
+}
+
+static void
+reconcile_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+	struct item_run *run;
+	uint32_t i;
+	uint32_t k;
+
+	batch->reconciling = false;
+	if (answer->error != 0) {
+		batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
+		return;
+	}
+	for (k = 0; k < answer->rows_count; k++) {
+		for (i = 0; i < batch->spec.items_count; i++)
+			if (strcmp(batch->spec.items[i].id,
+				answer->rows[k].key) == 0)
+				break;
+		if (i == batch->spec.items_count ||
+		    batch->runs[i].state == ITEM_LISTED)
+			continue;
+		run = &batch->runs[i];
+		run_finish(run);
+		run->state = ITEM_LISTED;
+		batch->groups[run->group].begun++;
+		batch->listed++;
+	}
+	for (i = 0; i < batch->spec.items_count; i++)
+		if (batch->runs[i].state == ITEM_LISTING)
+			batch->runs[i].state = ITEM_READY;
+	if (batch->listed == batch->spec.items_count)
+		batch_listed(batch);
+	else
+		batch_list(batch);
+}
+
+/* Reads what is listed, after an answer that leaves it in doubt. */
+void
+batch_reconcile(struct kwb_batch *batch)
+{
+	struct kwb_store *store = batch->batches->env->store;
+	struct kwb_range range = {.table = TABLE_DONE, .part = batch->head.id};
+
+	batch->loading_ns = 0;
+	batch->reconciling = true;
+	batch->call.context = batch;
+	batch->call.on_done = reconcile_answer;
+	if (store->ops->range(store, &range, &batch->call) != 0) {
+		batch->reconciling = false;
+		batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
+	}
+}
--- /dev/null
+++ b/src/batch/load.c
@@ -0,0 +1,245 @@
+/*
+ * A batch in memory: from its submission, or from the store after another
+ * node ran it.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch.h"
+
+static void load_done(struct kwb_batch *batch, struct kwb_range *range);
+
+void
+object_name(char *name, size_t room_bytes, const char *batch)
+{
+	snprintf(name, room_bytes, "batch-%s", batch);
+}
+
+struct kwb_batch *
+batch_find(const struct kwb_batches *batches, const char *id)
+{
+	struct kwb_batch *batch;
+
+	TAILQ_FOREACH (batch, &batches->running, entry)
+		if (strcmp(batch->head.id, id) == 0)
+			return batch;
+	return NULL;
+}
+
+struct kwb_batch *
+batch_new(struct kwb_batches *batches, const struct kwb_batch_head *head)
+{
+	struct kwb_batch *batch = calloc(1, sizeof(*batch));
+	struct kwb_batch *later;
+
+	if (batch == NULL)
+		return NULL;
+	batch->batches = batches;
+	batch->head = *head;
+	TAILQ_FOREACH (later, &batches->running, entry)
+		if (later->head.accepted_ms > head->accepted_ms)
+			break;
+	if (later != NULL)
+		TAILQ_INSERT_BEFORE(later, batch, entry);
+	else
+		TAILQ_INSERT_TAIL(&batches->running, batch, entry);
+	return batch;
+}
+
+void
+batch_free(struct kwb_batch *batch)
+{
+	uint32_t i;
+
+	kwb_store_cancel(batch->batches->env->store, &batch->call);
+	for (i = 0; batch->runs != NULL && i < batch->spec.items_count; i++)
+		run_finish(&batch->runs[i]);
+	TAILQ_REMOVE(&batch->batches->running, batch, entry);
+	free(batch->runs);
+	free(batch->groups);
+	kwb_batch_spec_finish(&batch->spec);
+	free(batch);
+}
+
+static uint32_t
+group_of(struct kwb_batch *batch, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->groups_count; i++)
+		if (strcmp(batch->groups[i].name, name) == 0)
+			return i;
+	batch->groups[batch->groups_count].name = name;
+	return batch->groups_count++;
+}
+
+int
+batch_set_spec(struct kwb_batch *batch, struct kwb_batch_spec *spec)
+{
+	uint32_t i;
+
+	batch->runs = calloc(spec->items_count, sizeof(*batch->runs));
+	batch->groups = calloc(spec->items_count, sizeof(*batch->groups));
+	if (batch->runs == NULL || batch->groups == NULL)
+		return KWB_ERR_MEMORY;
+	batch->spec = *spec;
+	memset(spec, 0, sizeof(*spec));
+	for (i = 0; i < batch->spec.items_count; i++) {
+		batch->runs[i].batch = batch;
+		batch->runs[i].item = &batch->spec.items[i];
+		batch->runs[i].group =
+		    group_of(batch, batch->spec.items[i].group);
+	}
+	return 0;
+}
+
+static void
+load_failed(struct kwb_batch *batch, int error)
+{
+	kwb_log(KWB_LOG_WARN, "batch", "event=load_failed batch=%s error=%s",
+	    batch->head.id, kwb_error_name(error));
+	batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
+}
+
+/* Texts that the node before has left: "last event, versions, text". */
+static void
+partial_read(struct item_run *run, const struct kwb_row *row)
+{
+	const char *at = row->value;
+	char *next;
+
+	run->last_event = strtoull(at, &next, 10);
+	while (*next == ' ' && run->versions_count < ITEM_VERSIONS_MAX)
+		run->versions[run->versions_count++] =
+		    strtoull(next + 1, &next, 10);
+	if (*next != '\n' || run->last_event == 0 ||
+	    kwb_buf_add(&run->text, next + 1,
+		row->value_bytes - (size_t)(next + 1 - row->value)) != 0) {
+		kwb_log(KWB_LOG_WARN, "batch",
+		    "event=partial_unreadable batch=%s item=%s",
+		    run->batch->head.id, row->key);
+		run->last_event = 0;
+		run->versions_count = 0;
+		run->text.used_bytes = 0;
+	}
+}
+
+static struct item_run *
+run_of(struct kwb_batch *batch, const char *item)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->spec.items_count; i++)
+		if (strcmp(batch->spec.items[i].id, item) == 0)
+			return &batch->runs[i];
+	return NULL;
+}
+
+static void
+partials_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+	struct item_run *run;
+	uint32_t i;
+
+	if (answer->error != 0) {
+		load_failed(batch, answer->error);
+		return;
+	}
+	for (i = 0; i < answer->rows_count; i++) {
+		run = run_of(batch, answer->rows[i].key);
+		if (run != NULL && run->state == ITEM_WAITING &&
+		    run->text.used_bytes == 0)
+			partial_read(run, &answer->rows[i]);
+	}
+	batch->loaded = true;
+	kwb_log(KWB_LOG_INFO, "batch",
+	    "event=loaded batch=%s items=%u listed=%u partial=%u",
+	    batch->head.id, batch->spec.items_count, batch->listed,
+	    answer->rows_count);
+	if (batch->listed == batch->spec.items_count)
+		batch_listed(batch);
+	kwb_batches_kick(batch->batches);
+}
+
+static void
+done_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+	struct kwb_range range = {
+	    .table = TABLE_PARTIAL, .part = batch->head.id};
+	struct item_run *run;
+	uint32_t i;
+
+	if (answer->error != 0) {
+		load_failed(batch, answer->error);
+		return;
+	}
+	for (i = 0; i < answer->rows_count; i++) {
+		run = run_of(batch, answer->rows[i].key);
+		if (run == NULL || run->state == ITEM_LISTED)
+			continue;
+		run->state = ITEM_LISTED;
+		batch->groups[run->group].begun++;
+		batch->listed++;
+	}
+	call->on_done = partials_answer;
+	load_done(batch, &range);
+}
+
+static void
+load_done(struct kwb_batch *batch, struct kwb_range *range)
+{
+	struct kwb_store *store = batch->batches->env->store;
+	int code = store->ops->range(store, range, &batch->call);
+
+	if (code != 0)
+		load_failed(batch, code);
+}
+
+static void
+object_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+	struct kwb_range range = {.table = TABLE_DONE, .part = batch->head.id};
+	struct kwb_batch_spec spec;
+	int code = answer->error;
+
+	if (code == 0)
+		code = batch->batches->env->forward->dialect->read_batch(
+		    kwb_buf_text(&answer->object), answer->object.used_bytes,
+		    &spec);
+	if (code == 0)
+		code = batch_set_spec(batch, &spec);
+	if (code != 0) {
+		load_failed(batch, code);
+		return;
+	}
+	call->on_done = done_answer;
+	load_done(batch, &range);
+}
+
+void
+batch_load(struct kwb_batch *batch)
+{
+	struct kwb_store *store = batch->batches->env->store;
+	struct kwb_range range = {.table = TABLE_DONE, .part = batch->head.id};
+	char name[KWB_KEY_MAX_BYTES + 8];
+	int code;
+
+	batch->loading_ns = 0;
+	batch->call.context = batch;
+	if (batch->runs != NULL) {
+		batch->call.on_done = done_answer;
+		load_done(batch, &range);
+		return;
+	}
+	object_name(name, sizeof(name), batch->head.id);
+	batch->call.on_done = object_answer;
+	code = store->ops->object_get(store, name, &batch->call);
+	if (code != 0)
+		load_failed(batch, code);
+}
--- /dev/null
+++ b/src/batch/own.c
@@ -0,0 +1,442 @@
+/*
+ * Who runs which batch. The head's row names its owner; a node beats in a row
+ * of its own while it owns any. A batch whose owner has not beaten for a while,
+ * or has let go of it, is taken over by a conditional write, first come first
+ * served. Two owners for a moment cost work, never a doubled result.
+ */
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch.h"
+
+struct claim {
+	struct kwb_store_call call;
+	struct kwb_batches *batches;
+	struct kwb_batch_head head;
+	bool open;
+};
+
+static struct claim claims[KWB_CLAIMS_MAX];
+
+static bool
+is_mine(const struct kwb_batches *batches, const struct kwb_batch_head *head)
+{
+	return strcmp(head->owner, batches->env->settings->node) == 0 &&
+	    head->owner_incarnation == batches->env->incarnation;
+}
+
+static struct kwb_node_beat *
+beat_find(const struct kwb_batches *batches, const char *node)
+{
+	uint32_t i;
+
+	for (i = 0; i < batches->beats_count; i++)
+		if (strcmp(batches->beats[i].node, node) == 0)
+			return &batches->beats[i];
+	return NULL;
+}
+
+static void
+beat_note(struct kwb_batches *batches, const char *node, uint64_t revision)
+{
+	struct kwb_node_beat *beat = beat_find(batches, node);
+	struct kwb_node_beat *beats;
+
+	if (beat == NULL) {
+		beats = realloc(batches->beats,
+		    (batches->beats_count + 1) * sizeof(*beats));
+		if (beats == NULL)
+			return;
+		batches->beats = beats;
+		beat = &beats[batches->beats_count++];
+		memset(beat, 0, sizeof(*beat));
+		kwb_text_copy(beat->node, sizeof(beat->node), node);
+		beat->seen_ns = kwb_boot_now_ns();
+		beat->revision = revision;
+		return;
+	}
+	beat->reads++;
+	if (beat->revision == revision)
+		return;
+	beat->revision = revision;
+	beat->seen_ns = kwb_boot_now_ns();
+	beat->reads = 0;
+}
+
+/* Silent for the whole time that this node itself could read the beats. */
+static bool
+is_silent(struct kwb_batches *batches, const char *node)
+{
+	const struct kwb_node_beat *beat = beat_find(batches, node);
+
+	if (beat == NULL) {
+		beat_note(batches, node, 0);
+		return false;
+	}
+	return beat->reads >= KWB_BEAT_READS &&
+	    kwb_boot_now_ns() - beat->seen_ns >= KWB_OWNER_SILENT_NS;
+}
+
+static void
+look_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batches *batches = call->context;
+	uint32_t i;
+	uint32_t k;
+
+	if (answer->error != 0) {
+		/* Only beats missed while they could be read count. */
+		for (i = 0; i < batches->beats_count; i++) {
+			batches->beats[i].seen_ns = kwb_boot_now_ns();
+			batches->beats[i].reads = 0;
+		}
+		return;
+	}
+	for (i = 0; i < batches->beats_count; i++) {
+		for (k = 0; k < answer->rows_count; k++)
+			if (strcmp(batches->beats[i].node,
+				answer->rows[k].key) == 0)
+				break;
+		if (k == answer->rows_count)
+			batches->beats[i].reads++;
+	}
+	for (k = 0; k < answer->rows_count; k++)
+		beat_note(
+		    batches, answer->rows[k].key, answer->rows[k].revision);
+}
+
+static void
+beat_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batches *batches = call->context;
+
+	if (answer->error != 0)
+		batches->beat_ns = 0;
+}
+
+static void
+beat_write(struct kwb_batches *batches)
+{
+	static struct kwb_tx tx;
+	struct kwb_store *store = batches->env->store;
+	char value[32];
+	int length = snprintf(value, sizeof(value), "%llu",
+	    (unsigned long long)batches->env->incarnation);
+
+	memset(&tx, 0, sizeof(tx));
+	kwb_tx_put(&tx, TABLE_NODES, "", batches->env->settings->node, value,
+	    (size_t)length);
+	batches->beat.on_done = beat_answer;
+	batches->beat.context = batches;
+	if (store->ops->transact(store, &tx, &batches->beat) == 0)
+		batches->beat_ns = kwb_clock_now_ns();
+}
+
+static void
+claim_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct claim *claim = call->context;
+
+	claim->open = false;
+	kwb_log(KWB_LOG_INFO, "own", "event=%s batch=%s revision=%llu error=%s",
+	    answer->error == 0 ? "claimed" : "claim_failed", claim->head.id,
+	    (unsigned long long)claim->head.revision,
+	    kwb_error_name(answer->error));
+	if (answer->error != 0)
+		return;
+	claim->head.revision = answer->revision;
+	heads_put(claim->batches, &claim->head);
+}
+
+static bool
+claim_is_open(const struct kwb_batches *batches, const char *batch)
+{
+	uint32_t i;
+
+	for (i = 0; i < KWB_CLAIMS_MAX; i++)
+		if (claims[i].open && claims[i].batches == batches &&
+		    strcmp(claims[i].head.id, batch) == 0)
+			return true;
+	return false;
+}
+
+static void
+claim_start(struct kwb_batches *batches, const struct kwb_batch_head *head)
+{
+	static struct kwb_tx tx;
+	struct kwb_store *store = batches->env->store;
+	struct claim *claim = NULL;
+	struct kwb_buf value;
+	uint32_t i;
+
+	for (i = 0; i < KWB_CLAIMS_MAX; i++)
+		if (!claims[i].open)
+			claim = &claims[i];
+	if (claim == NULL || claim_is_open(batches, head->id))
+		return;
+	memset(claim, 0, sizeof(*claim));
+	claim->batches = batches;
+	claim->head = *head;
+	kwb_text_copy(claim->head.owner, sizeof(claim->head.owner),
+	    batches->env->settings->node);
+	claim->head.owner_incarnation = batches->env->incarnation;
+	claim->call.on_done = claim_answer;
+	claim->call.context = claim;
+	kwb_buf_init(&value);
+	memset(&tx, 0, sizeof(tx));
+	head_write(&claim->head, &tx, &value);
+	claim->open = store->ops->transact(store, &tx, &claim->call) == 0;
+	kwb_buf_finish(&value);
+}
+
+static bool
+may_claim(struct kwb_batches *batches, const struct kwb_batch_head *head)
+{
+	if (head->owner[0] == '\0')
+		return true;
+	if (strcmp(head->owner, batches->env->settings->node) == 0)
+		return true; /* of an earlier process of this node */
+	return is_silent(batches, head->owner);
+}
+
+static bool
+is_open(const struct kwb_batch_head *head)
+{
+	return !head->ended && !head->listed;
+}
+
+/* Runs of a batch that this node may not run, or need not, come to an end. */
+static void
+batches_close(struct kwb_batches *batches)
+{
+	struct kwb_batch *batch = TAILQ_FIRST(&batches->running);
+	struct kwb_batch *next;
+	const struct kwb_batch_head *head;
+
+	for (; batch != NULL; batch = next) {
+		next = TAILQ_NEXT(batch, entry);
+		head = kwb_batches_head(batches, batch->head.id);
+		if (head != NULL && is_open(head) && is_mine(batches, head) &&
+		    !batch->closing)
+			continue;
+		if (batch->closing && batch->head.listed && head != NULL &&
+		    is_open(head) && is_mine(batches, head)) {
+			/* Says in the head that nothing is left to do. */
+			struct kwb_batch_head listed = *head;
+
+			listed.listed = true;
+			claim_start(batches, &listed);
+		}
+		kwb_log(KWB_LOG_INFO, "own",
+		    "event=closed batch=%s listed=%u items=%u reason=%s",
+		    batch->head.id, batch->listed, batch->spec.items_count,
+		    head == NULL	     ? "removed"
+			: head->ended	     ? "ended"
+			: batch->head.listed ? "all_listed"
+					     : "other_owner");
+		batch_free(batch);
+	}
+}
+
+void
+own_look(struct kwb_batches *batches)
+{
+	/* On the loop's next turn: callers may be inside of a batch. */
+	kwb_timer_at(batches->minder, 0);
+}
+
+static void
+minder_time(int fd, short what, void *context)
+{
+	struct kwb_batches *batches = context;
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct kwb_batch_head *head;
+	struct kwb_batch *batch;
+	bool foreign = false;
+	uint32_t i;
+
+	(void)fd;
+	(void)what;
+	batches_close(batches);
+	for (i = 0; i < batches->heads_count; i++) {
+		head = batches->heads[i];
+		if (!is_open(head) || claim_is_open(batches, head->id))
+			continue;
+		batch = batch_find(batches, head->id);
+		if (is_mine(batches, head)) {
+			if (batch == NULL && !batches->leaving) {
+				batch = batch_new(batches, head);
+				if (batch != NULL)
+					batch_load(batch);
+			} else if (batch != NULL && batch->loading_ns != 0 &&
+			    batch->loading_ns <= now_ns) {
+				if (batch->loaded)
+					batch_reconcile(batch);
+				else
+					batch_load(batch);
+			}
+			continue;
+		}
+		foreign = true;
+		if (!batches->leaving && may_claim(batches, head))
+			claim_start(batches, head);
+	}
+	if (!TAILQ_EMPTY(&batches->running) && batches->beat.driver == NULL &&
+	    now_ns - batches->beat_ns >= KWB_BEAT_NS)
+		beat_write(batches);
+	if (foreign && !batches->leaving && batches->look.driver == NULL) {
+		struct kwb_range range = {.table = TABLE_NODES, .part = ""};
+
+		batches->look.on_done = look_answer;
+		batches->look.context = batches;
+		batches->env->store->ops->range(
+		    batches->env->store, &range, &batches->look);
+	}
+	kwb_timer_at(batches->minder, now_ns + KWB_MINDER_NS);
+}
+
+int
+own_init(struct kwb_batches *batches)
+{
+	batches->minder =
+	    kwb_timer_new(batches->env->base, minder_time, batches);
+	if (batches->minder == NULL)
+		return KWB_ERR_MEMORY;
+	kwb_timer_at(batches->minder, kwb_clock_now_ns() + KWB_MINDER_NS);
+	return 0;
+}
+
+void
+own_finish(struct kwb_batches *batches)
+{
+	uint32_t i;
+
+	kwb_store_cancel(batches->env->store, &batches->beat);
+	kwb_store_cancel(batches->env->store, &batches->look);
+	for (i = 0; i < KWB_CLAIMS_MAX; i++)
+		if (claims[i].open && claims[i].batches == batches) {
+			kwb_store_cancel(batches->env->store, &claims[i].call);
+			claims[i].open = false;
+		}
+	event_free(batches->minder);
+	free(batches->beats);
+}
+
+/* ---- Handing a batch over -------------------------------------------------
+ */
+
+static void leave_step(struct kwb_batch *batch);
+
+static void
+leave_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+
+	if (answer->error != 0)
+		kwb_log(KWB_LOG_WARN, "own",
+		    "event=hand_over_text_lost batch=%s error=%s",
+		    batch->head.id, kwb_error_name(answer->error));
+	leave_step(batch);
+}
+
+static void
+released_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+
+	kwb_log(KWB_LOG_INFO, "own", "event=released batch=%s error=%s",
+	    batch->head.id, kwb_error_name(answer->error));
+	batch->closing = true;
+	own_look(batch->batches);
+}
+
+static void
+partial_value(const struct item_run *run, struct kwb_buf *value)
+{
+	uint32_t i;
+
+	kwb_buf_init(value);
+	kwb_buf_printf(value, "%llu", (unsigned long long)run->last_event);
+	for (i = 0; i < run->versions_count; i++)
+		kwb_buf_printf(
+		    value, " %llu", (unsigned long long)run->versions[i]);
+	kwb_buf_add(value, "\n", 1);
+	kwb_buf_add(value, run->text.data, run->text.used_bytes);
+}
+
+static void
+leave_release(struct kwb_batch *batch)
+{
+	static struct kwb_tx tx;
+	struct kwb_store *store = batch->batches->env->store;
+	const struct kwb_batch_head *known =
+	    kwb_batches_head(batch->batches, batch->head.id);
+	struct kwb_batch_head head = known ? *known : batch->head;
+	struct kwb_buf value;
+
+	head.owner[0] = '\0';
+	head.owner_incarnation = 0;
+	kwb_buf_init(&value);
+	memset(&tx, 0, sizeof(tx));
+	head_write(&head, &tx, &value);
+	batch->call.on_done = released_answer;
+	if (store->ops->transact(store, &tx, &batch->call) != 0)
+		batch->closing = true;
+	kwb_buf_finish(&value);
+}
+
+/* Writes the texts that items have so far, then lets go of the batch. */
+static void
+leave_step(struct kwb_batch *batch)
+{
+	static struct kwb_tx tx;
+	struct kwb_store *store = batch->batches->env->store;
+	struct kwb_buf values[LEAVE_ROWS_MAX];
+	uint32_t count = 0;
+	size_t bytes = 0;
+	struct item_run *run;
+	uint32_t i;
+
+	memset(&tx, 0, sizeof(tx));
+	while (batch->leave_next < batch->spec.items_count &&
+	    count < LEAVE_ROWS_MAX && bytes < KWB_TX_MAX_BYTES) {
+		run = &batch->runs[batch->leave_next++];
+		if (run->last_event == 0 || run->state == ITEM_LISTED)
+			continue;
+		partial_value(run, &values[count]);
+		if (values[count].used_bytes > KWB_STORE_VALUE_MAX_BYTES) {
+			kwb_buf_finish(&values[count]);
+			continue; /* too long for a row: made anew */
+		}
+		bytes += values[count].used_bytes;
+		kwb_tx_put(&tx, TABLE_PARTIAL, batch->head.id, run->item->id,
+		    values[count].data, values[count].used_bytes);
+		count++;
+	}
+	batch->call.context = batch;
+	batch->call.on_done = leave_answer;
+	if (count == 0 || store->ops->transact(store, &tx, &batch->call) != 0)
+		leave_release(batch);
+	for (i = 0; i < count; i++)
+		kwb_buf_finish(&values[i]);
+}
+
+void
+batch_leave(struct kwb_batch *batch)
+{
+	uint32_t i;
+
+	if (batch->leaving)
+		return;
+	batch->leaving = true;
+	if (batch->loaded)
+		for (i = 0; i < batch->spec.items_count; i++)
+			run_stop(&batch->runs[i]);
+	kwb_store_cancel(batch->batches->env->store, &batch->call);
+	batch->listing = false;
+	batch->leave_next = batch->loaded ? 0 : batch->spec.items_count;
+	leave_step(batch);
+}
--- /dev/null
+++ b/src/batch/run.c
@@ -0,0 +1,508 @@
+/*
+ * Items at upstreams: a generation is streamed, and resumed after its last
+ * event elsewhere when its stream breaks off or falls silent. Its reward is
+ * asked for once the text is whole.
+ */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "batch.h"
+
+static void run_score(struct item_run *run);
+
+static const struct kwb_batch_env *
+env_of(const struct item_run *run)
+{
+	return run->batch->batches->env;
+}
+
+static void
+run_log(const struct item_run *run, const char *event, const char *reason)
+{
+	kwb_log(KWB_LOG_INFO, "item",
+	    "event=%s id=%s batch=%s upstream=%s events=%llu version=%llu "
+	    "reason=%s",
+	    event, run->item->id, run->batch->head.id,
+	    run->upstream ? run->upstream->status.id : "-",
+	    (unsigned long long)run->last_event,
+	    (unsigned long long)run->version, reason);
+}
+
+void
+run_stop(struct item_run *run)
+{
+	if (run->upstream != NULL) {
+		kwb_exchange_finish(&run->exchange);
+		kwb_events_finish(&run->events);
+		run->upstream->in_flight--;
+		kwb_upstream_drop(
+		    env_of(run)->forward->registry, run->upstream);
+		run->upstream = NULL;
+		run->batch->groups[run->group].begun--;
+	}
+	if (run->score_open)
+		kwb_forward_finish(&run->score);
+	run->score_open = false;
+	if (run->state == ITEM_RUNNING)
+		run->state = ITEM_WAITING;
+}
+
+void
+run_finish(struct item_run *run)
+{
+	run_stop(run);
+	kwb_buf_finish(&run->text);
+	free(run->receipt);
+	run->receipt = NULL;
+}
+
+static uint64_t
+ttl_deadline_ms(const struct item_run *run)
+{
+	const struct kwb_batch_head *head = &run->batch->head;
+	const struct kwb_node_config *config = *env_of(run)->config;
+	const struct kwb_route_entry *route =
+	    kwb_node_config_route(config, head->host, run->item->target);
+
+	return head->accepted_ms +
+	    (route != NULL ? route->item_ttl_ms : KWB_ITEM_TTL_MS);
+}
+
+static bool
+is_past_ttl(const struct item_run *run)
+{
+	return kwb_store_now_ms(env_of(run)->store) >= ttl_deadline_ms(run);
+}
+
+static void
+run_ready(struct item_run *run, enum kwb_item_state result, const char *reason)
+{
+	run->result = result;
+	run_log(run, result == KWB_ITEM_COMPLETED ? "completed" : "errored",
+	    reason);
+	run_stop(run);
+	run->state = ITEM_READY;
+	batch_list(run->batch);
+	kwb_batches_kick(run->batch->batches);
+}
+
+/* Text of one version only: what came under another one is of no use. */
+static void
+forget_text(struct item_run *run)
+{
+	run->text.used_bytes = 0;
+	run->last_event = 0;
+	run->versions_count = 0;
+}
+
+static void
+run_retry(struct item_run *run, uint64_t wait_ns, const char *reason)
+{
+	run_log(run, "retry", reason);
+	run_stop(run);
+	run->retry_ns = kwb_clock_now_ns() + wait_ns;
+	if (is_past_ttl(run)) {
+		run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
+		return;
+	}
+	kwb_batches_kick(run->batch->batches);
+}
+
+static void
+note_version(struct item_run *run)
+{
+	uint32_t i;
+
+	for (i = 0; i < run->versions_count; i++)
+		if (run->versions[i] == run->version)
+			return;
+	if (run->versions_count < ITEM_VERSIONS_MAX)
+		run->versions[run->versions_count++] = run->version;
+}
+
+static void
+on_event(void *context, const struct kwb_event *event)
+{
+	struct item_run *run = context;
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	if (event->version != 0) {
+		run->version = event->version;
+		kwb_upstream_set_version(
+		    run->upstream, run->batch->spec.model, event->version);
+	}
+	if (run->order_broken ||
+	    (event->has_id && event->id <= run->last_event))
+		return;
+	if (event->has_id && event->id != run->last_event + 1) {
+		run->order_broken = true;
+		return;
+	}
+	if ((run->last_event > 0 && kwb_buf_add(&run->text, "\n", 1) != 0) ||
+	    kwb_buf_add(&run->text, event->data.data, event->data.used_bytes) !=
+		0) {
+		run->order_broken = true;
+		return;
+	}
+	if (run->event_ns != 0)
+		kwb_upstream_pace(run->upstream, now_ns - run->event_ns);
+	run->event_ns = now_ns;
+	run->last_event++;
+	note_version(run);
+}
+
+/* The first bytes of an answer say under which weights the events come. */
+static void
+exchange_head(struct kwb_exchange *exchange)
+{
+	struct item_run *run = exchange->context;
+	struct kwb_upstream_answer answer;
+
+	env_of(run)->forward->dialect->read_answer(
+	    kwb_exchange_message(exchange), &answer);
+	if (answer.has_load) {
+		run->upstream->reported = answer.running + answer.waiting;
+		run->upstream->reported_own = run->upstream->in_flight;
+		run->upstream->reported_ns = kwb_clock_now_ns();
+	}
+	if (answer.status != 200 ||
+	    (answer.id != NULL && strcmp(answer.id, run->item->id) != 0))
+		return;
+	kwb_upstream_ok(run->upstream);
+	exchange->streaming = true;
+	if (answer.version != 0) {
+		run->version = answer.version;
+		kwb_upstream_set_version(
+		    run->upstream, run->batch->spec.model, answer.version);
+	} else {
+		run->version =
+		    kwb_upstream_version(run->upstream, run->batch->spec.model);
+	}
+	if (run->version < run->batch->spec.min_version)
+		run->order_broken = true;
+}
+
+static void
+exchange_data(struct kwb_exchange *exchange)
+{
+	struct item_run *run = exchange->context;
+	const struct kwb_route_entry *route;
+
+	if (kwb_events_feed(&run->events, &kwb_exchange_message(exchange)->body,
+		on_event, run) != 0)
+		run->order_broken = true;
+	if (run->version < run->batch->spec.min_version) {
+		run_retry(run, 0, "weights_too_old");
+		return;
+	}
+	if (run->order_broken) {
+		run_retry(run, 0, "events_out_of_order");
+		return;
+	}
+	if (run->versions_count < 2)
+		return;
+	route = kwb_node_config_route(
+	    *env_of(run)->config, run->batch->head.host, run->item->target);
+	if (route != NULL && route->single_version) {
+		forget_text(run);
+		run_retry(run, 0, "versions_mixed");
+	}
+}
+
+/* An answer that is no stream: refused, failed, or never to be done. */
+static void
+run_refused(struct item_run *run, const struct kwb_upstream_answer *answer)
+{
+	const struct kwb_route_entry *route = kwb_node_config_route(
+	    *env_of(run)->config, run->batch->head.host, run->item->target);
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	if (answer->status == 422) {
+		run_ready(run, KWB_ITEM_ERRORED, "can_never_be_done");
+		return;
+	}
+	if (answer->not_run) {
+		run->upstream->refused_until_ns = now_ns + KWB_REFUSED_NS;
+		run_retry(run, 0,
+		    answer->status == 421 ? "misdirected" : "upstream_full");
+		return;
+	}
+	if (answer->status == 500) {
+		run->errors++;
+		if (route != NULL && run->errors >= route->max_attempts) {
+			run_ready(run, KWB_ITEM_ERRORED, "failed_too_often");
+			return;
+		}
+	}
+	run_retry(run, KWB_ITEM_RETRY_NS, "upstream_error");
+}
+
+static void
+exchange_done(struct kwb_exchange *exchange, int error)
+{
+	struct item_run *run = exchange->context;
+	struct kwb_upstream_answer answer;
+
+	if (error != 0) {
+		if (error != KWB_ERR_NET_STALE)
+			kwb_upstream_failed(run->upstream, kwb_clock_now_ns());
+		run_retry(run, 0, kwb_error_name(error));
+		return;
+	}
+	if (exchange->streaming) {
+		if (run->last_event == 0) {
+			run_retry(run, KWB_ITEM_RETRY_NS, "empty_stream");
+			return;
+		}
+		run_log(run, "text_whole", "answered");
+		run_stop(run);
+		run_score(run);
+		kwb_batches_kick(run->batch->batches);
+		return;
+	}
+	env_of(run)->forward->dialect->read_answer(
+	    kwb_exchange_message(exchange), &answer);
+	run_refused(run, &answer);
+}
+
+static const struct kwb_exchange_ops exchange_ops = {
+    .on_head = exchange_head,
+    .on_data = exchange_data,
+    .on_done = exchange_done,
+};
+
+static void
+score_done(struct kwb_forward *forward)
+{
+	struct item_run *run = forward->context;
+	const struct kwb_route_entry *route;
+	struct kwb_upstream_answer answer = {0};
+
+	if (forward->outcome == KWB_FORWARD_ANSWERED)
+		env_of(run)->forward->dialect->read_answer(
+		    &forward->answer, &answer);
+	if (answer.status / 100 == 2 && answer.receipt != NULL) {
+		run->receipt = strdup(answer.receipt);
+		run_ready(run, KWB_ITEM_COMPLETED, "scored");
+		return;
+	}
+	route = kwb_node_config_route(*env_of(run)->config,
+	    run->item->score_host, run->item->score_target);
+	if (answer.status == 500)
+		run->score_errors++;
+	if (route != NULL && run->score_errors >= route->max_attempts) {
+		run_ready(run, KWB_ITEM_ERRORED, "score_failed_too_often");
+		return;
+	}
+	run->retry_ns = kwb_clock_now_ns() + KWB_ITEM_RETRY_NS;
+	kwb_batches_kick(run->batch->batches);
+}
+
+/* Asks for the reward; retried by the pump when it does not come. */
+static void
+run_score(struct item_run *run)
+{
+	const struct kwb_batch_env *env = env_of(run);
+	const struct kwb_batch_item *item = run->item;
+	const struct kwb_route_entry *route;
+	struct kwb_forward *score = &run->score;
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	run->state = ITEM_SCORING;
+	if (item->score_id == NULL) {
+		run_ready(run, KWB_ITEM_COMPLETED, "not_scored");
+		return;
+	}
+	if (run->score_open)
+		kwb_forward_finish(score);
+	run->score_open = false;
+	route = kwb_node_config_route(
+	    *env->config, item->score_host, item->score_target);
+	run->retry_ns = now_ns + KWB_ITEM_RETRY_NS;
+	if (route == NULL) {
+		run_log(run, "score_waits", "no_route");
+		if (is_past_ttl(run))
+			run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
+		return;
+	}
+	run->retry_ns = UINT64_MAX;
+	memset(score, 0, sizeof(*score));
+	score->on_done = score_done;
+	score->context = run;
+	score->env = env->forward;
+	score->request = (struct kwb_upstream_request){.method = "POST",
+	    .target = item->score_target,
+	    .host = item->score_host,
+	    .id = item->score_id,
+	    .body = item->score_body,
+	    .body_bytes = item->score_body_bytes,
+	    .priority = -1};
+	kwb_text_copy(score->service, sizeof(score->service),
+	    kwb_route_entry_service(route, (uint64_t)random()));
+	score->repeatable = true;
+	score->passes_errors = true;
+	score->max_attempts = route->max_attempts;
+	score->deadline_ns = now_ns +
+	    (route->timeout_ms ? route->timeout_ms : KWB_SCORE_TIMEOUT_MS) *
+		KWB_MS_NS;
+	score->request.deadline_ns = score->deadline_ns;
+	score->hedge_ns = now_ns + route->target_ms * KWB_MS_NS;
+	run->score_open = true;
+	kwb_forward_start(score);
+}
+
+static struct kwb_upstream *
+run_pick(const struct item_run *run, const char *service)
+{
+	const struct kwb_batch *batch = run->batch;
+	struct kwb_pick pick = {
+	    .service = service,
+	    .failure_domain = env_of(run)->forward->failure_domain,
+	    .model = batch->spec.model,
+	    .min_version = batch->spec.min_version,
+	    .affinity = batch->groups[run->group].upstream_id,
+	    .within_slots = true,
+	    .now_ns = kwb_clock_now_ns(),
+	    .random = (uint64_t)random(),
+	};
+
+	if (pick.affinity[0] == '\0')
+		pick.affinity = NULL;
+	return kwb_upstream_pick(env_of(run)->forward->registry, &pick);
+}
+
+static void
+run_start(struct item_run *run, struct kwb_upstream *upstream,
+    const struct kwb_route_entry *route)
+{
+	const struct kwb_forward_env *env = env_of(run)->forward;
+	struct kwb_batch *batch = run->batch;
+	uint64_t left_ms =
+	    ttl_deadline_ms(run) - kwb_store_now_ms(env_of(run)->store);
+	struct kwb_upstream_request request = {.method = "POST",
+	    .target = run->item->target,
+	    .host = batch->head.host,
+	    .id = run->item->id,
+	    .headers = &run->item->headers,
+	    .body = run->item->body,
+	    .body_bytes = run->item->body_bytes,
+	    .expect_incarnation = upstream->status.id,
+	    .deadline_ns = kwb_clock_now_ns() + left_ms * KWB_MS_NS,
+	    .resume_after = run->last_event,
+	    .priority = -1};
+	struct evbuffer *out = evbuffer_new();
+	int code;
+
+	if (strcmp(upstream->home_model, batch->spec.model) == 0 &&
+	    upstream->expected_version >
+		kwb_upstream_version(upstream, batch->spec.model))
+		request.expect_version = upstream->expected_version;
+	if (route->single_version && run->versions_count > 0)
+		request.expect_version = run->versions[0];
+	memset(&run->exchange, 0, sizeof(run->exchange));
+	run->exchange.ops = &exchange_ops;
+	run->exchange.context = run;
+	run->exchange.silence_ns = KWB_ITEM_SILENCE_NS;
+	run->upstream = upstream;
+	run->state = ITEM_RUNNING;
+	run->order_broken = false;
+	run->event_ns = 0;
+	kwb_events_init(&run->events, env->dialect->version_field);
+	kwb_upstream_hold(upstream);
+	upstream->in_flight++;
+	upstream->probing = upstream->failures >= KWB_SUSPECT_FAILURES;
+	batch->groups[run->group].begun++;
+	kwb_text_copy(batch->groups[run->group].upstream_id, KWB_NAME_MAX_BYTES,
+	    upstream->status.id);
+	env->dialect->write_request(&request, out);
+	run_log(run, "start", run->last_event > 0 ? "resume" : "new");
+	code = kwb_exchange_start(
+	    &run->exchange, env->client, &upstream->status.address, out);
+	evbuffer_free(out);
+	if (code != 0) {
+		kwb_upstream_failed(upstream, kwb_clock_now_ns());
+		run_retry(run, KWB_ITEM_RETRY_NS, kwb_error_name(code));
+	}
+}
+
+static void
+rank_of(const struct item_run *run, struct kwb_item_rank *rank)
+{
+	rank->group_index = run->group;
+	rank->group_begun = run->batch->groups[run->group].begun;
+	rank->target_groups = run->batch->spec.target_groups;
+	rank->length_hint = run->item->length_hint;
+	rank->made = run->last_event;
+}
+
+static int
+compare_runs(const void *a, const void *b)
+{
+	struct kwb_item_rank left;
+	struct kwb_item_rank right;
+
+	rank_of(*(struct item_run *const *)a, &left);
+	rank_of(*(struct item_run *const *)b, &right);
+	return kwb_item_rank_compare(&left, &right);
+}
+
+/* Starts one waiting item; false when there is no place for it. */
+static bool
+pump_one(struct item_run *run)
+{
+	const struct kwb_batch_env *env = env_of(run);
+	const struct kwb_route_entry *route = kwb_node_config_route(
+	    *env->config, run->batch->head.host, run->item->target);
+	struct kwb_upstream *upstream;
+	uint64_t seed = 0;
+	const char *at;
+
+	if (route == NULL) {
+		run_ready(run, KWB_ITEM_ERRORED, "route_removed");
+		return true;
+	}
+	for (at = run->item->id; *at != '\0'; at++)
+		seed = seed * 31 + (unsigned char)*at;
+	upstream = run_pick(run, kwb_route_entry_service(route, seed));
+	if (upstream == NULL)
+		return false;
+	run_start(run, upstream, route);
+	return true;
+}
+
+bool
+batch_pump(struct kwb_batch *batch)
+{
+	struct item_run **waiting;
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint32_t count = 0;
+	bool left = false;
+	uint32_t i;
+
+	if (!batch->loaded || batch->closing || batch->leaving ||
+	    *batch->batches->env->config == NULL)
+		return false;
+	waiting = calloc(batch->spec.items_count, sizeof(struct item_run *));
+	if (waiting == NULL)
+		return true;
+	for (i = 0; i < batch->spec.items_count; i++) {
+		struct item_run *run = &batch->runs[i];
+
+		if (run->state == ITEM_SCORING && run->retry_ns <= now_ns)
+			run_score(run);
+		left |= run->state == ITEM_SCORING && !run->score_open;
+		if (run->state != ITEM_WAITING)
+			continue;
+		left = true;
+		if (run->retry_ns <= now_ns)
+			waiting[count++] = run;
+	}
+	qsort(waiting, count, sizeof(struct item_run *), compare_runs);
+	for (i = 0; i < count; i++)
+		if (!pump_one(waiting[i]))
+			break;
+	free(waiting);
+	return left;
+}
--- a/src/core/log.c
+++ b/src/core/log.c
@@ -1,7 +1,11 @@
 /*
  * Logger: one line an event, "time level module key=value ...", written with
- * a single call so that lines of several threads never mix.
+ * a single call so that lines of several threads never mix. A process of one
+ * thread may buffer its lines: then nothing ever waits for their reader, and
+ * lines over the bound of a second are counted instead of written.
  */
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -23,6 +27,75 @@
 	threshold = lowest;
 }
 
+static bool buffered;
+static char buffer[KWB_LOG_BUFFER_BYTES];
+static size_t buffer_bytes;
+static uint64_t dropped;
+static uint64_t second_ms;
+static uint32_t second_lines;
+
+void
+kwb_log_buffer(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	buffered = true;
+}
+
+void
+kwb_log_flush(void)
+{
+	ssize_t written;
+
+	if (buffer_bytes == 0)
+		return;
+	written = write(STDOUT_FILENO, buffer, buffer_bytes);
+	if (written < 0 && errno != EAGAIN && errno != EINTR)
+		written = (ssize_t)buffer_bytes; /* nobody reads any more */
+	if (written <= 0)
+		return;
+	buffer_bytes -= (size_t)written;
+	memmove(buffer, buffer + written, buffer_bytes);
+}
+
+/* Whether a line fits into this second; tells how many did not. */
+static bool
+line_allowed(enum kwb_log_level level, uint64_t wall_ms)
+{
+	if (wall_ms / 1000 != second_ms / 1000) {
+		second_ms = wall_ms;
+		second_lines = 0;
+		if (dropped > 0) {
+			uint64_t count = dropped;
+
+			dropped = 0;
+			kwb_log(KWB_LOG_WARN, "log",
+			    "event=lines_dropped count=%llu",
+			    (unsigned long long)count);
+		}
+	}
+	if (level < KWB_LOG_WARN && ++second_lines > KWB_LOG_LINES_PER_S) {
+		dropped++;
+		return false;
+	}
+	return true;
+}
+
+static void
+line_buffer(const char *line, size_t length_bytes)
+{
+	if (buffer_bytes + length_bytes > sizeof(buffer))
+		kwb_log_flush();
+	if (buffer_bytes + length_bytes > sizeof(buffer)) {
+		dropped++;
+		return;
+	}
+	memcpy(buffer + buffer_bytes, line, length_bytes);
+	buffer_bytes += length_bytes;
+}
+
 void
 kwb_log(enum kwb_log_level level, const char *module, const char *format, ...)
 {
@@ -32,7 +105,7 @@
 	int length;
 	va_list args;
 
-	if (level < threshold)
+	if (level < threshold || (buffered && !line_allowed(level, wall_ms)))
 		return;
 	length = snprintf(line, sizeof(line),
 	    "%s: time_ms=%llu level=%s process=%s ", module,
@@ -46,6 +119,10 @@
 	if (used > sizeof(line) - 2)
 		used = sizeof(line) - 2;
 	line[used++] = '\n';
+	if (buffered) {
+		line_buffer(line, used);
+		return;
+	}
 	if (write(STDERR_FILENO, line, used) < 0)
 		return;
 }
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -45,6 +45,55 @@
 	return atomic_load_explicit(&values[metric], memory_order_relaxed);
 }
 
+#define BUCKETS 12
+
+/* Upper bounds of the buckets, in milliseconds; the last has none. */
+static const uint32_t bounds_ms[BUCKETS] = {
+    5, 10, 25, 50, 100, 150, 250, 500, 1000, 2500, 5000, 10000};
+static const char *const histogram_names[KWB_HISTOGRAM_COUNT] = {
+    [KWB_HISTOGRAM_CALLER] = "kwb_caller_seconds",
+};
+static _Atomic uint64_t buckets[KWB_HISTOGRAM_COUNT][BUCKETS + 1];
+static _Atomic uint64_t sums_ns[KWB_HISTOGRAM_COUNT];
+
+void
+kwb_histogram_add(enum kwb_histogram histogram, uint64_t taken_ns)
+{
+	unsigned i;
+
+	for (i = 0; i < BUCKETS; i++)
+		if (taken_ns <= bounds_ms[i] * KWB_MS_NS)
+			break;
+	atomic_fetch_add_explicit(
+	    &buckets[histogram][i], 1, memory_order_relaxed);
+	atomic_fetch_add_explicit(
+	    &sums_ns[histogram], taken_ns, memory_order_relaxed);
+}
+
+static void
+histogram_print(enum kwb_histogram histogram, struct kwb_buf *out)
+{
+	const char *name = histogram_names[histogram];
+	uint64_t count = 0;
+	unsigned i;
+
+	for (i = 0; i < BUCKETS; i++) {
+		count += atomic_load_explicit(
+		    &buckets[histogram][i], memory_order_relaxed);
+		kwb_buf_printf(out, "%s_bucket{le=\"%.3f\"} %llu\n", name,
+		    bounds_ms[i] / 1000.0, (unsigned long long)count);
+	}
+	count += atomic_load_explicit(
+	    &buckets[histogram][BUCKETS], memory_order_relaxed);
+	kwb_buf_printf(out,
+	    "%s_bucket{le=\"+Inf\"} %llu\n%s_sum %.3f\n%s_count %llu\n", name,
+	    (unsigned long long)count, name,
+	    (double)atomic_load_explicit(
+		&sums_ns[histogram], memory_order_relaxed) /
+		1e9,
+	    name, (unsigned long long)count);
+}
+
 void
 kwb_metrics_print(struct kwb_buf *out)
 {
@@ -53,4 +102,6 @@
 	for (i = 0; i < KWB_METRIC_COUNT; i++)
 		kwb_buf_printf(out, "%s %llu\n", names[i],
 		    (unsigned long long)kwb_metric_get(i));
+	for (i = 0; i < KWB_HISTOGRAM_COUNT; i++)
+		histogram_print(i, out);
 }
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -90,27 +90,6 @@
     const char *field, uint32_t value, uint32_t low, uint32_t high);
 static void default_to(uint32_t *value, uint32_t fallback);
 
-int
-kwb_address_parse(struct kwb_address *address, const char *text)
-{
-	const char *colon = strrchr(text, ':');
-	struct in_addr in;
-	char *end;
-	long port;
-
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(address->ip))
-		return KWB_ERR_ARGUMENT;
-	memcpy(address->ip, text, (size_t)(colon - text));
-	address->ip[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (*end != '\0' || port < 1 || port > 65535)
-		return KWB_ERR_ARGUMENT;
-	if (inet_pton(AF_INET, address->ip, &in) != 1)
-		return KWB_ERR_ARGUMENT;
-	address->port = (uint16_t)port;
-	return 0;
-}
-
 int
 kwb_entry_settings_load(struct kwb_entry_settings **settings, const char *path,
     struct kwb_faults *faults)
--- a/src/core/yaml.c
+++ b/src/core/yaml.c
@@ -19,20 +19,6 @@
 static void yaml_flush(struct kwb_yaml *yaml);
 static void yaml_unknown(struct kwb_yaml *yaml, const char *key);
 
-void
-kwb_faults_add(struct kwb_faults *faults, const char *format, ...)
-{
-	va_list args;
-
-	if (faults->count == KWB_FAULTS_MAX)
-		return;
-	va_start(args, format);
-	vsnprintf(
-	    faults->text[faults->count], KWB_FAULT_MAX_BYTES, format, args);
-	va_end(args);
-	faults->count++;
-}
-
 void
 kwb_yaml_init(
     struct kwb_yaml *yaml, const char *file, struct kwb_faults *faults)
--- /dev/null
+++ b/src/forward/forward.c
@@ -0,0 +1,406 @@
+/*
+ * Forwarding of one request: which answers end it, what may be tried again and
+ * where, and what the caller may be told. A request that is not repeatable is
+ * sent again only after an upstream said that it has not run it.
+ */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kwb_node.h"
+
+static void forward_try(struct kwb_forward *forward);
+
+static void
+forward_log(const struct kwb_forward *forward, const char *event,
+    const struct kwb_upstream *upstream, const char *reason)
+{
+	kwb_log(KWB_LOG_INFO, "forward",
+	    "event=%s id=%s service=%s upstream=%s reason=%s sent=%u "
+	    "left_ms=%llu",
+	    event, forward->request.id, forward->service,
+	    upstream ? upstream->status.id : "-", reason, forward->sent_count,
+	    (unsigned long long)kwb_clock_left_ms(forward->deadline_ns));
+}
+
+static void
+attempt_end(struct kwb_forward_attempt *attempt)
+{
+	struct kwb_registry *registry = attempt->forward->env->registry;
+
+	if (attempt->upstream == NULL)
+		return;
+	kwb_exchange_finish(&attempt->exchange);
+	attempt->upstream->in_flight--;
+	kwb_upstream_drop(registry, attempt->upstream);
+	attempt->upstream = NULL;
+}
+
+static bool
+has_attempt(const struct kwb_forward *forward)
+{
+	return forward->attempts[0].upstream != NULL ||
+	    forward->attempts[1].upstream != NULL;
+}
+
+static void
+forward_end(struct kwb_forward *forward, enum kwb_forward_outcome outcome,
+    const char *reason)
+{
+	forward->done = true;
+	forward->outcome = outcome;
+	forward->reason = reason;
+	attempt_end(&forward->attempts[0]);
+	attempt_end(&forward->attempts[1]);
+	event_del(forward->timer);
+	if (outcome != KWB_FORWARD_ANSWERED)
+		forward_log(forward,
+		    outcome == KWB_FORWARD_NOT_RUN ? "refused" : "failed", NULL,
+		    reason);
+	forward->on_done(forward);
+}
+
+static void
+note_load(
+    struct kwb_upstream *upstream, const struct kwb_upstream_answer *answer)
+{
+	if (!answer->has_load)
+		return;
+	upstream->reported = answer->running + answer->waiting;
+	upstream->reported_own = upstream->in_flight;
+	upstream->reported_ns = kwb_clock_now_ns();
+	if (answer->slots != 0)
+		upstream->status.slots = answer->slots;
+}
+
+static bool
+may_repeat(const struct kwb_forward *forward)
+{
+	return forward->repeatable && !forward->streamed &&
+	    forward->sent_count < forward->max_attempts &&
+	    kwb_clock_left_ms(forward->deadline_ns) > KWB_FORWARD_LEAST_MS;
+}
+
+/* Ends an attempt that brought no answer to give to the caller. */
+static void
+attempt_failed(
+    struct kwb_forward_attempt *attempt, bool not_run, const char *reason)
+{
+	struct kwb_forward *forward = attempt->forward;
+
+	forward_log(forward, not_run ? "not_run" : "attempt_failed",
+	    attempt->upstream, reason);
+	if (not_run)
+		forward->sent_count--;
+	attempt_end(attempt);
+	if (has_attempt(forward))
+		return;
+	if (not_run || may_repeat(forward)) {
+		kwb_metric_add(KWB_METRIC_RETRIES, 1);
+		forward_try(forward);
+		return;
+	}
+	forward_end(forward, KWB_FORWARD_UNKNOWN, reason);
+}
+
+static bool
+is_ours(
+    const struct kwb_forward *forward, const struct kwb_upstream_answer *answer)
+{
+	return answer->id == NULL ||
+	    strcmp(answer->id, forward->request.id) == 0;
+}
+
+/* An upstream said that it has not run the request. */
+static void
+attempt_refused(struct kwb_forward_attempt *attempt,
+    const struct kwb_upstream_answer *answer)
+{
+	struct kwb_upstream *upstream = attempt->upstream;
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	upstream->refused_until_ns = now_ns + KWB_REFUSED_NS;
+	if (answer->status == 421)
+		upstream->refused_until_ns = now_ns + KWB_MISDIRECTED_NS;
+	attempt_failed(attempt, true,
+	    answer->status == 421 ? "other_incarnation" : "upstream_full");
+}
+
+static void
+attempt_answered(struct kwb_forward_attempt *attempt)
+{
+	struct kwb_forward *forward = attempt->forward;
+	struct kwb_message *message = kwb_exchange_message(&attempt->exchange);
+	struct kwb_upstream *upstream = attempt->upstream;
+	struct kwb_upstream_answer answer;
+
+	forward->env->dialect->read_answer(message, &answer);
+	note_load(upstream, &answer);
+	if (!is_ours(forward, &answer)) {
+		attempt_failed(attempt, false, "answer_of_another_request");
+		return;
+	}
+	kwb_upstream_ok(upstream);
+	if (answer.not_run) {
+		attempt_refused(attempt, &answer);
+		return;
+	}
+	if (answer.status < 300 && answer.receipt == NULL) {
+		attempt_failed(attempt, false, "no_receipt");
+		return;
+	}
+	if (answer.status < 500)
+		kwb_upstream_pace(
+		    upstream, kwb_clock_now_ns() - attempt->started_ns);
+	else if (!forward->passes_errors && may_repeat(forward)) {
+		attempt_failed(attempt, false, "upstream_error");
+		return;
+	}
+	kwb_text_copy(forward->upstream_id, sizeof(forward->upstream_id),
+	    upstream->status.id);
+	if (!forward->streamed) {
+		forward->answer = *message;
+		kwb_message_init(message);
+	}
+	forward_end(forward, KWB_FORWARD_ANSWERED, "answered");
+}
+
+static void
+exchange_done(struct kwb_exchange *exchange, int error)
+{
+	struct kwb_forward_attempt *attempt = exchange->context;
+	struct kwb_forward *forward = attempt->forward;
+
+	if (error == 0) {
+		attempt_answered(attempt);
+		return;
+	}
+	if (error != KWB_ERR_NET_STALE)
+		kwb_upstream_failed(attempt->upstream, kwb_clock_now_ns());
+	if (forward->streamed) {
+		forward_end(
+		    forward, KWB_FORWARD_UNKNOWN, kwb_error_name(error));
+		return;
+	}
+	attempt_failed(
+	    attempt, error == KWB_ERR_NET_CONNECT, kwb_error_name(error));
+}
+
+static void
+exchange_head(struct kwb_exchange *exchange)
+{
+	struct kwb_forward_attempt *attempt = exchange->context;
+	struct kwb_forward *forward = attempt->forward;
+	struct kwb_message *message = kwb_exchange_message(exchange);
+	struct kwb_upstream_answer answer;
+
+	if (forward->on_data == NULL)
+		return;
+	forward->env->dialect->read_answer(message, &answer);
+	if (answer.not_run || answer.status >= 300 ||
+	    !is_ours(forward, &answer))
+		return;
+	kwb_upstream_ok(attempt->upstream);
+	exchange->streaming = true;
+	forward->streamed = true;
+	kwb_message_copy(&forward->answer, message);
+	kwb_text_copy(forward->upstream_id, sizeof(forward->upstream_id),
+	    attempt->upstream->status.id);
+	forward->on_head(forward);
+}
+
+static void
+exchange_data(struct kwb_exchange *exchange)
+{
+	struct kwb_forward_attempt *attempt = exchange->context;
+
+	attempt->forward->on_data(
+	    attempt->forward, &kwb_exchange_message(exchange)->body);
+}
+
+static const struct kwb_exchange_ops exchange_ops = {
+    .on_head = exchange_head,
+    .on_data = exchange_data,
+    .on_done = exchange_done,
+};
+
+static void
+attempt_start(
+    struct kwb_forward_attempt *attempt, struct kwb_upstream *upstream)
+{
+	struct kwb_forward *forward = attempt->forward;
+	struct evbuffer *out = evbuffer_new();
+	int code;
+
+	memset(&attempt->exchange, 0, sizeof(attempt->exchange));
+	attempt->exchange.ops = &exchange_ops;
+	attempt->exchange.context = attempt;
+	attempt->exchange.deadline_ns = forward->deadline_ns;
+	attempt->exchange.fresh = !forward->repeatable;
+	attempt->exchange.no_body =
+	    strcmp(forward->request.method, "HEAD") == 0;
+	attempt->started_ns = kwb_clock_now_ns();
+	attempt->upstream = upstream;
+	kwb_upstream_hold(upstream);
+	upstream->in_flight++;
+	upstream->probing = upstream->failures >= KWB_SUSPECT_FAILURES;
+	forward->request.expect_incarnation = upstream->status.id;
+	forward->env->dialect->write_request(&forward->request, out);
+	forward->sent_count++;
+	if (forward->tried_count < KWB_FORWARD_ATTEMPTS_MAX)
+		forward->tried[forward->tried_count++] = upstream;
+	code = kwb_exchange_start(&attempt->exchange, forward->env->client,
+	    &upstream->status.address, out);
+	evbuffer_free(out);
+	if (code != 0) {
+		kwb_upstream_failed(upstream, kwb_clock_now_ns());
+		attempt_failed(attempt, true, kwb_error_name(code));
+	}
+}
+
+static struct kwb_upstream *
+forward_pick(const struct kwb_forward *forward, bool again)
+{
+	struct kwb_pick pick = {
+	    .service = forward->service,
+	    .failure_domain = forward->env->failure_domain,
+	    .exclude = forward->tried,
+	    .exclude_count = again ? 0 : forward->tried_count,
+	    .now_ns = kwb_clock_now_ns(),
+	    .random = (uint64_t)random(),
+	};
+
+	return kwb_upstream_pick(forward->env->registry, &pick);
+}
+
+static void
+forward_arm(struct kwb_forward *forward)
+{
+	uint64_t next_ns = forward->deadline_ns;
+
+	if (forward->retry_ns != 0 && forward->retry_ns < next_ns)
+		next_ns = forward->retry_ns;
+	if (forward->hedge_ns != 0 && forward->hedge_ns < next_ns)
+		next_ns = forward->hedge_ns;
+	kwb_timer_at(forward->timer, next_ns);
+}
+
+/* Whether any upstream of the service is there at all. */
+static bool
+service_is_empty(const struct kwb_forward *forward)
+{
+	const struct kwb_registry *registry = forward->env->registry;
+	uint32_t i;
+
+	for (i = 0; i < registry->count; i++)
+		if (registry->upstreams[i]->listed &&
+		    !registry->upstreams[i]->status.draining &&
+		    strcmp(registry->upstreams[i]->status.service,
+			forward->service) == 0)
+			return false;
+	return true;
+}
+
+static void
+forward_try(struct kwb_forward *forward)
+{
+	struct kwb_upstream *upstream = forward_pick(forward, false);
+
+	forward->retry_ns = 0;
+	if (upstream == NULL)
+		upstream = forward_pick(forward, true);
+	if (upstream != NULL) {
+		forward_arm(forward);
+		attempt_start(&forward->attempts[0], upstream);
+		return;
+	}
+	if (forward->sent_count == 0 && service_is_empty(forward)) {
+		forward_end(forward, KWB_FORWARD_NOT_RUN, "no_upstream");
+		return;
+	}
+	forward->retry_ns = kwb_clock_now_ns() + KWB_FORWARD_RETRY_NS;
+	forward_arm(forward);
+}
+
+/* The first upstream is late: another one may be quicker. */
+static void
+forward_hedge(struct kwb_forward *forward)
+{
+	struct kwb_upstream *upstream;
+
+	forward->hedge_ns = 0;
+	if (!may_repeat(forward) || forward->attempts[0].upstream == NULL)
+		return;
+	upstream = forward_pick(forward, false);
+	if (upstream == NULL || upstream->in_flight >= upstream->status.slots)
+		return;
+	kwb_metric_add(KWB_METRIC_HEDGES, 1);
+	forward_log(forward, "hedged", upstream, "late");
+	attempt_start(&forward->attempts[1], upstream);
+}
+
+static void
+forward_time(int fd, short what, void *context)
+{
+	struct kwb_forward *forward = context;
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	(void)fd;
+	(void)what;
+	if (now_ns >= forward->deadline_ns) {
+		forward_end(forward,
+		    forward->sent_count == 0 ? KWB_FORWARD_NOT_RUN
+					     : KWB_FORWARD_TIMEOUT,
+		    "deadline");
+		return;
+	}
+	if (forward->retry_ns != 0 && now_ns >= forward->retry_ns) {
+		forward_try(forward);
+		return;
+	}
+	if (forward->hedge_ns != 0 && now_ns >= forward->hedge_ns)
+		forward_hedge(forward);
+	if (!forward->done)
+		forward_arm(forward);
+}
+
+void
+kwb_forward_start(struct kwb_forward *forward)
+{
+	forward->attempts[0].forward = forward;
+	forward->attempts[1].forward = forward;
+	forward->timer =
+	    kwb_timer_new(forward->env->base, forward_time, forward);
+	if (forward->timer == NULL) {
+		forward->done = true;
+		forward->outcome = KWB_FORWARD_NOT_RUN;
+		forward->reason = "out_of_memory";
+		forward->on_done(forward);
+		return;
+	}
+	forward_try(forward);
+}
+
+void
+kwb_forward_cancel(struct kwb_forward *forward)
+{
+	if (!forward->done)
+		forward_log(forward, "cancelled", forward->attempts[0].upstream,
+		    "caller_left");
+	forward->done = true;
+	attempt_end(&forward->attempts[0]);
+	attempt_end(&forward->attempts[1]);
+	if (forward->timer != NULL)
+		event_del(forward->timer);
+}
+
+void
+kwb_forward_finish(struct kwb_forward *forward)
+{
+	kwb_forward_cancel(forward);
+	if (forward->timer != NULL)
+		event_free(forward->timer);
+	forward->timer = NULL;
+	kwb_message_finish(&forward->answer);
+}
--- /dev/null
+++ b/src/net/message.c
@@ -0,0 +1,122 @@
+/*
+ * One HTTP/1.1 message: start line, headers and body in two buffers.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "kwb_node.h"
+
+#define HEADERS_FIRST 16
+
+void
+kwb_message_init(struct kwb_message *message)
+{
+	memset(message, 0, sizeof(*message));
+}
+
+void
+kwb_message_finish(struct kwb_message *message)
+{
+	kwb_buf_finish(&message->text);
+	kwb_buf_finish(&message->body);
+	free(message->headers);
+	memset(message, 0, sizeof(*message));
+}
+
+void
+kwb_message_clear(struct kwb_message *message)
+{
+	message->text.used_bytes = 0;
+	message->body.used_bytes = 0;
+	message->headers_count = 0;
+	message->target_at = 0;
+	message->method[0] = '\0';
+	message->status = 0;
+	message->keep_alive = false;
+}
+
+const char *
+kwb_message_target(const struct kwb_message *message)
+{
+	return kwb_buf_text(&message->text) + message->target_at;
+}
+
+const char *
+kwb_message_name(const struct kwb_message *message, uint32_t index)
+{
+	return message->text.data + message->headers[index].name_at;
+}
+
+const char *
+kwb_message_value(const struct kwb_message *message, uint32_t index)
+{
+	return message->text.data + message->headers[index].value_at;
+}
+
+const char *
+kwb_message_header(const struct kwb_message *message, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < message->headers_count; i++)
+		if (strcasecmp(kwb_message_name(message, i), name) == 0)
+			return kwb_message_value(message, i);
+	return NULL;
+}
+
+static struct kwb_header *
+header_new(struct kwb_message *message)
+{
+	uint32_t room =
+	    message->headers_room ? message->headers_room * 2 : HEADERS_FIRST;
+	struct kwb_header *headers;
+
+	if (message->headers_count == message->headers_room) {
+		headers = realloc(message->headers, room * sizeof(*headers));
+		if (headers == NULL)
+			return NULL;
+		message->headers = headers;
+		message->headers_room = room;
+	}
+	return &message->headers[message->headers_count++];
+}
+
+int
+kwb_message_add(
+    struct kwb_message *message, const char *name, const char *value)
+{
+	struct kwb_header *header = header_new(message);
+
+	if (header == NULL)
+		return KWB_ERR_MEMORY;
+	header->name_at = (uint32_t)message->text.used_bytes;
+	if (kwb_buf_add(&message->text, name, strlen(name) + 1) != 0)
+		return KWB_ERR_MEMORY;
+	header->value_at = (uint32_t)message->text.used_bytes;
+	return kwb_buf_add(&message->text, value, strlen(value) + 1);
+}
+
+int
+kwb_message_copy(struct kwb_message *to, const struct kwb_message *from)
+{
+	size_t size_bytes = from->headers_count * sizeof(*from->headers);
+
+	memcpy(to->method, from->method, sizeof(to->method));
+	to->status = from->status;
+	to->target_at = from->target_at;
+	to->keep_alive = from->keep_alive;
+	if (kwb_buf_add(&to->text, from->text.data, from->text.used_bytes) !=
+		0 ||
+	    kwb_buf_add(&to->body, from->body.data, from->body.used_bytes) != 0)
+		return KWB_ERR_MEMORY;
+	if (size_bytes == 0)
+		return 0;
+	to->headers = malloc(size_bytes);
+	if (to->headers == NULL)
+		return KWB_ERR_MEMORY;
+	memcpy(to->headers, from->headers, size_bytes);
+	to->headers_count = from->headers_count;
+	to->headers_room = from->headers_count;
+	return 0;
+}
--- /dev/null
+++ b/src/node/answer.c
@@ -0,0 +1,172 @@
+/*
+ * Answers to callers: an upstream's, passed on unchanged but for what concerns
+ * one connection, or the node's own.
+ */
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "caller.h"
+
+/* Headers that concern one connection. */
+static const char *const hop_headers[] = {"Connection", "Keep-Alive",
+    "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade",
+    "Content-Length"};
+
+static bool
+is_hop(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(hop_headers) / sizeof(hop_headers[0]); i++)
+		if (strcasecmp(hop_headers[i], name) == 0)
+			return true;
+	return false;
+}
+
+static void
+write_status(struct kwb_caller *caller, uint16_t status)
+{
+	struct evbuffer *out = kwb_conn_output(&caller->conn);
+
+	if (caller->node->stop_deadline_ns != 0)
+		caller->conn.message.keep_alive = false;
+	evbuffer_add_printf(out, "HTTP/1.1 %u %s\r\n", status,
+	    http_status_str((enum http_status)status));
+	if (!caller->conn.message.keep_alive)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+}
+
+static void
+log_answer(const struct kwb_caller *caller, uint16_t status, const char *reason,
+    const char *upstream)
+{
+	uint64_t taken_ns = kwb_clock_now_ns() - caller->begin_ns;
+
+	if (caller->port != CALLER_FRONT)
+		return;
+	kwb_histogram_add(KWB_HISTOGRAM_CALLER, taken_ns);
+	kwb_log(KWB_LOG_INFO, "caller",
+	    "event=answered id=%s batch=%s route=%s status=%u reason=%s "
+	    "upstream=%s config=%llu taken_ms=%llu",
+	    caller->call.id ? caller->call.id : "-",
+	    caller->call.batch[0] ? caller->call.batch : "-",
+	    caller->route[0] ? caller->route : "-", status, reason, upstream,
+	    (unsigned long long)(caller->node->config
+		    ? caller->node->config->version
+		    : 0),
+	    (unsigned long long)(taken_ns / KWB_MS_NS));
+}
+
+void
+answer_body(struct kwb_caller *caller, uint16_t status, const char *type,
+    const void *body, size_t body_bytes)
+{
+	struct evbuffer *out = kwb_conn_output(&caller->conn);
+
+	write_status(caller, status);
+	evbuffer_add_printf(out,
+	    "Content-Type: %s\r\nContent-Length: %zu\r\n\r\n", type,
+	    body_bytes);
+	evbuffer_add(out, body, body_bytes);
+	log_answer(caller, status, "own", "-");
+	caller_done(caller);
+}
+
+/* When to come back, in seconds, by what stands in the way. */
+static const char *
+retry_after(const struct kwb_node *node, uint16_t status)
+{
+	if (status != 503 && status != 429)
+		return NULL;
+	if (node->stop_deadline_ns != 0)
+		return "0.05"; /* another node takes it */
+	return node->config == NULL ? "0.5" : "0.2";
+}
+
+void
+answer_own(struct kwb_caller *caller, uint16_t status, const char *reason)
+{
+	struct evbuffer *out = kwb_conn_output(&caller->conn);
+	const char *after = retry_after(caller->node, status);
+	char body[KWB_NAME_MAX_BYTES + 16];
+	int length =
+	    snprintf(body, sizeof(body), "{\"error\":\"%.63s\"}", reason);
+
+	write_status(caller, status);
+	if (after != NULL)
+		evbuffer_add_printf(out, "Retry-After: %s\r\n", after);
+	evbuffer_add_printf(out,
+	    "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n",
+	    length);
+	if (strcmp(caller->conn.message.method, "HEAD") != 0)
+		evbuffer_add(out, body, (size_t)length);
+	log_answer(caller, status, reason, "-");
+	caller_done(caller);
+}
+
+static void
+write_headers(struct kwb_caller *caller, const struct kwb_message *answer)
+{
+	struct evbuffer *out = kwb_conn_output(&caller->conn);
+	uint32_t i;
+
+	for (i = 0; i < answer->headers_count; i++)
+		if (!is_hop(kwb_message_name(answer, i)))
+			evbuffer_add_printf(out, "%s: %s\r\n",
+			    kwb_message_name(answer, i),
+			    kwb_message_value(answer, i));
+}
+
+void
+answer_upstream(struct kwb_caller *caller, const struct kwb_message *answer)
+{
+	struct evbuffer *out = kwb_conn_output(&caller->conn);
+	bool head = strcmp(caller->conn.message.method, "HEAD") == 0;
+	const char *length = kwb_message_header(answer, "Content-Length");
+
+	write_status(caller, answer->status);
+	write_headers(caller, answer);
+	if (head && length != NULL)
+		evbuffer_add_printf(out, "Content-Length: %s\r\n", length);
+	else if (answer->status != 204 && answer->status != 304)
+		evbuffer_add_printf(
+		    out, "Content-Length: %zu\r\n", answer->body.used_bytes);
+	evbuffer_add(out, "\r\n", 2);
+	evbuffer_add(out, answer->body.data, answer->body.used_bytes);
+	log_answer(
+	    caller, answer->status, "upstream", caller->forward->upstream_id);
+	caller_done(caller);
+}
+
+void
+answer_stream_begin(struct kwb_caller *caller, const struct kwb_message *answer)
+{
+	struct evbuffer *out = kwb_conn_output(&caller->conn);
+
+	write_status(caller, answer->status);
+	write_headers(caller, answer);
+	evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
+	log_answer(caller, answer->status, "stream_begins",
+	    caller->forward->upstream_id);
+}
+
+void
+answer_stream_data(struct kwb_caller *caller, struct kwb_buf *data)
+{
+	struct evbuffer *out = kwb_conn_output(&caller->conn);
+
+	evbuffer_add_printf(out, "%zx\r\n", data->used_bytes);
+	evbuffer_add(out, data->data, data->used_bytes);
+	evbuffer_add(out, "\r\n", 2);
+	data->used_bytes = 0;
+}
+
+void
+answer_stream_end(struct kwb_caller *caller)
+{
+	evbuffer_add(kwb_conn_output(&caller->conn), "0\r\n\r\n", 5);
+	log_answer(caller, 200, "stream_whole", caller->forward->upstream_id);
+	caller_done(caller);
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,311 @@
+/*
+ * A node: follows the operator's config, the named versions and the upstreams,
+ * answers whether it is ready, and stops without cutting a request.
+ */
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "caller.h"
+
+static void
+config_row(struct kwb_node *node, const struct kwb_row *row)
+{
+	struct kwb_faults *faults = calloc(1, sizeof(*faults));
+	struct kwb_node_config *config = calloc(1, sizeof(*config));
+	int code = KWB_ERR_MEMORY;
+
+	if (config != NULL && faults != NULL && !row->deleted)
+		code = node->documents->read_config(
+		    config, row->value, row->value_bytes, faults);
+	if (code != 0 ||
+	    (node->config != NULL &&
+		config->version <= node->config->version)) {
+		kwb_log(KWB_LOG_WARN, "node",
+		    "event=config_not_taken version=%llu reason=\"%s\"",
+		    (unsigned long long)(config ? config->version : 0),
+		    faults != NULL && faults->count > 0 ? faults->text[0]
+							: "not_newer");
+		if (code == 0)
+			kwb_node_config_finish(config);
+		free(config);
+		free(faults);
+		return;
+	}
+	free(faults);
+	if (node->config != NULL)
+		kwb_node_config_finish(node->config);
+	free(node->config);
+	node->config = config;
+	kwb_metric_set(KWB_METRIC_LISTS_REVISION, config->version);
+	kwb_log(KWB_LOG_INFO, "node",
+	    "event=config version=%llu routes=%u services=%u row=%llu",
+	    (unsigned long long)config->version, config->routes_count,
+	    config->services_count, (unsigned long long)row->revision);
+	kwb_batches_kick(&node->batches);
+}
+
+static void
+operator_row(void *context, const struct kwb_row *row)
+{
+	struct kwb_node *node = context;
+	const struct kwb_documents *documents = node->documents;
+	char model[KWB_NAME_MAX_BYTES];
+	uint64_t version;
+
+	if (strcmp(row->key, documents->config_key) == 0) {
+		config_row(node, row);
+		return;
+	}
+	if (row->deleted ||
+	    strncmp(row->key, documents->version_prefix,
+		strlen(documents->version_prefix)) != 0)
+		return;
+	if (documents->read_version(row->value, row->value_bytes, model,
+		sizeof(model), &version) != 0) {
+		kwb_log(KWB_LOG_WARN, "node", "event=version_unreadable key=%s",
+		    row->key);
+		return;
+	}
+	kwb_mover_name(&node->mover, model, version);
+}
+
+/*
+ * Entries that lapsed while the store was away come back soon after it; only
+ * what is missing after that is taken as gone.
+ */
+static void
+upstream_gone(struct kwb_node *node, const char *id)
+{
+	struct kwb_upstream *upstream = kwb_registry_find(&node->registry, id);
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	if (upstream == NULL)
+		return;
+	if (now_ns - node->store->failed_ns < KWB_STORE_SETTLE_NS) {
+		upstream->gone_ns = now_ns + KWB_ENTRY_BACK_NS;
+		return;
+	}
+	kwb_log(KWB_LOG_INFO, "node", "event=upstream_gone id=%s", id);
+	kwb_registry_remove(&node->registry, id);
+}
+
+static void
+upstream_row(void *context, const struct kwb_row *row)
+{
+	struct kwb_node *node = context;
+	struct kwb_upstream_status status;
+	struct kwb_upstream *upstream;
+	bool known;
+
+	if (row->deleted) {
+		upstream_gone(node, row->key);
+		return;
+	}
+	if (node->documents->read_upstream(
+		&status, row->key, row->value, row->value_bytes) != 0) {
+		kwb_log(KWB_LOG_WARN, "node", "event=upstream_unreadable id=%s",
+		    row->key);
+		kwb_registry_remove(&node->registry, row->key);
+		return;
+	}
+	known = kwb_registry_find(&node->registry, row->key) != NULL;
+	upstream = kwb_registry_put(&node->registry, &status);
+	if (upstream == NULL)
+		return;
+	if (!known || status.draining)
+		kwb_log(KWB_LOG_INFO, "node",
+		    "event=upstream id=%s service=%s state=%s", status.id,
+		    status.service, status.draining ? "draining" : "ready");
+	kwb_mover_upstream(&node->mover, upstream);
+	kwb_batches_kick(&node->batches);
+}
+
+static void
+sweep_gone(struct kwb_node *node)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint32_t i;
+
+	for (i = node->registry.count; i > 0; i--) {
+		struct kwb_upstream *upstream = node->registry.upstreams[i - 1];
+
+		if (upstream->listed && upstream->gone_ns != 0 &&
+		    upstream->gone_ns <= now_ns) {
+			kwb_log(KWB_LOG_INFO, "node",
+			    "event=upstream_gone id=%s", upstream->status.id);
+			kwb_registry_remove(
+			    &node->registry, upstream->status.id);
+		}
+	}
+}
+
+bool
+node_is_ready(const struct kwb_node *node)
+{
+	return node->stop_deadline_ns == 0 && node->config != NULL &&
+	    node->upstream_rows.synced && node->batches.follower.synced &&
+	    kwb_clock_now_ns() - node->store->answered_ns < KWB_READY_STORE_NS;
+}
+
+static bool
+may_end(const struct kwb_node *node, uint64_t now_ns)
+{
+	if (now_ns >= node->stop_deadline_ns)
+		return true;
+	return now_ns - node->stop_begin_ns >= KWB_STOP_LEAST_NS &&
+	    node->callers_busy == 0 && kwb_batches_idle(&node->batches);
+}
+
+static void
+node_time(int fd, short what, void *context)
+{
+	struct kwb_node *node = context;
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	(void)fd;
+	(void)what;
+	sweep_gone(node);
+	if (node->stop_deadline_ns != 0 && may_end(node, now_ns)) {
+		kwb_log(KWB_LOG_INFO, "node",
+		    "event=stopped after_ms=%llu busy=%u",
+		    (unsigned long long)((now_ns - node->stop_begin_ns) /
+			KWB_MS_NS),
+		    node->callers_busy);
+		node->on_stopped(node->context);
+		return;
+	}
+	kwb_timer_at(node->timer, now_ns + KWB_NODE_TICK_NS);
+}
+
+static void
+batch_change(void *context)
+{
+	(void)context;
+}
+
+static int
+node_listen(struct kwb_node *node)
+{
+	const struct kwb_node_settings *settings = node->settings;
+	int code;
+
+	code = caller_listen(
+	    node, &settings->listen, CALLER_FRONT, &node->listener);
+	if (code == 0)
+		code = caller_listen(node, &settings->ready, CALLER_READY,
+		    &node->ready_listener);
+	if (code == 0 && settings->metrics.port != 0)
+		code = caller_listen(node, &settings->metrics, CALLER_METRICS,
+		    &node->metrics_listener);
+	return code;
+}
+
+static int
+node_follow(struct kwb_node *node)
+{
+	int code;
+
+	code = kwb_batches_init(
+	    &node->batches, &node->batch_env, batch_change, node);
+	if (code == 0)
+		code = kwb_mover_init(
+		    &node->mover, &node->batch_env, &node->batches);
+	if (code == 0)
+		code = kwb_follower_init(&node->operator_rows, node->base,
+		    node->store, node->documents->operator_table, operator_row,
+		    NULL, node);
+	if (code == 0)
+		code = kwb_follower_init(&node->upstream_rows, node->base,
+		    node->store, node->documents->upstream_table, upstream_row,
+		    NULL, node);
+	return code;
+}
+
+int
+kwb_node_init(struct kwb_node *node, struct event_base *base,
+    const struct kwb_node_settings *settings, struct kwb_store *store,
+    const struct kwb_dialect *dialect, const struct kwb_documents *documents,
+    void (*on_stopped)(void *context), void *context)
+{
+	int code;
+
+	memset(node, 0, sizeof(*node));
+	node->base = base;
+	node->settings = settings;
+	node->store = store;
+	node->dialect = dialect;
+	node->documents = documents;
+	node->on_stopped = on_stopped;
+	node->context = context;
+	node->incarnation = kwb_clock_wall_ms();
+	TAILQ_INIT(&node->callers);
+	kwb_registry_init(&node->registry);
+	code = kwb_client_init(&node->client, base);
+	if (code != 0)
+		return code;
+	node->forward = (struct kwb_forward_env){.base = base,
+	    .client = &node->client,
+	    .registry = &node->registry,
+	    .dialect = dialect,
+	    .failure_domain = settings->failure_domain};
+	node->batch_env = (struct kwb_batch_env){.base = base,
+	    .store = store,
+	    .forward = &node->forward,
+	    .config = (const struct kwb_node_config *const *)&node->config,
+	    .settings = settings,
+	    .incarnation = node->incarnation};
+	node->timer = kwb_timer_new(base, node_time, node);
+	if (node->timer == NULL)
+		return KWB_ERR_MEMORY;
+	kwb_timer_at(node->timer, kwb_clock_now_ns() + KWB_NODE_TICK_NS);
+	code = node_listen(node);
+	if (code == 0)
+		code = node_follow(node);
+	kwb_log(KWB_LOG_INFO, "node",
+	    "event=start node=%s failure_domain=%s incarnation=%llu error=%s",
+	    settings->node, settings->failure_domain,
+	    (unsigned long long)node->incarnation, kwb_error_name(code));
+	return code;
+}
+
+void
+kwb_node_stop(struct kwb_node *node)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	if (node->stop_deadline_ns != 0)
+		return;
+	node->stop_begin_ns = now_ns;
+	node->stop_deadline_ns = now_ns +
+	    (uint64_t)(node->settings->grace_ms > KWB_STOP_MARGIN_MS
+		    ? node->settings->grace_ms - KWB_STOP_MARGIN_MS
+		    : 0) *
+		KWB_MS_NS;
+	kwb_log(KWB_LOG_INFO, "node", "event=stopping busy=%u grace_ms=%u",
+	    node->callers_busy, node->settings->grace_ms);
+	kwb_mover_leave(&node->mover);
+	kwb_batches_leave(&node->batches);
+}
+
+void
+kwb_node_finish(struct kwb_node *node)
+{
+	while (!TAILQ_EMPTY(&node->callers))
+		caller_free(TAILQ_FIRST(&node->callers));
+	evconnlistener_free(node->listener);
+	evconnlistener_free(node->ready_listener);
+	if (node->metrics_listener != NULL)
+		evconnlistener_free(node->metrics_listener);
+	kwb_follower_finish(&node->operator_rows);
+	kwb_follower_finish(&node->upstream_rows);
+	kwb_mover_finish(&node->mover);
+	kwb_batches_finish(&node->batches);
+	event_free(node->timer);
+	kwb_client_finish(&node->client);
+	kwb_registry_finish(&node->registry);
+	if (node->config != NULL)
+		kwb_node_config_finish(node->config);
+	free(node->config);
+}
--- /dev/null
+++ b/src/node/settings.c
@@ -0,0 +1,25 @@
+/*
+ * Defaults of a node's settings, for what its platform does not say.
+ */
+#include <string.h>
+
+#include "kwb_node.h"
+
+#define GRACE_MS 8000
+#define LEASE_MS 3000
+#define BATCH_KEEP_MS 120000
+#define ROW_MAX_BYTES 65536
+#define MEMORY_MB 256
+#define DESCRIPTORS 4096
+
+void
+kwb_node_settings_init(struct kwb_node_settings *settings)
+{
+	memset(settings, 0, sizeof(*settings));
+	settings->grace_ms = GRACE_MS;
+	settings->lease_ms = LEASE_MS;
+	settings->batch_keep_ms = BATCH_KEEP_MS;
+	settings->row_max_bytes = ROW_MAX_BYTES;
+	settings->memory_mb = MEMORY_MB;
+	settings->descriptors = DESCRIPTORS;
+}
--- /dev/null
+++ b/src/route/node_config.c
@@ -0,0 +1,85 @@
+/*
+ * Routes and services of a node's config: which route takes a request, and
+ * which of its services.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "kwb_node.h"
+
+void
+kwb_node_config_finish(struct kwb_node_config *config)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->routes_count; i++)
+		free(config->routes[i].splits);
+	for (i = 0; i < config->services_count; i++)
+		free(config->services[i].models);
+	free(config->routes);
+	free(config->services);
+	memset(config, 0, sizeof(*config));
+}
+
+/* Compares host names; a port behind the asked one does not matter. */
+static bool
+is_host(const char *name, const char *asked)
+{
+	size_t bytes = strcspn(asked, ":");
+
+	return strlen(name) == bytes && strncasecmp(name, asked, bytes) == 0;
+}
+
+const struct kwb_route_entry *
+kwb_node_config_route(
+    const struct kwb_node_config *config, const char *host, const char *target)
+{
+	const struct kwb_route_entry *best = NULL;
+	const struct kwb_route_entry *route;
+	size_t best_bytes = 0;
+	size_t bytes;
+	uint32_t i;
+
+	for (i = 0; i < config->routes_count; i++) {
+		route = &config->routes[i];
+		bytes = strlen(route->prefix);
+		if (bytes <= best_bytes ||
+		    strncmp(route->prefix, target, bytes) != 0 ||
+		    !is_host(route->host, host))
+			continue;
+		best = route;
+		best_bytes = bytes;
+	}
+	return best;
+}
+
+const struct kwb_service *
+kwb_node_config_service(const struct kwb_node_config *config, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->services_count; i++)
+		if (strcmp(config->services[i].name, name) == 0)
+			return &config->services[i];
+	return NULL;
+}
+
+const char *
+kwb_route_entry_service(const struct kwb_route_entry *route, uint64_t random)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < route->splits_count; i++)
+		sum += route->splits[i].weight;
+	if (sum == 0)
+		return route->splits_count > 0 ? route->splits[0].service : "";
+	random %= sum;
+	for (i = 0; i + 1 < route->splits_count; i++) {
+		if (random < route->splits[i].weight)
+			break;
+		random -= route->splits[i].weight;
+	}
+	return route->splits[i].service;
+}
--- /dev/null
+++ b/src/store/follow.c
@@ -0,0 +1,259 @@
+/*
+ * Follower of a table: one whole read, then the feed. When the feed's history
+ * is gone the table is read whole again, and rows that vanished in between are
+ * told of as deleted.
+ */
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kwb_node.h"
+
+static void follower_step(struct kwb_follower *follower);
+
+static struct kwb_follower_row *
+row_find(struct kwb_follower *follower, const char *key)
+{
+	uint32_t i;
+
+	for (i = 0; i < follower->rows_count; i++)
+		if (strcmp(follower->rows[i].key, key) == 0)
+			return &follower->rows[i];
+	return NULL;
+}
+
+static struct kwb_follower_row *
+row_new(struct kwb_follower *follower, const char *key)
+{
+	uint32_t room = follower->rows_room ? follower->rows_room * 2 : 16;
+	struct kwb_follower_row *rows;
+
+	if (follower->rows_count == follower->rows_room) {
+		rows = realloc(follower->rows, room * sizeof(*rows));
+		if (rows == NULL)
+			return NULL;
+		follower->rows = rows;
+		follower->rows_room = room;
+	}
+	rows = &follower->rows[follower->rows_count];
+	memset(rows, 0, sizeof(*rows));
+	rows->key = strdup(key);
+	if (rows->key == NULL)
+		return NULL;
+	follower->rows_count++;
+	return rows;
+}
+
+static void
+row_forget(struct kwb_follower *follower, struct kwb_follower_row *known)
+{
+	free(known->key);
+	*known = follower->rows[--follower->rows_count];
+}
+
+static void
+row_apply(struct kwb_follower *follower, const struct kwb_row *row)
+{
+	struct kwb_follower_row *known = row_find(follower, row->key);
+
+	if (known != NULL && row->revision < known->revision)
+		return;
+	if (known != NULL)
+		known->seen = true;
+	if (row->deleted) {
+		if (known == NULL)
+			return;
+		row_forget(follower, known);
+		follower->on_row(follower->context, row);
+		return;
+	}
+	if (known != NULL && known->revision == row->revision)
+		return;
+	if (known == NULL)
+		known = row_new(follower, row->key);
+	if (known == NULL) {
+		kwb_log(KWB_LOG_ERROR, "follow",
+		    "event=row_lost table=%s error=out_of_memory",
+		    follower->table);
+		return;
+	}
+	known->seen = true;
+	known->revision = row->revision;
+	follower->on_row(follower->context, row);
+}
+
+static void
+rows_sweep(struct kwb_follower *follower)
+{
+	struct kwb_row gone = {.deleted = true};
+	uint32_t i = 0;
+
+	while (i < follower->rows_count) {
+		if (follower->rows[i].seen) {
+			follower->rows[i++].seen = false;
+			continue;
+		}
+		gone.key = follower->rows[i].key;
+		gone.revision = follower->read_revision;
+		follower->on_row(follower->context, &gone);
+		row_forget(follower, &follower->rows[i]);
+	}
+}
+
+static void
+page_done(struct kwb_follower *follower, const struct kwb_store_answer *answer)
+{
+	uint32_t i;
+
+	if (follower->from == NULL)
+		follower->read_revision = answer->revision;
+	for (i = 0; i < answer->rows_count; i++)
+		row_apply(follower, &answer->rows[i]);
+	free(follower->from);
+	follower->from = NULL;
+	if (answer->more && answer->rows_count > 0) {
+		follower->from = malloc(
+		    strlen(answer->rows[answer->rows_count - 1].key) + 2);
+		if (follower->from == NULL)
+			return;
+		/* The next key in byte order; the last page held this one. */
+		strcpy(
+		    follower->from, answer->rows[answer->rows_count - 1].key);
+		strcat(follower->from, "\x01");
+		return;
+	}
+	rows_sweep(follower);
+	follower->revision = follower->read_revision;
+	follower->reading = false;
+	follower->synced = true;
+	if (follower->on_synced != NULL)
+		follower->on_synced(follower->context);
+}
+
+static void
+feed_done(struct kwb_follower *follower, const struct kwb_store_answer *answer)
+{
+	uint32_t i;
+
+	for (i = 0; i < answer->rows_count; i++)
+		if (answer->rows[i].part[0] == '\0')
+			row_apply(follower, &answer->rows[i]);
+	if (answer->revision > follower->revision)
+		follower->revision = answer->revision;
+}
+
+static void
+read_again(struct kwb_follower *follower)
+{
+	uint32_t i;
+
+	free(follower->from);
+	follower->from = NULL;
+	follower->reading = true;
+	for (i = 0; i < follower->rows_count; i++)
+		follower->rows[i].seen = false;
+}
+
+static void
+follower_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_follower *follower = call->context;
+	uint64_t wait_ns = KWB_FOLLOW_RETRY_NS;
+
+	if (answer->error == 0) {
+		follower->failures = 0;
+		follower->fresh_ns = kwb_clock_now_ns();
+		if (follower->reading)
+			page_done(follower, answer);
+		else
+			feed_done(follower, answer);
+		follower_step(follower);
+		return;
+	}
+	if (answer->error == KWB_ERR_STORE_HISTORY) {
+		kwb_log(KWB_LOG_INFO, "follow",
+		    "event=read_again table=%s revision=%llu reason=%s",
+		    follower->table, (unsigned long long)follower->revision,
+		    kwb_error_name(answer->error));
+		read_again(follower);
+		follower_step(follower);
+		return;
+	}
+	/* Silent for long enough that leases may have lapsed: look anew. */
+	if (follower->failures++ > 0)
+		wait_ns *= 2;
+	if (follower->reading)
+		read_again(follower);
+	kwb_timer_at(follower->timer, kwb_clock_now_ns() + wait_ns);
+}
+
+static void
+follower_step(struct kwb_follower *follower)
+{
+	struct kwb_range range = {
+	    .table = follower->table, .part = "", .from = follower->from};
+	int code;
+
+	follower->started_ns = kwb_clock_now_ns();
+	if (follower->reading)
+		code = follower->store->ops->range(
+		    follower->store, &range, &follower->call);
+	else
+		code =
+		    follower->store->ops->feed(follower->store, follower->table,
+			follower->revision, KWB_FEED_WAIT_MS, &follower->call);
+	if (code != 0)
+		kwb_timer_at(
+		    follower->timer, kwb_clock_now_ns() + KWB_FOLLOW_RETRY_NS);
+}
+
+static void
+follower_time(int fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	follower_step(context);
+}
+
+int
+kwb_follower_init(struct kwb_follower *follower, struct event_base *base,
+    struct kwb_store *store, const char *table,
+    void (*on_row)(void *context, const struct kwb_row *row),
+    void (*on_synced)(void *context), void *context)
+{
+	memset(follower, 0, sizeof(*follower));
+	follower->on_row = on_row;
+	follower->on_synced = on_synced;
+	follower->context = context;
+	follower->store = store;
+	follower->table = table;
+	follower->call.on_done = follower_answer;
+	follower->call.context = follower;
+	follower->reading = true;
+	follower->timer = kwb_timer_new(base, follower_time, follower);
+	if (follower->timer == NULL)
+		return KWB_ERR_MEMORY;
+	follower_step(follower);
+	return 0;
+}
+
+void
+kwb_follower_finish(struct kwb_follower *follower)
+{
+	uint32_t i;
+
+	kwb_store_cancel(follower->store, &follower->call);
+	event_free(follower->timer);
+	for (i = 0; i < follower->rows_count; i++)
+		free(follower->rows[i].key);
+	free(follower->rows);
+	free(follower->from);
+}
+
+bool
+kwb_follower_current(const struct kwb_follower *follower, uint64_t age_ns)
+{
+	return follower->synced &&
+	    kwb_clock_now_ns() - follower->fresh_ns <= age_ns;
+}
--- /dev/null
+++ b/src/store/store.c
@@ -0,0 +1,88 @@
+/*
+ * What all implementations of the store share: freshness, its clock, and the
+ * building of transactions.
+ */
+#include <string.h>
+
+#include "kwb_node.h"
+
+void
+kwb_store_cancel(struct kwb_store *store, struct kwb_store_call *call)
+{
+	if (call->driver != NULL)
+		store->ops->cancel(store, call);
+}
+
+void
+kwb_store_note(struct kwb_store *store, const struct kwb_store_answer *answer)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	bool failed = answer->error == KWB_ERR_STORE_REFUSED ||
+	    answer->error == KWB_ERR_STORE_UNKNOWN;
+
+	store->calls_count++;
+	if (failed) {
+		if (store->failed_ns <= store->answered_ns)
+			kwb_log(KWB_LOG_WARN, "store",
+			    "event=dependency_lost error=%s",
+			    kwb_error_name(answer->error));
+		store->failed_ns = now_ns;
+		return;
+	}
+	if (store->failed_ns > store->answered_ns)
+		kwb_log(KWB_LOG_INFO, "store",
+		    "event=dependency_regained after_ms=%llu",
+		    (unsigned long long)((now_ns - store->answered_ns) /
+			KWB_MS_NS));
+	store->answered_ns = now_ns;
+	if (answer->now_ms != 0)
+		store->clock_offset_ms = (int64_t)answer->now_ms -
+		    (int64_t)(kwb_boot_now_ns() / KWB_MS_NS);
+}
+
+uint64_t
+kwb_store_now_ms(const struct kwb_store *store)
+{
+	if (store->answered_ns == 0)
+		return 0;
+	return (uint64_t)((int64_t)(kwb_boot_now_ns() / KWB_MS_NS) +
+	    store->clock_offset_ms);
+}
+
+static void
+row_set(struct kwb_tx_row *row, const char *table, const char *part,
+    const char *key)
+{
+	memset(row, 0, sizeof(*row));
+	row->table = table;
+	row->part = part;
+	row->key = key;
+}
+
+void
+kwb_tx_expect(struct kwb_tx *tx, const char *table, const char *part,
+    const char *key, uint64_t revision)
+{
+	struct kwb_tx_row *row = &tx->expect[tx->expect_count++];
+
+	row_set(row, table, part, key);
+	row->revision = revision;
+}
+
+void
+kwb_tx_put(struct kwb_tx *tx, const char *table, const char *part,
+    const char *key, const char *value, size_t value_bytes)
+{
+	struct kwb_tx_row *row = &tx->put[tx->put_count++];
+
+	row_set(row, table, part, key);
+	row->value = value;
+	row->value_bytes = value_bytes;
+}
+
+void
+kwb_tx_remove(
+    struct kwb_tx *tx, const char *table, const char *part, const char *key)
+{
+	row_set(&tx->remove[tx->remove_count++], table, part, key);
+}
--- /dev/null
+++ b/src/upstream/pick.c
@@ -0,0 +1,171 @@
+/*
+ * The choice of an upstream. Answers a load of requests that are short beside
+ * the time it takes to learn of a failed or slow upstream: every request is a
+ * probe, so the choice follows what this node's own requests met, and only
+ * then what upstreams report.
+ */
+#include <string.h>
+
+#include "kwb_node.h"
+
+/* Cost of the network between failure domains, in parts of a piece of work. */
+#define FAR_COST 0.08
+/* Cost of reading a prompt that another upstream has read, likewise. */
+#define COLD_COST 0.10
+/* Cost of a full upstream against an empty one, likewise. */
+#define LOAD_COST 0.6
+
+/* Requests there: own ones, and others by the last report while it is new. */
+static uint32_t
+load_of(const struct kwb_upstream *upstream, uint64_t now_ns)
+{
+	uint32_t others = 0;
+
+	if (upstream->reported_ns != 0 &&
+	    now_ns - upstream->reported_ns < KWB_REPORT_KEEP_NS &&
+	    upstream->reported > upstream->reported_own)
+		others = upstream->reported - upstream->reported_own;
+	return upstream->in_flight + others;
+}
+
+static bool
+is_excluded(const struct kwb_pick *pick, const struct kwb_upstream *upstream)
+{
+	uint32_t i;
+
+	for (i = 0; i < pick->exclude_count; i++)
+		if (pick->exclude[i] == upstream)
+			return true;
+	return false;
+}
+
+/* Ordered weights count: a request that asks for them is refused until then. */
+static uint64_t
+version_of(const struct kwb_upstream *upstream, const char *model)
+{
+	uint64_t version = kwb_upstream_version(upstream, model);
+
+	if (strcmp(upstream->home_model, model) == 0 &&
+	    upstream->expected_version > version)
+		return upstream->expected_version;
+	return version;
+}
+
+static bool
+is_usable(const struct kwb_pick *pick, const struct kwb_upstream *upstream)
+{
+	if (!upstream->listed || upstream->status.draining ||
+	    strcmp(upstream->status.service, pick->service) != 0)
+		return false;
+	if (is_excluded(pick, upstream) ||
+	    upstream->refused_until_ns > pick->now_ns)
+		return false;
+	if (pick->model != NULL &&
+	    version_of(upstream, pick->model) < pick->min_version)
+		return false;
+	return !pick->within_slots ||
+	    load_of(upstream, pick->now_ns) < upstream->status.slots;
+}
+
+/* Suspected: left alone, but for one request at a time once the wait is over.
+ */
+static bool
+is_trusted(const struct kwb_upstream *upstream, uint64_t now_ns)
+{
+	if (upstream->failures < KWB_SUSPECT_FAILURES)
+		return true;
+	return upstream->suspect_until_ns <= now_ns && !upstream->probing;
+}
+
+static bool
+has_pace(const struct kwb_upstream *upstream, uint64_t now_ns)
+{
+	return upstream->pace_ns != 0 &&
+	    now_ns - upstream->pace_at_ns < KWB_PACE_KEEP_NS;
+}
+
+/* The pace of an upstream that has not been measured: that of its fastest peer.
+ */
+static double
+usual_pace(const struct kwb_registry *registry, const struct kwb_pick *pick)
+{
+	uint64_t least = 0;
+	uint32_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		const struct kwb_upstream *upstream = registry->upstreams[i];
+
+		if (strcmp(upstream->status.service, pick->service) == 0 &&
+		    has_pace(upstream, pick->now_ns) &&
+		    (least == 0 || upstream->pace_ns < least))
+			least = upstream->pace_ns;
+	}
+	return least ? (double)least : 1.0;
+}
+
+static double
+cost_of(const struct kwb_pick *pick, const struct kwb_upstream *upstream,
+    double usual)
+{
+	uint32_t slots = upstream->status.slots ? upstream->status.slots : 1;
+	uint32_t load = load_of(upstream, pick->now_ns);
+	double pace = has_pace(upstream, pick->now_ns)
+	    ? (double)upstream->pace_ns / usual
+	    : 1.0;
+	double cost = 1.0 + LOAD_COST * load / slots;
+
+	if (load >= slots)
+		cost += (double)(load + 1 - slots) / slots;
+	if (pick->failure_domain != NULL &&
+	    strcmp(pick->failure_domain, upstream->status.failure_domain) != 0)
+		cost += FAR_COST;
+	if (pick->affinity != NULL &&
+	    strcmp(pick->affinity, upstream->status.id) != 0)
+		cost += COLD_COST;
+	return cost * pace;
+}
+
+/* Cheapest upstream of one sort: homes of the model, or any. */
+static struct kwb_upstream *
+pick_among(const struct kwb_registry *registry, const struct kwb_pick *pick,
+    bool homes, bool trusted)
+{
+	struct kwb_upstream *best = NULL;
+	double usual = usual_pace(registry, pick);
+	double best_cost = 0;
+	double cost;
+	uint32_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		struct kwb_upstream *upstream =
+		    registry->upstreams[(pick->random + i) % registry->count];
+
+		if (!is_usable(pick, upstream))
+			continue;
+		if (homes && strcmp(upstream->home_model, pick->model) != 0)
+			continue;
+		if (trusted && !is_trusted(upstream, pick->now_ns))
+			continue;
+		cost = cost_of(pick, upstream, usual);
+		if (best == NULL || cost < best_cost) {
+			best = upstream;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+struct kwb_upstream *
+kwb_upstream_pick(
+    const struct kwb_registry *registry, const struct kwb_pick *pick)
+{
+	struct kwb_upstream *found = NULL;
+
+	if (pick->model != NULL)
+		found = pick_among(registry, pick, true, true);
+	if (found == NULL)
+		found = pick_among(registry, pick, false, true);
+	if (found == NULL && !pick->within_slots)
+		found = pick_among(registry, pick, false, false);
+	return found;
+}
--- /dev/null
+++ b/src/weights/homes.c
@@ -0,0 +1,146 @@
+/*
+ * Which model an upstream is kept current for. Every upstream holds all
+ * models, but each change of version costs a load and a pause, so a model is
+ * kept current only on its homes, as many as its share of the demand. Answers
+ * a load of several trainers that each ask for a batch every few seconds.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "kwb_node.h"
+
+static double
+demand_of(const struct kwb_home_model *models, uint32_t count, uint32_t at)
+{
+	uint64_t sum = 0;
+	uint32_t known = 0;
+	uint32_t i;
+
+	if (models[at].demand != 0)
+		return (double)models[at].demand;
+	for (i = 0; i < count; i++)
+		if (models[i].demand != 0) {
+			sum += models[i].demand;
+			known++;
+		}
+	return known > 0 ? (double)sum / known : 1.0;
+}
+
+/*
+ * Shares by demand, at least one each while there are enough: every next home
+ * goes to the model with the most demand a home.
+ */
+static void
+shares(const struct kwb_home_model *models, uint32_t models_count,
+    uint32_t upstreams_count, uint32_t *share)
+{
+	double best_need;
+	double need;
+	uint32_t best;
+	uint32_t given;
+	uint32_t i;
+
+	memset(share, 0, models_count * sizeof(*share));
+	for (given = 0; given < upstreams_count; given++) {
+		best = 0;
+		best_need = -1;
+		for (i = 0; i < models_count; i++) {
+			need = demand_of(models, models_count, i) /
+			    (share[i] + 0.5);
+			if (share[i] == 0)
+				need += 1e18;
+			if (need > best_need) {
+				best_need = need;
+				best = i;
+			}
+		}
+		share[best]++;
+	}
+}
+
+static int
+model_index(
+    const struct kwb_home_model *models, uint32_t count, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (strcmp(models[i].name, name) == 0)
+			return (int)i;
+	return -1;
+}
+
+static int
+neediest(const uint32_t *share, const uint32_t *have, uint32_t count)
+{
+	int best = -1;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (have[i] < share[i] &&
+		    (best < 0 || share[i] - have[i] > share[best] - have[best]))
+			best = (int)i;
+	return best;
+}
+
+void
+kwb_homes_plan(struct kwb_home_upstream *upstreams, uint32_t upstreams_count,
+    const struct kwb_home_model *models, uint32_t models_count)
+{
+	uint32_t share[KWB_MODELS_MAX];
+	uint32_t have[KWB_MODELS_MAX] = {0};
+	uint32_t i;
+	int from;
+	int to;
+
+	if (models_count == 0 || models_count > KWB_MODELS_MAX)
+		return;
+	shares(models, models_count, upstreams_count, share);
+	for (i = 0; i < upstreams_count; i++) {
+		from = model_index(models, models_count, upstreams[i].model);
+		if (from < 0)
+			upstreams[i].model[0] = '\0';
+		else
+			have[from]++;
+	}
+	for (i = 0; i < upstreams_count; i++) {
+		if (upstreams[i].model[0] != '\0')
+			continue;
+		to = neediest(share, have, models_count);
+		if (to < 0)
+			to = 0;
+		kwb_text_copy(
+		    upstreams[i].model, KWB_NAME_MAX_BYTES, models[to].name);
+		have[to]++;
+	}
+	/* Moves one where a model has more than its share by one or more. */
+	for (i = 0; i < upstreams_count; i++) {
+		from = model_index(models, models_count, upstreams[i].model);
+		to = neediest(share, have, models_count);
+		if (to < 0)
+			break;
+		if (from < 0 || have[from] <= share[from])
+			continue;
+		have[from]--;
+		have[to]++;
+		kwb_text_copy(
+		    upstreams[i].model, KWB_NAME_MAX_BYTES, models[to].name);
+	}
+}
+
+/*
+ * An upstream without work gets the newest weights at once. While a batch is
+ * open, one that still fits it goes on; one that doesn't is loaded, and so is
+ * one that lags so far that the next batch would have no use for it.
+ */
+bool
+kwb_load_wanted(const struct kwb_load_input *input)
+{
+	if (input->version >= input->newest ||
+	    input->loading >= input->loading_max)
+		return false;
+	if (!input->batch_open)
+		return true;
+	return input->version < input->needed ||
+	    input->version + 1 < input->newest;
+}
--- /dev/null
+++ b/src/weights/mover.c
@@ -0,0 +1,593 @@
+/*
+ * Moves upstreams to the versions that trainers name. One holder of a lease
+ * orders, with its fencing token, the incarnation it means and the count of
+ * orders it has seen; every order is checked against the lease before it goes
+ * out. After an order without answer the upstream's state is read first.
+ */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kwb_node.h"
+
+#define TABLE_HOMES "homes" /* key: upstream, value: model and version */
+#define LEASE_NAME "weights"
+
+static struct kwb_mover_upstream *
+upstream_find(const struct kwb_mover *mover, const char *id)
+{
+	struct kwb_mover_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &mover->upstreams, entry)
+		if (strcmp(upstream->id, id) == 0)
+			return upstream;
+	return NULL;
+}
+
+static struct kwb_mover_upstream *
+upstream_get(struct kwb_mover *mover, const char *id)
+{
+	struct kwb_mover_upstream *upstream = upstream_find(mover, id);
+
+	if (upstream != NULL)
+		return upstream;
+	upstream = calloc(1, sizeof(*upstream));
+	if (upstream == NULL)
+		return NULL;
+	kwb_text_copy(upstream->id, sizeof(upstream->id), id);
+	upstream->mover = mover;
+	TAILQ_INSERT_TAIL(&mover->upstreams, upstream, entry);
+	return upstream;
+}
+
+static struct kwb_upstream *
+listed(const struct kwb_mover *mover, const char *id)
+{
+	return kwb_registry_find(mover->env->forward->registry, id);
+}
+
+/* What the homes' rows say goes to the registry, where requests look. */
+static void
+home_apply(struct kwb_mover *mover, const struct kwb_mover_upstream *home)
+{
+	struct kwb_upstream *upstream = listed(mover, home->id);
+
+	if (upstream == NULL)
+		return;
+	kwb_text_copy(
+	    upstream->home_model, sizeof(upstream->home_model), home->model);
+	upstream->expected_version = home->target;
+}
+
+void
+kwb_mover_upstream(struct kwb_mover *mover, struct kwb_upstream *upstream)
+{
+	struct kwb_mover_upstream *home =
+	    upstream_find(mover, upstream->status.id);
+
+	if (home == NULL)
+		return;
+	home_apply(mover, home);
+	if (home->ordered &&
+	    kwb_upstream_version(upstream, home->model) >= home->target)
+		home->ordered = false;
+}
+
+static void
+home_row(void *context, const struct kwb_row *row)
+{
+	struct kwb_mover *mover = context;
+	struct kwb_mover_upstream *home = upstream_get(mover, row->key);
+	unsigned long long target = 0;
+
+	if (home == NULL || row->revision < home->revision)
+		return;
+	if (kwb_store_lease_fence(&mover->lease) != 0 && home->model[0] != '\0')
+		return; /* an echo: this node writes the rows */
+	home->revision = row->deleted ? 0 : row->revision;
+	home->model[0] = '\0';
+	home->target = 0;
+	if (!row->deleted &&
+	    sscanf(row->value, "%63s %llu", home->model, &target) < 1)
+		kwb_log(KWB_LOG_WARN, "mover",
+		    "event=home_unreadable upstream=%s revision=%llu", row->key,
+		    (unsigned long long)row->revision);
+	home->target = target;
+	home_apply(mover, home);
+}
+
+uint64_t
+kwb_mover_named(const struct kwb_mover *mover, const char *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < mover->versions_count; i++)
+		if (strcmp(mover->versions[i].model, model) == 0)
+			return mover->versions[i].version;
+	return 0;
+}
+
+void
+kwb_mover_name(struct kwb_mover *mover, const char *model, uint64_t version)
+{
+	uint32_t i;
+
+	for (i = 0; i < mover->versions_count; i++)
+		if (strcmp(mover->versions[i].model, model) == 0)
+			break;
+	if (i == KWB_MODELS_MAX)
+		return;
+	if (i == mover->versions_count) {
+		mover->versions_count++;
+		mover->versions[i].version = 0;
+		kwb_text_copy(
+		    mover->versions[i].model, KWB_NAME_MAX_BYTES, model);
+	}
+	if (version <= mover->versions[i].version)
+		return;
+	mover->versions[i].version = version;
+	kwb_log(KWB_LOG_INFO, "mover", "event=named model=%s version=%llu",
+	    model, (unsigned long long)version);
+	kwb_timer_at(mover->timer, 0);
+}
+
+/* ---- Orders ------------------------------------------------------------- */
+
+static void home_write(struct kwb_mover *mover);
+
+static void
+exchange_close(struct kwb_mover_upstream *home)
+{
+	if (home->asking || home->ordering)
+		kwb_exchange_finish(&home->exchange);
+	home->asking = false;
+	home->ordering = false;
+}
+
+/* The state as asked for: how many orders, and which weights are there. */
+static void
+report_done(struct kwb_mover_upstream *home, const struct kwb_message *message)
+{
+	struct kwb_mover *mover = home->mover;
+	struct kwb_upstream *upstream = listed(mover, home->id);
+	struct kwb_upstream_report report;
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint32_t i;
+
+	if (upstream == NULL ||
+	    mover->env->forward->dialect->read_report(message, &report) != 0)
+		return;
+	home->order_seq = report.order_seq;
+	home->seq_known = true;
+	for (i = 0; i < report.models_count; i++)
+		if (report.models[i].version >
+		    kwb_upstream_version(upstream, report.models[i].name))
+			kwb_upstream_set_version(upstream,
+			    report.models[i].name, report.models[i].version);
+	if (!report.busy ||
+	    kwb_upstream_version(upstream, home->model) >= home->target)
+		home->ordered = false;
+	home->busy_until_ns = report.busy ? now_ns + KWB_LOAD_LOOK_NS : now_ns;
+	home->look_ns = now_ns + KWB_LOAD_LOOK_NS;
+}
+
+static void
+order_done(struct kwb_mover_upstream *home, const struct kwb_message *message)
+{
+	struct kwb_mover *mover = home->mover;
+	struct kwb_upstream *upstream = listed(mover, home->id);
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	kwb_log(KWB_LOG_INFO, "mover",
+	    "event=order_answered upstream=%s model=%s version=%llu status=%u",
+	    home->id, home->model, (unsigned long long)home->target,
+	    message->status);
+	switch (message->status) {
+	case 202:
+		home->order_seq++;
+		home->ordered = true;
+		home->busy_until_ns = now_ns + KWB_LOAD_NS;
+		home->look_ns = now_ns + KWB_LOAD_NS;
+		home_write(mover);
+		return;
+	case 200:
+		home->ordered = false;
+		if (upstream != NULL)
+			kwb_upstream_set_version(
+			    upstream, home->model, home->target);
+		home_write(mover);
+		return;
+	case 412:
+		kwb_store_lease_lose(&mover->lease);
+		break;
+	default:
+		break;
+	}
+	home->seq_known = false;
+	home->ordered = false;
+	home->busy_until_ns = now_ns + KWB_LOAD_RETRY_NS;
+}
+
+static void
+exchange_done(struct kwb_exchange *exchange, int error)
+{
+	struct kwb_mover_upstream *home = exchange->context;
+	bool ordering = home->ordering;
+	struct kwb_message answer = exchange->answer;
+
+	kwb_message_init(&exchange->answer);
+	exchange_close(home);
+	if (error != 0) {
+		kwb_log(KWB_LOG_WARN, "mover", "event=%s upstream=%s error=%s",
+		    ordering ? "order_in_doubt" : "no_report", home->id,
+		    kwb_error_name(error));
+		home->seq_known = false;
+		home->busy_until_ns = kwb_clock_now_ns() + KWB_LOAD_RETRY_NS;
+	} else if (ordering) {
+		order_done(home, &answer);
+	} else {
+		report_done(home, &answer);
+	}
+	kwb_message_finish(&answer);
+	kwb_timer_at(home->mover->timer, 0);
+}
+
+static const struct kwb_exchange_ops exchange_ops = {
+    .on_done = exchange_done,
+};
+
+static void
+exchange_open(struct kwb_mover_upstream *home,
+    const struct kwb_upstream *upstream, struct evbuffer *out)
+{
+	memset(&home->exchange, 0, sizeof(home->exchange));
+	home->exchange.ops = &exchange_ops;
+	home->exchange.context = home;
+	home->exchange.deadline_ns =
+	    kwb_clock_now_ns() + KWB_ORDER_TIMEOUT_MS * KWB_MS_NS;
+	if (kwb_exchange_start(&home->exchange,
+		home->mover->env->forward->client, &upstream->status.address,
+		out) != 0) {
+		home->asking = false;
+		home->ordering = false;
+		home->seq_known = false;
+		home->busy_until_ns = kwb_clock_now_ns() + KWB_LOAD_RETRY_NS;
+	}
+	evbuffer_free(out);
+}
+
+static void
+report_start(
+    struct kwb_mover_upstream *home, const struct kwb_upstream *upstream)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	home->asking = true;
+	home->mover->env->forward->dialect->write_report_request(
+	    &upstream->status.address, out);
+	exchange_open(home, upstream, out);
+}
+
+static void
+order_start(struct kwb_mover_upstream *home,
+    const struct kwb_upstream *upstream, uint64_t version)
+{
+	struct kwb_mover *mover = home->mover;
+	struct kwb_order order = {.model = home->model,
+	    .version = version,
+	    .holder = mover->env->settings->node,
+	    .fence = kwb_store_lease_fence(&mover->lease),
+	    .expect_seq = home->order_seq,
+	    .expect_incarnation = upstream->status.id};
+	struct evbuffer *out;
+
+	if (order.fence == 0)
+		return;
+	kwb_log(KWB_LOG_INFO, "mover",
+	    "event=order upstream=%s model=%s version=%llu from=%llu "
+	    "fence=%llu seq=%llu",
+	    home->id, home->model, (unsigned long long)version,
+	    (unsigned long long)kwb_upstream_version(upstream, home->model),
+	    (unsigned long long)order.fence,
+	    (unsigned long long)order.expect_seq);
+	kwb_metric_add(KWB_METRIC_SWAPS, 1);
+	home->target = version;
+	home->ordering = true;
+	out = evbuffer_new();
+	mover->env->forward->dialect->write_order(
+	    &order, &upstream->status.address, out);
+	exchange_open(home, upstream, out);
+}
+
+/* ---- Homes ----------------------------------------------------------------
+ */
+
+static void
+write_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_mover *mover = call->context;
+
+	struct kwb_mover_upstream *home;
+
+	mover->writing = false;
+	if (answer->error == 0) {
+		home_write(mover);
+		return;
+	}
+	kwb_log(KWB_LOG_WARN, "mover", "event=homes_not_written error=%s",
+	    kwb_error_name(answer->error));
+	TAILQ_FOREACH (home, &mover->upstreams, entry)
+		home->changed = home->model[0] != '\0';
+}
+
+/* Tells all nodes of the homes and of what has been ordered. */
+static void
+home_write(struct kwb_mover *mover)
+{
+	static struct kwb_tx tx;
+	static char values[KWB_TX_ROWS_MAX][KWB_NAME_MAX_BYTES + 24];
+	struct kwb_store *store = mover->env->store;
+	struct kwb_mover_upstream *home;
+
+	if (mover->writing || kwb_store_lease_fence(&mover->lease) == 0)
+		return;
+	memset(&tx, 0, sizeof(tx));
+	TAILQ_FOREACH (home, &mover->upstreams, entry) {
+		if (!home->changed || tx.put_count >= KWB_TX_ROWS_MAX - 1)
+			continue;
+		snprintf(values[tx.put_count], sizeof(values[0]), "%s %llu",
+		    home->model, (unsigned long long)home->target);
+		home->changed = false;
+		kwb_tx_put(&tx, TABLE_HOMES, "", home->id, values[tx.put_count],
+		    strlen(values[tx.put_count]));
+	}
+	if (tx.put_count == 0)
+		return;
+	mover->call.on_done = write_answer;
+	mover->call.context = mover;
+	mover->writing = store->ops->transact(store, &tx, &mover->call) == 0;
+}
+
+static uint64_t
+demand_of(const struct kwb_mover *mover, const char *model)
+{
+	const struct kwb_batch_head *newest = NULL;
+	const struct kwb_batch_head *head;
+	uint32_t i;
+
+	for (i = 0; i < mover->batches->heads_count; i++) {
+		head = mover->batches->heads[i];
+		if (strcmp(head->model, model) == 0 &&
+		    (newest == NULL || head->accepted_ms > newest->accepted_ms))
+			newest = head;
+	}
+	return newest ? newest->tokens : 0;
+}
+
+static void
+plan_service(struct kwb_mover *mover, const struct kwb_service *service)
+{
+	const struct kwb_registry *registry = mover->env->forward->registry;
+	struct kwb_home_model models[KWB_MODELS_MAX];
+	struct kwb_home_upstream *plan;
+	struct kwb_mover_upstream *home;
+	struct kwb_upstream *upstream;
+	uint32_t models_count = service->models_count;
+	uint32_t count = 0;
+	uint32_t i;
+
+	plan = calloc(registry->count + 1, sizeof(*plan));
+	if (plan == NULL || models_count > KWB_MODELS_MAX) {
+		free(plan);
+		return;
+	}
+	for (i = 0; i < models_count; i++) {
+		models[i].name = service->models[i];
+		models[i].demand = demand_of(mover, service->models[i]);
+	}
+	for (i = 0; i < registry->count; i++) {
+		upstream = registry->upstreams[i];
+		if (!upstream->listed || upstream->status.draining ||
+		    strcmp(upstream->status.service, service->name) != 0)
+			continue;
+		plan[count].id = upstream->status.id;
+		home = upstream_get(mover, upstream->status.id);
+		if (home != NULL)
+			kwb_text_copy(
+			    plan[count].model, KWB_NAME_MAX_BYTES, home->model);
+		count++;
+	}
+	kwb_homes_plan(plan, count, models, models_count);
+	for (i = 0; i < count; i++) {
+		home = upstream_find(mover, plan[i].id);
+		if (home == NULL || strcmp(home->model, plan[i].model) == 0)
+			continue;
+		kwb_log(KWB_LOG_INFO, "mover",
+		    "event=home upstream=%s model=%s before=%s", home->id,
+		    plan[i].model, home->model[0] ? home->model : "-");
+		kwb_text_copy(home->model, sizeof(home->model), plan[i].model);
+		home->target = 0;
+		home->ordered = false;
+		home->changed = true;
+		home_apply(mover, home);
+	}
+	free(plan);
+}
+
+/* ---- What is ordered now ----------------------------------------------------
+ */
+
+static void
+needs_of(const struct kwb_mover *mover, const char *model,
+    struct kwb_load_input *input)
+{
+	const struct kwb_batch_head *head;
+	uint32_t i;
+
+	input->needed = 0;
+	input->batch_open = false;
+	for (i = 0; i < mover->batches->heads_count; i++) {
+		head = mover->batches->heads[i];
+		if (head->ended || head->listed ||
+		    strcmp(head->model, model) != 0)
+			continue;
+		input->batch_open = true;
+		if (head->min_version > input->needed)
+			input->needed = head->min_version;
+	}
+}
+
+static bool
+is_loading(const struct kwb_mover_upstream *home, uint64_t now_ns)
+{
+	return home->ordering ||
+	    (home->ordered && home->busy_until_ns > now_ns);
+}
+
+static void
+service_count(const struct kwb_mover *mover, const char *service,
+    struct kwb_load_input *input)
+{
+	const struct kwb_mover_upstream *home;
+	const struct kwb_upstream *upstream;
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint32_t count = 0;
+
+	input->loading = 0;
+	TAILQ_FOREACH (home, &mover->upstreams, entry) {
+		upstream = listed(mover, home->id);
+		if (upstream == NULL ||
+		    strcmp(upstream->status.service, service) != 0)
+			continue;
+		count++;
+		if (is_loading(home, now_ns))
+			input->loading++;
+	}
+	input->loading_max = count / KWB_LOADS_PART;
+	if (input->loading_max < KWB_LOADS_MIN)
+		input->loading_max = KWB_LOADS_MIN;
+}
+
+static void
+home_step(struct kwb_mover *mover, struct kwb_mover_upstream *home,
+    const struct kwb_upstream *upstream)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct kwb_load_input input = {0};
+
+	input.version = kwb_upstream_version(upstream, home->model);
+	input.newest = kwb_mover_named(mover, home->model);
+	if (home->ordered && now_ns >= home->look_ns) {
+		report_start(home, upstream);
+		return;
+	}
+	if (home->ordered || home->busy_until_ns > now_ns)
+		return;
+	needs_of(mover, home->model, &input);
+	service_count(mover, upstream->status.service, &input);
+	if (!kwb_load_wanted(&input))
+		return;
+	if (!home->seq_known) {
+		report_start(home, upstream);
+		return;
+	}
+	home->changed = true;
+	order_start(home, upstream, input.newest);
+}
+
+static void
+mover_time(int fd, short what, void *context)
+{
+	struct kwb_mover *mover = context;
+	const struct kwb_node_config *config = *mover->env->config;
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct kwb_mover_upstream *home;
+	struct kwb_mover_upstream *next;
+	const struct kwb_upstream *upstream;
+	uint32_t i;
+
+	(void)fd;
+	(void)what;
+	kwb_timer_at(mover->timer, now_ns + KWB_MOVER_NS);
+	if (config == NULL || !mover->homes.synced ||
+	    kwb_store_lease_fence(&mover->lease) == 0)
+		return;
+	if (now_ns >= mover->plan_ns) {
+		mover->plan_ns = now_ns + KWB_PLAN_NS;
+		for (i = 0; i < config->services_count; i++)
+			if (config->services[i].models_count > 0)
+				plan_service(mover, &config->services[i]);
+		home_write(mover);
+	}
+	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
+		next = TAILQ_NEXT(home, entry);
+		upstream = listed(mover, home->id);
+		if (home->asking || home->ordering || home->model[0] == '\0')
+			continue;
+		if (upstream != NULL && !upstream->status.draining)
+			home_step(mover, home, upstream);
+	}
+}
+
+static void
+lease_changed(void *context)
+{
+	struct kwb_mover *mover = context;
+	struct kwb_mover_upstream *home;
+
+	/* Another holder may have ordered since: nothing is known. */
+	TAILQ_FOREACH (home, &mover->upstreams, entry) {
+		exchange_close(home);
+		home->seq_known = false;
+		home->ordered = false;
+	}
+	mover->plan_ns = 0;
+	kwb_timer_at(mover->timer, 0);
+}
+
+int
+kwb_mover_init(struct kwb_mover *mover, const struct kwb_batch_env *env,
+    const struct kwb_batches *batches)
+{
+	int code;
+
+	memset(mover, 0, sizeof(*mover));
+	mover->env = env;
+	mover->batches = batches;
+	TAILQ_INIT(&mover->upstreams);
+	mover->timer = kwb_timer_new(env->base, mover_time, mover);
+	if (mover->timer == NULL)
+		return KWB_ERR_MEMORY;
+	kwb_timer_at(mover->timer, kwb_clock_now_ns() + KWB_MOVER_NS);
+	code = kwb_follower_init(&mover->homes, env->base, env->store,
+	    TABLE_HOMES, home_row, NULL, mover);
+	if (code != 0)
+		return code;
+	return kwb_store_lease_init(&mover->lease, env->base, env->store,
+	    LEASE_NAME, env->settings->node,
+	    env->settings->lease_ms * KWB_MS_NS, lease_changed, mover);
+}
+
+void
+kwb_mover_leave(struct kwb_mover *mover)
+{
+	kwb_store_lease_step_down(&mover->lease);
+}
+
+void
+kwb_mover_finish(struct kwb_mover *mover)
+{
+	struct kwb_mover_upstream *home;
+
+	kwb_store_cancel(mover->env->store, &mover->call);
+	kwb_store_lease_finish(&mover->lease);
+	kwb_follower_finish(&mover->homes);
+	event_free(mover->timer);
+	while ((home = TAILQ_FIRST(&mover->upstreams)) != NULL) {
+		exchange_close(home);
+		TAILQ_REMOVE(&mover->upstreams, home, entry);
+		free(home);
+	}
+}
