Load weights where nothing runs

Cause: a load pauses a model's runs for about a second, and all homes of a model were loaded in the same phase, two versions behind, just as the next batch came: the first items waited 0.3 to 2 s, and every waiting item was tried and refused again and again (840 of 1373 arrivals). Ruled out: too few slots (first items start in 40 ms where weights fit), the lease (held by one node until 19 s).

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -604,7 +604,8 @@
 /* The state an upstream reports of itself when asked. */
 struct kwb_upstream_report {
 	uint64_t order_seq;
-	bool busy; /* an order is being carried out */
+	bool busy;	  /* an order is being carried out */
+	uint32_t running; /* requests, waiting ones too */
 	struct kwb_upstream_model models[KWB_MODELS_MAX];
 	uint32_t models_count;
 };
@@ -919,8 +920,10 @@
 struct kwb_load_input {
 	uint64_t version; /* it has */
 	uint64_t newest;  /* version that is named */
-	uint64_t needed;  /* oldest that open batches allow */
+	uint64_t needed;  /* oldest that all open batches allow */
+	uint64_t next;	  /* oldest that the next batch will allow */
 	bool batch_open;  /* the model has work */
+	bool is_empty;	  /* nothing runs there, by a report just asked for */
 	uint32_t loading; /* upstreams of the service that load */
 	uint32_t loading_max;
 };
@@ -933,6 +936,8 @@
 	uint64_t target; /* version ordered or named in its row */
 	uint64_t revision;
 	uint64_t order_seq; /* as last reported */
+	uint64_t empty_ns;  /* when it was last reported to run nothing */
+	uint64_t asked_ns;  /* when it was last asked */
 	bool seq_known;
 	uint64_t busy_until_ns; /* an order may be in progress until then */
 	uint64_t look_ns;	/* when to ask for its state */
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -63,6 +63,10 @@
 	if (pick->model != NULL &&
 	    version_of(upstream, pick->model) < pick->min_version)
 		return false;
+	/* Weights that are ordered but not seen are tried by one request. */
+	if (pick->model != NULL && upstream->in_flight > 0 &&
+	    kwb_upstream_version(upstream, pick->model) < pick->min_version)
+		return false;
 	return !pick->within_slots ||
 	    load_of(upstream, pick->now_ns) < upstream->status.slots;
 }
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -129,9 +129,10 @@
 }
 
 /*
- * An upstream without work gets the newest weights at once. While a batch is
- * open, one that still fits it goes on; one that doesn't is loaded, and so is
- * one that lags so far that the next batch would have no use for it.
+ * A load pauses what runs for about a second, so it is put where nothing runs:
+ * between two batches, or on an upstream whose items of the open batch are
+ * done. Only an upstream that the open batch has no use for is loaded at once.
+ * Weights that fit the next batch are not replaced before it has come.
  */
 bool
 kwb_load_wanted(const struct kwb_load_input *input)
@@ -140,7 +141,8 @@
 	    input->loading >= input->loading_max)
 		return false;
 	if (!input->batch_open)
+		return input->version < input->next;
+	if (input->version < input->needed)
 		return true;
-	return input->version < input->needed ||
-	    input->version + 1 < input->newest;
+	return input->is_empty && input->version < input->next;
 }
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -166,6 +166,7 @@
 		    kwb_upstream_version(upstream, report.models[i].name))
 			kwb_upstream_set_version(upstream,
 			    report.models[i].name, report.models[i].version);
+	home->empty_ns = report.running == 0 ? now_ns : 0;
 	if (!report.busy ||
 	    kwb_upstream_version(upstream, home->model) >= home->target)
 		home->ordered = false;
@@ -265,6 +266,7 @@
 	struct evbuffer *out = evbuffer_new();
 
 	home->asking = true;
+	home->asked_ns = kwb_clock_now_ns();
 	home->mover->env->forward->dialect->write_report_request(
 	    &upstream->status.address, out);
 	exchange_open(home, upstream, out);
@@ -419,24 +421,31 @@
 /* ---- What is ordered now ----------------------------------------------------
  */
 
+/* Which weights the open batches of a model need, and which the next will. */
 static void
 needs_of(const struct kwb_mover *mover, const char *model,
-    struct kwb_load_input *input)
+    struct kwb_load_input *input, uint64_t *opened_ms)
 {
 	const struct kwb_batch_head *head;
+	uint64_t asked = 0;
 	uint32_t i;
 
-	input->needed = 0;
-	input->batch_open = false;
+	*opened_ms = 0;
 	for (i = 0; i < mover->batches->heads_count; i++) {
 		head = mover->batches->heads[i];
-		if (head->ended || head->listed ||
-		    strcmp(head->model, model) != 0)
+		if (strcmp(head->model, model) != 0)
+			continue;
+		if (head->min_version > asked)
+			asked = head->min_version;
+		if (head->ended || head->listed)
 			continue;
 		input->batch_open = true;
+		if (head->accepted_ms > *opened_ms)
+			*opened_ms = head->accepted_ms;
 		if (head->min_version > input->needed)
 			input->needed = head->min_version;
 	}
+	input->next = asked + 1;
 }
 
 static bool
@@ -470,12 +479,29 @@
 		input->loading_max = KWB_LOADS_MIN;
 }
 
+/* Late in a batch, an upstream that could be loaded is asked what it runs. */
+static bool
+is_question_due(const struct kwb_mover *mover,
+    const struct kwb_mover_upstream *home, const struct kwb_load_input *input,
+    uint64_t opened_ms)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	return input->batch_open && input->version >= input->needed &&
+	    input->version < input->next && input->version < input->newest &&
+	    input->loading < input->loading_max &&
+	    now_ns - home->asked_ns >= KWB_EMPTY_LOOK_NS &&
+	    kwb_store_now_ms(mover->env->store) >=
+	    opened_ms + KWB_BATCH_EARLY_MS;
+}
+
 static void
 home_step(struct kwb_mover *mover, struct kwb_mover_upstream *home,
     const struct kwb_upstream *upstream)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 	struct kwb_load_input input = {0};
+	uint64_t opened_ms;
 
 	input.version = kwb_upstream_version(upstream, home->model);
 	input.newest = kwb_mover_named(mover, home->model);
@@ -485,10 +511,15 @@
 	}
 	if (home->ordered || home->busy_until_ns > now_ns)
 		return;
-	needs_of(mover, home->model, &input);
+	needs_of(mover, home->model, &input, &opened_ms);
 	service_count(mover, upstream->status.service, &input);
-	if (!kwb_load_wanted(&input))
+	input.is_empty =
+	    home->empty_ns != 0 && now_ns - home->empty_ns < KWB_EMPTY_KEEP_NS;
+	if (!kwb_load_wanted(&input)) {
+		if (is_question_due(mover, home, &input, opened_ms))
+			report_start(home, upstream);
 		return;
+	}
 	if (!home->seq_known) {
 		report_start(home, upstream);
 		return;
