Move items off slow upstreams; a quicker successor where orders are fenced

Change: a running item is resumed on a place that is 1.7 times as fast, at most four times; where upstreams check fencing tokens a lease is taken over after two thirds of a term.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -56,6 +56,7 @@
 #define KWB_SUSPECT_NS (1000 * KWB_MS_NS)     /* first time it is avoided */
 #define KWB_SUSPECT_MAX_NS (8000 * KWB_MS_NS) /* longest, as it doubles */
 #define KWB_PACE_KEEP_NS (4000 * KWB_MS_NS)   /* a measured pace counts */
+#define KWB_PACE_MAX_NS (500 * KWB_MS_NS) /* longer is a pause */
 #define KWB_REPORT_KEEP_NS (400 * KWB_MS_NS)  /* a reported load counts */
 #define KWB_REFUSED_NS (60 * KWB_MS_NS)	      /* left alone after it was full */
 #define KWB_MISDIRECTED_NS (1000 * KWB_MS_NS) /* address of another one */
@@ -66,6 +67,9 @@
 #define KWB_ITEM_TTL_MS 30000		       /* when no route names one */
 #define KWB_ITEM_RETRY_NS (100 * KWB_MS_NS)    /* after an upstream's error */
 #define KWB_ITEM_SILENCE_NS (1500 * KWB_MS_NS) /* 40 times a usual pause */
+#define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS) /* between looks for slow items */
+#define KWB_MOVES_MAX 4			    /* of one item */
+#define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS) /* before it is moved again */
 #define KWB_SCORE_TIMEOUT_MS 1500	       /* when no route names one */
 #define KWB_PUMP_NS (20 * KWB_MS_NS)	     /* between looks for free places */
 #define KWB_BATCH_RETRY_NS (250 * KWB_MS_NS) /* after a failed store call */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -336,6 +336,7 @@
 	void (*on_change)(void *context); /* held or lost */
 	void *context;
 	uint64_t lease_ns;     /* length of one term */
+	bool fenced;	       /* what is ordered checks fencing tokens */
 	uint64_t row_revision; /* as last read */
 	uint64_t row_seen_ns;  /* boot time when that revision was first read */
 	uint64_t read_ns;      /* boot time of the last successful read */
@@ -349,7 +350,7 @@
 
 int kwb_store_lease_init(struct kwb_store_lease *lease, struct event_base *base,
     struct kwb_store *store, const char *name, const char *holder,
-    uint64_t lease_ns, void (*on_change)(void *context),
+    uint64_t lease_ns, bool fenced, void (*on_change)(void *context),
     void *context);					    /* begins to try */
 void kwb_store_lease_finish(struct kwb_store_lease *lease); /* stops trying */
 uint64_t kwb_store_lease_fence(
@@ -375,6 +376,7 @@
 	uint32_t lease_ms;	/* between two holders of orders */
 	uint32_t batch_keep_ms; /* a result is readable for this long */
 	uint32_t row_max_bytes; /* largest value of a row */
+	bool orders_fenced;	/* upstreams check fencing tokens */
 };
 
 void kwb_node_settings_init(
@@ -778,6 +780,17 @@
 int kwb_item_rank_compare(const struct kwb_item_rank *a,
     const struct kwb_item_rank *b); /* below 0 when a starts first; pure */
 
+/* What decides whether a generation goes on elsewhere; see kwb_move_wanted().
+ */
+struct kwb_move_input {
+	uint64_t pace_ns;      /* between events, where it runs */
+	uint64_t best_pace_ns; /* at the fastest place that is free */
+	uint32_t moves;	       /* so far */
+	uint64_t since_ns;     /* it runs there */
+};
+
+bool kwb_move_wanted(const struct kwb_move_input *input); /* pure */
+
 /* All batches that this node knows of, and those it runs. */
 struct kwb_batch_env {
 	struct event_base *base;
@@ -811,6 +824,7 @@
 	struct event *pump;   /* starts items */
 	struct event *minder; /* takes over what has no living owner */
 	bool pump_armed;
+	uint64_t moved_ns;	    /* last look for items on slow upstreams */
 	bool leaving;		    /* starts and takes over nothing more */
 	struct kwb_store_call beat; /* own heartbeat */
 	struct kwb_store_call look; /* heartbeats of others */
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -39,6 +39,8 @@
 	uint64_t version;  /* of the events that come now */
 	uint64_t versions[ITEM_VERSIONS_MAX];
 	uint32_t versions_count;
+	uint64_t begin_ns;     /* at this upstream */
+	uint32_t moves;	       /* away from slow upstreams */
 	uint32_t errors;       /* answers of 500 */
 	uint32_t score_errors; /* likewise, of its reward call */
 	uint64_t retry_ns;     /* not before */
@@ -85,6 +87,7 @@
 
 /* run.c: items at upstreams */
 bool batch_pump(struct kwb_batch *batch); /* true when items wait */
+void batch_move(struct kwb_batch *batch); /* items away from slow upstreams */
 void run_stop(struct item_run *run);	  /* gives its place back */
 void run_finish(struct item_run *run);
 
--- a/src/batch/head.c
+++ b/src/batch/head.c
@@ -114,3 +114,16 @@
 		return a->length_hint > b->length_hint ? -1 : 1;
 	return 0;
 }
+
+/*
+ * Moving costs a read of the prompt and of the text so far, some milliseconds,
+ * so it pays wherever another place is clearly faster: a trainer waits for the
+ * last item of its groups.
+ */
+bool
+kwb_move_wanted(const struct kwb_move_input *input)
+{
+	return input->best_pace_ns != 0 && input->moves < KWB_MOVES_MAX &&
+	    input->since_ns >= KWB_MOVE_LEAST_NS &&
+	    input->pace_ns * 10 > input->best_pace_ns * 17;
+}
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -98,6 +98,11 @@
 		return;
 	TAILQ_FOREACH (batch, &batches->running, entry)
 		left |= batch_pump(batch);
+	if (kwb_clock_now_ns() - batches->moved_ns >= KWB_MOVE_LOOK_NS) {
+		batches->moved_ns = kwb_clock_now_ns();
+		TAILQ_FOREACH (batch, &batches->running, entry)
+			batch_move(batch);
+	}
 	if (left && !batches->pump_armed) {
 		batches->pump_armed = true;
 		kwb_timer_at(batches->pump, kwb_clock_now_ns() + KWB_PUMP_NS);
--- a/src/batch/list.c
+++ b/src/batch/list.c
@@ -8,8 +8,9 @@
 
 #include "batch.h"
 
-#define LIST_ROWS_MAX (KWB_TX_ROWS_MAX / 4) /* two conditions, two rows each   \
-					     */
+#define LIST_ROWS_MAX                                                          \
+	(KWB_TX_ROWS_MAX / 4) /* two conditions, two rows each                 \
+			       */
 
 struct listing {
 	struct kwb_tx tx;
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -11,6 +11,7 @@
 #include "batch.h"
 
 static void run_score(struct item_run *run);
+static bool pump_one(struct item_run *run);
 
 static const struct kwb_batch_env *
 env_of(const struct item_run *run)
@@ -409,6 +410,7 @@
 	run->state = ITEM_RUNNING;
 	run->order_broken = false;
 	run->event_ns = 0;
+	run->begin_ns = kwb_clock_now_ns();
 	kwb_events_init(&run->events, env->dialect->version_field);
 	kwb_upstream_hold(upstream);
 	upstream->in_flight++;
@@ -427,6 +429,52 @@
 	}
 }
 
+/* Pace of the fastest other place that is free for this item, 0 for none. */
+static uint64_t
+best_pace(const struct item_run *run, const char *service)
+{
+	const struct kwb_upstream *here = run->upstream;
+	struct kwb_pick pick = {.service = service,
+	    .model = run->batch->spec.model,
+	    .min_version = run->batch->spec.min_version,
+	    .exclude = &here,
+	    .exclude_count = 1,
+	    .within_slots = true,
+	    .now_ns = kwb_clock_now_ns()};
+	const struct kwb_upstream *found =
+	    kwb_upstream_pick(env_of(run)->forward->registry, &pick);
+
+	return found != NULL &&
+		pick.now_ns - found->pace_at_ns < KWB_PACE_KEEP_NS
+	    ? found->pace_ns
+	    : 0;
+}
+
+void
+batch_move(struct kwb_batch *batch)
+{
+	struct kwb_move_input input;
+	struct item_run *run;
+	uint32_t i;
+
+	for (i = 0; batch->loaded && i < batch->spec.items_count; i++) {
+		run = &batch->runs[i];
+		if (run->state != ITEM_RUNNING || run->last_event == 0)
+			continue;
+		input =
+		    (struct kwb_move_input){.pace_ns = run->upstream->pace_ns,
+			.best_pace_ns =
+			    best_pace(run, run->upstream->status.service),
+			.moves = run->moves,
+			.since_ns = kwb_clock_now_ns() - run->begin_ns};
+		if (!kwb_move_wanted(&input))
+			continue;
+		run->moves++;
+		run_retry(run, 0, "slow_upstream");
+		pump_one(run);
+	}
+}
+
 static void
 rank_of(const struct item_run *run, struct kwb_item_rank *rank)
 {
--- a/src/store/lease.c
+++ b/src/store/lease.c
@@ -3,7 +3,9 @@
  * half a term after the begin of its last renewal; another node takes over one
  * and a half terms after it first saw that renewal. So a whole term lies
  * between the last act of one holder and the first of the next, whatever the
- * two clocks say. All times here go on while a machine is suspended.
+ * two clocks say. Where the token itself is checked, two thirds of a term are
+ * enough: what is late is refused. All times here go on while a machine is
+ * suspended.
  */
 #include <event2/event.h>
 #include <stdio.h>
@@ -75,7 +77,8 @@
 	char last[KWB_NAME_MAX_BYTES] = "";
 	unsigned long long fence = 0;
 	uint64_t now_ns = kwb_boot_now_ns();
-	uint64_t wait_ns = lease->lease_ns * 3 / 2;
+	uint64_t wait_ns =
+	    lease->fenced ? lease->lease_ns * 2 / 3 : lease->lease_ns * 3 / 2;
 
 	if (row != NULL &&
 	    sscanf(row->value, "%63s %llu %63s", holder, &fence, last) < 2)
@@ -88,14 +91,14 @@
 		lease->row_seen_ns = now_ns;
 	}
 	lease->row_fence = fence;
-	if (strcmp(holder, "-") == 0)
+	if (strcmp(holder, "-") == 0 && !lease->fenced)
 		wait_ns = lease->lease_ns;
 	if (row == NULL || strcmp(last, lease->holder) == 0 ||
 	    now_ns - lease->row_seen_ns >= wait_ns) {
 		lease_write(lease, fence + 1, false);
 		return;
 	}
-	lease_wait(lease, lease->lease_ns / 3);
+	lease_wait(lease, lease->lease_ns / 6);
 }
 
 static void
@@ -148,13 +151,15 @@
 int
 kwb_store_lease_init(struct kwb_store_lease *lease, struct event_base *base,
     struct kwb_store *store, const char *name, const char *holder,
-    uint64_t lease_ns, void (*on_change)(void *context), void *context)
+    uint64_t lease_ns, bool fenced, void (*on_change)(void *context),
+    void *context)
 {
 	memset(lease, 0, sizeof(*lease));
 	lease->store = store;
 	lease->name = name;
 	lease->holder = holder;
 	lease->lease_ns = lease_ns;
+	lease->fenced = fenced;
 	lease->on_change = on_change;
 	lease->context = context;
 	lease->call.on_done = lease_answer;
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -180,6 +180,8 @@
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 
+	if (taken_ns > KWB_PACE_MAX_NS)
+		return; /* a pause, not a pace */
 	if (upstream->pace_ns == 0 ||
 	    now_ns - upstream->pace_at_ns > KWB_PACE_KEEP_NS)
 		upstream->pace_ns = taken_ns;
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -598,7 +598,8 @@
 		return code;
 	return kwb_store_lease_init(&mover->lease, env->base, env->store,
 	    LEASE_NAME, env->settings->node,
-	    env->settings->lease_ms * KWB_MS_NS, lease_changed, mover);
+	    env->settings->lease_ms * KWB_MS_NS, env->settings->orders_fenced,
+	    lease_changed, mover);
 }
 
 void
