Count an owner's silence from when it got the batch; loads in parts

Cause 2: two batches of a trainer are always open (a version is named when the batch before the last is done), so the gap between batches that loads waited for seldom comes; homes were loaded all at once when the next batch needed it. Change: silence counts from the moment a node sees the batch at its owner. A third of a model's homes is loaded at a time while batches go on; running items move off a home whose weights change; long items start first. A lease that was let go of is taken at once where orders are fenced.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -135,9 +135,10 @@
 #define KWB_LOAD_NS (1150 * KWB_MS_NS)	    /* a load, and the lag of reports */
 #define KWB_LOAD_LOOK_NS (300 * KWB_MS_NS)  /* between questions after that */
 #define KWB_LOAD_RETRY_NS (500 * KWB_MS_NS) /* after a refused order */
-#define KWB_EMPTY_LOOK_NS (500 * KWB_MS_NS) /* between questions for room */
-#define KWB_EMPTY_KEEP_NS (150 * KWB_MS_NS) /* such an answer counts */
-#define KWB_BATCH_EARLY_MS 1500 /* a batch's items are still starting */
+#define KWB_BATCH_EARLY_MS 700 /* a batch's items are still starting */
+#define KWB_LOAD_HOMES_PART 3 /* a third of a model's homes at a time */
+#define KWB_LOAD_LEAST_NS (700 * KWB_MS_NS) /* no load is done before */
+#define KWB_LOAD_MOST_NS (3000 * KWB_MS_NS) /* an order may be lost */
 #define KWB_LOADS_MIN 2	 /* loads at once; more slow each other down */
 #define KWB_LOADS_PART 5 /* one in so many upstreams of a service */
 #define KWB_ORDER_TIMEOUT_MS 1000
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -481,6 +481,7 @@
 	uint64_t refused_until_ns; /* answered that it is full or swapping */
 	char home_model[KWB_NAME_MAX_BYTES]; /* model it is kept current for */
 	uint64_t expected_version; /* of that model, ordered but not yet seen */
+	uint64_t loading_ns;	   /* when that was first heard of */
 };
 
 struct kwb_registry {
@@ -504,6 +505,10 @@
     const char *model); /* of its weights, 0 when it lacks the model */
 void kwb_upstream_set_version(struct kwb_upstream *upstream, const char *model,
     uint64_t version); /* as an answer named it */
+void kwb_upstream_expect(struct kwb_upstream *upstream, const char *model,
+    uint64_t version); /* its home, and the version ordered there */
+bool kwb_upstream_is_loading(const struct kwb_upstream *upstream,
+    const char *model, uint64_t now_ns); /* that model's weights change */
 void kwb_upstream_ok(
     struct kwb_upstream *upstream); /* an answer came: trusted again */
 void kwb_upstream_failed(struct kwb_upstream *upstream,
@@ -606,8 +611,7 @@
 /* The state an upstream reports of itself when asked. */
 struct kwb_upstream_report {
 	uint64_t order_seq;
-	bool busy;	  /* an order is being carried out */
-	uint32_t running; /* requests, waiting ones too */
+	bool busy; /* an order is being carried out */
 	struct kwb_upstream_model models[KWB_MODELS_MAX];
 	uint32_t models_count;
 };
@@ -755,7 +759,9 @@
 	char target[KWB_URL_MAX_BYTES];
 	char model[KWB_NAME_MAX_BYTES];
 	uint64_t min_version;
-	uint64_t accepted_ms; /* the store's clock */
+	uint64_t accepted_ms;	/* the store's clock */
+	uint64_t step;		/* of its trainer */
+	uint32_t target_groups; /* the trainer waits for */
 	uint64_t tokens;
 	uint32_t total; /* items */
 	bool ended;
@@ -770,11 +776,10 @@
 
 /* What the order of items looks at; see kwb_item_rank_compare(). */
 struct kwb_item_rank {
-	uint32_t group_index;	/* order of its group in the batch */
-	uint32_t group_begun;	/* items of its group that run or are done */
-	uint32_t target_groups; /* groups the trainer waits for */
-	uint64_t length_hint;	/* expected output tokens */
-	uint64_t made;		/* events that are there already */
+	uint32_t group_index; /* order of its group in the batch */
+	bool wanted; /* its group is one the trainer will likely wait for */
+	uint64_t length_hint; /* expected output tokens */
+	uint64_t made;	      /* events that are there already */
 };
 
 int kwb_item_rank_compare(const struct kwb_item_rank *a,
@@ -840,6 +845,8 @@
     void *context);				      /* follows the heads */
 void kwb_batches_finish(struct kwb_batches *batches); /* drops everything */
 void kwb_batches_kick(struct kwb_batches *batches);   /* looks for places */
+void kwb_batches_reconsider(
+    struct kwb_batches *batches); /* moves items off what got worse, too */
 void kwb_batches_leave(
     struct kwb_batches *batches); /* hands all over to other nodes */
 bool kwb_batches_idle(
@@ -937,7 +944,10 @@
 	uint64_t needed;  /* oldest that all open batches allow */
 	uint64_t next;	  /* oldest that the next batch will allow */
 	bool batch_open;  /* the model has work */
-	bool is_empty;	  /* nothing runs there, by a report just asked for */
+	bool batch_early; /* the newest batch is still placing its items */
+	uint32_t homes;	  /* of the model */
+	uint32_t homes_loading;
+	uint32_t serving; /* homes that fit all open batches and don't load */
 	uint32_t loading; /* upstreams of the service that load */
 	uint32_t loading_max;
 };
@@ -950,8 +960,6 @@
 	uint64_t target; /* version ordered or named in its row */
 	uint64_t revision;
 	uint64_t order_seq; /* as last reported */
-	uint64_t empty_ns;  /* when it was last reported to run nothing */
-	uint64_t asked_ns;  /* when it was last asked */
 	bool seq_known;
 	uint64_t busy_until_ns; /* an order may be in progress until then */
 	uint64_t look_ns;	/* when to ask for its state */
@@ -973,7 +981,7 @@
 
 struct kwb_mover {
 	const struct kwb_batch_env *env;
-	const struct kwb_batches *batches;
+	struct kwb_batches *batches;
 	struct kwb_store_lease lease;
 	struct kwb_follower homes;
 	struct kwb_store_call call;
@@ -986,7 +994,7 @@
 };
 
 int kwb_mover_init(struct kwb_mover *mover, const struct kwb_batch_env *env,
-    const struct kwb_batches *batches); /* begins to try for the lease */
+    struct kwb_batches *batches); /* begins to try for the lease */
 void kwb_mover_finish(struct kwb_mover *mover);
 void kwb_mover_name(struct kwb_mover *mover, const char *model,
     uint64_t version); /* a trainer has named a version */
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -17,12 +17,14 @@
 	accept->outcome = outcome;
 	accept->reason = reason;
 	kwb_log(KWB_LOG_INFO, "accept",
-	    "event=%s batch=%s items=%u model=%s min_version=%llu reason=%s",
+	    "event=%s batch=%s step=%llu items=%u target_groups=%u model=%s "
+	    "min_version=%llu reason=%s",
 	    outcome == KWB_ACCEPT_TAKEN		? "taken"
 		: outcome == KWB_ACCEPT_REFUSED ? "refused"
 		: outcome == KWB_ACCEPT_UNKNOWN ? "in_doubt"
 						: "invalid",
-	    accept->head.id, accept->head.total, accept->head.model,
+	    accept->head.id, (unsigned long long)accept->head.step,
+	    accept->head.total, accept->head.target_groups, accept->head.model,
 	    (unsigned long long)accept->head.min_version, reason);
 	accept->on_done(accept);
 }
@@ -133,6 +135,8 @@
 	head->owner_incarnation = env->incarnation;
 	kwb_text_copy(head->model, sizeof(head->model), accept->spec.model);
 	head->min_version = accept->spec.min_version;
+	head->step = accept->spec.step;
+	head->target_groups = accept->spec.target_groups;
 	head->total = accept->spec.items_count;
 	for (i = 0; i < accept->spec.items_count; i++)
 		head->tokens += accept->spec.items[i].tokens;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -53,7 +53,8 @@
 
 struct batch_group {
 	const char *name;
-	uint32_t begun;			      /* items that run or are done */
+	bool spare; /* the trainer likely does without it */
+	uint64_t longest_hint;
 	char upstream_id[KWB_NAME_MAX_BYTES]; /* that read its prompt last */
 };
 
@@ -99,6 +100,8 @@
 /* own.c: who runs which batch */
 int own_init(struct kwb_batches *batches);
 void own_finish(struct kwb_batches *batches);
+void own_changed(struct kwb_batches *batches,
+    const struct kwb_batch_head *head); /* the owner of a batch is new */
 void own_look(struct kwb_batches *batches);
 void batch_leave(struct kwb_batch *batch);
 
--- a/src/batch/head.c
+++ b/src/batch/head.c
@@ -62,6 +62,8 @@
 	head->owner_incarnation = number(value, "incarnation");
 	head->min_version = number(value, "min_version");
 	head->accepted_ms = number(value, "accepted_ms");
+	head->step = number(value, "step");
+	head->target_groups = (uint32_t)number(value, "target_groups");
 	head->tokens = number(value, "tokens");
 	head->total = (uint32_t)number(value, "total");
 	head->ended = json_is_true(json_object_get(value, "ended"));
@@ -74,13 +76,15 @@
 kwb_batch_head_print(const struct kwb_batch_head *head, struct kwb_buf *out)
 {
 	json_t *value = json_pack(
-	    "{s:s, s:I, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:b}", "owner",
-	    head->owner, "incarnation", (json_int_t)head->owner_incarnation,
-	    "host", head->host, "path", head->target, "model", head->model,
-	    "min_version", (json_int_t)head->min_version, "accepted_ms",
+	    "{s:s, s:I, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:b}",
+	    "owner", head->owner, "incarnation",
+	    (json_int_t)head->owner_incarnation, "host", head->host, "path",
+	    head->target, "model", head->model, "min_version",
+	    (json_int_t)head->min_version, "accepted_ms",
 	    (json_int_t)head->accepted_ms, "tokens", (json_int_t)head->tokens,
-	    "total", (json_int_t)head->total, "ended", head->ended, "listed",
-	    head->listed);
+	    "step", (json_int_t)head->step, "target_groups",
+	    (json_int_t)head->target_groups, "total", (json_int_t)head->total,
+	    "ended", head->ended, "listed", head->listed);
 	char *text = json_dumps(value, JSON_COMPACT);
 	int code;
 
@@ -93,25 +97,21 @@
 }
 
 /*
- * Groups the trainer waits for come first, and one that has begun before one
- * that has not, since only whole groups count. Within a group the long items
- * start first: they decide when it is whole.
+ * A batch is done when the last item of its wanted groups is, so the longest
+ * go first; what has begun goes on before anything new.
  */
 int
 kwb_item_rank_compare(
     const struct kwb_item_rank *a, const struct kwb_item_rank *b)
 {
-	bool a_wanted = a->group_index < a->target_groups;
-	bool b_wanted = b->group_index < b->target_groups;
-
-	if (a_wanted != b_wanted)
-		return a_wanted ? -1 : 1;
+	if (a->wanted != b->wanted)
+		return a->wanted ? -1 : 1;
 	if ((a->made > 0) != (b->made > 0))
 		return a->made > 0 ? -1 : 1;
-	if (a->group_index != b->group_index)
-		return a->group_index < b->group_index ? -1 : 1;
 	if (a->length_hint != b->length_hint)
 		return a->length_hint > b->length_hint ? -1 : 1;
+	if (a->group_index != b->group_index)
+		return a->group_index < b->group_index ? -1 : 1;
 	return 0;
 }
 
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -28,6 +28,8 @@
 
 	if (known != NULL && known->revision >= head->revision)
 		return;
+	if (known == NULL || strcmp(known->owner, head->owner) != 0)
+		own_changed(batches, head);
 	if (known == NULL && batches->heads_count == batches->heads_room) {
 		heads = realloc(
 		    batches->heads, room * sizeof(struct kwb_batch_head *));
@@ -116,6 +118,13 @@
 	kwb_timer_at(batches->pump, 0);
 }
 
+void
+kwb_batches_reconsider(struct kwb_batches *batches)
+{
+	batches->moved_ns = 0;
+	kwb_batches_kick(batches);
+}
+
 int
 kwb_batches_init(struct kwb_batches *batches, const struct kwb_batch_env *env,
     void (*on_change)(void *context), void *context)
--- a/src/batch/list.c
+++ b/src/batch/list.c
@@ -134,7 +134,6 @@
 		if (batch->runs[i].state != ITEM_LISTING)
 			continue;
 		batch->runs[i].state = ITEM_LISTED;
-		batch->groups[batch->runs[i].group].begun++;
 		batch->listed++;
 		run_finish(&batch->runs[i]);
 	}
@@ -170,7 +169,6 @@
 		run = &batch->runs[i];
 		run_finish(run);
 		run->state = ITEM_LISTED;
-		batch->groups[run->group].begun++;
 		batch->listed++;
 	}
 	for (i = 0; i < batch->spec.items_count; i++)
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -74,9 +74,41 @@
 	return batch->groups_count++;
 }
 
+/*
+ * A trainer waits for some of its groups, whichever are whole first, but
+ * always for those that it carried over, which come first. Of the others the
+ * groups with the longest items are the ones it will likely not wait for.
+ */
+static void
+mark_spares(struct kwb_batch *batch)
+{
+	uint32_t carried = batch->spec.target_groups / 2;
+	uint32_t spares = batch->groups_count > batch->spec.target_groups
+	    ? batch->groups_count - batch->spec.target_groups
+	    : 0;
+	struct batch_group *longest;
+	uint32_t i;
+
+	if (batch->spec.target_groups == 0)
+		return;
+	for (; spares > 0; spares--) {
+		longest = NULL;
+		for (i = carried; i < batch->groups_count; i++)
+			if (!batch->groups[i].spare &&
+			    (longest == NULL ||
+				batch->groups[i].longest_hint >
+				    longest->longest_hint))
+				longest = &batch->groups[i];
+		if (longest == NULL)
+			return;
+		longest->spare = true;
+	}
+}
+
 int
 batch_set_spec(struct kwb_batch *batch, struct kwb_batch_spec *spec)
 {
+	struct batch_group *group;
 	uint32_t i;
 
 	batch->runs = calloc(spec->items_count, sizeof(*batch->runs));
@@ -90,7 +122,11 @@
 		batch->runs[i].item = &batch->spec.items[i];
 		batch->runs[i].group =
 		    group_of(batch, batch->spec.items[i].group);
+		group = &batch->groups[batch->runs[i].group];
+		if (batch->spec.items[i].length_hint > group->longest_hint)
+			group->longest_hint = batch->spec.items[i].length_hint;
 	}
+	mark_spares(batch);
 	return 0;
 }
 
@@ -182,7 +218,6 @@
 		if (run == NULL || run->state == ITEM_LISTED)
 			continue;
 		run->state = ITEM_LISTED;
-		batch->groups[run->group].begun++;
 		batch->listed++;
 	}
 	call->on_done = partials_answer;
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -65,6 +65,18 @@
 	beat->reads = 0;
 }
 
+/* A node may have been idle, and so silent, before it got this batch. */
+void
+own_changed(struct kwb_batches *batches, const struct kwb_batch_head *head)
+{
+	struct kwb_node_beat *beat = beat_find(batches, head->owner);
+
+	if (beat == NULL)
+		return;
+	beat->seen_ns = kwb_boot_now_ns();
+	beat->reads = 0;
+}
+
 /* Silent for the whole time that this node itself could read the beats. */
 static bool
 is_silent(struct kwb_batches *batches, const char *node)
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -24,11 +24,12 @@
 {
 	kwb_log(KWB_LOG_INFO, "item",
 	    "event=%s id=%s batch=%s upstream=%s events=%llu version=%llu "
-	    "reason=%s",
+	    "hint=%llu reason=%s",
 	    event, run->item->id, run->batch->head.id,
 	    run->upstream ? run->upstream->status.id : "-",
 	    (unsigned long long)run->last_event,
-	    (unsigned long long)run->version, reason);
+	    (unsigned long long)run->version,
+	    (unsigned long long)run->item->length_hint, reason);
 }
 
 void
@@ -41,7 +42,6 @@
 		kwb_upstream_drop(
 		    env_of(run)->forward->registry, run->upstream);
 		run->upstream = NULL;
-		run->batch->groups[run->group].begun--;
 	}
 	if (run->score_open)
 		kwb_forward_finish(&run->score);
@@ -415,7 +415,6 @@
 	kwb_upstream_hold(upstream);
 	upstream->in_flight++;
 	upstream->probing = upstream->failures >= KWB_SUSPECT_FAILURES;
-	batch->groups[run->group].begun++;
 	kwb_text_copy(batch->groups[run->group].upstream_id, KWB_NAME_MAX_BYTES,
 	    upstream->status.id);
 	env->dialect->write_request(&request, out);
@@ -455,6 +454,7 @@
 {
 	struct kwb_move_input input;
 	struct item_run *run;
+	bool loading;
 	uint32_t i;
 
 	for (i = 0; batch->loaded && i < batch->spec.items_count; i++) {
@@ -467,10 +467,13 @@
 			    best_pace(run, run->upstream->status.service),
 			.moves = run->moves,
 			.since_ns = kwb_clock_now_ns() - run->begin_ns};
-		if (!kwb_move_wanted(&input))
+		loading = kwb_upstream_is_loading(
+		    run->upstream, batch->spec.model, kwb_clock_now_ns());
+		if (loading ? input.best_pace_ns == 0
+			    : !kwb_move_wanted(&input))
 			continue;
-		run->moves++;
-		run_retry(run, 0, "slow_upstream");
+		run->moves += !loading;
+		run_retry(run, 0, loading ? "weights_change" : "slow_upstream");
 		pump_one(run);
 	}
 }
@@ -479,8 +482,7 @@
 rank_of(const struct item_run *run, struct kwb_item_rank *rank)
 {
 	rank->group_index = run->group;
-	rank->group_begun = run->batch->groups[run->group].begun;
-	rank->target_groups = run->batch->spec.target_groups;
+	rank->wanted = !run->batch->groups[run->group].spare;
 	rank->length_hint = run->item->length_hint;
 	rank->made = run->last_event;
 }
--- a/src/store/lease.c
+++ b/src/store/lease.c
@@ -91,8 +91,8 @@
 		lease->row_seen_ns = now_ns;
 	}
 	lease->row_fence = fence;
-	if (strcmp(holder, "-") == 0 && !lease->fenced)
-		wait_ns = lease->lease_ns;
+	if (strcmp(holder, "-") == 0)
+		wait_ns = lease->fenced ? 0 : lease->lease_ns;
 	if (row == NULL || strcmp(last, lease->holder) == 0 ||
 	    now_ns - lease->row_seen_ns >= wait_ns) {
 		lease_write(lease, fence + 1, false);
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -51,6 +51,23 @@
 	return version;
 }
 
+/*
+ * While weights change nothing starts; towards the end, and where only ordered
+ * weights fit, one request at a time finds out whether they are there.
+ */
+static bool
+is_open_to(const struct kwb_pick *pick, const struct kwb_upstream *upstream)
+{
+	bool loading =
+	    kwb_upstream_is_loading(upstream, pick->model, pick->now_ns);
+
+	if (!loading &&
+	    kwb_upstream_version(upstream, pick->model) >= pick->min_version)
+		return true;
+	return upstream->in_flight == 0 &&
+	    pick->now_ns - upstream->loading_ns >= KWB_LOAD_LEAST_NS;
+}
+
 static bool
 is_usable(const struct kwb_pick *pick, const struct kwb_upstream *upstream)
 {
@@ -63,9 +80,7 @@
 	if (pick->model != NULL &&
 	    version_of(upstream, pick->model) < pick->min_version)
 		return false;
-	/* Weights that are ordered but not seen are tried by one request. */
-	if (pick->model != NULL && upstream->in_flight > 0 &&
-	    kwb_upstream_version(upstream, pick->model) < pick->min_version)
+	if (pick->model != NULL && !is_open_to(pick, upstream))
 		return false;
 	return !pick->within_slots ||
 	    load_of(upstream, pick->now_ns) < upstream->status.slots;
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -152,6 +152,28 @@
 			upstream->status.models[i].version = version;
 }
 
+void
+kwb_upstream_expect(
+    struct kwb_upstream *upstream, const char *model, uint64_t version)
+{
+	if (strcmp(upstream->home_model, model) != 0 ||
+	    upstream->expected_version != version)
+		upstream->loading_ns = kwb_clock_now_ns();
+	kwb_text_copy(
+	    upstream->home_model, sizeof(upstream->home_model), model);
+	upstream->expected_version = version;
+}
+
+bool
+kwb_upstream_is_loading(
+    const struct kwb_upstream *upstream, const char *model, uint64_t now_ns)
+{
+	return strcmp(upstream->home_model, model) == 0 &&
+	    upstream->expected_version >
+	    kwb_upstream_version(upstream, model) &&
+	    now_ns - upstream->loading_ns < KWB_LOAD_MOST_NS;
+}
+
 void
 kwb_upstream_ok(struct kwb_upstream *upstream)
 {
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -129,20 +129,21 @@
 }
 
 /*
- * A load pauses what runs for about a second, so it is put where nothing runs:
- * between two batches, or on an upstream whose items of the open batch are
- * done. Only an upstream that the open batch has no use for is loaded at once.
- * Weights that fit the next batch are not replaced before it has come.
+ * A load takes an upstream away from its model for about a second. What the
+ * next batch will need is loaded while the open ones go on, a third of the
+ * homes at a time and not before an open batch has placed its items; what an
+ * open batch has no use for is loaded at once.
  */
 bool
 kwb_load_wanted(const struct kwb_load_input *input)
 {
-	if (input->version >= input->newest ||
+	uint32_t part = input->homes / KWB_LOAD_HOMES_PART;
+
+	if (input->version >= input->newest || input->version >= input->next ||
 	    input->loading >= input->loading_max)
 		return false;
-	if (!input->batch_open)
-		return input->version < input->next;
-	if (input->version < input->needed)
+	if (!input->batch_open || input->version < input->needed)
 		return true;
-	return input->is_empty && input->version < input->next;
+	return !input->batch_early && input->serving > 1 &&
+	    input->homes_loading < (part > 0 ? part : 1);
 }
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -56,9 +56,7 @@
 
 	if (upstream == NULL)
 		return;
-	kwb_text_copy(
-	    upstream->home_model, sizeof(upstream->home_model), home->model);
-	upstream->expected_version = home->target;
+	kwb_upstream_expect(upstream, home->model, home->target);
 }
 
 void
@@ -96,6 +94,7 @@
 		    (unsigned long long)row->revision);
 	home->target = target;
 	home_apply(mover, home);
+	kwb_batches_reconsider(mover->batches);
 }
 
 uint64_t
@@ -166,7 +165,6 @@
 		    kwb_upstream_version(upstream, report.models[i].name))
 			kwb_upstream_set_version(upstream,
 			    report.models[i].name, report.models[i].version);
-	home->empty_ns = report.running == 0 ? now_ns : 0;
 	if (!report.busy ||
 	    kwb_upstream_version(upstream, home->model) >= home->target)
 		home->ordered = false;
@@ -191,7 +189,9 @@
 		home->ordered = true;
 		home->busy_until_ns = now_ns + KWB_LOAD_NS;
 		home->look_ns = now_ns + KWB_LOAD_NS;
+		home_apply(mover, home);
 		home_write(mover);
+		kwb_batches_reconsider(mover->batches);
 		return;
 	case 200:
 		home->ordered = false;
@@ -266,7 +266,6 @@
 	struct evbuffer *out = evbuffer_new();
 
 	home->asking = true;
-	home->asked_ns = kwb_clock_now_ns();
 	home->mover->env->forward->dialect->write_report_request(
 	    &upstream->status.address, out);
 	exchange_open(home, upstream, out);
@@ -424,13 +423,13 @@
 /* Which weights the open batches of a model need, and which the next will. */
 static void
 needs_of(const struct kwb_mover *mover, const char *model,
-    struct kwb_load_input *input, uint64_t *opened_ms)
+    struct kwb_load_input *input)
 {
 	const struct kwb_batch_head *head;
+	uint64_t opened_ms = 0;
 	uint64_t asked = 0;
 	uint32_t i;
 
-	*opened_ms = 0;
 	for (i = 0; i < mover->batches->heads_count; i++) {
 		head = mover->batches->heads[i];
 		if (strcmp(head->model, model) != 0)
@@ -440,12 +439,14 @@
 		if (head->ended || head->listed)
 			continue;
 		input->batch_open = true;
-		if (head->accepted_ms > *opened_ms)
-			*opened_ms = head->accepted_ms;
+		if (head->accepted_ms > opened_ms)
+			opened_ms = head->accepted_ms;
 		if (head->min_version > input->needed)
 			input->needed = head->min_version;
 	}
 	input->next = asked + 1;
+	input->batch_early = kwb_store_now_ms(mover->env->store) <
+	    opened_ms + KWB_BATCH_EARLY_MS;
 }
 
 static bool
@@ -455,53 +456,43 @@
 	    (home->ordered && home->busy_until_ns > now_ns);
 }
 
+/* Counts the homes of a model, and the loads of a service. */
 static void
-service_count(const struct kwb_mover *mover, const char *service,
-    struct kwb_load_input *input)
+count_homes(const struct kwb_mover *mover, const char *service,
+    const char *model, struct kwb_load_input *input)
 {
 	const struct kwb_mover_upstream *home;
 	const struct kwb_upstream *upstream;
 	uint64_t now_ns = kwb_clock_now_ns();
 	uint32_t count = 0;
+	bool loading;
+	bool same;
 
-	input->loading = 0;
 	TAILQ_FOREACH (home, &mover->upstreams, entry) {
 		upstream = listed(mover, home->id);
 		if (upstream == NULL ||
 		    strcmp(upstream->status.service, service) != 0)
 			continue;
+		loading = is_loading(home, now_ns);
+		same = strcmp(home->model, model) == 0;
 		count++;
-		if (is_loading(home, now_ns))
-			input->loading++;
+		input->loading += loading;
+		input->homes += same;
+		input->homes_loading += same && loading;
+		input->serving += same && !loading &&
+		    kwb_upstream_version(upstream, model) >= input->needed;
 	}
 	input->loading_max = count / KWB_LOADS_PART;
 	if (input->loading_max < KWB_LOADS_MIN)
 		input->loading_max = KWB_LOADS_MIN;
 }
 
-/* Late in a batch, an upstream that could be loaded is asked what it runs. */
-static bool
-is_question_due(const struct kwb_mover *mover,
-    const struct kwb_mover_upstream *home, const struct kwb_load_input *input,
-    uint64_t opened_ms)
-{
-	uint64_t now_ns = kwb_clock_now_ns();
-
-	return input->batch_open && input->version >= input->needed &&
-	    input->version < input->next && input->version < input->newest &&
-	    input->loading < input->loading_max &&
-	    now_ns - home->asked_ns >= KWB_EMPTY_LOOK_NS &&
-	    kwb_store_now_ms(mover->env->store) >=
-	    opened_ms + KWB_BATCH_EARLY_MS;
-}
-
 static void
 home_step(struct kwb_mover *mover, struct kwb_mover_upstream *home,
     const struct kwb_upstream *upstream)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 	struct kwb_load_input input = {0};
-	uint64_t opened_ms;
 
 	input.version = kwb_upstream_version(upstream, home->model);
 	input.newest = kwb_mover_named(mover, home->model);
@@ -511,15 +502,10 @@
 	}
 	if (home->ordered || home->busy_until_ns > now_ns)
 		return;
-	needs_of(mover, home->model, &input, &opened_ms);
-	service_count(mover, upstream->status.service, &input);
-	input.is_empty =
-	    home->empty_ns != 0 && now_ns - home->empty_ns < KWB_EMPTY_KEEP_NS;
-	if (!kwb_load_wanted(&input)) {
-		if (is_question_due(mover, home, &input, opened_ms))
-			report_start(home, upstream);
+	needs_of(mover, home->model, &input);
+	count_homes(mover, upstream->status.service, home->model, &input);
+	if (!kwb_load_wanted(&input))
 		return;
-	}
 	if (!home->seq_known) {
 		report_start(home, upstream);
 		return;
@@ -580,7 +566,7 @@
 
 int
 kwb_mover_init(struct kwb_mover *mover, const struct kwb_batch_env *env,
-    const struct kwb_batches *batches)
+    struct kwb_batches *batches)
 {
 	int code;
 
