Tests of the node on a stage; an entry's grace ends with the store's return

The stage runs nodes, a stand-in store and stand-in servers on one loop; scripts with expected output play requests, broken answers, config, drain, outages, doubtful writes, take-over, stop, weights and malformed input.

The grace is for entries that lapsed while the store was away: it now ends 2.3 s after the store's return, and needs an outage of a second (outage.txt, failing first).

--- a/Makefile
+++ b/Makefile
@@ -83,6 +83,12 @@
 		$(B)/fakes/text.o $(B)/fakes/trainer.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(B)/tests/platform/stage: $(patsubst %.c,$(B)/%.o,$(wildcard \
+		tests/platform/stage.c tests/platform/port.c \
+		tests/platform/store.c tests/platform/server.c)) \
+		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
+
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -61,6 +61,7 @@
 #define KWB_REFUSED_NS (60 * KWB_MS_NS)	      /* left alone after it was full */
 #define KWB_MISDIRECTED_NS (1000 * KWB_MS_NS) /* address of another one */
 #define KWB_FORWARD_LEAST_MS 15 /* no new try with less time left */
+#define KWB_FORWARD_MARGIN_NS (50 * KWB_MS_NS) /* its own deadline is first */
 #define KWB_FORWARD_RETRY_NS (15 * KWB_MS_NS) /* between looks for a place */
 
 /* Batches */
@@ -90,8 +91,8 @@
 #define KWB_READ_WAIT_MAX_MS 1000 /* a reader waits for a result */
 #define KWB_READ_TRY_MS 1500	  /* a read without store is tried */
 #define KWB_NODE_TICK_NS (200 * KWB_MS_NS)
-#define KWB_STORE_SETTLE_NS (3000 * KWB_MS_NS) /* entries may have lapsed */
-#define KWB_ENTRY_BACK_NS (2500 * KWB_MS_NS)   /* and are back after this */
+#define KWB_STORE_AWAY_NS (1000 * KWB_MS_NS) /* entries may have lapsed */
+#define KWB_ENTRY_BACK_NS (2300 * KWB_MS_NS) /* after its return, or gone */
 #define KWB_READY_STORE_NS (5000 * KWB_MS_NS)  /* ready without the store */
 #define KWB_STOP_LEAST_NS (3000 * KWB_MS_NS)   /* the balancer looks thrice */
 #define KWB_STOP_MARGIN_MS 1200		       /* ended before the kill */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -270,6 +270,7 @@
 	const struct kwb_store_ops *ops;
 	uint64_t answered_ns;	 /* last answer, kwb_clock_now_ns() */
 	uint64_t failed_ns;	 /* last call refused or without answer */
+	uint64_t returned_ns;	 /* first answer after it was away */
 	int64_t clock_offset_ms; /* store's clock less kwb_boot_now_ns() */
 	uint64_t calls_count;
 };
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -105,9 +105,11 @@
 		TAILQ_FOREACH (batch, &batches->running, entry)
 			batch_move(batch);
 	}
-	if (left && !batches->pump_armed) {
+	if (!batches->pump_armed && !TAILQ_EMPTY(&batches->running)) {
 		batches->pump_armed = true;
-		kwb_timer_at(batches->pump, kwb_clock_now_ns() + KWB_PUMP_NS);
+		kwb_timer_at(batches->pump,
+		    kwb_clock_now_ns() +
+			(left ? KWB_PUMP_NS : KWB_MOVE_LOOK_NS));
 	}
 }
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -236,7 +236,8 @@
 	memset(&attempt->exchange, 0, sizeof(attempt->exchange));
 	attempt->exchange.ops = &exchange_ops;
 	attempt->exchange.context = attempt;
-	attempt->exchange.deadline_ns = forward->deadline_ns;
+	attempt->exchange.deadline_ns =
+	    forward->deadline_ns + KWB_FORWARD_MARGIN_NS;
 	attempt->exchange.fresh = !forward->repeatable;
 	attempt->exchange.no_body =
 	    strcmp(forward->request.method, "HEAD") == 0;
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -381,6 +381,7 @@
 		return;
 	conn->complete = false;
 	conn->streaming = false;
+	conn->head_bytes = 0;
 	http_parser_pause(&conn->parser, 0);
 	kwb_message_clear(&conn->message);
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -83,8 +83,9 @@
 
 	if (upstream == NULL)
 		return;
-	if (now_ns - node->store->failed_ns < KWB_STORE_SETTLE_NS) {
-		upstream->gone_ns = now_ns + KWB_ENTRY_BACK_NS;
+	if (now_ns < node->store->returned_ns + KWB_ENTRY_BACK_NS) {
+		upstream->gone_ns =
+		    node->store->returned_ns + KWB_ENTRY_BACK_NS;
 		return;
 	}
 	kwb_log(KWB_LOG_INFO, "node", "event=upstream_gone id=%s", id);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -29,6 +29,9 @@
 		store->failed_ns = now_ns;
 		return;
 	}
+	if (store->failed_ns > store->answered_ns &&
+	    now_ns - store->answered_ns >= KWB_STORE_AWAY_NS)
+		store->returned_ns = now_ns;
 	if (store->failed_ns > store->answered_ns)
 		kwb_log(KWB_LOG_INFO, "store",
 		    "event=dependency_regained after_ms=%llu",
