Load as soon as a version is named; the next load when the last is due

Two loads at once took 1.4 s a round, as the next waited for a report that lags. Ruled out: places (24 for 36 items), the lease.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -79,9 +79,9 @@
 #define KWB_RESULTS_MAX_BYTES (900u << 10)
 #define KWB_READ_POLL_NS (120 * KWB_MS_NS) /* a reader's look for results */
 #define KWB_MINDER_NS (400 * KWB_MS_NS)	   /* between looks at owners */
-#define KWB_BEAT_NS (800 * KWB_MS_NS)	   /* between beats of an owner */
-#define KWB_BEAT_READS 5 /* reads without a beat before a take-over */
-#define KWB_OWNER_SILENT_NS (3000 * KWB_MS_NS) /* likewise, time */
+#define KWB_BEAT_NS (600 * KWB_MS_NS)	   /* between beats of an owner */
+#define KWB_BEAT_READS 4 /* reads without a beat before a take-over */
+#define KWB_OWNER_SILENT_NS (2200 * KWB_MS_NS) /* likewise, time */
 #define KWB_CLAIMS_MAX 32 /* conditional writes of heads in progress */
 
 /* Nodes */
@@ -133,10 +133,10 @@
 #define KWB_SWAP_TIMEOUT_MS 15000
 #define KWB_MOVER_NS (100 * KWB_MS_NS)	    /* between looks at what to order */
 #define KWB_PLAN_NS (1000 * KWB_MS_NS)	    /* between plans of homes */
-#define KWB_LOAD_NS (1150 * KWB_MS_NS)	    /* a load, and the lag of reports */
-#define KWB_LOAD_LOOK_NS (300 * KWB_MS_NS)  /* between questions after that */
+#define KWB_LOAD_NS (900 * KWB_MS_NS) /* a load takes, while few load */
+#define KWB_LOAD_SEEN_NS (1120 * KWB_MS_NS) /* and is in reports, which lag */
+#define KWB_LOAD_LOOK_NS (150 * KWB_MS_NS) /* between questions after that */
 #define KWB_LOAD_RETRY_NS (500 * KWB_MS_NS) /* after a refused order */
-#define KWB_BATCH_EARLY_MS 700 /* a batch's items are still starting */
 #define KWB_LOAD_HOMES_PART 3 /* a third of a model's homes at a time */
 #define KWB_LOAD_LEAST_NS (700 * KWB_MS_NS) /* no load is done before */
 #define KWB_LOAD_MOST_NS (3000 * KWB_MS_NS) /* an order may be lost */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -945,7 +945,6 @@
 	uint64_t needed;  /* oldest that all open batches allow */
 	uint64_t next;	  /* oldest that the next batch will allow */
 	bool batch_open;  /* the model has work */
-	bool batch_early; /* the newest batch is still placing its items */
 	uint32_t homes;	  /* of the model */
 	uint32_t homes_loading;
 	uint32_t serving; /* homes that fit all open batches and don't load */
@@ -963,6 +962,7 @@
 	uint64_t order_seq; /* as last reported */
 	bool seq_known;
 	uint64_t busy_until_ns; /* an order may be in progress until then */
+	uint64_t ordered_ns;	/* when the last order was accepted */
 	uint64_t look_ns;	/* when to ask for its state */
 	bool ordered;		/* waits for the order to complete */
 	bool changed;		/* its row is to be written */
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -131,8 +131,7 @@
 /*
  * A load takes an upstream away from its model for about a second. What the
  * next batch will need is loaded while the open ones go on, a third of the
- * homes at a time and not before an open batch has placed its items; what an
- * open batch has no use for is loaded at once.
+ * homes at a time; what an open batch has no use for is loaded at once.
  */
 bool
 kwb_load_wanted(const struct kwb_load_input *input)
@@ -144,6 +143,6 @@
 		return false;
 	if (!input->batch_open || input->version < input->needed)
 		return true;
-	return !input->batch_early && input->serving > 1 &&
+	return input->serving > 1 &&
 	    input->homes_loading < (part > 0 ? part : 1);
 }
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -187,8 +187,9 @@
 	case 202:
 		home->order_seq++;
 		home->ordered = true;
-		home->busy_until_ns = now_ns + KWB_LOAD_NS;
-		home->look_ns = now_ns + KWB_LOAD_NS;
+		home->ordered_ns = now_ns;
+		home->busy_until_ns = now_ns + KWB_LOAD_SEEN_NS;
+		home->look_ns = now_ns + KWB_LOAD_SEEN_NS;
 		home_apply(mover, home);
 		home_write(mover);
 		kwb_batches_reconsider(mover->batches);
@@ -426,7 +427,6 @@
     struct kwb_load_input *input)
 {
 	const struct kwb_batch_head *head;
-	uint64_t opened_ms = 0;
 	uint64_t asked = 0;
 	uint32_t i;
 
@@ -439,21 +439,17 @@
 		if (head->ended || head->listed)
 			continue;
 		input->batch_open = true;
-		if (head->accepted_ms > opened_ms)
-			opened_ms = head->accepted_ms;
 		if (head->min_version > input->needed)
 			input->needed = head->min_version;
 	}
 	input->next = asked + 1;
-	input->batch_early = kwb_store_now_ms(mover->env->store) <
-	    opened_ms + KWB_BATCH_EARLY_MS;
 }
 
 static bool
 is_loading(const struct kwb_mover_upstream *home, uint64_t now_ns)
 {
 	return home->ordering ||
-	    (home->ordered && home->busy_until_ns > now_ns);
+	    (home->ordered && now_ns - home->ordered_ns < KWB_LOAD_NS);
 }
 
 /* Counts the homes of a model, and the loads of a service. */
