One node runs a trainer's batches while it lives

Change: a node that accepts a batch names the node that ran the model's last one as owner, if that has beaten within 1.5 s; a batch nobody has run is loaded without looking for results.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -767,6 +767,7 @@
 	uint32_t total; /* items */
 	bool ended;
 	bool listed; /* all items have a result */
+	bool fresh;  /* nobody has run it yet */
 	uint64_t revision;
 };
 
@@ -815,8 +816,9 @@
 struct kwb_node_beat {
 	char node[KWB_NAME_MAX_BYTES];
 	uint64_t revision;
-	uint64_t seen_ns; /* boot time when that revision was first read */
-	uint32_t reads;	  /* successful reads since then */
+	uint64_t seen_ns;    /* boot time when that revision was first read */
+	uint64_t changed_ns; /* boot time when it last changed */
+	uint32_t reads;	     /* successful reads since then */
 };
 
 struct kwb_batches {
@@ -837,6 +839,8 @@
 	struct kwb_node_beat *beats;
 	uint32_t beats_count;
 	uint64_t beat_ns;		  /* last own heartbeat */
+	uint64_t owned_ns;		  /* when this node last ran a batch */
+	uint64_t changed_ns;		  /* when a head last changed */
 	void (*on_change)(void *context); /* a batch began or ended */
 	void *context;
 };
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -37,11 +37,14 @@
 	struct kwb_batch *batch;
 
 	heads_put(batches, &accept->head);
+	if (!own_is_mine(batches, &accept->head))
+		return;
 	if (batch_find(batches, accept->head.id) != NULL || batches->leaving)
 		return;
 	batch = batch_new(batches, &accept->head);
 	if (batch == NULL || batch_set_spec(batch, &accept->spec) != 0)
 		return; /* loaded from the store later */
+	batch_begun(batch);
 	batch->loaded = true;
 	kwb_batches_kick(batches);
 }
@@ -124,15 +127,39 @@
 		accept_end(accept, KWB_ACCEPT_REFUSED, kwb_error_name(code));
 }
 
+/*
+ * The node that ran the trainer's last batch gets the next one, too: it has
+ * connections to the model's homes and knows what it has placed there.
+ */
 static void
-head_fill(struct kwb_accept *accept)
+owner_choose(struct kwb_accept *accept)
 {
-	const struct kwb_batch_env *env = accept->batches->env;
+	const struct kwb_batches *batches = accept->batches;
+	const struct kwb_batch_env *env = batches->env;
+	const struct kwb_batch_head *newest = NULL;
 	struct kwb_batch_head *head = &accept->head;
 	uint32_t i;
 
 	kwb_text_copy(head->owner, sizeof(head->owner), env->settings->node);
 	head->owner_incarnation = env->incarnation;
+	for (i = 0; i < batches->heads_count; i++)
+		if (strcmp(batches->heads[i]->model, head->model) == 0 &&
+		    (newest == NULL ||
+			batches->heads[i]->accepted_ms > newest->accepted_ms))
+			newest = batches->heads[i];
+	if (newest == NULL || !own_is_alive(batches, newest->owner))
+		return;
+	kwb_text_copy(head->owner, sizeof(head->owner), newest->owner);
+	head->owner_incarnation = newest->owner_incarnation;
+}
+
+static void
+head_fill(struct kwb_accept *accept)
+{
+	struct kwb_batch_head *head = &accept->head;
+	uint32_t i;
+
+	head->fresh = true;
 	kwb_text_copy(head->model, sizeof(head->model), accept->spec.model);
 	head->min_version = accept->spec.min_version;
 	head->step = accept->spec.step;
@@ -140,6 +167,7 @@
 	head->total = accept->spec.items_count;
 	for (i = 0; i < accept->spec.items_count; i++)
 		head->tokens += accept->spec.items[i].tokens;
+	owner_choose(accept);
 }
 
 void
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -81,6 +81,7 @@
 struct kwb_batch *batch_new(
     struct kwb_batches *batches, const struct kwb_batch_head *head);
 int batch_set_spec(struct kwb_batch *batch, struct kwb_batch_spec *spec);
+void batch_begun(struct kwb_batch *batch);
 void batch_load(struct kwb_batch *batch);
 void batch_free(struct kwb_batch *batch);
 struct kwb_batch *batch_find(const struct kwb_batches *batches, const char *id);
@@ -102,6 +103,10 @@
 void own_finish(struct kwb_batches *batches);
 void own_changed(struct kwb_batches *batches,
     const struct kwb_batch_head *head); /* the owner of a batch is new */
+bool own_is_mine(
+    const struct kwb_batches *batches, const struct kwb_batch_head *head);
+bool own_is_alive(const struct kwb_batches *batches,
+    const char *node); /* has beaten just now */
 void own_look(struct kwb_batches *batches);
 void batch_leave(struct kwb_batch *batch);
 
--- a/src/batch/head.c
+++ b/src/batch/head.c
@@ -68,6 +68,7 @@
 	head->total = (uint32_t)number(value, "total");
 	head->ended = json_is_true(json_object_get(value, "ended"));
 	head->listed = json_is_true(json_object_get(value, "listed"));
+	head->fresh = json_is_true(json_object_get(value, "fresh"));
 	json_decref(value);
 	return 0;
 }
@@ -76,7 +77,7 @@
 kwb_batch_head_print(const struct kwb_batch_head *head, struct kwb_buf *out)
 {
 	json_t *value = json_pack(
-	    "{s:s, s:I, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:b}",
+	    "{s:s, s:I, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:b}",
 	    "owner", head->owner, "incarnation",
 	    (json_int_t)head->owner_incarnation, "host", head->host, "path",
 	    head->target, "model", head->model, "min_version",
@@ -84,7 +85,7 @@
 	    (json_int_t)head->accepted_ms, "tokens", (json_int_t)head->tokens,
 	    "step", (json_int_t)head->step, "target_groups",
 	    (json_int_t)head->target_groups, "total", (json_int_t)head->total,
-	    "ended", head->ended, "listed", head->listed);
+	    "ended", head->ended, "listed", head->listed, "fresh", head->fresh);
 	char *text = json_dumps(value, JSON_COMPACT);
 	int code;
 
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -45,6 +45,7 @@
 		batches->heads[batches->heads_count++] = known;
 	}
 	*known = *head;
+	batches->changed_ns = kwb_clock_now_ns();
 	own_look(batches);
 	batches->on_change(batches->context);
 }
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -234,6 +234,18 @@
 		load_failed(batch, code);
 }
 
+/* From now on there may be results of it, should it be loaded again. */
+void
+batch_begun(struct kwb_batch *batch)
+{
+	struct kwb_batch_head *known =
+	    kwb_batches_head(batch->batches, batch->head.id);
+
+	batch->head.fresh = false;
+	if (known != NULL)
+		known->fresh = false;
+}
+
 static void
 object_answer(
     struct kwb_store_call *call, const struct kwb_store_answer *answer)
@@ -253,6 +265,12 @@
 		load_failed(batch, code);
 		return;
 	}
+	if (batch->head.fresh) {
+		batch_begun(batch);
+		batch->loaded = true;
+		kwb_batches_kick(batch->batches);
+		return;
+	}
 	call->on_done = done_answer;
 	load_done(batch, &range);
 }
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -20,8 +20,9 @@
 
 static struct claim claims[KWB_CLAIMS_MAX];
 
-static bool
-is_mine(const struct kwb_batches *batches, const struct kwb_batch_head *head)
+bool
+own_is_mine(
+    const struct kwb_batches *batches, const struct kwb_batch_head *head)
 {
 	return strcmp(head->owner, batches->env->settings->node) == 0 &&
 	    head->owner_incarnation == batches->env->incarnation;
@@ -62,9 +63,19 @@
 		return;
 	beat->revision = revision;
 	beat->seen_ns = kwb_boot_now_ns();
+	beat->changed_ns = beat->seen_ns;
 	beat->reads = 0;
 }
 
+bool
+own_is_alive(const struct kwb_batches *batches, const char *node)
+{
+	const struct kwb_node_beat *beat = beat_find(batches, node);
+
+	return beat != NULL && beat->revision != 0 &&
+	    kwb_boot_now_ns() - beat->changed_ns < KWB_OWNER_ALIVE_NS;
+}
+
 /* A node may have been idle, and so silent, before it got this batch. */
 void
 own_changed(struct kwb_batches *batches, const struct kwb_batch_head *head)
@@ -175,7 +186,8 @@
 }
 
 static void
-claim_start(struct kwb_batches *batches, const struct kwb_batch_head *head)
+claim_start(struct kwb_batches *batches, const struct kwb_batch_head *head,
+    bool release)
 {
 	static struct kwb_tx tx;
 	struct kwb_store *store = batches->env->store;
@@ -192,8 +204,9 @@
 	claim->batches = batches;
 	claim->head = *head;
 	kwb_text_copy(claim->head.owner, sizeof(claim->head.owner),
-	    batches->env->settings->node);
-	claim->head.owner_incarnation = batches->env->incarnation;
+	    release ? "" : batches->env->settings->node);
+	claim->head.owner_incarnation = release ? 0 : batches->env->incarnation;
+	claim->head.fresh = release && head->fresh;
 	claim->call.on_done = claim_answer;
 	claim->call.context = claim;
 	kwb_buf_init(&value);
@@ -230,16 +243,16 @@
 	for (; batch != NULL; batch = next) {
 		next = TAILQ_NEXT(batch, entry);
 		head = kwb_batches_head(batches, batch->head.id);
-		if (head != NULL && is_open(head) && is_mine(batches, head) &&
-		    !batch->closing)
+		if (head != NULL && is_open(head) &&
+		    own_is_mine(batches, head) && !batch->closing)
 			continue;
 		if (batch->closing && batch->head.listed && head != NULL &&
-		    is_open(head) && is_mine(batches, head)) {
+		    is_open(head) && own_is_mine(batches, head)) {
 			/* Says in the head that nothing is left to do. */
 			struct kwb_batch_head listed = *head;
 
 			listed.listed = true;
-			claim_start(batches, &listed);
+			claim_start(batches, &listed, false);
 		}
 		kwb_log(KWB_LOG_INFO, "own",
 		    "event=closed batch=%s listed=%u items=%u reason=%s",
@@ -266,7 +279,8 @@
 	uint64_t now_ns = kwb_clock_now_ns();
 	struct kwb_batch_head *head;
 	struct kwb_batch *batch;
-	bool foreign = false;
+	bool look = batches->heads_count > 0 &&
+	    now_ns - batches->changed_ns < KWB_OWNER_STAY_NS;
 	uint32_t i;
 
 	(void)fd;
@@ -277,12 +291,15 @@
 		if (!is_open(head) || claim_is_open(batches, head->id))
 			continue;
 		batch = batch_find(batches, head->id);
-		if (is_mine(batches, head)) {
+		if (own_is_mine(batches, head)) {
 			if (batch == NULL && !batches->leaving) {
 				batch = batch_new(batches, head);
 				if (batch != NULL)
 					batch_load(batch);
-			} else if (batch != NULL && batch->loading_ns != 0 &&
+			} else if (batch == NULL) {
+				/* Given to this node as it began to stop. */
+				claim_start(batches, head, true);
+			} else if (batch->loading_ns != 0 &&
 			    batch->loading_ns <= now_ns) {
 				if (batch->loaded)
 					batch_reconcile(batch);
@@ -291,14 +308,18 @@
 			}
 			continue;
 		}
-		foreign = true;
+		look = true;
 		if (!batches->leaving && may_claim(batches, head))
-			claim_start(batches, head);
+			claim_start(batches, head, false);
 	}
-	if (!TAILQ_EMPTY(&batches->running) && batches->beat.driver == NULL &&
+	if (!TAILQ_EMPTY(&batches->running))
+		batches->owned_ns = now_ns;
+	if (batches->owned_ns != 0 && !batches->leaving &&
+	    now_ns - batches->owned_ns < KWB_OWNER_STAY_NS &&
+	    batches->beat.driver == NULL &&
 	    now_ns - batches->beat_ns >= KWB_BEAT_NS)
 		beat_write(batches);
-	if (foreign && !batches->leaving && batches->look.driver == NULL) {
+	if (look && !batches->leaving && batches->look.driver == NULL) {
 		struct kwb_range range = {.table = TABLE_NODES, .part = ""};
 
 		batches->look.on_done = look_answer;
