Homes of a model take every other version, out of phase

Cause: on the grown sites 42 homes took every version: 42 loads of 0.9 s with 8 at a time are 4.7 s, longer than the 4 s between steps. Batches allow weights that are one version old, so a home can serve two steps with one load. Ruled out: a higher number of loads at once (they slow each other down beyond it).

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -142,6 +142,7 @@
 #define KWB_LOAD_HOMES_PART 3 /* a third of a model's homes at a time */
 #define KWB_LOAD_LEAST_NS (700 * KWB_MS_NS) /* no load is done before */
 #define KWB_LOAD_MOST_NS (3000 * KWB_MS_NS) /* an order may be lost */
+#define KWB_LAG_USUAL 1 /* versions, before a batch has said it */
 #define KWB_LOADS_MIN 2	 /* loads at once; more slow each other down */
 #define KWB_LOADS_PART 5 /* one in so many upstreams of a service */
 #define KWB_ORDER_TIMEOUT_MS 1000
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -946,17 +946,22 @@
 struct kwb_load_input {
 	uint64_t version; /* it has */
 	uint64_t newest;  /* version that is named */
-	uint64_t needed;  /* oldest that all open batches allow */
-	uint64_t next;	  /* oldest that the next batch will allow */
-	bool batch_open;  /* the model has work */
+	uint64_t lag;	  /* versions that a batch's weights may be behind */
 	uint32_t homes;	  /* of the model */
-	uint32_t homes_loading;
-	uint32_t serving; /* homes that fit all open batches and don't load */
+	uint32_t homes_newest;	/* that have the newest version, or load it */
+	uint32_t homes_loading; /* of the model */
+	uint32_t serving; /* homes whose weights fit and that don't load */
 	uint32_t loading; /* upstreams of the service that load */
 	uint32_t loading_max;
 };
 
-bool kwb_load_wanted(const struct kwb_load_input *input); /* pure */
+enum kwb_load {
+	KWB_LOAD_NO,
+	KWB_LOAD_SOON, /* to keep the homes out of phase */
+	KWB_LOAD_NOW   /* the next batch has no use for it as it is */
+};
+
+enum kwb_load kwb_load_wanted(const struct kwb_load_input *input); /* pure */
 
 struct kwb_mover_upstream {
 	char id[KWB_NAME_MAX_BYTES];
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -129,20 +129,24 @@
 }
 
 /*
- * A load takes an upstream away from its model for about a second. What the
- * next batch will need is loaded while the open ones go on, a third of the
- * homes at a time; what an open batch has no use for is loaded at once.
+ * A load takes an upstream away from its model for about a second, and only
+ * some can load at once, so a home takes every version that its trainer needs
+ * and no other: with weights that are `lag` versions old a batch is still
+ * served. Homes are kept out of phase, so that a batch finds a part of them
+ * ready while the others load.
  */
-bool
+enum kwb_load
 kwb_load_wanted(const struct kwb_load_input *input)
 {
 	uint32_t part = input->homes / KWB_LOAD_HOMES_PART;
 
-	if (input->version >= input->newest || input->version >= input->next ||
+	if (input->version >= input->newest ||
 	    input->loading >= input->loading_max)
-		return false;
-	if (!input->batch_open || input->version < input->needed)
-		return true;
-	return input->serving > 1 &&
-	    input->homes_loading < (part > 0 ? part : 1);
+		return KWB_LOAD_NO;
+	if (input->version + input->lag < input->newest)
+		return KWB_LOAD_NOW;
+	if (input->homes_newest < input->homes / (input->lag + 1) &&
+	    input->homes_loading < (part > 0 ? part : 1) && input->serving > 1)
+		return KWB_LOAD_SOON;
+	return KWB_LOAD_NO;
 }
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -421,28 +421,23 @@
 /* ---- What is ordered now ----------------------------------------------------
  */
 
-/* Which weights the open batches of a model need, and which the next will. */
-static void
-needs_of(const struct kwb_mover *mover, const char *model,
-    struct kwb_load_input *input)
+/* How old weights may be, as the trainer's newest batch says. */
+static uint64_t
+lag_of(const struct kwb_mover *mover, const char *model)
 {
+	const struct kwb_batch_head *newest = NULL;
 	const struct kwb_batch_head *head;
-	uint64_t asked = 0;
 	uint32_t i;
 
 	for (i = 0; i < mover->batches->heads_count; i++) {
 		head = mover->batches->heads[i];
-		if (strcmp(head->model, model) != 0)
-			continue;
-		if (head->min_version > asked)
-			asked = head->min_version;
-		if (head->ended || head->listed)
-			continue;
-		input->batch_open = true;
-		if (head->min_version > input->needed)
-			input->needed = head->min_version;
+		if (strcmp(head->model, model) == 0 &&
+		    (newest == NULL || head->step > newest->step))
+			newest = head;
 	}
-	input->next = asked + 1;
+	if (newest == NULL || newest->step <= newest->min_version)
+		return newest != NULL && newest->step > 1 ? 0 : KWB_LAG_USUAL;
+	return newest->step - newest->min_version;
 }
 
 static bool
@@ -460,9 +455,9 @@
 	const struct kwb_mover_upstream *home;
 	const struct kwb_upstream *upstream;
 	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t version;
 	uint32_t count = 0;
 	bool loading;
-	bool same;
 
 	TAILQ_FOREACH (home, &mover->upstreams, entry) {
 		upstream = listed(mover, home->id);
@@ -470,13 +465,17 @@
 		    strcmp(upstream->status.service, service) != 0)
 			continue;
 		loading = is_loading(home, now_ns);
-		same = strcmp(home->model, model) == 0;
 		count++;
 		input->loading += loading;
-		input->homes += same;
-		input->homes_loading += same && loading;
-		input->serving += same && !loading &&
-		    kwb_upstream_version(upstream, model) >= input->needed;
+		if (strcmp(home->model, model) != 0)
+			continue;
+		version = kwb_upstream_version(upstream, model);
+		input->homes++;
+		input->homes_loading += loading;
+		input->homes_newest += version >= input->newest ||
+		    (loading && home->target >= input->newest);
+		input->serving +=
+		    !loading && version + input->lag >= input->newest;
 	}
 	input->loading_max = count / KWB_LOADS_PART;
 	if (input->loading_max < KWB_LOADS_MIN)
@@ -485,7 +484,7 @@
 
 static void
 home_step(struct kwb_mover *mover, struct kwb_mover_upstream *home,
-    const struct kwb_upstream *upstream)
+    const struct kwb_upstream *upstream, enum kwb_load urgency)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 	struct kwb_load_input input = {0};
@@ -496,11 +495,12 @@
 		report_start(home, upstream);
 		return;
 	}
-	if (home->ordered || home->busy_until_ns > now_ns)
+	if (home->ordered || home->busy_until_ns > now_ns ||
+	    input.version >= input.newest)
 		return;
-	needs_of(mover, home->model, &input);
+	input.lag = lag_of(mover, home->model);
 	count_homes(mover, upstream->status.service, home->model, &input);
-	if (!kwb_load_wanted(&input))
+	if (kwb_load_wanted(&input) != urgency)
 		return;
 	if (!home->seq_known) {
 		report_start(home, upstream);
@@ -510,15 +510,30 @@
 	order_start(home, upstream, input.newest);
 }
 
+/* What a batch waits for goes before what keeps homes out of phase. */
+static void
+homes_step(struct kwb_mover *mover, enum kwb_load urgency)
+{
+	struct kwb_mover_upstream *home;
+	struct kwb_mover_upstream *next;
+	const struct kwb_upstream *upstream;
+
+	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
+		next = TAILQ_NEXT(home, entry);
+		upstream = listed(mover, home->id);
+		if (home->asking || home->ordering || home->model[0] == '\0')
+			continue;
+		if (upstream != NULL && !upstream->status.draining)
+			home_step(mover, home, upstream, urgency);
+	}
+}
+
 static void
 mover_time(int fd, short what, void *context)
 {
 	struct kwb_mover *mover = context;
 	const struct kwb_node_config *config = *mover->env->config;
 	uint64_t now_ns = kwb_clock_now_ns();
-	struct kwb_mover_upstream *home;
-	struct kwb_mover_upstream *next;
-	const struct kwb_upstream *upstream;
 	uint32_t i;
 
 	(void)fd;
@@ -534,14 +549,8 @@
 				plan_service(mover, &config->services[i]);
 		home_write(mover);
 	}
-	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
-		next = TAILQ_NEXT(home, entry);
-		upstream = listed(mover, home->id);
-		if (home->asking || home->ordering || home->model[0] == '\0')
-			continue;
-		if (upstream != NULL && !upstream->status.draining)
-			home_step(mover, home, upstream);
-	}
+	homes_step(mover, KWB_LOAD_NOW);
+	homes_step(mover, KWB_LOAD_SOON);
 }
 
 static void
