--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -52,26 +52,28 @@
 #define KWB_FOLLOW_RETRY_NS (150 * KWB_MS_NS) /* after a failed call */
 
 /* Upstreams of the shared platform */
+#define KWB_CONNECT_COST 0.15  /* of a new connection, in pieces of work */
+#define KWB_PACE_NOISE 1.6     /* plain work varies by so much */
 #define KWB_SUSPECT_FAILURES 2 /* in a row, before an upstream is avoided */
 #define KWB_SUSPECT_NS (1000 * KWB_MS_NS)     /* first time it is avoided */
 #define KWB_SUSPECT_MAX_NS (8000 * KWB_MS_NS) /* longest, as it doubles */
 #define KWB_PACE_KEEP_NS (4000 * KWB_MS_NS)   /* a measured pace counts */
-#define KWB_PACE_MAX_NS (500 * KWB_MS_NS) /* longer is a pause */
+#define KWB_PACE_MAX_NS (500 * KWB_MS_NS)     /* longer is a pause */
 #define KWB_REPORT_KEEP_NS (400 * KWB_MS_NS)  /* a reported load counts */
 #define KWB_REFUSED_NS (60 * KWB_MS_NS)	      /* left alone after it was full */
 #define KWB_MISDIRECTED_NS (1000 * KWB_MS_NS) /* address of another one */
 #define KWB_FORWARD_LEAST_MS 15 /* no new try with less time left */
 #define KWB_FORWARD_MARGIN_NS (50 * KWB_MS_NS) /* its own deadline is first */
-#define KWB_FORWARD_RETRY_NS (15 * KWB_MS_NS) /* between looks for a place */
+#define KWB_FORWARD_RETRY_NS (15 * KWB_MS_NS)  /* between looks for a place */
 
 /* Batches */
 #define KWB_ITEM_TTL_MS 30000		       /* when no route names one */
 #define KWB_ITEM_RETRY_NS (100 * KWB_MS_NS)    /* after an upstream's error */
 #define KWB_ITEM_SILENCE_NS (1500 * KWB_MS_NS) /* 40 times a usual pause */
-#define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS) /* between looks for slow items */
-#define KWB_MOVES_MAX 4			    /* of one item */
-#define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS) /* before it is moved again */
-#define KWB_SCORE_TIMEOUT_MS 1500	       /* when no route names one */
+#define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS)   /* between looks for slow items */
+#define KWB_MOVES_MAX 4			     /* of one item */
+#define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS)  /* before it is moved again */
+#define KWB_SCORE_TIMEOUT_MS 1500	     /* when no route names one */
 #define KWB_PUMP_NS (20 * KWB_MS_NS)	     /* between looks for free places */
 #define KWB_BATCH_RETRY_NS (250 * KWB_MS_NS) /* after a failed store call */
 #define KWB_TX_MAX_BYTES (400u << 10) /* of values; 1 MB as text at most */
@@ -82,8 +84,8 @@
 #define KWB_BEAT_NS (600 * KWB_MS_NS)	   /* between beats of an owner */
 #define KWB_BEAT_READS 4 /* reads without a beat before a take-over */
 #define KWB_OWNER_SILENT_NS (2200 * KWB_MS_NS) /* likewise, time */
-#define KWB_OWNER_ALIVE_NS (1500 * KWB_MS_NS) /* its last beat is so new */
-#define KWB_OWNER_STAY_NS (10000 * KWB_MS_NS) /* beats on without batches */
+#define KWB_OWNER_ALIVE_NS (1150 * KWB_MS_NS)  /* its last beat is so new */
+#define KWB_OWNER_STAY_NS (10000 * KWB_MS_NS)  /* beats on without batches */
 #define KWB_CLAIMS_MAX 32 /* conditional writes of heads in progress */
 
 /* Nodes */
@@ -93,11 +95,11 @@
 #define KWB_READ_WAIT_MAX_MS 1000 /* a reader waits for a result */
 #define KWB_READ_TRY_MS 1500	  /* a read without store is tried */
 #define KWB_NODE_TICK_NS (200 * KWB_MS_NS)
-#define KWB_STORE_AWAY_NS (1000 * KWB_MS_NS) /* entries may have lapsed */
-#define KWB_ENTRY_BACK_NS (2300 * KWB_MS_NS) /* after its return, or gone */
-#define KWB_READY_STORE_NS (5000 * KWB_MS_NS)  /* ready without the store */
-#define KWB_STOP_LEAST_NS (3000 * KWB_MS_NS)   /* the balancer looks thrice */
-#define KWB_STOP_MARGIN_MS 1200		       /* ended before the kill */
+#define KWB_STORE_AWAY_NS (1000 * KWB_MS_NS)  /* entries may have lapsed */
+#define KWB_ENTRY_BACK_NS (2300 * KWB_MS_NS)  /* after its return, or gone */
+#define KWB_READY_STORE_NS (5000 * KWB_MS_NS) /* ready without the store */
+#define KWB_STOP_LEAST_NS (3000 * KWB_MS_NS)  /* the balancer looks thrice */
+#define KWB_STOP_MARGIN_MS 1200		      /* ended before the kill */
 #define KWB_LOG_FLUSH_NS (100 * KWB_MS_NS)
 #define KWB_LOG_BUFFER_BYTES 65536
 #define KWB_LOG_LINES_PER_S 400 /* further lines are counted, not written */
@@ -135,14 +137,14 @@
 #define KWB_SWAP_TIMEOUT_MS 15000
 #define KWB_MOVER_NS (100 * KWB_MS_NS)	    /* between looks at what to order */
 #define KWB_PLAN_NS (1000 * KWB_MS_NS)	    /* between plans of homes */
-#define KWB_LOAD_NS (900 * KWB_MS_NS) /* a load takes, while few load */
+#define KWB_LOAD_NS (900 * KWB_MS_NS)	    /* a load takes, while few load */
 #define KWB_LOAD_SEEN_NS (1120 * KWB_MS_NS) /* and is in reports, which lag */
-#define KWB_LOAD_LOOK_NS (150 * KWB_MS_NS) /* between questions after that */
+#define KWB_LOAD_LOOK_NS (150 * KWB_MS_NS)  /* between questions after that */
 #define KWB_LOAD_RETRY_NS (500 * KWB_MS_NS) /* after a refused order */
 #define KWB_LOAD_HOMES_PART 3 /* a third of a model's homes at a time */
 #define KWB_LOAD_LEAST_NS (700 * KWB_MS_NS) /* no load is done before */
 #define KWB_LOAD_MOST_NS (3000 * KWB_MS_NS) /* an order may be lost */
-#define KWB_LAG_USUAL 1 /* versions, before a batch has said it */
+#define KWB_LAG_USUAL 1	 /* versions, before a batch has said it */
 #define KWB_LOADS_MIN 2	 /* loads at once; more slow each other down */
 #define KWB_LOADS_PART 5 /* one in so many upstreams of a service */
 #define KWB_ORDER_TIMEOUT_MS 1000
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -140,6 +140,8 @@
 int kwb_client_init(
     struct kwb_client *client, struct event_base *base); /* no connections */
 void kwb_client_finish(struct kwb_client *client);	 /* closes the idle */
+bool kwb_client_has_idle(const struct kwb_client *client,
+    const struct kwb_address *address); /* a kept connection is free */
 void kwb_client_drop(struct kwb_client *client,
     const struct kwb_address *address); /* closes idle ones to an address */
 int kwb_exchange_start(struct kwb_exchange *exchange, struct kwb_client *client,
@@ -527,6 +529,7 @@
 	uint32_t exclude_count;
 	const char *affinity; /* id of an upstream that read the prompt */
 	bool within_slots;    /* only where a slot is free */
+	const struct kwb_client *client; /* prefers kept connections, or NULL */
 	uint64_t now_ns;
 	uint64_t random;
 };
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -69,9 +69,9 @@
 	uint64_t loading_ns;	    /* when a failed load is tried again */
 	bool loaded;		    /* spec and done items are known */
 	bool listing;
-	bool reconciling; /* reads what is listed after a doubt */
-	bool leaving;	  /* is handed over */
-	bool closing;	  /* has ended, or another node owns it */
+	bool in_doubt; /* what is listed has to be read first */
+	bool leaving;  /* is handed over */
+	bool closing;  /* has ended, or another node owns it */
 	uint32_t listed;
 	uint32_t leave_next; /* next run whose text is handed over */
 	TAILQ_ENTRY(kwb_batch) entry;
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -99,8 +99,14 @@
 	batches->pump_armed = false;
 	if (batches->leaving)
 		return;
-	TAILQ_FOREACH (batch, &batches->running, entry)
-		left |= batch_pump(batch);
+	/*
+	 * A node that the store has turned away for so long has lost its
+	 * batches to others: what runs goes on, nothing new starts.
+	 */
+	if (kwb_clock_now_ns() - batches->env->store->answered_ns <
+	    KWB_OWNER_SILENT_NS)
+		TAILQ_FOREACH (batch, &batches->running, entry)
+			left |= batch_pump(batch);
 	if (kwb_clock_now_ns() - batches->moved_ns >= KWB_MOVE_LOOK_NS) {
 		batches->moved_ns = kwb_clock_now_ns();
 		TAILQ_FOREACH (batch, &batches->running, entry)
--- a/src/batch/list.c
+++ b/src/batch/list.c
@@ -81,7 +81,7 @@
 	uint32_t i;
 	int code;
 
-	if (batch->listing || batch->reconciling || !batch->loaded)
+	if (batch->listing || batch->in_doubt || !batch->loaded)
 		return;
 	memset(&listing, 0, sizeof(listing));
 	for (i = 0; i < batch->spec.items_count; i++) {
@@ -153,11 +153,11 @@
 	uint32_t i;
 	uint32_t k;
 
-	batch->reconciling = false;
 	if (answer->error != 0) {
 		batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
 		return;
 	}
+	batch->in_doubt = false;
 	for (k = 0; k < answer->rows_count; k++) {
 		for (i = 0; i < batch->spec.items_count; i++)
 			if (strcmp(batch->spec.items[i].id,
@@ -180,7 +180,10 @@
 		batch_list(batch);
 }
 
-/* Reads what is listed, after an answer that leaves it in doubt. */
+/*
+ * Reads what is listed, after an answer that leaves it in doubt. Until that is
+ * known nothing more is listed: the next position depends on it.
+ */
 void
 batch_reconcile(struct kwb_batch *batch)
 {
@@ -188,11 +191,9 @@
 	struct kwb_range range = {.table = TABLE_DONE, .part = batch->head.id};
 
 	batch->loading_ns = 0;
-	batch->reconciling = true;
+	batch->in_doubt = true;
 	batch->call.context = batch;
 	batch->call.on_done = reconcile_answer;
-	if (store->ops->range(store, &range, &batch->call) != 0) {
-		batch->reconciling = false;
+	if (store->ops->range(store, &range, &batch->call) != 0)
 		batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
-	}
 }
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -470,6 +470,7 @@
 			run_stop(&batch->runs[i]);
 	kwb_store_cancel(batch->batches->env->store, &batch->call);
 	batch->listing = false;
+	batch->in_doubt = true; /* the listing may still be done */
 	batch->leave_next = batch->loaded ? 0 : batch->spec.items_count;
 	leave_step(batch);
 }
--- a/src/batch/read.c
+++ b/src/batch/read.c
@@ -51,6 +51,13 @@
 	int code = KWB_ERR_MEMORY;
 
 	for (; results != NULL && count < answer->rows_count; count++) {
+		if (strtoul(answer->rows[count].key, NULL, 10) !=
+		    read->after + count) {
+			kwb_log(KWB_LOG_ERROR, "read",
+			    "event=position_missing batch=%s position=%u",
+			    read->batch, read->after + count);
+			break;
+		}
 		bytes += answer->rows[count].value_bytes;
 		if (count > 0 && bytes > KWB_RESULTS_MAX_BYTES)
 			break;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -266,6 +266,7 @@
 	struct kwb_pick pick = {
 	    .service = forward->service,
 	    .failure_domain = forward->env->failure_domain,
+	    .client = forward->env->client,
 	    .exclude = forward->tried,
 	    .exclude_count = again ? 0 : forward->tried_count,
 	    .now_ns = kwb_clock_now_ns(),
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -316,6 +316,20 @@
 	event_free(client->sweep);
 }
 
+bool
+kwb_client_has_idle(
+    const struct kwb_client *client, const struct kwb_address *address)
+{
+	const struct kwb_line *line;
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	TAILQ_FOREACH (line, &client->idle, entry)
+		if (line_is_to(line, address) &&
+		    line->idle_deadline_ns > now_ns)
+			return true;
+	return false;
+}
+
 void
 kwb_client_drop(struct kwb_client *client, const struct kwb_address *address)
 {
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -133,6 +133,11 @@
 	    : 1.0;
 	double cost = 1.0 + LOAD_COST * load / slots;
 
+	if (pick->model == NULL && pace < KWB_PACE_NOISE)
+		pace = 1.0;
+	if (pick->client != NULL &&
+	    !kwb_client_has_idle(pick->client, &upstream->status.address))
+		cost += KWB_CONNECT_COST;
 	if (load >= slots)
 		cost += (double)(load + 1 - slots) / slots;
 	if (pick->failure_domain != NULL &&
