Tests of a node's decisions and parsers; two thirds of the homes load ahead

A table or a play of load for each decision (routes, choice of upstream, homes, loads, order of items, moves), split and mutated input for each parser (9000 documents, 3000 requests, from a fixed seed).

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 	$(B)/fake-relay $(B)/fake-trainer
 EXAMPLES = $(patsubst examples/%.c,$(B)/examples/%,$(wildcard examples/*.c))
 TESTS = $(B)/tests/unit $(B)/tests/contract $(B)/tests/golden \
-	$(B)/tests/faults
+	$(B)/tests/faults $(B)/tests/platform/decisions \
+	$(B)/tests/platform/stage
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
 
 all: $(B)/kwb-node $(DAEMONS) $(FAKES) $(EXAMPLES)
@@ -89,6 +90,10 @@
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
+$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
+		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
+
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -27,14 +27,14 @@
 	KWB_ERR_WIRE_FRAME = -100,
 	KWB_ERR_WIRE_SIZE = -101,
 	KWB_ERR_WIRE_CLOSED = -102,
-	KWB_ERR_NET_CONNECT = -120,   /* no connection: nothing was sent */
-	KWB_ERR_NET_STALE = -121,     /* a kept connection was closed */
-	KWB_ERR_NET_CLOSED = -122,    /* the peer closed before the end */
-	KWB_ERR_NET_RESET = -123,     /* the peer reset the connection */
-	KWB_ERR_NET_TIMEOUT = -124,   /* no answer in time, or silence */
-	KWB_ERR_NET_MALFORMED = -125, /* not HTTP */
-	KWB_ERR_NET_HEAD_SIZE = -126, /* head over its limit */
-	KWB_ERR_NET_BODY_SIZE = -127, /* body over its limit */
+	KWB_ERR_NET_CONNECT = -120,    /* no connection: nothing was sent */
+	KWB_ERR_NET_STALE = -121,      /* a kept connection was closed */
+	KWB_ERR_NET_CLOSED = -122,     /* the peer closed before the end */
+	KWB_ERR_NET_RESET = -123,      /* the peer reset the connection */
+	KWB_ERR_NET_TIMEOUT = -124,    /* no answer in time, or silence */
+	KWB_ERR_NET_MALFORMED = -125,  /* not HTTP */
+	KWB_ERR_NET_HEAD_SIZE = -126,  /* head over its limit */
+	KWB_ERR_NET_BODY_SIZE = -127,  /* body over its limit */
 	KWB_ERR_STORE_CONFLICT = -150, /* a condition did not hold */
 	KWB_ERR_STORE_REFUSED = -151,  /* nothing was done */
 	KWB_ERR_STORE_UNKNOWN = -152,  /* no answer: may be done, or later */
@@ -140,8 +140,8 @@
 	KWB_HISTOGRAM_COUNT
 };
 
-void kwb_histogram_add(enum kwb_histogram histogram,
-    uint64_t taken_ns);			     /* counts a latency */
+void kwb_histogram_add(
+    enum kwb_histogram histogram, uint64_t taken_ns); /* counts a latency */
 void kwb_metrics_print(struct kwb_buf *out); /* text exposition format */
 
 /* ---- Faults in settings and lists ------------------------------------ */
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -68,7 +68,8 @@
 	uint32_t i;
 
 	for (i = 0; i < batch->groups_count; i++)
-		if (strcmp(batch->groups[i].name, name) == 0)
+		if (batch->groups[i].name != NULL &&
+		    strcmp(batch->groups[i].name, name) == 0)
 			return i;
 	batch->groups[batch->groups_count].name = name;
 	return batch->groups_count++;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -20,13 +20,12 @@
 	TAILQ_ENTRY(kwb_line) entry;
 };
 
+/* Closes an idle line. */
 static void
 line_free(struct kwb_line *line)
 {
-	if (line->exchange == NULL) {
-		TAILQ_REMOVE(&line->client->idle, line, entry);
-		line->client->idle_count--;
-	}
+	TAILQ_REMOVE(&line->client->idle, line, entry);
+	line->client->idle_count--;
 	kwb_conn_finish(&line->conn);
 	free(line);
 }
@@ -311,8 +310,13 @@
 void
 kwb_client_finish(struct kwb_client *client)
 {
-	while (!TAILQ_EMPTY(&client->idle))
-		line_free(TAILQ_FIRST(&client->idle));
+	struct kwb_line *line = TAILQ_FIRST(&client->idle);
+	struct kwb_line *next;
+
+	for (; line != NULL; line = next) {
+		next = TAILQ_NEXT(line, entry);
+		line_free(line);
+	}
 	event_free(client->sweep);
 }
 
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -130,22 +130,23 @@
 
 /*
  * A load takes an upstream away from its model for about a second, and only
- * some can load at once, so a home takes every version that its trainer needs
- * and no other: with weights that are `lag` versions old a batch is still
- * served. Homes are kept out of phase, so that a batch finds a part of them
- * ready while the others load.
+ * some can load at once. With weights that are `lag` versions old a batch is
+ * still served, so most homes are loaded while the batches before go on, some
+ * at a time; the rest takes every other version, when it has to. So a batch
+ * finds most homes ready as it comes.
  */
 enum kwb_load
 kwb_load_wanted(const struct kwb_load_input *input)
 {
 	uint32_t part = input->homes / KWB_LOAD_HOMES_PART;
+	uint32_t ahead = input->homes * KWB_LOAD_AHEAD_PERCENT / 100;
 
 	if (input->version >= input->newest ||
 	    input->loading >= input->loading_max)
 		return KWB_LOAD_NO;
 	if (input->version + input->lag < input->newest)
 		return KWB_LOAD_NOW;
-	if (input->homes_newest < input->homes / (input->lag + 1) &&
+	if (input->homes_newest < ahead &&
 	    input->homes_loading < (part > 0 ? part : 1) && input->serving > 1)
 		return KWB_LOAD_SOON;
 	return KWB_LOAD_NO;
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -603,14 +603,15 @@
 kwb_mover_finish(struct kwb_mover *mover)
 {
 	struct kwb_mover_upstream *home;
+	struct kwb_mover_upstream *next;
 
 	kwb_store_cancel(mover->env->store, &mover->call);
 	kwb_store_lease_finish(&mover->lease);
 	kwb_follower_finish(&mover->homes);
 	event_free(mover->timer);
-	while ((home = TAILQ_FIRST(&mover->upstreams)) != NULL) {
+	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
+		next = TAILQ_NEXT(home, entry);
 		exchange_close(home);
-		TAILQ_REMOVE(&mover->upstreams, home, entry);
 		free(home);
 	}
 }
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -3,7 +3,7 @@
 set -u
 export KWB_BUILD=$1
 passed=0 failed=0
-for name in unit contract golden faults; do
+for name in unit contract golden faults platform/decisions platform/stage; do
 	out=$("$KWB_BUILD/tests/$name")
 	code=$?
 	echo "$out" | grep -v '^ *$'
--- /dev/null
+++ b/tests/platform/decisions.c
@@ -0,0 +1,953 @@
+/*
+ * Decisions of a node over tables of cases and small plays of load, and its
+ * parsers over whole, split and mutated input.
+ */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+
+#include "../../platform/platform.h"
+#include "kwb_node.h"
+
+#define COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define MUTATIONS 3000
+#define MUTATION_SEED 20261204u
+
+/* ---- Routes ---------------------------------------------------------------
+ */
+
+static void
+test_route(void)
+{
+	struct kwb_split half[2] = {
+	    {.service = "a", .weight = 1}, {.service = "b", .weight = 3}};
+	struct kwb_route_entry routes[] = {
+	    {.name = "short", .host = "h.example", .prefix = "/a/"},
+	    {.name = "long",
+		.host = "h.example",
+		.prefix = "/a/b/",
+		.splits = half,
+		.splits_count = 2},
+	    {.name = "other", .host = "o.example", .prefix = "/a/"}};
+	struct kwb_node_config config = {
+	    .routes = routes, .routes_count = COUNT(routes)};
+	static const struct {
+		const char *host;
+		const char *target;
+		const char *name;
+	} cases[] = {{"h.example", "/a/x", "short"},
+	    {"h.example", "/a/b/x", "long"}, {"h.example", "/a/b", "short"},
+	    {"H.Example:80", "/a/b/", "long"}, {"o.example", "/a/b/x", "other"},
+	    {"h.example", "/b/", NULL}, {"h.example.org", "/a/x", NULL},
+	    {"", "/a/x", NULL}};
+	const struct kwb_route_entry *route;
+	unsigned first = 0;
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		route = kwb_node_config_route(
+		    &config, cases[i].host, cases[i].target);
+		CU_ASSERT_EQUAL(route == NULL, cases[i].name == NULL);
+		if (route != NULL && cases[i].name != NULL)
+			CU_ASSERT_STRING_EQUAL(route->name, cases[i].name);
+	}
+	for (i = 0; i < 400; i++)
+		first +=
+		    strcmp(kwb_route_entry_service(&routes[1], i), "a") == 0;
+	CU_ASSERT_EQUAL(first, 100);
+}
+
+/* ---- Choice of an upstream --------------------------------------------------
+ */
+
+struct upstream_case {
+	const char *id;
+	const char *domain;
+	uint32_t in_flight;
+	uint32_t failures;
+	uint64_t suspect_until_ns;
+	uint64_t refused_until_ns;
+	uint64_t pace_ms;
+	uint64_t version;
+	const char *home;
+	uint64_t expected;
+	bool draining;
+};
+
+#define NOW_NS (1000000 * KWB_MS_NS)
+
+static void
+fill(struct kwb_registry *registry, const struct upstream_case *cases,
+    unsigned count)
+{
+	struct kwb_upstream_status status;
+	struct kwb_upstream *upstream;
+	unsigned i;
+
+	kwb_registry_init(registry);
+	for (i = 0; i < count && cases[i].id != NULL; i++) {
+		memset(&status, 0, sizeof(status));
+		kwb_text_copy(status.id, sizeof(status.id), cases[i].id);
+		kwb_text_copy(status.service, sizeof(status.service), "s");
+		kwb_text_copy(status.failure_domain,
+		    sizeof(status.failure_domain),
+		    cases[i].domain ? cases[i].domain : "z");
+		status.slots = 4;
+		status.draining = cases[i].draining;
+		kwb_text_copy(status.models[0].name, KWB_NAME_MAX_BYTES, "m");
+		status.models[0].version = cases[i].version;
+		status.models_count = 1;
+		upstream = kwb_registry_put(registry, &status);
+		upstream->in_flight = cases[i].in_flight;
+		upstream->failures = cases[i].failures;
+		upstream->suspect_until_ns = cases[i].suspect_until_ns;
+		upstream->refused_until_ns = cases[i].refused_until_ns;
+		upstream->pace_ns = cases[i].pace_ms * KWB_MS_NS;
+		upstream->pace_at_ns = NOW_NS;
+		upstream->expected_version = cases[i].expected;
+		if (cases[i].home != NULL)
+			kwb_text_copy(upstream->home_model, KWB_NAME_MAX_BYTES,
+			    cases[i].home);
+	}
+}
+
+static void
+test_pick(void)
+{
+	static const struct {
+		const char *name;
+		struct kwb_pick pick;
+		struct upstream_case upstreams[3];
+		const char *chosen;
+	} cases[] = {
+	    {"none listed", {.service = "s"}, {{NULL}}, NULL},
+	    {"other service", {.service = "t"}, {{.id = "a"}}, NULL},
+	    {"draining", {.service = "s"}, {{.id = "a", .draining = true}},
+		NULL},
+	    {"least load", {.service = "s"},
+		{{.id = "a", .in_flight = 2}, {.id = "b", .in_flight = 1}},
+		"b"},
+	    {"own domain first", {.service = "s", .failure_domain = "z2"},
+		{{.id = "a", .domain = "z1"}, {.id = "b", .domain = "z2"}},
+		"b"},
+	    {"load goes before domain",
+		{.service = "s", .failure_domain = "z2"},
+		{{.id = "a", .domain = "z1"},
+		    {.id = "b", .domain = "z2", .in_flight = 3}},
+		"a"},
+	    {"plain work varies: not slow", {.service = "s"},
+		{{.id = "a", .pace_ms = 30, .in_flight = 1},
+		    {.id = "b", .pace_ms = 40}},
+		"b"},
+	    {"clearly slow", {.service = "s"},
+		{{.id = "a", .pace_ms = 30, .in_flight = 1},
+		    {.id = "b", .pace_ms = 120}},
+		"a"},
+	    {"suspected is left alone", {.service = "s"},
+		{{.id = "a", .failures = 2, .suspect_until_ns = NOW_NS + 1},
+		    {.id = "b", .in_flight = 4}},
+		"b"},
+	    {"suspected is better than none", {.service = "s"},
+		{{.id = "a", .failures = 2, .suspect_until_ns = NOW_NS + 1}},
+		"a"},
+	    {"tried again after the wait", {.service = "s"},
+		{{.id = "a", .failures = 2, .suspect_until_ns = NOW_NS},
+		    {.id = "b", .in_flight = 4}},
+		"a"},
+	    {"just refused", {.service = "s"},
+		{{.id = "a", .refused_until_ns = NOW_NS + 1}}, NULL},
+	    {"no slot free", {.service = "s", .within_slots = true},
+		{{.id = "a", .in_flight = 4}}, NULL},
+	    {"weights too old",
+		{.service = "s", .model = "m", .min_version = 3},
+		{{.id = "a", .version = 2}, {.id = "b", .version = 3}}, "b"},
+	    {"home first", {.service = "s", .model = "m", .min_version = 1},
+		{{.id = "a", .version = 2},
+		    {.id = "b", .version = 1, .home = "m", .in_flight = 2}},
+		"b"},
+	    {"other upstreams when homes are full",
+		{.service = "s",
+		    .model = "m",
+		    .min_version = 1,
+		    .within_slots = true},
+		{{.id = "a", .version = 2},
+		    {.id = "b", .version = 1, .home = "m", .in_flight = 4}},
+		"a"},
+	    {"ordered weights are tried by one request",
+		{.service = "s", .model = "m", .min_version = 3},
+		{{.id = "a", .version = 2, .home = "m", .expected = 3}}, "a"},
+	    {"and not by a second one",
+		{.service = "s", .model = "m", .min_version = 3},
+		{{.id = "a",
+		    .version = 2,
+		    .home = "m",
+		    .expected = 3,
+		    .in_flight = 1}},
+		NULL},
+	};
+	struct kwb_registry registry;
+	struct kwb_upstream *chosen;
+	struct kwb_pick pick;
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		fill(&registry, cases[i].upstreams, 3);
+		pick = cases[i].pick;
+		pick.now_ns = NOW_NS;
+		chosen = kwb_upstream_pick(&registry, &pick);
+		if ((chosen == NULL) != (cases[i].chosen == NULL) ||
+		    (chosen != NULL &&
+			strcmp(chosen->status.id, cases[i].chosen) != 0))
+			CU_FAIL(cases[i].name);
+		kwb_registry_finish(&registry);
+	}
+}
+
+static void
+test_suspect(void)
+{
+	struct kwb_upstream upstream = {0};
+	uint64_t last_ns = 0;
+	unsigned i;
+
+	kwb_upstream_failed(&upstream, NOW_NS);
+	CU_ASSERT_EQUAL(upstream.suspect_until_ns, 0);
+	for (i = 0; i < 10; i++) {
+		kwb_upstream_failed(&upstream, NOW_NS);
+		CU_ASSERT(upstream.suspect_until_ns >= last_ns);
+		last_ns = upstream.suspect_until_ns;
+	}
+	CU_ASSERT_EQUAL(last_ns, NOW_NS + KWB_SUSPECT_MAX_NS);
+	kwb_upstream_ok(&upstream);
+	CU_ASSERT_EQUAL(upstream.failures, 0);
+}
+
+/* ---- Homes and loads
+ * ----------------------------------------------------------- */
+
+static unsigned
+homes_of(const struct kwb_home_upstream *upstreams, unsigned count,
+    const char *model)
+{
+	unsigned found = 0;
+	unsigned i;
+
+	for (i = 0; i < count; i++)
+		found += strcmp(upstreams[i].model, model) == 0;
+	return found;
+}
+
+static void
+test_homes(void)
+{
+	struct kwb_home_upstream upstreams[9];
+	struct kwb_home_upstream before[9];
+	struct kwb_home_model models[] = {{"a", 100}, {"b", 200}, {"c", 0}};
+	static const char *const ids[] = {
+	    "1", "2", "3", "4", "5", "6", "7", "8", "9"};
+	unsigned moved = 0;
+	unsigned i;
+
+	memset(upstreams, 0, sizeof(upstreams));
+	for (i = 0; i < 9; i++)
+		upstreams[i].id = ids[i];
+	kwb_homes_plan(upstreams, 9, models, 3);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, "a"), 2);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, "b"), 4);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, "c"), 3);
+	/* The same again moves nothing. */
+	memcpy(before, upstreams, sizeof(before));
+	kwb_homes_plan(upstreams, 9, models, 3);
+	CU_ASSERT_EQUAL(memcmp(before, upstreams, sizeof(before)), 0);
+	/* One less: at most one moves. */
+	kwb_homes_plan(upstreams, 8, models, 3);
+	for (i = 0; i < 8; i++)
+		moved += strcmp(before[i].model, upstreams[i].model) != 0;
+	CU_ASSERT(moved <= 1);
+	/* Fewer upstreams than models: each still has a model. */
+	memset(upstreams, 0, sizeof(upstreams));
+	kwb_homes_plan(upstreams, 2, models, 3);
+	CU_ASSERT(upstreams[0].model[0] != '\0');
+	CU_ASSERT(upstreams[1].model[0] != '\0');
+	/* A model that is no longer there. */
+	kwb_text_copy(upstreams[0].model, KWB_NAME_MAX_BYTES, "gone");
+	kwb_homes_plan(upstreams, 1, models, 3);
+	CU_ASSERT_STRING_NOT_EQUAL(upstreams[0].model, "gone");
+}
+
+static void
+test_load_wanted(void)
+{
+	static const struct {
+		const char *name;
+		struct kwb_load_input input;
+		enum kwb_load wanted;
+	} cases[] = {
+	    {"newest",
+		{.version = 5,
+		    .newest = 5,
+		    .lag = 1,
+		    .homes = 4,
+		    .serving = 4,
+		    .loading_max = 2},
+		KWB_LOAD_NO},
+	    {"one behind, none newest yet",
+		{.version = 4,
+		    .newest = 5,
+		    .lag = 1,
+		    .homes = 4,
+		    .serving = 4,
+		    .loading_max = 2},
+		KWB_LOAD_SOON},
+	    {"one behind, half are newest",
+		{.version = 4,
+		    .newest = 5,
+		    .lag = 1,
+		    .homes = 4,
+		    .homes_newest = 2,
+		    .serving = 4,
+		    .loading_max = 2},
+		KWB_LOAD_NO},
+	    {"the only one that serves",
+		{.version = 4,
+		    .newest = 5,
+		    .lag = 1,
+		    .homes = 4,
+		    .serving = 1,
+		    .loading_max = 2},
+		KWB_LOAD_NO},
+	    {"of no use any more",
+		{.version = 3,
+		    .newest = 5,
+		    .lag = 1,
+		    .homes = 4,
+		    .homes_newest = 4,
+		    .loading_max = 2},
+		KWB_LOAD_NOW},
+	    {"too many load",
+		{.version = 3,
+		    .newest = 5,
+		    .lag = 1,
+		    .homes = 4,
+		    .loading = 2,
+		    .loading_max = 2},
+		KWB_LOAD_NO},
+	    {"no lag allowed",
+		{.version = 4,
+		    .newest = 5,
+		    .homes = 4,
+		    .homes_newest = 3,
+		    .loading_max = 2},
+		KWB_LOAD_NOW},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		if (kwb_load_wanted(&cases[i].input) != cases[i].wanted)
+			CU_FAIL(cases[i].name);
+}
+
+#define PLAY_MODELS 3
+#define PLAY_HOMES 14
+#define PLAY_PERIOD 80 /* ticks of 50 ms between two versions */
+#define PLAY_LOAD 18   /* ticks that a load takes */
+#define PLAY_MOST 8    /* loads at once */
+#define PLAY_EARLY 24  /* ticks in which a batch places its items */
+
+struct play {
+	uint64_t version[PLAY_MODELS * PLAY_HOMES];
+	unsigned until[PLAY_MODELS * PLAY_HOMES]; /* end of the load */
+	unsigned loading;
+	unsigned served; /* homes ready, summed over early ticks */
+	unsigned early;	 /* such ticks */
+};
+
+static void
+play_model(struct play *play, unsigned model, unsigned tick, bool baseline)
+{
+	unsigned shifted = tick + model * PLAY_PERIOD / PLAY_MODELS;
+	struct kwb_load_input input = {.newest = 1 + shifted / PLAY_PERIOD,
+	    .lag = 1,
+	    .homes = PLAY_HOMES,
+	    .loading_max = PLAY_MOST};
+	unsigned first = model * PLAY_HOMES;
+	unsigned i;
+
+	for (i = first; i < first + PLAY_HOMES; i++) {
+		bool loading = play->until[i] > tick;
+
+		input.homes_loading += loading;
+		input.homes_newest += play->version[i] >= input.newest;
+		input.serving +=
+		    !loading && play->version[i] + 1 >= input.newest;
+	}
+	if (tick > 500 && shifted % PLAY_PERIOD < PLAY_EARLY) {
+		play->served += input.serving;
+		play->early++;
+	}
+	for (i = first; i < first + PLAY_HOMES; i++) {
+		enum kwb_load wanted;
+
+		input.version = play->version[i];
+		input.loading = play->loading;
+		wanted = kwb_load_wanted(&input);
+		if (play->until[i] > tick || wanted == KWB_LOAD_NO ||
+		    (baseline && wanted == KWB_LOAD_SOON))
+			continue;
+		play->version[i] = input.newest;
+		play->until[i] = tick + PLAY_LOAD;
+		play->loading++;
+		input.homes_loading++;
+		input.homes_newest++;
+	}
+}
+
+/*
+ * Three trainers that name a version every 4 s, 14 homes each; the part of a
+ * model's homes that a batch finds ready while it places its items. The
+ * baseline loads a home only when it must.
+ */
+static double
+play_loads(bool baseline)
+{
+	struct play play;
+	unsigned model;
+	unsigned tick;
+	unsigned i;
+
+	memset(&play, 0, sizeof(play));
+	for (i = 0; i < PLAY_MODELS * PLAY_HOMES; i++)
+		play.version[i] = 1;
+	for (tick = 0; tick < 1600; tick++) {
+		play.loading = 0;
+		for (i = 0; i < PLAY_MODELS * PLAY_HOMES; i++)
+			play.loading += play.until[i] > tick;
+		for (model = 0; model < PLAY_MODELS; model++)
+			play_model(&play, model, tick, baseline);
+	}
+	return (double)play.served / play.early / PLAY_HOMES;
+}
+
+static void
+test_loads_leave_homes(void)
+{
+	double ours = play_loads(false);
+	double baseline = play_loads(true);
+
+	CU_ASSERT(ours >= 0.65);
+	CU_ASSERT(ours >= baseline * 1.15);
+}
+
+/* ---- Order of items, and moves
+ * ----------------------------------------------------- */
+
+static void
+test_rank(void)
+{
+	static const struct {
+		const char *name;
+		struct kwb_item_rank first;
+		struct kwb_item_rank second;
+	} cases[] = {
+	    {"wanted group", {.wanted = true}, {.length_hint = 900}},
+	    {"begun", {.wanted = true, .made = 1},
+		{.wanted = true, .length_hint = 900}},
+	    {"longer", {.wanted = true, .length_hint = 900},
+		{.wanted = true, .length_hint = 800}},
+	    {"earlier group", {.wanted = true, .group_index = 1},
+		{.wanted = true, .group_index = 2}},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		if (kwb_item_rank_compare(&cases[i].first, &cases[i].second) >=
+			0 ||
+		    kwb_item_rank_compare(&cases[i].second, &cases[i].first) <=
+			0)
+			CU_FAIL(cases[i].name);
+}
+
+static int
+by_rank(const void *a, const void *b)
+{
+	return kwb_item_rank_compare(a, b);
+}
+
+/* Time until the last of 160 items is done on 48 places. */
+static double
+play_batch(unsigned *seed, bool ranked)
+{
+	struct kwb_item_rank items[160];
+	double free_at[48] = {0};
+	double last = 0;
+	unsigned i;
+	unsigned k;
+
+	for (i = 0; i < 160; i++) {
+		unsigned tail = rand_r(seed) % 12 == 0 ? 5 : 1;
+
+		items[i] = (struct kwb_item_rank){.wanted = true,
+		    .group_index = i,
+		    .length_hint = tail * (5 + rand_r(seed) % 30)};
+	}
+	if (ranked)
+		qsort(items, 160, sizeof(items[0]), by_rank);
+	for (i = 0; i < 160; i++) {
+		unsigned best = 0;
+
+		for (k = 1; k < 48; k++)
+			if (free_at[k] < free_at[best])
+				best = k;
+		free_at[best] += (double)items[i].length_hint;
+		if (free_at[best] > last)
+			last = free_at[best];
+	}
+	return last;
+}
+
+static void
+test_order_of_items(void)
+{
+	unsigned seed = 7;
+	double ours = 0;
+	double baseline = 0;
+	unsigned i;
+
+	for (i = 0; i < 50; i++) {
+		unsigned same = seed + i;
+
+		ours += play_batch(&same, true);
+		same = seed + i;
+		baseline += play_batch(&same, false);
+	}
+	CU_ASSERT(ours <= 0.85 * baseline);
+}
+
+static void
+test_move(void)
+{
+	static const struct {
+		struct kwb_move_input input;
+		bool wanted;
+	} cases[] = {
+	    {{.pace_ns = 100, .best_pace_ns = 0, .since_ns = KWB_MOVE_LEAST_NS},
+		false},
+	    {{.pace_ns = 100,
+		 .best_pace_ns = 70,
+		 .since_ns = KWB_MOVE_LEAST_NS},
+		false},
+	    {{.pace_ns = 200,
+		 .best_pace_ns = 70,
+		 .since_ns = KWB_MOVE_LEAST_NS},
+		true},
+	    {{.pace_ns = 200, .best_pace_ns = 70, .since_ns = 1}, false},
+	    {{.pace_ns = 200,
+		 .best_pace_ns = 70,
+		 .since_ns = KWB_MOVE_LEAST_NS,
+		 .moves = KWB_MOVES_MAX},
+		false},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		CU_ASSERT_EQUAL(
+		    kwb_move_wanted(&cases[i].input), cases[i].wanted);
+}
+
+/* ---- Parsers
+ * ------------------------------------------------------------------------ */
+
+struct collected {
+	unsigned count;
+	uint64_t last_id;
+	uint64_t version;
+	char data[64];
+};
+
+static void
+on_event(void *context, const struct kwb_event *event)
+{
+	struct collected *collected = context;
+
+	collected->count++;
+	collected->last_id = event->id;
+	if (event->version != 0)
+		collected->version = event->version;
+	kwb_text_copy(collected->data, sizeof(collected->data),
+	    kwb_buf_text(&event->data));
+}
+
+/* Whatever the cuts between packets, the events are the same. */
+static void
+test_events(void)
+{
+	static const char text[] = ": comment\nid: 1\ndata: a\ndata: b\n\n"
+				   "weight-versions: 3\r\nid: 2\r\ndata: c\r\n"
+				   "\r\nid: 3\ndata: cut off\n";
+	struct collected collected;
+	struct kwb_events events;
+	struct kwb_buf bytes;
+	size_t step;
+	size_t at;
+
+	for (step = 1; step < sizeof(text); step++) {
+		memset(&collected, 0, sizeof(collected));
+		kwb_events_init(&events, "weight-versions");
+		kwb_buf_init(&bytes);
+		for (at = 0; at < sizeof(text) - 1; at += step) {
+			size_t left = sizeof(text) - 1 - at;
+
+			kwb_buf_add(
+			    &bytes, text + at, left < step ? left : step);
+			CU_ASSERT_EQUAL(kwb_events_feed(&events, &bytes,
+					    on_event, &collected),
+			    0);
+		}
+		CU_ASSERT_EQUAL(collected.count, 2);
+		CU_ASSERT_EQUAL(collected.last_id, 2);
+		CU_ASSERT_EQUAL(collected.version, 3);
+		CU_ASSERT_STRING_EQUAL(collected.data, "c");
+		kwb_events_finish(&events);
+		kwb_buf_finish(&bytes);
+	}
+}
+
+static void
+test_settings(void)
+{
+	static const struct {
+		const char *text;
+		const char *fault; /* part of it; NULL for none */
+	} cases[] = {
+	    {"node-name=n\nzone=z\nlisten.front=10.0.0.1:80\n"
+	     "listen.ready=10.0.0.1:81\nplatform.addr=10.0.0.2:82\n"
+	     "unknown.field=5\nbounds.grace-s=8\n",
+		NULL},
+	    {"node-name=n\nzone=z\nlisten.front=10.0.0.1\n",
+		":3: listen.front"},
+	    {"node-name=n\nbounds.grace-s=soon\n", ":2: bounds.grace-s"},
+	    {"zone=z\n", "node-name is missing"},
+	    {"node-name\n", ":1: no '='"},
+	    {"bounds.fencing-enforced=maybe\n", ":1: bounds.fencing"},
+	};
+	struct kwb_node_settings settings;
+	struct kwb_faults faults;
+	char path[] = "/tmp/kwb-settings-XXXXXX";
+	int fd = mkstemp(path);
+	unsigned found;
+	unsigned i;
+	unsigned k;
+
+	CU_ASSERT(fd >= 0);
+	for (i = 0; i < COUNT(cases); i++) {
+		memset(&faults, 0, sizeof(faults));
+		CU_ASSERT_EQUAL(ftruncate(fd, 0), 0);
+		CU_ASSERT(
+		    pwrite(fd, cases[i].text, strlen(cases[i].text), 0) > 0);
+		CU_ASSERT_EQUAL(
+		    platform_settings_load(&settings, path, &faults) == 0,
+		    cases[i].fault == NULL);
+		found = 0;
+		for (k = 0; k < faults.count; k++)
+			found += cases[i].fault != NULL &&
+			    strstr(faults.text[k], cases[i].fault) != NULL;
+		CU_ASSERT_EQUAL(found, cases[i].fault != NULL);
+	}
+	CU_ASSERT_EQUAL(settings.grace_ms, 8000);
+	close(fd);
+	unlink(path);
+	CU_ASSERT_NOT_EQUAL(
+	    platform_settings_load(&settings, path, &faults), 0);
+}
+
+static const char upstream_text[] =
+    "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":8,"
+    "\"state\":\"ready\",\"seq\":4,\"born\":1700000000000,"
+    "\"models\":[{\"name\":\"m\",\"version\":7}]}";
+
+static void
+test_upstream_entries(void)
+{
+	static const char *const unreadable[] = {"", "{", "[]", "\"x\"", "{}",
+	    "{\"service\":5,\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"addr\":\"host:80\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":\"8\",\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"asleep\"}"};
+	struct kwb_upstream_status status;
+	unsigned i;
+
+	CU_ASSERT_EQUAL(platform_read_upstream(&status, "i-1", upstream_text,
+			    strlen(upstream_text)),
+	    0);
+	CU_ASSERT_EQUAL(status.models[0].version, 7);
+	CU_ASSERT_EQUAL(status.order_seq, 4);
+	for (i = 0; i < COUNT(unreadable); i++)
+		CU_ASSERT_NOT_EQUAL(platform_read_upstream(&status, "i-1",
+					unreadable[i], strlen(unreadable[i])),
+		    0);
+}
+
+static const char config_text[] =
+    "{\"version\":7,\"route-table\":[{\"name\":\"r\",\"hostname\":\"h\","
+    "\"path-prefix\":\"/p/\",\"route-kind\":\"idempotent\",\"timeout-ms\":800,"
+    "\"split\":[{\"service\":\"a\",\"weight\":90},{\"service\":\"b\","
+    "\"weight\":10}],\"max-attempts\":2}],\"services\":[{\"name\":\"a\","
+    "\"engine\":{\"slots\":8,\"models\":[{\"name\":\"m\"}]}}],\"limits\":{"
+    "\"max-header-bytes\":100}}";
+
+static const char batch_text[] =
+    "{\"step\":7,\"model\":\"m\",\"min-version\":6,\"target-groups\":1,"
+    "\"requests\":[{\"id\":\"i1\",\"path\":\"/p/x\",\"headers\":{\"Model\":"
+    "\"m\",\"Length-Hint\":\"300\"},\"body\":\"q83v\",\"tokens\":940,"
+    "\"group\":\"g\",\"scorer\":{\"id\":\"s1\",\"hostname\":\"h\",\"path\":"
+    "\"/q/\",\"body\":\"3q2+7w==\"}}]}";
+
+static const char request_text[] =
+    "POST /p/x?y=1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n"
+    "Deadline-Ms: 800\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\n\r\n";
+
+static void
+test_documents(void)
+{
+	struct kwb_node_config config;
+	struct kwb_batch_spec spec;
+	struct kwb_faults faults = {0};
+
+	CU_ASSERT_EQUAL(platform_read_config(
+			    &config, config_text, strlen(config_text), &faults),
+	    0);
+	CU_ASSERT_EQUAL(config.routes[0].splits_count, 2);
+	CU_ASSERT_EQUAL(config.services[0].models_count, 1);
+	CU_ASSERT_EQUAL(config.max_header_bytes, 100);
+	kwb_node_config_finish(&config);
+	CU_ASSERT_EQUAL(
+	    platform_read_batch(batch_text, strlen(batch_text), &spec), 0);
+	CU_ASSERT_EQUAL(spec.items[0].length_hint, 300);
+	CU_ASSERT_EQUAL(spec.items[0].body_bytes, 3);
+	kwb_batch_spec_finish(&spec);
+}
+
+static size_t
+mutate(char *to, size_t room_bytes, const char *from, unsigned *seed)
+{
+	size_t length = strlen(from);
+	unsigned changes = 1 + rand_r(seed) % 4;
+
+	if (length > room_bytes)
+		length = room_bytes;
+	memcpy(to, from, length);
+	while (changes-- > 0 && length > 2) {
+		size_t at = (unsigned)rand_r(seed) % length;
+
+		switch (rand_r(seed) % 4) {
+		case 0:
+			to[at] = (char)rand_r(seed);
+			break;
+		case 1:
+			length = at + 1;
+			break;
+		case 2:
+			memmove(to + at, to + at + 1, length - at - 1);
+			length--;
+			break;
+		default:
+			to[at] = "{}[]\",:0-\n\r "[rand_r(seed) % 12];
+		}
+	}
+	return length;
+}
+
+/* No input ends the process, and what is refused leaves nothing behind. */
+static void
+test_mutated_documents(void)
+{
+	struct kwb_upstream_status status;
+	struct kwb_node_config config;
+	struct kwb_batch_spec spec;
+	struct kwb_faults faults;
+	unsigned seed = MUTATION_SEED;
+	char text[1024];
+	size_t length;
+	unsigned i;
+
+	for (i = 0; i < MUTATIONS; i++) {
+		memset(&faults, 0, sizeof(faults));
+		length = mutate(text, sizeof(text), config_text, &seed);
+		if (platform_read_config(&config, text, length, &faults) == 0)
+			kwb_node_config_finish(&config);
+		length = mutate(text, sizeof(text), batch_text, &seed);
+		if (platform_read_batch(text, length, &spec) == 0)
+			kwb_batch_spec_finish(&spec);
+		length = mutate(text, sizeof(text), upstream_text, &seed);
+		platform_read_upstream(&status, "i", text, length);
+	}
+	CU_PASS("no input ended the process");
+}
+
+struct parsed {
+	unsigned messages;
+	unsigned errors;
+	bool over;
+};
+
+static void
+parsed_message(struct kwb_conn *conn)
+{
+	struct parsed *parsed = conn->context;
+	struct kwb_call_head call;
+
+	parsed->messages++;
+	platform_dialect.read_call(&conn->message, &call);
+	kwb_conn_next(conn);
+}
+
+static void
+parsed_close(struct kwb_conn *conn, int error)
+{
+	struct parsed *parsed = conn->context;
+
+	parsed->errors += error != KWB_ERR_NET_CLOSED;
+	parsed->over = true;
+	kwb_conn_finish(conn);
+}
+
+static const struct kwb_conn_ops parsed_ops = {
+    .on_message = parsed_message,
+    .on_close = parsed_close,
+};
+
+static void
+parse_bytes(struct event_base *base, const char *bytes, size_t length,
+    size_t step, struct parsed *parsed)
+{
+	struct kwb_conn conn;
+	unsigned turns;
+	int fds[2];
+	size_t at;
+
+	memset(parsed, 0, sizeof(*parsed));
+	if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds) != 0 ||
+	    kwb_conn_accept(&conn, base, fds[0], &parsed_ops, parsed) != 0)
+		abort();
+	conn.head_max_bytes = 4096;
+	conn.body_max_bytes = 4096;
+	for (at = 0; at < length && !parsed->over; at += step) {
+		size_t left = length - at;
+
+		if (write(fds[1], bytes + at, left < step ? left : step) < 0)
+			break;
+		event_base_loop(base, EVLOOP_NONBLOCK);
+	}
+	close(fds[1]);
+	for (turns = 0; turns < 20 && !parsed->over; turns++)
+		event_base_loop(base, EVLOOP_NONBLOCK);
+	CU_ASSERT(parsed->over);
+}
+
+static void
+test_requests(void)
+{
+	struct event_base *base = event_base_new();
+	size_t length = strlen(request_text);
+	unsigned seed = MUTATION_SEED;
+	struct parsed parsed;
+	char text[1024];
+	size_t step;
+	unsigned i;
+
+	for (step = 1; step <= length; step++) {
+		parse_bytes(base, request_text, length, step, &parsed);
+		CU_ASSERT_EQUAL(parsed.messages, 2);
+		CU_ASSERT_EQUAL(parsed.errors, 0);
+	}
+	for (i = 0; i < MUTATIONS; i++) {
+		length = mutate(text, sizeof(text), request_text, &seed);
+		parse_bytes(base, text, length, 1 + (size_t)rand_r(&seed) % 64,
+		    &parsed);
+		CU_ASSERT(parsed.messages <= 2);
+	}
+	event_base_free(base);
+}
+
+static void
+test_base64(void)
+{
+	static const char *const bad[] = {"a", "a===", "====", "ab!d"};
+	struct kwb_buf text;
+	struct kwb_buf back;
+	unsigned char bytes[64];
+	size_t length;
+	unsigned i;
+
+	for (i = 0; i < sizeof(bytes); i++)
+		bytes[i] = (unsigned char)(i * 37);
+	for (length = 0; length <= sizeof(bytes); length++) {
+		kwb_buf_init(&text);
+		kwb_buf_init(&back);
+		kwb_base64_encode(&text, bytes, length);
+		CU_ASSERT_EQUAL(kwb_base64_decode(&back, kwb_buf_text(&text),
+				    text.used_bytes),
+		    0);
+		CU_ASSERT_EQUAL(back.used_bytes, length);
+		CU_ASSERT_EQUAL(memcmp(kwb_buf_text(&back), bytes, length), 0);
+		kwb_buf_finish(&text);
+		kwb_buf_finish(&back);
+	}
+	for (i = 0; i < COUNT(bad); i++) {
+		kwb_buf_init(&back);
+		CU_ASSERT_NOT_EQUAL(
+		    kwb_base64_decode(&back, bad[i], strlen(bad[i])), 0);
+		kwb_buf_finish(&back);
+	}
+}
+
+int
+main(void)
+{
+	static const struct {
+		const char *name;
+		void (*run)(void);
+	} tests[] = {{"route", test_route}, {"pick", test_pick},
+	    {"suspect", test_suspect}, {"homes", test_homes},
+	    {"load_wanted", test_load_wanted},
+	    {"loads_leave_homes", test_loads_leave_homes}, {"rank", test_rank},
+	    {"order_of_items", test_order_of_items}, {"move", test_move},
+	    {"events", test_events}, {"settings", test_settings},
+	    {"upstream_entries", test_upstream_entries},
+	    {"documents", test_documents},
+	    {"mutated_documents", test_mutated_documents},
+	    {"requests", test_requests}, {"base64", test_base64}};
+	CU_pSuite suite;
+	unsigned failed;
+	unsigned i;
+
+	signal(SIGPIPE, SIG_IGN);
+	kwb_log_init("decisions", KWB_LOG_ERROR + 1);
+	if (CU_initialize_registry() != CUE_SUCCESS)
+		return 1;
+	suite = CU_add_suite("decisions", NULL, NULL);
+	for (i = 0; i < COUNT(tests); i++)
+		if (CU_add_test(suite, tests[i].name, tests[i].run) == NULL)
+			return 1;
+	CU_basic_set_mode(CU_BRM_SILENT);
+	CU_basic_run_tests();
+	CU_basic_show_failures(CU_get_failure_list());
+	failed = CU_get_number_of_tests_failed();
+	printf(
+	    "%u passed, %u failed\n", (unsigned)COUNT(tests) - failed, failed);
+	CU_cleanup_registry();
+	return failed == 0 ? 0 : 1;
+}
