--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -372,7 +372,8 @@
 };
 
 static void
-play_model(struct play *play, unsigned model, unsigned tick, bool baseline)
+play_model(
+    struct play *play, unsigned model, unsigned tick, enum kwb_load urgency)
 {
 	unsigned shifted = tick + model * PLAY_PERIOD / PLAY_MODELS;
 	struct kwb_load_input input = {.newest = 1 + shifted / PLAY_PERIOD,
@@ -390,18 +391,15 @@
 		input.serving +=
 		    !loading && play->version[i] + 1 >= input.newest;
 	}
-	if (tick > 500 && shifted % PLAY_PERIOD < PLAY_EARLY) {
+	if (urgency == KWB_LOAD_NOW && tick > 500 &&
+	    shifted % PLAY_PERIOD < PLAY_EARLY) {
 		play->served += input.serving;
 		play->early++;
 	}
 	for (i = first; i < first + PLAY_HOMES; i++) {
-		enum kwb_load wanted;
-
 		input.version = play->version[i];
 		input.loading = play->loading;
-		wanted = kwb_load_wanted(&input);
-		if (play->until[i] > tick || wanted == KWB_LOAD_NO ||
-		    (baseline && wanted == KWB_LOAD_SOON))
+		if (play->until[i] > tick || kwb_load_wanted(&input) != urgency)
 			continue;
 		play->version[i] = input.newest;
 		play->until[i] = tick + PLAY_LOAD;
@@ -432,7 +430,9 @@
 		for (i = 0; i < PLAY_MODELS * PLAY_HOMES; i++)
 			play.loading += play.until[i] > tick;
 		for (model = 0; model < PLAY_MODELS; model++)
-			play_model(&play, model, tick, baseline);
+			play_model(&play, model, tick, KWB_LOAD_NOW);
+		for (model = 0; model < PLAY_MODELS && !baseline; model++)
+			play_model(&play, model, tick, KWB_LOAD_SOON);
 	}
 	return (double)play.served / play.early / PLAY_HOMES;
 }
