Old batches, rows of nodes long gone: removed from the store

Cause: nothing was ever removed; objects end at 400 MB, and every node reads the rows of all nodes that ever owned a batch.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -83,9 +83,11 @@
 #define KWB_MINDER_NS (400 * KWB_MS_NS)	   /* between looks at owners */
 #define KWB_BEAT_NS (600 * KWB_MS_NS)	   /* between beats of an owner */
 #define KWB_BEAT_READS 4 /* reads without a beat before a take-over */
-#define KWB_OWNER_SILENT_NS (2200 * KWB_MS_NS) /* likewise, time */
-#define KWB_OWNER_ALIVE_NS (1150 * KWB_MS_NS)  /* its last beat is so new */
-#define KWB_OWNER_STAY_NS (10000 * KWB_MS_NS)  /* beats on without batches */
+#define KWB_OWNER_SILENT_NS (2200 * KWB_MS_NS)	/* likewise, time */
+#define KWB_OWNER_ALIVE_NS (1150 * KWB_MS_NS)	/* its last beat is so new */
+#define KWB_OWNER_STAY_NS (10000 * KWB_MS_NS)	/* beats on without batches */
+#define KWB_BEAT_FORGET_NS (600000 * KWB_MS_NS) /* a node gone for good */
+#define KWB_SWEEP_NS (1000 * KWB_MS_NS) /* between looks for old batches */
 #define KWB_CLAIMS_MAX 32 /* conditional writes of heads in progress */
 
 /* Nodes */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -821,9 +821,19 @@
 	uint64_t revision;
 	uint64_t seen_ns;    /* boot time when that revision was first read */
 	uint64_t changed_ns; /* boot time when it last changed */
+	bool changed;	     /* a beat has been seen, not just a row */
 	uint32_t reads;	     /* successful reads since then */
 };
 
+enum kwb_sweep_step {
+	KWB_SWEEP_NONE,
+	KWB_SWEEP_DONE,
+	KWB_SWEEP_PARTIAL,
+	KWB_SWEEP_RESULTS,
+	KWB_SWEEP_OBJECT,
+	KWB_SWEEP_HEAD
+};
+
 struct kwb_batches {
 	const struct kwb_batch_env *env;
 	struct kwb_follower follower; /* of the heads */
@@ -841,16 +851,19 @@
 	struct kwb_store_call look; /* heartbeats of others */
 	struct kwb_node_beat *beats;
 	uint32_t beats_count;
-	uint64_t beat_ns;		  /* last own heartbeat */
-	uint64_t owned_ns;		  /* when this node last ran a batch */
-	uint64_t changed_ns;		  /* when a head last changed */
-	void (*on_change)(void *context); /* a batch began or ended */
-	void *context;
+	uint64_t beat_ns;	     /* last own heartbeat */
+	uint64_t owned_ns;	     /* when this node last ran a batch */
+	uint64_t changed_ns;	     /* when a head last changed */
+	struct kwb_store_call sweep; /* removes one old batch at a time */
+	enum kwb_sweep_step sweep_step;
+	struct kwb_batch_head sweep_head;
+	uint32_t sweep_position;
+	uint64_t swept_ns;
+	struct kwb_store_call forget; /* removes rows of nodes long gone */
 };
 
 int kwb_batches_init(struct kwb_batches *batches,
-    const struct kwb_batch_env *env, void (*on_change)(void *context),
-    void *context);				      /* follows the heads */
+    const struct kwb_batch_env *env);		      /* follows the heads */
 void kwb_batches_finish(struct kwb_batches *batches); /* drops everything */
 void kwb_batches_kick(struct kwb_batches *batches);   /* looks for places */
 void kwb_batches_reconsider(
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -110,6 +110,11 @@
 void own_look(struct kwb_batches *batches);
 void batch_leave(struct kwb_batch *batch);
 
+/* sweep.c: batches that nobody may ask for any more */
+void sweep_look(struct kwb_batches *batches);
+bool sweep_is_due(
+    const struct kwb_batches *batches, const struct kwb_batch_head *head);
+
 /* heads.c */
 void heads_put(struct kwb_batches *batches, const struct kwb_batch_head *head);
 void head_write(const struct kwb_batch_head *head, struct kwb_tx *tx,
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -47,7 +47,6 @@
 	*known = *head;
 	batches->changed_ns = kwb_clock_now_ns();
 	own_look(batches);
-	batches->on_change(batches->context);
 }
 
 void
@@ -135,15 +134,12 @@
 }
 
 int
-kwb_batches_init(struct kwb_batches *batches, const struct kwb_batch_env *env,
-    void (*on_change)(void *context), void *context)
+kwb_batches_init(struct kwb_batches *batches, const struct kwb_batch_env *env)
 {
 	int code;
 
 	memset(batches, 0, sizeof(*batches));
 	batches->env = env;
-	batches->on_change = on_change;
-	batches->context = context;
 	TAILQ_INIT(&batches->running);
 	TAILQ_INIT(&batches->reads);
 	batches->pump = kwb_timer_new(env->base, pump_time, batches);
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -55,6 +55,7 @@
 		memset(beat, 0, sizeof(*beat));
 		kwb_text_copy(beat->node, sizeof(beat->node), node);
 		beat->seen_ns = kwb_boot_now_ns();
+		beat->changed_ns = beat->seen_ns;
 		beat->revision = revision;
 		return;
 	}
@@ -64,6 +65,7 @@
 	beat->revision = revision;
 	beat->seen_ns = kwb_boot_now_ns();
 	beat->changed_ns = beat->seen_ns;
+	beat->changed = true;
 	beat->reads = 0;
 }
 
@@ -72,7 +74,7 @@
 {
 	const struct kwb_node_beat *beat = beat_find(batches, node);
 
-	return beat != NULL && beat->revision != 0 &&
+	return beat != NULL && beat->revision != 0 && beat->changed &&
 	    kwb_boot_now_ns() - beat->changed_ns < KWB_OWNER_ALIVE_NS;
 }
 
@@ -102,6 +104,36 @@
 	    kwb_boot_now_ns() - beat->seen_ns >= KWB_OWNER_SILENT_NS;
 }
 
+static void
+forget_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	(void)call;
+	kwb_log(KWB_LOG_INFO, "own", "event=node_forgotten error=%s",
+	    kwb_error_name(answer->error));
+}
+
+/* The row of a node that is long gone is removed, or all would read it. */
+static void
+beat_forget(struct kwb_batches *batches, const struct kwb_row *row)
+{
+	static struct kwb_tx tx;
+	struct kwb_store *store = batches->env->store;
+	const struct kwb_node_beat *beat = beat_find(batches, row->key);
+
+	if (beat == NULL || beat->revision != row->revision ||
+	    batches->forget.driver != NULL ||
+	    kwb_boot_now_ns() - beat->changed_ns < KWB_BEAT_FORGET_NS)
+		return;
+	memset(&tx, 0, sizeof(tx));
+	kwb_tx_expect(&tx, TABLE_NODES, "", row->key, row->revision);
+	kwb_tx_remove(&tx, TABLE_NODES, "", row->key);
+	batches->forget.on_done = forget_answer;
+	batches->forget.context = batches;
+	if (store->ops->transact(store, &tx, &batches->forget) != 0)
+		kwb_log(KWB_LOG_WARN, "own", "event=node_not_forgotten");
+}
+
 static void
 look_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
 {
@@ -125,9 +157,11 @@
 		if (k == answer->rows_count)
 			batches->beats[i].reads++;
 	}
-	for (k = 0; k < answer->rows_count; k++)
+	for (k = 0; k < answer->rows_count; k++) {
 		beat_note(
 		    batches, answer->rows[k].key, answer->rows[k].revision);
+		beat_forget(batches, &answer->rows[k]);
+	}
 }
 
 static void
@@ -327,6 +361,7 @@
 		batches->env->store->ops->range(
 		    batches->env->store, &range, &batches->look);
 	}
+	sweep_look(batches);
 	kwb_timer_at(batches->minder, now_ns + KWB_MINDER_NS);
 }
 
@@ -348,6 +383,8 @@
 
 	kwb_store_cancel(batches->env->store, &batches->beat);
 	kwb_store_cancel(batches->env->store, &batches->look);
+	kwb_store_cancel(batches->env->store, &batches->sweep);
+	kwb_store_cancel(batches->env->store, &batches->forget);
 	for (i = 0; i < KWB_CLAIMS_MAX; i++)
 		if (claims[i].open && claims[i].batches == batches) {
 			kwb_store_cancel(batches->env->store, &claims[i].call);
--- a/src/batch/read.c
+++ b/src/batch/read.c
@@ -130,6 +130,10 @@
 		return;
 	}
 	heads_put(read->batches, &head);
+	if (sweep_is_due(read->batches, &head)) {
+		read_done(read, KWB_ERR_STORE_MISSING);
+		return;
+	}
 	read->total = head.total;
 	read->head_read = true;
 	if (read->item[0] != '\0')
@@ -242,7 +246,7 @@
 		read_done(read, KWB_ERR_MEMORY);
 		return;
 	}
-	if (head != NULL) {
+	if (head != NULL && !sweep_is_due(read->batches, head)) {
 		read->total = head->total;
 		read->head_read = true;
 	}
--- /dev/null
+++ b/src/batch/sweep.c
@@ -0,0 +1,196 @@
+/*
+ * Removes batches that nobody may ask for any more: what belongs to them first,
+ * their heads last, so that a sweep cut short is begun again by the next node.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "batch.h"
+
+#define SWEEP_ROWS 45 /* in one transaction */
+
+static void sweep_step(struct kwb_batches *batches);
+
+static void
+sweep_end(struct kwb_batches *batches, int error)
+{
+	kwb_log(KWB_LOG_INFO, "sweep", "event=%s batch=%s error=%s",
+	    error == 0 ? "removed" : "not_removed", batches->sweep_head.id,
+	    kwb_error_name(error));
+	batches->sweep_step = KWB_SWEEP_NONE;
+}
+
+static void
+removed_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batches *batches = call->context;
+
+	if (answer->error != 0 && answer->error != KWB_ERR_STORE_MISSING)
+		sweep_end(batches, answer->error);
+	else if (batches->sweep_step == KWB_SWEEP_HEAD)
+		sweep_end(batches, 0);
+	else
+		sweep_step(batches);
+}
+
+/* Removes the rows that were read; none means that the next step is due. */
+static void
+rows_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	static struct kwb_tx tx;
+	struct kwb_batches *batches = call->context;
+	struct kwb_store *store = batches->env->store;
+	uint32_t i;
+
+	if (answer->error != 0) {
+		sweep_end(batches, answer->error);
+		return;
+	}
+	if (answer->rows_count == 0) {
+		batches->sweep_step++;
+		sweep_step(batches);
+		return;
+	}
+	memset(&tx, 0, sizeof(tx));
+	for (i = 0; i < answer->rows_count; i++)
+		kwb_tx_remove(&tx, answer->rows[i].table,
+		    batches->sweep_head.id, answer->rows[i].key);
+	call->on_done = removed_answer;
+	if (store->ops->transact(store, &tx, call) != 0)
+		sweep_end(batches, KWB_ERR_STORE_REFUSED);
+}
+
+static int
+sweep_rows(struct kwb_batches *batches, const char *table)
+{
+	struct kwb_range range = {.table = table,
+	    .part = batches->sweep_head.id,
+	    .limit = SWEEP_ROWS};
+
+	batches->sweep.on_done = rows_answer;
+	return batches->env->store->ops->range(
+	    batches->env->store, &range, &batches->sweep);
+}
+
+/* Positions are known without a read of the results, which are large. */
+static int
+sweep_results(struct kwb_batches *batches)
+{
+	static struct kwb_tx tx;
+	char keys[SWEEP_ROWS][POSITION_DIGITS + 8];
+	uint32_t i;
+
+	memset(&tx, 0, sizeof(tx));
+	for (i = 0; i < SWEEP_ROWS &&
+	     batches->sweep_position < batches->sweep_head.total;
+	     i++) {
+		snprintf(keys[i], sizeof(keys[i]), "%0*u", POSITION_DIGITS,
+		    batches->sweep_position++);
+		kwb_tx_remove(
+		    &tx, TABLE_RESULTS, batches->sweep_head.id, keys[i]);
+	}
+	if (i == 0) {
+		batches->sweep_step++;
+		sweep_step(batches);
+		return 0;
+	}
+	batches->sweep.on_done = removed_answer;
+	return batches->env->store->ops->transact(
+	    batches->env->store, &tx, &batches->sweep);
+}
+
+static int
+sweep_object(struct kwb_batches *batches)
+{
+	char name[KWB_KEY_MAX_BYTES + 8];
+
+	object_name(name, sizeof(name), batches->sweep_head.id);
+	batches->sweep_step++;
+	batches->sweep.on_done = removed_answer;
+	return batches->env->store->ops->object_drop(
+	    batches->env->store, name, &batches->sweep);
+}
+
+static int
+sweep_head(struct kwb_batches *batches)
+{
+	static struct kwb_tx tx;
+	const struct kwb_batch_head *head = &batches->sweep_head;
+
+	memset(&tx, 0, sizeof(tx));
+	kwb_tx_expect(&tx, TABLE_HEADS, "", head->id, head->revision);
+	kwb_tx_remove(&tx, TABLE_HEADS, "", head->id);
+	batches->sweep.on_done = removed_answer;
+	return batches->env->store->ops->transact(
+	    batches->env->store, &tx, &batches->sweep);
+}
+
+static void
+sweep_step(struct kwb_batches *batches)
+{
+	int code = 0;
+
+	switch (batches->sweep_step) {
+	case KWB_SWEEP_NONE:
+		return;
+	case KWB_SWEEP_DONE:
+		code = sweep_rows(batches, TABLE_DONE);
+		break;
+	case KWB_SWEEP_PARTIAL:
+		code = sweep_rows(batches, TABLE_PARTIAL);
+		break;
+	case KWB_SWEEP_RESULTS:
+		code = sweep_results(batches);
+		break;
+	case KWB_SWEEP_OBJECT:
+		code = sweep_object(batches);
+		break;
+	case KWB_SWEEP_HEAD:
+		code = sweep_head(batches);
+		break;
+	}
+	if (code != 0)
+		sweep_end(batches, code);
+}
+
+bool
+sweep_is_due(
+    const struct kwb_batches *batches, const struct kwb_batch_head *head)
+{
+	uint64_t keep_ms =
+	    (uint64_t)batches->env->settings->batch_keep_ms * 5 / 4;
+
+	return head->accepted_ms + keep_ms <
+	    kwb_store_now_ms(batches->env->store);
+}
+
+/* Begins with the oldest batch that is due and that this node is to remove. */
+void
+sweep_look(struct kwb_batches *batches)
+{
+	const struct kwb_batch_head *oldest = NULL;
+	const struct kwb_batch_head *head;
+	uint32_t i;
+
+	if (batches->sweep_step != KWB_SWEEP_NONE || batches->leaving ||
+	    kwb_clock_now_ns() - batches->swept_ns < KWB_SWEEP_NS)
+		return;
+	for (i = 0; i < batches->heads_count; i++) {
+		head = batches->heads[i];
+		if (sweep_is_due(batches, head) &&
+		    (strcmp(head->owner, batches->env->settings->node) == 0 ||
+			!own_is_alive(batches, head->owner)) &&
+		    batch_find(batches, head->id) == NULL &&
+		    (oldest == NULL || head->accepted_ms < oldest->accepted_ms))
+			oldest = head;
+	}
+	batches->swept_ns = kwb_clock_now_ns();
+	if (oldest == NULL)
+		return;
+	batches->sweep_head = *oldest;
+	batches->sweep_step = KWB_SWEEP_DONE;
+	batches->sweep_position = 0;
+	batches->sweep.context = batches;
+	sweep_step(batches);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -180,12 +180,6 @@
 	kwb_timer_at(node->timer, now_ns + KWB_NODE_TICK_NS);
 }
 
-static void
-batch_change(void *context)
-{
-	(void)context;
-}
-
 static int
 node_listen(struct kwb_node *node)
 {
@@ -208,8 +202,7 @@
 {
 	int code;
 
-	code = kwb_batches_init(
-	    &node->batches, &node->batch_env, batch_change, node);
+	code = kwb_batches_init(&node->batches, &node->batch_env);
 	if (code == 0)
 		code = kwb_mover_init(
 		    &node->mover, &node->batch_env, &node->batches);
