--- a/src/batch/sweep.c
+++ b/src/batch/sweep.c
@@ -26,12 +26,17 @@
 {
 	struct kwb_batches *batches = call->context;
 
-	if (answer->error != 0 && answer->error != KWB_ERR_STORE_MISSING)
+	if (answer->error != 0 && answer->error != KWB_ERR_STORE_MISSING) {
 		sweep_end(batches, answer->error);
-	else if (batches->sweep_step == KWB_SWEEP_HEAD)
+		return;
+	}
+	if (batches->sweep_step == KWB_SWEEP_HEAD) {
 		sweep_end(batches, 0);
-	else
-		sweep_step(batches);
+		return;
+	}
+	if (batches->sweep_step == KWB_SWEEP_OBJECT)
+		batches->sweep_step = KWB_SWEEP_HEAD;
+	sweep_step(batches);
 }
 
 /* Removes the rows that were read; none means that the next step is due. */
@@ -106,7 +111,6 @@
 	char name[KWB_KEY_MAX_BYTES + 8];
 
 	object_name(name, sizeof(name), batches->sweep_head.id);
-	batches->sweep_step++;
 	batches->sweep.on_done = removed_answer;
 	return batches->env->store->ops->object_drop(
 	    batches->env->store, name, &batches->sweep);
