A fault soak of real node processes behind loopback proxies

Three kwb-node processes before a stand-in store and five servers, under kills, stops, freezes, SIGHUP, delayed, reset, one-way, silent and cut connections, faulty servers and a store that refuses, stays silent, loses or delays writes and forgets its history; faults come in series and overlap. Checked from outside: at most once, refused means not run, whole answers to the right caller, batches whole with stable positions, nothing accepted lost, processes end only when told to and in their grace.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 EXAMPLES = $(patsubst examples/%.c,$(B)/examples/%,$(wildcard examples/*.c))
 TESTS = $(B)/tests/unit $(B)/tests/contract $(B)/tests/golden \
 	$(B)/tests/faults $(B)/tests/platform/decisions \
-	$(B)/tests/platform/stage
+	$(B)/tests/platform/script $(B)/tests/platform/soak
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
 
 all: $(B)/kwb-node $(DAEMONS) $(FAKES) $(EXAMPLES)
@@ -84,10 +84,14 @@
 		$(B)/fakes/text.o $(B)/fakes/trainer.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(B)/tests/platform/stage: $(patsubst %.c,$(B)/%.o,$(wildcard \
-		tests/platform/stage.c tests/platform/port.c \
-		tests/platform/store.c tests/platform/server.c)) \
-		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
+STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o) \
+	$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
+
+$(B)/tests/platform/script: $(B)/tests/platform/script.o $(STAGE_OBJ)
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
+
+$(B)/tests/platform/soak: $(B)/tests/platform/soak.o \
+		$(B)/tests/platform/proxy.o $(STAGE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
 $(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -7,8 +7,10 @@
 is_known() {
 	[ -n "$1" ] && grep -q "^$1 |" KNOWN-RED.txt
 }
-for name in unit contract golden faults platform/decisions platform/stage; do
-	out=$("$KWB_BUILD/tests/$name")
+for name in unit contract golden faults platform/decisions platform/script platform/soak; do
+	arguments=
+	[ "$name" = platform/soak ] && arguments='--count 3'
+	out=$("$KWB_BUILD/tests/$name" $arguments)
 	code=$?
 	echo "$out" | grep -v '^ *$'
 	counts=$(echo "$out" | grep -oE '[0-9]+ passed, [0-9]+ failed' | tail -1)
--- /dev/null
+++ b/tests/platform/proxy.c
@@ -0,0 +1,178 @@
+/*
+ * The loopback proxy of the soak.
+ */
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "proxy.h"
+
+#define DELAY_MS 150
+
+struct proxy_pair {
+	struct proxy *proxy;
+	struct bufferevent *near; /* to who connected */
+	struct bufferevent *far;  /* to the target */
+	struct event *timer;	  /* passes delayed bytes on */
+	bool silent;
+	TAILQ_ENTRY(proxy_pair) entry;
+};
+
+static void
+pair_free(struct proxy_pair *pair, bool reset)
+{
+	struct linger hard = {.l_onoff = 1, .l_linger = 0};
+
+	if (reset)
+		setsockopt(bufferevent_getfd(pair->near), SOL_SOCKET, SO_LINGER,
+		    &hard, sizeof(hard));
+	TAILQ_REMOVE(&pair->proxy->pairs, pair, entry);
+	bufferevent_free(pair->near);
+	bufferevent_free(pair->far);
+	event_free(pair->timer);
+	free(pair);
+}
+
+static void
+pass(struct bufferevent *from, struct bufferevent *to)
+{
+	bufferevent_write_buffer(to, bufferevent_get_input(from));
+}
+
+static void
+pair_pass(struct proxy_pair *pair)
+{
+	enum proxy_mode mode = pair->proxy->mode;
+
+	if (pair->silent || mode == PROXY_CUT)
+		return;
+	pass(pair->near, pair->far);
+	if (mode != PROXY_ONEWAY)
+		pass(pair->far, pair->near);
+}
+
+static void
+on_time(int fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	pair_pass(context);
+}
+
+static void
+on_read(struct bufferevent *bev, void *context)
+{
+	struct proxy_pair *pair = context;
+
+	(void)bev;
+	if (pair->proxy->mode == PROXY_DELAY)
+		kwb_timer_at(
+		    pair->timer, kwb_clock_now_ns() + DELAY_MS * KWB_MS_NS);
+	else
+		pair_pass(pair);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *context)
+{
+	struct proxy_pair *pair = context;
+
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	if (pair->silent || pair->proxy->mode == PROXY_CUT)
+		return;
+	/* What has arrived goes out before the close. */
+	pair_pass(pair);
+	bufferevent_flush(
+	    bev == pair->near ? pair->far : pair->near, EV_WRITE, BEV_FINISHED);
+	pair_free(pair, (what & BEV_EVENT_ERROR) != 0);
+}
+
+static void
+on_accept(struct evconnlistener *listener, int fd, struct sockaddr *from,
+    int from_bytes, void *context)
+{
+	struct proxy *proxy = context;
+	struct proxy_pair *pair = calloc(1, sizeof(*pair));
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET, .sin_port = htons(proxy->target.port)};
+
+	(void)listener;
+	(void)from;
+	(void)from_bytes;
+	inet_pton(AF_INET, proxy->target.ip, &to.sin_addr);
+	pair->proxy = proxy;
+	pair->near =
+	    bufferevent_socket_new(proxy->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	pair->far =
+	    bufferevent_socket_new(proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	pair->timer = kwb_timer_new(proxy->base, on_time, pair);
+	TAILQ_INSERT_TAIL(&proxy->pairs, pair, entry);
+	bufferevent_setcb(pair->near, on_read, NULL, on_event, pair);
+	bufferevent_setcb(pair->far, on_read, NULL, on_event, pair);
+	bufferevent_socket_connect(
+	    pair->far, (struct sockaddr *)&to, sizeof(to));
+	bufferevent_enable(pair->near, EV_READ | EV_WRITE);
+	bufferevent_enable(pair->far, EV_READ | EV_WRITE);
+	if (proxy->mode == PROXY_RESET)
+		pair_free(pair, true);
+}
+
+int
+proxy_open(struct proxy *proxy, struct event_base *base,
+    const struct kwb_address *target)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	socklen_t length = sizeof(at);
+
+	memset(proxy, 0, sizeof(*proxy));
+	TAILQ_INIT(&proxy->pairs);
+	proxy->base = base;
+	proxy->target = *target;
+	inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
+	proxy->listener = evconnlistener_new_bind(base, on_accept, proxy,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 128,
+	    (struct sockaddr *)&at, sizeof(at));
+	if (proxy->listener == NULL)
+		return KWB_ERR_SYSTEM;
+	getsockname(evconnlistener_get_fd(proxy->listener),
+	    (struct sockaddr *)&at, &length);
+	kwb_text_copy(
+	    proxy->address.ip, sizeof(proxy->address.ip), "127.0.0.1");
+	proxy->address.port = ntohs(at.sin_port);
+	return 0;
+}
+
+void
+proxy_set(struct proxy *proxy, enum proxy_mode mode)
+{
+	struct proxy_pair *pair = TAILQ_FIRST(&proxy->pairs);
+	struct proxy_pair *next;
+
+	proxy->mode = mode;
+	for (; pair != NULL; pair = next) {
+		next = TAILQ_NEXT(pair, entry);
+		if (mode == PROXY_RESET)
+			pair_free(pair, true);
+		else if (mode == PROXY_SILENT)
+			pair->silent = true;
+		else if (mode == PROXY_PASS)
+			pair_pass(pair);
+	}
+}
+
+void
+proxy_close(struct proxy *proxy)
+{
+	struct proxy_pair *pair = TAILQ_FIRST(&proxy->pairs);
+	struct proxy_pair *next;
+
+	for (; pair != NULL; pair = next) {
+		next = TAILQ_NEXT(pair, entry);
+		pair_free(pair, true);
+	}
+	evconnlistener_free(proxy->listener);
+}
--- /dev/null
+++ b/tests/platform/script.c
@@ -0,0 +1,860 @@
+/*
+ * Scripts on the stage. A script's line that begins with "$ " is a
+ * command; below it stands what it is expected to print.
+ *
+ *   $ server NAME service=S [engine=1] [slots=N] [pace=MS] [version=V]
+ * [load=MS] $ route NAME KIND PREFIX SERVICE [attempts=N] [timeout=MS]
+ * [target=MS] [ttl=S] [single=1] [resumable=1] [split=SERVICE:WEIGHT] $ config
+ * VERSION              publishes the routes so far $ unroute NAME leaves one
+ * out from now on $ node NAME, $ stop NAME, $ kill NAME, $ ready NAME $ call
+ * NODE METHOD PATH [id=ID] [deadline=MS] [body=TEXT] [host=H] [from=N]
+ * [leave=MS]   status, Retry-After if any, body $ submit NODE BATCH [items=N]
+ * [size=N] [events=N] [min=V] [target=N] $ results NODE BATCH          all
+ * results, by item $ end NODE BATCH, $ item NODE BATCH ITEM $ store FAULT [N],
+ * $ fault SERVER FAULT [N], $ forget $ drain SERVER, $ remove SERVER, $ garble
+ * SERVER, $ name VERSION $ ran ID                      how often, and from
+ * which events on $ orders SERVER, $ version SERVER, $ wait MS, $ until-version
+ * SERVER V $ raw NODE TEXT               bytes on a connection; the status line
+ */
+#include <arpa/inet.h>
+#include <glob.h>
+#include <signal.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "stage.h"
+
+#define WORDS_MAX 16
+#define ROUTES_MAX 16
+#define CALL_TIMEOUT_MS 8000
+#define HOST "front.example"
+
+static char log_path[] = "/tmp/kwb-stage-XXXXXX";
+
+struct script {
+	struct stage stage;
+	json_t *routes;
+	char *words[WORDS_MAX];
+	unsigned words_count;
+	struct kwb_buf out;
+};
+
+struct call {
+	struct kwb_exchange exchange;
+	bool done;
+	int error;
+};
+
+static const char *const store_faults[] = {
+    "ok", "busy", "many", "reset", "silent", "lost", "late", NULL};
+static const char *const server_faults[] = {"ok", "refuse", "error", "never",
+    "reset", "silent", "other-id", "cut", "extra", "unframed", "garbage",
+    "no-receipt", "skip", "misdirected", NULL};
+
+static int
+index_of(const char *const *names, const char *name)
+{
+	int i;
+
+	for (i = 0; names[i] != NULL; i++)
+		if (strcmp(names[i], name) == 0)
+			return i;
+	fprintf(stderr, "no such fault: %s\n", name);
+	exit(2);
+}
+
+/* ---- Calls
+ * --------------------------------------------------------------------- */
+
+static void
+call_done(struct kwb_exchange *exchange, int error)
+{
+	struct call *call = exchange->context;
+
+	call->done = true;
+	call->error = error;
+}
+
+static const struct kwb_exchange_ops call_ops = {
+    .on_done = call_done,
+};
+
+static bool
+call_run(struct stage *stage, struct call *call, const struct kwb_address *to,
+    struct evbuffer *request, unsigned leave_ms)
+{
+	uint64_t leave_ns = kwb_clock_now_ns() +
+	    (leave_ms ? leave_ms : CALL_TIMEOUT_MS) * KWB_MS_NS;
+
+	memset(call, 0, sizeof(*call));
+	call->exchange.ops = &call_ops;
+	call->exchange.context = call;
+	call->exchange.fresh = true;
+	if (kwb_exchange_start(&call->exchange, &stage->client, to, request) !=
+	    0) {
+		call->done = true;
+		call->error = KWB_ERR_NET_CONNECT;
+	}
+	evbuffer_free(request);
+	while (!call->done && kwb_clock_now_ns() < leave_ns)
+		stage_wait(stage, 1);
+	return call->done;
+}
+
+static const char *
+option(const struct script *script, const char *name, const char *fallback)
+{
+	size_t length = strlen(name);
+	unsigned i;
+
+	for (i = 1; i < script->words_count; i++)
+		if (strncmp(script->words[i], name, length) == 0 &&
+		    script->words[i][length] == '=')
+			return script->words[i] + length + 1;
+	return fallback;
+}
+
+static unsigned
+number(const struct script *script, const char *name, unsigned fallback)
+{
+	const char *text = option(script, name, NULL);
+
+	return text ? (unsigned)strtoul(text, NULL, 10) : fallback;
+}
+
+static struct evbuffer *
+request_new(const char *method, const char *target, const char *headers,
+    const void *body, size_t body_bytes)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	evbuffer_add_printf(out,
+	    "%s %s HTTP/1.1\r\n%sContent-Length: %zu\r\n\r\n", method, target,
+	    headers, body_bytes);
+	evbuffer_add(out, body, body_bytes);
+	return out;
+}
+
+static void
+print_answer(struct script *script, struct call *call)
+{
+	struct kwb_message *answer = kwb_exchange_message(&call->exchange);
+	const char *after = kwb_message_header(answer, "Retry-After");
+	const char *receipt = kwb_message_header(answer, "Server-Stamp");
+
+	if (!call->done) {
+		kwb_buf_printf(&script->out, "left\n");
+		return;
+	}
+	if (call->error != 0) {
+		kwb_buf_printf(
+		    &script->out, "%s\n", kwb_error_name(call->error));
+		return;
+	}
+	kwb_buf_printf(&script->out, "%u", answer->status);
+	if (receipt != NULL)
+		kwb_buf_printf(&script->out, " %s",
+		    strstr(receipt, option(script, "id", "c1")) != NULL
+			? "receipt"
+			: "WRONG RECEIPT");
+	if (after != NULL)
+		kwb_buf_printf(&script->out, " after %s s", after);
+	if (answer->body.used_bytes > 0)
+		kwb_buf_printf(
+		    &script->out, " %s", kwb_buf_text(&answer->body));
+	kwb_buf_printf(&script->out, "\n");
+}
+
+static void
+run_call(struct script *script)
+{
+	struct stage_node *node = stage_node(&script->stage, script->words[1]);
+	const char *body = option(script, "body", "");
+	const char *from = option(script, "from", NULL);
+	const char *deadline = option(script, "deadline", NULL);
+	struct kwb_buf headers;
+	struct call call;
+
+	kwb_buf_init(&headers);
+	kwb_buf_printf(&headers, "Host: %s\r\nAttempt-Id: %s\r\n",
+	    option(script, "host", HOST), option(script, "id", "c1"));
+	if (deadline != NULL)
+		kwb_buf_printf(&headers, "Deadline-Ms: %s\r\n", deadline);
+	if (from != NULL)
+		kwb_buf_printf(&headers, "Last-Event-Id: %s\r\n", from);
+	call_run(&script->stage, &call, &node->settings.listen,
+	    request_new(script->words[2], script->words[3], headers.data, body,
+		strlen(body)),
+	    number(script, "leave", 0));
+	print_answer(script, &call);
+	kwb_exchange_finish(&call.exchange);
+	kwb_buf_finish(&headers);
+}
+
+static void
+simple_call(struct script *script, struct call *call, const char *node,
+    const char *method, const char *target, const char *more, const char *body)
+{
+	struct stage_node *at = stage_node(&script->stage, node);
+	char headers[256];
+
+	snprintf(headers, sizeof(headers), "Host: " HOST "\r\n%s", more);
+	call_run(&script->stage, call, &at->settings.listen,
+	    request_new(method, target, headers, body, strlen(body)), 0);
+}
+
+static void
+run_raw(struct script *script)
+{
+	struct stage_node *node = stage_node(&script->stage, script->words[1]);
+	struct evbuffer *out = evbuffer_new();
+	struct call call;
+	const char *at;
+
+	for (at = script->words[2]; *at != '\0'; at++)
+		if (at[0] == '\\' && at[1] == 'n') {
+			evbuffer_add(out, "\r\n", 2);
+			at++;
+		} else {
+			evbuffer_add(out, *at == '_' ? " " : at, 1);
+		}
+	call_run(&script->stage, &call, &node->settings.listen, out, 6000);
+	print_answer(script, &call);
+	kwb_exchange_finish(&call.exchange);
+}
+
+/* ---- Batches
+ * --------------------------------------------------------------------- */
+
+static char *
+batch_body(struct script *script, const char *batch)
+{
+	unsigned items = number(script, "items", 4);
+	unsigned size = number(script, "size", 2);
+	json_t *requests = json_array();
+	struct kwb_buf body;
+	char text[64];
+	char id[64];
+	char group[32];
+	char score[80];
+	json_t *document;
+	unsigned i;
+	char *out;
+
+	for (i = 0; i < items; i++) {
+		kwb_buf_init(&body);
+		snprintf(id, sizeof(id), "%s-i%u", batch, i);
+		snprintf(score, sizeof(score), "%s-s%u", batch, i);
+		snprintf(group, sizeof(group), "g%u", i / size);
+		snprintf(text, sizeof(text), "events=%u",
+		    number(script, "events", 4));
+		kwb_base64_encode(&body, text, strlen(text));
+		json_array_append_new(requests,
+		    json_pack("{s:s, s:s, s:{s:s}, s:s, s:i, s:s, s:{s:s, s:s, "
+			      "s:s, s:s}}",
+			"id", id, "path", "/gen/x", "headers", "Model", "m",
+			"body", body.data, "tokens", 100, "group", group,
+			"scorer", "id", score, "hostname", HOST, "path",
+			"/score/x", "body", "c2NvcmU="));
+		kwb_buf_finish(&body);
+	}
+	document = json_pack("{s:i, s:s, s:i, s:i, s:o}", "step", 0, "model",
+	    "m", "min-version", number(script, "min", 1), "target-groups",
+	    number(script, "target", (items + size - 1) / size), "requests",
+	    requests);
+	out = json_dumps(document, JSON_COMPACT);
+	json_decref(document);
+	return out;
+}
+
+static void
+run_submit(struct script *script)
+{
+	const char *batch = script->words[2];
+	char *body = batch_body(script, batch);
+	char more[96];
+	struct call call;
+
+	snprintf(more, sizeof(more), "Attempt-Id: %s\r\n", batch);
+	simple_call(
+	    script, &call, script->words[1], "POST", "/gen/x", more, body);
+	print_answer(script, &call);
+	kwb_exchange_finish(&call.exchange);
+	free(body);
+}
+
+static int
+compare_lines(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static unsigned
+read_results(const json_t *document, char **lines, unsigned count)
+{
+	const json_t *entry;
+	char line[512];
+	char *versions;
+	size_t i;
+	char *at;
+
+	json_array_foreach (json_object_get(document, "results"), i, entry) {
+		versions = json_dumps(
+		    json_object_get(entry, "versions"), JSON_COMPACT);
+		snprintf(line, sizeof(line), "%s %s '%s' %s %s",
+		    json_string_value(json_object_get(entry, "id")),
+		    json_string_value(json_object_get(entry, "state")),
+		    json_string_value(json_object_get(entry, "output")),
+		    versions,
+		    json_object_get(entry, "score") ? "scored" : "no score");
+		for (at = line; *at != '\0'; at++)
+			if (*at == '\n')
+				*at = ' ';
+		free(versions);
+		lines[count++] = strdup(line);
+	}
+	return count;
+}
+
+/* Reads until all results are there, as a trainer does. */
+static void
+run_results(struct script *script)
+{
+	uint64_t end_ns = kwb_clock_now_ns() + CALL_TIMEOUT_MS * KWB_MS_NS;
+	char *lines[64];
+	unsigned count = 0;
+	unsigned total = 1;
+	unsigned next = 0;
+	unsigned status = 0;
+	char target[128];
+	struct call call;
+	json_t *document;
+	unsigned i;
+
+	while (next < total && kwb_clock_now_ns() < end_ns) {
+		snprintf(target, sizeof(target), "/lots/%s?after=%u",
+		    script->words[2], next);
+		simple_call(script, &call, script->words[1], "GET", target,
+		    "Wait-Ms: 500\r\n", "");
+		status = kwb_exchange_message(&call.exchange)->status;
+		document = json_loads(
+		    kwb_buf_text(&kwb_exchange_message(&call.exchange)->body),
+		    0, NULL);
+		if (status == 200) {
+			count = read_results(document, lines, count);
+			total = (unsigned)json_integer_value(
+			    json_object_get(document, "total"));
+			next = (unsigned)json_integer_value(
+			    json_object_get(document, "next"));
+		}
+		json_decref(document);
+		kwb_exchange_finish(&call.exchange);
+		if (status == 404)
+			break;
+		if (status != 200)
+			stage_wait(&script->stage, 100);
+	}
+	kwb_buf_printf(
+	    &script->out, "%u, %u of %u listed\n", status, next, total);
+	qsort(lines, count, sizeof(char *), compare_lines);
+	for (i = 0; i < count; i++) {
+		kwb_buf_printf(&script->out, "%s\n", lines[i]);
+		free(lines[i]);
+	}
+}
+
+static void
+run_end(struct script *script)
+{
+	char target[128];
+	struct call call;
+
+	snprintf(target, sizeof(target), "/lots/%s", script->words[2]);
+	simple_call(script, &call, script->words[1], "DELETE", target, "", "");
+	print_answer(script, &call);
+	kwb_exchange_finish(&call.exchange);
+}
+
+static void
+run_item(struct script *script)
+{
+	char target[192];
+	struct call call;
+
+	snprintf(target, sizeof(target), "/items/%s?id=%s", script->words[2],
+	    script->words[3]);
+	simple_call(script, &call, script->words[1], "GET", target, "", "");
+	print_answer(script, &call);
+	kwb_exchange_finish(&call.exchange);
+}
+
+/* ---- Commands
+ * ---------------------------------------------------------------------- */
+
+static void
+run_server(struct script *script)
+{
+	struct stage_server *server =
+	    stage_server(&script->stage, script->words[1]);
+
+	kwb_text_copy(server->service, sizeof(server->service),
+	    option(script, "service", "shop"));
+	server->engine = number(script, "engine", 0) != 0;
+	server->slots = number(script, "slots", 4);
+	server->pace_ms = number(script, "pace", 10);
+	server->load_ms = number(script, "load", 900);
+	server->version = number(script, "version", 1);
+	server_open(server, &script->stage);
+}
+
+static void
+run_route(struct script *script)
+{
+	const char *split = option(script, "split", NULL);
+	json_t *route = json_pack(
+	    "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:b}",
+	    "name", script->words[1], "hostname", option(script, "host", HOST),
+	    "route-kind", script->words[2], "path-prefix", script->words[3],
+	    "service", script->words[4], "max-attempts",
+	    number(script, "attempts", 2), "timeout-ms",
+	    number(script, "timeout", 1000), "target-latency-ms",
+	    number(script, "target", 150), "item-ttl-s",
+	    number(script, "ttl", 40), "run-deadline-ms", 7500,
+	    "single-version", number(script, "single", 0), "resumable",
+	    number(script, "resumable", 0));
+	const char *colon = split ? strchr(split, ':') : NULL;
+
+	if (colon != NULL)
+		json_object_set_new(route, "split",
+		    json_pack("[{s:s%, s:i}]", "service", split,
+			(size_t)(colon - split), "weight", atoi(colon + 1)));
+	json_array_append_new(script->routes, route);
+}
+
+static void
+run_unroute(struct script *script)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(script->routes); i++)
+		if (strcmp(json_string_value(json_object_get(
+			       json_array_get(script->routes, i), "name")),
+			script->words[1]) == 0)
+			json_array_remove(script->routes, i);
+}
+
+static void
+run_config(struct script *script)
+{
+	json_t *document = json_pack(
+	    "{s:i, s:O, s:[{s:s}, {s:s, s:{s:i, s:[{s:s}]}}], s:{s:i, s:i, "
+	    "s:i, s:i}}",
+	    "version", atoi(script->words[1]), "route-table", script->routes,
+	    "services", "name", "shop", "name", "engine", "engine", "slots", 4,
+	    "models", "name", "m", "limits", "max-header-bytes", 4096,
+	    "max-body-bytes", 100000, "header-timeout-ms", 500,
+	    "idle-timeout-ms", 15000);
+	char *text = json_dumps(document, JSON_COMPACT);
+
+	stage_store_put(&script->stage.store, "op", "config", text);
+	free(text);
+	json_decref(document);
+	stage_wait(&script->stage, 60);
+}
+
+static void
+run_name(struct script *script)
+{
+	char text[64];
+
+	snprintf(text, sizeof(text), "{\"model\":\"m\",\"version\":%s}",
+	    script->words[1]);
+	stage_store_put(&script->stage.store, "op", "version/m", text);
+}
+
+static void
+run_node(struct script *script)
+{
+	struct stage_node *node = stage_node(&script->stage, script->words[1]);
+	uint64_t end_ns = kwb_clock_now_ns() + 1000 * KWB_MS_NS;
+
+	stage_node_start(node);
+	node->settings.batch_keep_ms = number(script, "keep", 120000);
+	while (node->node.config == NULL && kwb_clock_now_ns() < end_ns)
+		stage_wait(&script->stage, 5);
+	stage_wait(&script->stage, 40);
+}
+
+static void
+run_stop(struct script *script)
+{
+	struct stage_node *node = stage_node(&script->stage, script->words[1]);
+	uint64_t begin_ns = kwb_clock_now_ns();
+
+	kwb_node_stop(&node->node);
+	if (number(script, "wait", 1) == 0)
+		return;
+	while (
+	    node->running && kwb_clock_now_ns() - begin_ns < 9000 * KWB_MS_NS)
+		stage_wait(&script->stage, 10);
+	kwb_buf_printf(
+	    &script->out, "%s\n", node->running ? "still running" : "stopped");
+	stage_node_kill(node);
+}
+
+static void
+run_ready(struct script *script)
+{
+	struct stage_node *node = stage_node(&script->stage, script->words[1]);
+	struct call call;
+
+	call_run(&script->stage, &call, &node->settings.ready,
+	    request_new("GET", "/readyz", "Host: x\r\n", "", 0), 0);
+	kwb_buf_printf(
+	    &script->out, "%u\n", kwb_exchange_message(&call.exchange)->status);
+	kwb_exchange_finish(&call.exchange);
+}
+
+static void
+run_ran(struct script *script)
+{
+	const struct stage *stage = &script->stage;
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < stage->runs_count; i++)
+		count += strcmp(stage->runs[i].id, script->words[1]) == 0;
+	kwb_buf_printf(&script->out, "%u", count);
+	for (i = 0; i < stage->runs_count; i++)
+		if (strcmp(stage->runs[i].id, script->words[1]) == 0 &&
+		    stage->runs[i].from > 0)
+			kwb_buf_printf(
+			    &script->out, " from %u", stage->runs[i].from);
+	kwb_buf_printf(&script->out, "\n");
+}
+
+/* Whether the last run of an item began behind its first event. */
+static void
+run_resumed(struct script *script)
+{
+	const struct stage *stage = &script->stage;
+	unsigned from = 0;
+	unsigned i;
+
+	for (i = 0; i < stage->runs_count; i++)
+		if (strcmp(stage->runs[i].id, script->words[1]) == 0)
+			from = stage->runs[i].from;
+	kwb_buf_printf(
+	    &script->out, from > 1 ? "resumed\n" : "from the first event\n");
+}
+
+/* The value of a field of a log line. */
+static void
+log_field(const char *line, const char *name, char *value, size_t room_bytes)
+{
+	const char *at = strstr(line, name);
+	size_t length;
+
+	value[0] = '\0';
+	if (at == NULL)
+		return;
+	at += strlen(name);
+	length = strcspn(at, " \n");
+	if (length >= room_bytes)
+		length = room_bytes - 1;
+	memcpy(value, at, length);
+	value[length] = '\0';
+}
+
+/* What the logs say of an id, as "grep ID" shows it: module, event, why. */
+static void
+run_explain(struct script *script)
+{
+	FILE *file = fopen(log_path, "r");
+	char line[1024];
+	char event[64];
+	char reason[64];
+	char status[16];
+
+	while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+		const char *found = strstr(line, script->words[1]);
+
+		if (found == NULL || found[-1] != '=' ||
+		    found[strlen(script->words[1])] != ' ')
+			continue;
+		log_field(line, " event=", event, sizeof(event));
+		log_field(line, " status=", status, sizeof(status));
+		log_field(line, " reason=", reason, sizeof(reason));
+		if (reason[0] == '\0')
+			log_field(line, " error=", reason, sizeof(reason));
+		kwb_buf_printf(&script->out, "%.*s %s%s%s %s\n",
+		    (int)strcspn(line, ":"), line, event, status[0] ? " " : "",
+		    status, reason);
+	}
+	if (file != NULL)
+		fclose(file);
+}
+
+static void
+run_until_some(struct script *script)
+{
+	struct stage *stage = &script->stage;
+	uint64_t wanted = strtoull(script->words[1], NULL, 10);
+	uint64_t end_ns = kwb_clock_now_ns() + CALL_TIMEOUT_MS * KWB_MS_NS;
+	uint64_t newest = 0;
+	unsigned i;
+
+	while (newest < wanted && kwb_clock_now_ns() < end_ns) {
+		stage_wait(stage, 10);
+		for (i = 0; i < stage->servers_count; i++)
+			if (stage->servers[i].version > newest)
+				newest = stage->servers[i].version;
+	}
+	kwb_buf_printf(
+	    &script->out, "version %llu\n", (unsigned long long)newest);
+}
+
+static void
+run_orders(struct script *script)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < script->stage.servers_count; i++)
+		count += script->stage.servers[i].orders;
+	kwb_buf_printf(&script->out, "%u\n", count);
+}
+
+static void
+run_rows(struct script *script)
+{
+	const struct stage_store *store = &script->stage.store;
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < store->rows_count; i++)
+		count += store->rows[i].value != NULL &&
+		    strcmp(store->rows[i].table, script->words[1]) == 0;
+	kwb_buf_printf(&script->out, "%u\n", count);
+}
+
+static void
+run_store(struct script *script)
+{
+	struct stage_store *store = &script->stage.store;
+
+	store->fault =
+	    (enum store_fault)index_of(store_faults, script->words[1]);
+	store->fault_left =
+	    script->words_count > 2 ? (unsigned)atoi(script->words[2]) : 0;
+}
+
+static void
+run_fault(struct script *script)
+{
+	struct stage_server *server =
+	    stage_server(&script->stage, script->words[1]);
+
+	server->fault =
+	    (enum server_fault)index_of(server_faults, script->words[2]);
+	server->fault_left =
+	    script->words_count > 3 ? (unsigned)atoi(script->words[3]) : 0;
+}
+
+static void
+run_server_change(struct script *script)
+{
+	struct stage *stage = &script->stage;
+	struct stage_server *server = stage_server(stage, script->words[1]);
+
+	if (strcmp(script->words[0], "drain") == 0) {
+		server->draining = true;
+		server_beat(server);
+	} else if (strcmp(script->words[0], "beat") == 0) {
+		server_beat(server);
+	} else if (strcmp(script->words[0], "remove") == 0) {
+		stage_store_remove(&stage->store, "servers", server->name);
+	} else {
+		stage_store_put(
+		    &stage->store, "servers", server->name, "{\"slots\":");
+	}
+	stage_wait(stage, 40);
+}
+
+static void
+run_command(struct script *script)
+{
+	static const struct {
+		const char *name;
+		void (*run)(struct script *script);
+	} commands[] = {{"server", run_server}, {"route", run_route},
+	    {"unroute", run_unroute}, {"config", run_config},
+	    {"name", run_name}, {"node", run_node}, {"stop", run_stop},
+	    {"ready", run_ready}, {"call", run_call}, {"raw", run_raw},
+	    {"submit", run_submit}, {"results", run_results}, {"end", run_end},
+	    {"item", run_item}, {"store", run_store}, {"fault", run_fault},
+	    {"drain", run_server_change}, {"remove", run_server_change},
+	    {"garble", run_server_change}, {"beat", run_server_change},
+	    {"ran", run_ran}, {"until-some", run_until_some},
+	    {"orders", run_orders}, {"rows", run_rows},
+	    {"resumed", run_resumed}, {"explain", run_explain}};
+	struct stage *stage = &script->stage;
+	size_t i;
+
+	for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		if (strcmp(commands[i].name, script->words[0]) == 0) {
+			commands[i].run(script);
+			return;
+		}
+	if (strcmp(script->words[0], "wait") == 0)
+		stage_wait(stage, (unsigned)atoi(script->words[1]));
+	else if (strcmp(script->words[0], "kill") == 0)
+		stage_node_kill(stage_node(stage, script->words[1]));
+	else if (strcmp(script->words[0], "forget") == 0)
+		stage->store.history_from = stage->store.revision + 1;
+	else
+		kwb_buf_printf(&script->out, "no such command\n");
+}
+
+/* ---- Scripts
+ * ---------------------------------------------------------------------------
+ */
+
+static void
+split_words(struct script *script, char *line)
+{
+	char *at = strtok(line, " ");
+
+	script->words_count = 0;
+	while (at != NULL && script->words_count < WORDS_MAX) {
+		script->words[script->words_count++] = at;
+		at = strtok(NULL, " ");
+	}
+}
+
+static bool
+play_lines(struct script *script, FILE *file, struct kwb_buf *played,
+    struct kwb_buf *expected)
+{
+	char line[1024];
+	char command[1024];
+
+	while (fgets(line, sizeof(line), file) != NULL) {
+		kwb_buf_printf(expected, "%s", line);
+		if (line[0] == '#' || line[0] == '\n') {
+			kwb_buf_printf(played, "%s", line);
+			continue;
+		}
+		if (strncmp(line, "$ ", 2) != 0)
+			continue; /* expected output of the command above */
+		kwb_buf_printf(played, "%s", line);
+		line[strcspn(line, "\n")] = '\0';
+		kwb_text_copy(command, sizeof(command), line + 2);
+		split_words(script, command);
+		script->out.used_bytes = 0;
+		run_command(script);
+		kwb_buf_add(
+		    played, kwb_buf_text(&script->out), script->out.used_bytes);
+	}
+	return strcmp(kwb_buf_text(played), kwb_buf_text(expected)) == 0;
+}
+
+static void
+show_difference(const char *played, const char *expected)
+{
+	while (*played != '\0' || *expected != '\0') {
+		size_t left = strcspn(played, "\n");
+		size_t right = strcspn(expected, "\n");
+
+		if (left != right || strncmp(played, expected, left) != 0) {
+			printf("  expected: %.*s\n  printed:  %.*s\n",
+			    (int)right, expected, (int)left, played);
+			return;
+		}
+		played += left + (played[left] != '\0');
+		expected += right + (expected[right] != '\0');
+	}
+}
+
+static bool
+script_play(const char *path, bool write)
+{
+	static struct script script;
+	struct kwb_buf played;
+	struct kwb_buf expected;
+	FILE *file = fopen(path, "r");
+	bool same;
+
+	if (file == NULL) {
+		perror(path);
+		return false;
+	}
+	memset(&script, 0, sizeof(script));
+	kwb_buf_init(&played);
+	kwb_buf_init(&expected);
+	stage_init(&script.stage);
+	script.routes = json_array();
+	same = play_lines(&script, file, &played, &expected);
+	fclose(file);
+	stage_finish(&script.stage);
+	json_decref(script.routes);
+	if (!same && write) {
+		file = fopen(path, "w");
+		fputs(kwb_buf_text(&played), file);
+		fclose(file);
+	} else if (!same) {
+		printf("FAILED %s\n", path);
+		show_difference(kwb_buf_text(&played), kwb_buf_text(&expected));
+	}
+	kwb_buf_finish(&script.out);
+	kwb_buf_finish(&played);
+	kwb_buf_finish(&expected);
+	return same;
+}
+
+/* The logs go to a file of their own, which "explain" reads. */
+static bool
+log_to_file(void)
+{
+	int fd = mkstemp(log_path);
+
+	return fd >= 0 && dup2(fd, STDERR_FILENO) >= 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	bool write = argc > 1 && strcmp(argv[1], "--write") == 0;
+	const char *log_level = getenv("STAGE_LOG");
+	unsigned passed = 0;
+	unsigned failed = 0;
+	glob_t found;
+	int first = write ? 2 : 1;
+	size_t i;
+
+	signal(SIGPIPE, SIG_IGN);
+	kwb_log_init("stage", KWB_LOG_INFO);
+	if (log_level == NULL && !log_to_file())
+		return 1;
+	memset(&found, 0, sizeof(found));
+	if (argc > first) {
+		for (; first < argc; first++)
+			glob(argv[first], found.gl_pathc ? GLOB_APPEND : 0,
+			    NULL, &found);
+	} else {
+		glob("tests/platform/scripts/*.txt", 0, NULL, &found);
+	}
+	for (i = 0; i < found.gl_pathc; i++) {
+		if (script_play(found.gl_pathv[i], write))
+			passed++;
+		else
+			failed++;
+	}
+	globfree(&found);
+	unlink(log_path);
+	printf("%u passed, %u failed\n", passed, failed);
+	return failed == 0 ? 0 : 1;
+}
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -320,14 +320,17 @@
 void
 server_beat(struct stage_server *server)
 {
+	const struct kwb_address *address = server->advertised.port != 0
+	    ? &server->advertised
+	    : &server->port.address;
 	char text[512];
 
 	snprintf(text, sizeof(text),
 	    "{\"service\":\"%s\",\"addr\":\"%s:%u\",\"zone\":\"z1\","
 	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\",\"seq\":%llu,"
 	    "\"born\":1700000000000%s",
-	    server->service, server->port.address.ip, server->port.address.port,
-	    server->slots, server->draining ? "draining" : "ready",
+	    server->service, address->ip, address->port, server->slots,
+	    server->draining ? "draining" : "ready",
 	    (unsigned long long)server->seq, server->engine ? "" : "}");
 	if (server->engine)
 		snprintf(text + strlen(text), sizeof(text) - strlen(text),
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -14,7 +14,7 @@
 #define STAGE_ROWS_MAX 4096
 #define STAGE_SERVERS_MAX 16
 #define STAGE_NODES_MAX 4
-#define STAGE_RUNS_MAX 1024
+#define STAGE_RUNS_MAX 16384
 
 /* ---- A small HTTP server --------------------------------------------------
  */
@@ -127,6 +127,7 @@
 	struct stage_port port;
 	char name[32];
 	char service[32];
+	struct kwb_address advertised; /* in its row; port 0: its own */
 	bool engine;
 	bool listed;
 	bool draining;
@@ -177,6 +178,6 @@
 struct stage_server *stage_server(struct stage *stage, const char *name);
 void stage_node_start(struct stage_node *node);
 void stage_node_kill(struct stage_node *node);
-bool script_play(const char *path, bool write);
+void stage_free_address(struct kwb_address *address); /* a free port */
 
 #endif
