--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -793,6 +793,8 @@
 		return false;
 	}
 	memset(&script, 0, sizeof(script));
+	if (ftruncate(STDERR_FILENO, 0) == 0)
+		lseek(STDERR_FILENO, 0, SEEK_SET);
 	kwb_buf_init(&played);
 	kwb_buf_init(&expected);
 	stage_init(&script.stage);
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -70,6 +70,7 @@
 answer_fault(struct stage_peer *peer, enum server_fault fault)
 {
 	char headers[512];
+	const struct kwb_buf *body = &peer->conn.message.body;
 	struct evbuffer *out = kwb_conn_output(&peer->conn);
 
 	common_headers(headers, sizeof(headers), peer, true);
@@ -98,10 +99,12 @@
 		return true;
 	case SERVER_EXTRA:
 		evbuffer_add_printf(out,
-		    "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\ngood"
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n", headers,
+		    body->used_bytes);
+		evbuffer_add(out, body->data, body->used_bytes);
+		evbuffer_add_printf(out,
 		    "HTTP/1.1 200 OK\r\nServer-Stamp: stamp-y\r\n"
-		    "Content-Length: 5\r\n\r\nextra",
-		    headers);
+		    "Content-Length: 5\r\n\r\nextra");
 		kwb_conn_next(&peer->conn);
 		return true;
 	case SERVER_UNFRAMED:
