--- a/Makefile
+++ b/Makefile
@@ -150,7 +150,10 @@
 	$(MAKE) B=build/sanitized OPT=-O1 \
 		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
 		all build/sanitized/tests/unit build/sanitized/tests/contract \
-		build/sanitized/tests/faults
+		build/sanitized/tests/faults \
+		build/sanitized/tests/platform/decisions \
+		build/sanitized/tests/platform/script \
+		build/sanitized/tests/platform/soak
 	@tests/sanitize.sh build/sanitized
 
 packages:
--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -10,6 +10,9 @@
 
 #include "stage.h"
 
+#define FIRST_PORT 12000
+#define PORTS 8000
+
 void
 stage_init(struct stage *stage)
 {
@@ -78,20 +81,34 @@
 	return &stage->servers[i];
 }
 
+/*
+ * A free port below those that the kernel gives to outgoing connections, or one
+ * of these may hold it when a process that listens there is started again.
+ */
 void
 stage_free_address(struct kwb_address *address)
 {
+	static unsigned next;
 	struct sockaddr_in at = {.sin_family = AF_INET};
-	socklen_t length = sizeof(at);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	unsigned tries;
+	int fd;
 
 	inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&at, &length) != 0)
-		abort();
-	close(fd);
-	kwb_text_copy(address->ip, sizeof(address->ip), "127.0.0.1");
-	address->port = ntohs(at.sin_port);
+	for (tries = 0; tries < PORTS; tries++) {
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (next == 0)
+			next = (unsigned)getpid() * 37;
+		at.sin_port = htons((uint16_t)(FIRST_PORT + next++ % PORTS));
+		if (bind(fd, (struct sockaddr *)&at, sizeof(at)) == 0) {
+			close(fd);
+			kwb_text_copy(
+			    address->ip, sizeof(address->ip), "127.0.0.1");
+			address->port = ntohs(at.sin_port);
+			return;
+		}
+		close(fd);
+	}
+	abort();
 }
 
 static void
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -73,6 +73,9 @@
 	struct kwb_buf data;
 };
 
+struct late_write; /* done later, without an answer */
+TAILQ_HEAD(late_write_list, late_write);
+
 struct stage_store {
 	struct stage_port port;
 	struct event *tick;
@@ -85,6 +88,7 @@
 	enum store_fault fault;
 	unsigned fault_left; /* writes that it hits; 0 for all */
 	uint64_t begin_ns;
+	struct late_write_list late;
 };
 
 int stage_store_open(struct stage_store *store, struct event_base *base);
--- a/tests/platform/store.c
+++ b/tests/platform/store.c
@@ -22,6 +22,7 @@
 	json_t *body;
 	struct stage_store *store;
 	struct event *timer;
+	TAILQ_ENTRY(late_write) entry;
 };
 
 static uint64_t
@@ -144,6 +145,15 @@
 	return NULL;
 }
 
+static void
+late_free(struct late_write *late)
+{
+	TAILQ_REMOVE(&late->store->late, late, entry);
+	json_decref(late->body);
+	event_free(late->timer);
+	free(late);
+}
+
 static void
 late_time(int fd, short what, void *context)
 {
@@ -153,9 +163,7 @@
 	(void)fd;
 	(void)what;
 	json_decref(conflicts);
-	json_decref(late->body);
-	event_free(late->timer);
-	free(late);
+	late_free(late);
 }
 
 static void
@@ -173,6 +181,7 @@
 		late = calloc(1, sizeof(*late));
 		late->body = json_incref(body);
 		late->store = store;
+		TAILQ_INSERT_TAIL(&store->late, late, entry);
 		late->timer = kwb_timer_new(peer->port->base, late_time, late);
 		kwb_timer_at(
 		    late->timer, kwb_clock_now_ns() + LATE_MS * KWB_MS_NS);
@@ -414,6 +423,7 @@
 	memset(store, 0, sizeof(*store));
 	store->begin_ns = kwb_clock_now_ns();
 	store->revision = 1;
+	TAILQ_INIT(&store->late);
 	store->tick = kwb_timer_new(base, on_tick, store);
 	kwb_timer_at(store->tick, kwb_clock_now_ns());
 	return port_open(&store->port, base, on_request, feed_end, store);
@@ -422,8 +432,14 @@
 void
 stage_store_close(struct stage_store *store)
 {
+	struct late_write *late = TAILQ_FIRST(&store->late);
+	struct late_write *next;
 	unsigned i;
 
+	for (; late != NULL; late = next) {
+		next = TAILQ_NEXT(late, entry);
+		late_free(late);
+	}
 	port_close(&store->port);
 	event_free(store->tick);
 	for (i = 0; i < store->rows_count; i++) {
--- a/tests/sanitize.sh
+++ b/tests/sanitize.sh
@@ -8,6 +8,9 @@
 code=0
 "$1/tests/unit" | tail -1 || code=1
 "$1/tests/contract" || code=1
+"$1/tests/platform/decisions" | tail -1 || code=1
+"$1/tests/platform/script" || code=1
+"$1/tests/platform/soak" 1 || code=1
 for session in "stop_entry 30" "stop_llm 31" "silent_shop 16" "kill_shop 3"; do
 	# shellcheck disable=SC2086
 	"$1/tests/faults" $session || code=1
