--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -173,6 +173,8 @@
 void kwb_events_init(
     struct kwb_events *events, const char *version_field); /* none yet */
 void kwb_events_finish(struct kwb_events *events);	   /* frees it */
+size_t kwb_events_whole(const struct kwb_buf *bytes,
+    uint64_t *last_id); /* length of the whole events in front */
 int kwb_events_feed(struct kwb_events *events, struct kwb_buf *bytes,
     void (*on_event)(void *context, const struct kwb_event *event),
     void *context); /* takes all bytes, tells of whole events */
@@ -700,6 +702,7 @@
 	char service[KWB_NAME_MAX_BYTES];
 	bool repeatable;    /* may run more than once */
 	bool passes_errors; /* an upstream's 5xx ends it */
+	bool resumes;	    /* a stream that breaks off goes on elsewhere */
 	uint32_t max_attempts;
 	uint64_t deadline_ns;
 	uint64_t hedge_ns; /* when a second upstream is tried; 0 for never */
@@ -712,7 +715,9 @@
 	uint64_t retry_ns;   /* when to look for an upstream again */
 	bool done;
 	bool streaming;
-	bool streamed; /* the head went to the caller */
+	bool streamed;	     /* the head went to the caller */
+	struct kwb_buf held; /* bytes of an event that is not whole yet */
+	uint64_t last_event; /* passed on to the caller */
 	/* outcome */
 	enum kwb_forward_outcome outcome;
 	const char *reason;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -66,6 +66,7 @@
 	struct item_run *runs;
 	struct batch_group *groups;
 	uint32_t groups_count;
+	uint64_t longest_hint;	    /* of its items */
 	struct kwb_store_call call; /* loads, lists, hands over */
 	struct kwb_store_call checkpoint;
 	uint64_t checkpoint_ns;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -77,7 +77,8 @@
 static bool
 may_repeat(const struct kwb_forward *forward)
 {
-	return forward->repeatable && !forward->streamed &&
+	return forward->repeatable &&
+	    (!forward->streamed || forward->resumes) &&
 	    forward->sent_count < forward->max_attempts &&
 	    kwb_clock_left_ms(forward->deadline_ns) > KWB_FORWARD_LEAST_MS;
 }
@@ -157,6 +158,10 @@
 		attempt_failed(attempt, false, "upstream_error");
 		return;
 	}
+	if (forward->streamed && !attempt->exchange.streaming) {
+		attempt_failed(attempt, false, "not_resumed");
+		return;
+	}
 	kwb_text_copy(forward->upstream_id, sizeof(forward->upstream_id),
 	    upstream->status.id);
 	if (!forward->streamed) {
@@ -178,11 +183,12 @@
 	}
 	if (error != KWB_ERR_NET_STALE)
 		kwb_upstream_failed(attempt->upstream, kwb_clock_now_ns());
-	if (forward->streamed) {
+	if (forward->streamed && !forward->resumes) {
 		forward_end(
 		    forward, KWB_FORWARD_UNKNOWN, kwb_error_name(error));
 		return;
 	}
+	forward->held.used_bytes = 0; /* the event comes whole again */
 	attempt_failed(
 	    attempt, error == KWB_ERR_NET_CONNECT, kwb_error_name(error));
 }
@@ -203,6 +209,8 @@
 		return;
 	kwb_upstream_ok(attempt->upstream);
 	exchange->streaming = true;
+	if (forward->streamed)
+		return; /* goes on under the head of its first upstream */
 	forward->streamed = true;
 	kwb_message_copy(&forward->answer, message);
 	kwb_text_copy(forward->upstream_id, sizeof(forward->upstream_id),
@@ -210,13 +218,33 @@
 	forward->on_head(forward);
 }
 
+/* A stream that may be resumed is passed on in whole events only. */
 static void
 exchange_data(struct kwb_exchange *exchange)
 {
 	struct kwb_forward_attempt *attempt = exchange->context;
+	struct kwb_forward *forward = attempt->forward;
+	struct kwb_buf *body = &kwb_exchange_message(exchange)->body;
+	struct kwb_buf whole = {0};
+	size_t length;
 
-	attempt->forward->on_data(
-	    attempt->forward, &kwb_exchange_message(exchange)->body);
+	if (!forward->resumes) {
+		forward->on_data(forward, body);
+		return;
+	}
+	if (kwb_buf_add(&forward->held, body->data, body->used_bytes) != 0) {
+		forward_end(forward, KWB_FORWARD_UNKNOWN, "out_of_memory");
+		return;
+	}
+	body->used_bytes = 0;
+	length = kwb_events_whole(&forward->held, &forward->last_event);
+	if (length == 0)
+		return;
+	forward->request.resume_after = forward->last_event;
+	kwb_buf_add(&whole, forward->held.data, length);
+	kwb_buf_consume(&forward->held, length);
+	forward->on_data(forward, &whole);
+	kwb_buf_finish(&whole);
 }
 
 static const struct kwb_exchange_ops exchange_ops = {
@@ -239,6 +267,8 @@
 	attempt->exchange.deadline_ns =
 	    forward->deadline_ns + KWB_FORWARD_MARGIN_NS;
 	attempt->exchange.fresh = !forward->repeatable;
+	if (forward->resumes)
+		attempt->exchange.silence_ns = KWB_ITEM_SILENCE_NS;
 	attempt->exchange.no_body =
 	    strcmp(forward->request.method, "HEAD") == 0;
 	attempt->started_ns = kwb_clock_now_ns();
@@ -405,4 +435,5 @@
 		event_free(forward->timer);
 	forward->timer = NULL;
 	kwb_message_finish(&forward->answer);
+	kwb_buf_finish(&forward->held);
 }
--- a/src/net/events.c
+++ b/src/net/events.c
@@ -107,3 +107,31 @@
 	bytes->used_bytes = 0;
 	return 0;
 }
+
+/* An event ends with an empty line; its id, if it has one, is noted. */
+size_t
+kwb_events_whole(const struct kwb_buf *bytes, uint64_t *last_id)
+{
+	const char *text = kwb_buf_text(bytes);
+	uint64_t id = *last_id;
+	size_t whole = 0;
+	size_t at = 0;
+
+	while (at < bytes->used_bytes) {
+		const char *line = text + at;
+		const char *end = memchr(line, '\n', bytes->used_bytes - at);
+		size_t length;
+
+		if (end == NULL)
+			break;
+		length = (size_t)(end - line);
+		at += length + 1;
+		if (length > 3 && strncmp(line, "id:", 3) == 0)
+			id = strtoull(line + 3, NULL, 10);
+		if (length == 0 || (length == 1 && line[0] == '\r')) {
+			whole = at;
+			*last_id = id;
+		}
+	}
+	return whole;
+}
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -98,6 +98,7 @@
 	    kwb_route_entry_service(route, (uint64_t)random()));
 	forward->repeatable = route->kind == KWB_ROUTE_IDEMPOTENT ||
 	    (streams && route->resumable);
+	forward->resumes = streams && route->resumable;
 	forward->max_attempts = route->max_attempts;
 	if (forward->max_attempts > KWB_FORWARD_ATTEMPTS_MAX)
 		forward->max_attempts = KWB_FORWARD_ATTEMPTS_MAX;
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -144,6 +144,7 @@
 	struct kwb_message *answer = kwb_exchange_message(&call->exchange);
 	const char *after = kwb_message_header(answer, "Retry-After");
 	const char *receipt = kwb_message_header(answer, "Server-Stamp");
+	size_t i;
 
 	if (!call->done) {
 		kwb_buf_printf(&script->out, "left\n");
@@ -162,6 +163,9 @@
 			: "WRONG RECEIPT");
 	if (after != NULL)
 		kwb_buf_printf(&script->out, " after %s s", after);
+	for (i = 0; i < answer->body.used_bytes; i++)
+		if (answer->body.data[i] == '\n')
+			answer->body.data[i] = ' ';
 	if (answer->body.used_bytes > 0)
 		kwb_buf_printf(
 		    &script->out, " %s", kwb_buf_text(&answer->body));
@@ -628,6 +632,17 @@
 	kwb_buf_printf(&script->out, "%u\n", count);
 }
 
+static void
+run_running(struct script *script)
+{
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < script->stage.servers_count; i++)
+		count += script->stage.servers[i].running;
+	kwb_buf_printf(&script->out, "%u\n", count);
+}
+
 static void
 run_rows(struct script *script)
 {
@@ -700,7 +715,8 @@
 	    {"garble", run_server_change}, {"beat", run_server_change},
 	    {"ran", run_ran}, {"until-some", run_until_some},
 	    {"orders", run_orders}, {"rows", run_rows},
-	    {"resumed", run_resumed}, {"explain", run_explain}};
+	    {"running", run_running}, {"resumed", run_resumed},
+	    {"explain", run_explain}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
