Items of all lengths move off a changing home again; kwb-nodectl

The pause of a second counts for short items, too: at the grown sites items wait for places, and a paused item holds one. kwb-nodectl shows nodes, upstreams, homes, batches and duties from the store alone (ctl.txt).

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
 	$(addprefix src/core/,base64.c buf.c clock.c error.c faults.c log.c \
 	metrics.c timer.c address.c)
-NODE_OBJ = $(NODE_SRC:%.c=$(B)/%.o)
+NODE_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/ctl.c,$(NODE_SRC)))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
 	src/batch/% src/node/% src/route/node_config.c src/weights/homes.c \
@@ -36,7 +36,7 @@
 	$(B)/tests/platform/script $(B)/tests/platform/soak
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
 
-all: $(B)/kwb-node $(DAEMONS) $(FAKES) $(EXAMPLES)
+all: node $(DAEMONS) $(FAKES) $(EXAMPLES)
 
 $(B)/libkwb.a: $(LIB_OBJ)
 	rm -f $@
@@ -47,11 +47,14 @@
 	$(CC) $(CFLAGS) -MMD -c -o $@ $<
 
 # Only this one is built for the users' platform.
-node: $(B)/kwb-node
+node: $(B)/kwb-node $(B)/kwb-nodectl
 
 $(B)/kwb-node: $(NODE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
+$(B)/kwb-nodectl: $(B)/platform/ctl.o $(filter-out $(B)/platform/main.o,$(NODE_OBJ))
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
+
 $(B)/kwb-%: $(B)/daemons/kwb-%.o $(B)/daemons/daemon.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
@@ -87,7 +90,8 @@
 STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o) \
 	$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 
-$(B)/tests/platform/script: $(B)/tests/platform/script.o $(STAGE_OBJ)
+$(B)/tests/platform/script: $(B)/tests/platform/script.o $(STAGE_OBJ) \
+		| $(B)/kwb-nodectl
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
 $(B)/tests/platform/soak: $(B)/tests/platform/soak.o \
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -70,9 +70,8 @@
 #define KWB_ITEM_TTL_MS 30000		       /* when no route names one */
 #define KWB_ITEM_RETRY_NS (100 * KWB_MS_NS)    /* after an upstream's error */
 #define KWB_ITEM_SILENCE_NS (1500 * KWB_MS_NS) /* 40 times a usual pause */
-#define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS) /* between looks for slow items */
-#define KWB_MOVES_MAX 4			   /* of one item */
-#define KWB_LONG_EVENTS 40 /* a text of so many is one of the long ones */
+#define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS)   /* between looks for slow items */
+#define KWB_MOVES_MAX 4			     /* of one item */
 #define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS)  /* before it is moved again */
 #define KWB_CHECKPOINT_NS (1000 * KWB_MS_NS) /* between writes of texts */
 #define KWB_CHECKPOINT_EVENTS 24     /* a text that has grown by so many */
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -127,8 +127,6 @@
 		group = &batch->groups[batch->runs[i].group];
 		if (batch->spec.items[i].length_hint > group->longest_hint)
 			group->longest_hint = batch->spec.items[i].length_hint;
-		if (group->longest_hint > batch->longest_hint)
-			batch->longest_hint = group->longest_hint;
 	}
 	mark_spares(batch);
 	return 0;
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -449,18 +449,6 @@
 	    : 0;
 }
 
-/*
- * One of the items that decide when the batch is done. The others can wait
- * while weights change: a move costs a connection and a read of the prompt.
- */
-static bool
-is_long(const struct item_run *run)
-{
-	return run->last_event >= KWB_LONG_EVENTS ||
-	    (run->item->length_hint != 0 &&
-		run->item->length_hint * 3 >= run->batch->longest_hint);
-}
-
 void
 batch_move(struct kwb_batch *batch)
 {
@@ -481,7 +469,7 @@
 			.since_ns = kwb_clock_now_ns() - run->begin_ns};
 		loading = kwb_upstream_is_loading(
 		    run->upstream, batch->spec.model, kwb_clock_now_ns());
-		if (loading ? input.best_pace_ns == 0 || !is_long(run)
+		if (loading ? input.best_pace_ns == 0
 			    : !kwb_move_wanted(&input))
 			continue;
 		run->moves += !loading;
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -23,6 +23,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "stage.h"
@@ -632,6 +633,51 @@
 	kwb_buf_printf(&script->out, "%u\n", count);
 }
 
+/* Runs kwb-nodectl against the stage's store; its output and exit code. */
+static void
+run_ctl(struct script *script)
+{
+	const struct kwb_address *store = &script->stage.store.port.address;
+	const char *build = getenv("KWB_BUILD");
+	char output[] = "/tmp/kwb-ctl-XXXXXX";
+	char *arguments[WORDS_MAX + 4];
+	char program[256];
+	char address[KWB_NAME_MAX_BYTES + 8];
+	char line[512];
+	int fd = mkstemp(output);
+	int status = 0;
+	unsigned i;
+	FILE *file;
+	pid_t pid;
+
+	snprintf(program, sizeof(program), "%s/kwb-nodectl",
+	    build ? build : "build");
+	snprintf(address, sizeof(address), "%s:%u", store->ip, store->port);
+	arguments[0] = program;
+	arguments[1] = (char *)"--store";
+	arguments[2] = address;
+	for (i = 1; i < script->words_count; i++)
+		arguments[i + 2] = script->words[i];
+	arguments[script->words_count + 2] = NULL;
+	pid = fork();
+	if (pid == 0) {
+		dup2(fd, STDOUT_FILENO);
+		dup2(fd, STDERR_FILENO);
+		execv(program, arguments);
+		_exit(127);
+	}
+	while (waitpid(pid, &status, WNOHANG) == 0)
+		stage_wait(&script->stage, 2);
+	file = fopen(output, "r");
+	while (file != NULL && fgets(line, sizeof(line), file) != NULL)
+		kwb_buf_printf(&script->out, "%s", line);
+	if (file != NULL)
+		fclose(file);
+	kwb_buf_printf(&script->out, "exit %d\n", WEXITSTATUS(status));
+	close(fd);
+	unlink(output);
+}
+
 static void
 run_running(struct script *script)
 {
@@ -715,8 +761,8 @@
 	    {"garble", run_server_change}, {"beat", run_server_change},
 	    {"ran", run_ran}, {"until-some", run_until_some},
 	    {"orders", run_orders}, {"rows", run_rows},
-	    {"running", run_running}, {"resumed", run_resumed},
-	    {"explain", run_explain}};
+	    {"running", run_running}, {"ctl", run_ctl},
+	    {"resumed", run_resumed}, {"explain", run_explain}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
