Split the mover and the items by job; one look for a model's newest batch

Orders apart from homes, rewards and places apart from streams; marking listed items and finding the newest batch stood twice.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -879,6 +879,9 @@
     const struct kwb_batches *batches); /* nothing is left to hand over */
 struct kwb_batch_head *kwb_batches_head(
     const struct kwb_batches *batches, const char *id); /* or NULL */
+const struct kwb_batch_head *kwb_batches_newest(
+    const struct kwb_batches *batches,
+    const char *model); /* accepted last for that model, or NULL */
 
 /* Accepts a submission: durable before it is answered, and only once. */
 enum kwb_accept_outcome {
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -136,17 +136,12 @@
 {
 	const struct kwb_batches *batches = accept->batches;
 	const struct kwb_batch_env *env = batches->env;
-	const struct kwb_batch_head *newest = NULL;
 	struct kwb_batch_head *head = &accept->head;
-	uint32_t i;
+	const struct kwb_batch_head *newest =
+	    kwb_batches_newest(batches, head->model);
 
 	kwb_text_copy(head->owner, sizeof(head->owner), env->settings->node);
 	head->owner_incarnation = env->incarnation;
-	for (i = 0; i < batches->heads_count; i++)
-		if (strcmp(batches->heads[i]->model, head->model) == 0 &&
-		    (newest == NULL ||
-			batches->heads[i]->accepted_ms > newest->accepted_ms))
-			newest = batches->heads[i];
 	if (newest == NULL || !own_is_alive(batches, newest->owner))
 		return;
 	kwb_text_copy(head->owner, sizeof(head->owner), newest->owner);
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -88,15 +88,31 @@
 void batch_begun(struct kwb_batch *batch);
 void batch_load(struct kwb_batch *batch);
 void batch_free(struct kwb_batch *batch);
+void batch_mark_listed(struct kwb_batch *batch,
+    const struct kwb_store_answer *answer); /* rows of TABLE_DONE */
 struct kwb_batch *batch_find(const struct kwb_batches *batches, const char *id);
 void object_name(char *name, size_t room_bytes, const char *batch);
 
 /* run.c: items at upstreams */
-bool batch_pump(struct kwb_batch *batch); /* true when items wait */
-void batch_move(struct kwb_batch *batch); /* items away from slow upstreams */
-void run_stop(struct item_run *run);	  /* gives its place back */
+const struct kwb_batch_env *run_env(const struct item_run *run);
+void run_log(const struct item_run *run, const char *event, const char *reason);
+bool run_is_past_ttl(const struct item_run *run);
+void run_ready(struct item_run *run, enum kwb_item_state result,
+    const char *reason); /* its result is settled */
+void run_retry(struct item_run *run, uint64_t wait_ns,
+    const char *reason); /* gives its place back and waits for another */
+void run_start(struct item_run *run, struct kwb_upstream *upstream,
+    const struct kwb_route_entry *route);
+void run_stop(struct item_run *run); /* gives its place back */
 void run_finish(struct item_run *run);
 
+/* score.c: the reward */
+void run_score(struct item_run *run);
+
+/* pump.c: places for items */
+bool batch_pump(struct kwb_batch *batch); /* true when items wait */
+void batch_move(struct kwb_batch *batch); /* items to better places */
+
 /* list.c: results into the store */
 void batch_list(struct kwb_batch *batch);
 void batch_reconcile(struct kwb_batch *batch);
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -19,6 +19,20 @@
 	return NULL;
 }
 
+const struct kwb_batch_head *
+kwb_batches_newest(const struct kwb_batches *batches, const char *model)
+{
+	const struct kwb_batch_head *newest = NULL;
+	uint32_t i;
+
+	for (i = 0; i < batches->heads_count; i++)
+		if (strcmp(batches->heads[i]->model, model) == 0 &&
+		    (newest == NULL ||
+			batches->heads[i]->accepted_ms > newest->accepted_ms))
+			newest = batches->heads[i];
+	return newest;
+}
+
 void
 heads_put(struct kwb_batches *batches, const struct kwb_batch_head *head)
 {
--- a/src/batch/list.c
+++ b/src/batch/list.c
@@ -149,28 +149,14 @@
     struct kwb_store_call *call, const struct kwb_store_answer *answer)
 {
 	struct kwb_batch *batch = call->context;
-	struct item_run *run;
 	uint32_t i;
-	uint32_t k;
 
 	if (answer->error != 0) {
 		batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
 		return;
 	}
 	batch->in_doubt = false;
-	for (k = 0; k < answer->rows_count; k++) {
-		for (i = 0; i < batch->spec.items_count; i++)
-			if (strcmp(batch->spec.items[i].id,
-				answer->rows[k].key) == 0)
-				break;
-		if (i == batch->spec.items_count ||
-		    batch->runs[i].state == ITEM_LISTED)
-			continue;
-		run = &batch->runs[i];
-		run_finish(run);
-		run->state = ITEM_LISTED;
-		batch->listed++;
-	}
+	batch_mark_listed(batch, answer);
 	for (i = 0; i < batch->spec.items_count; i++)
 		if (batch->runs[i].state == ITEM_LISTING)
 			batch->runs[i].state = ITEM_READY;
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -203,26 +203,36 @@
 	kwb_batches_kick(batch->batches);
 }
 
-static void
-done_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+/* Items that have a result, by this node or another. */
+void
+batch_mark_listed(
+    struct kwb_batch *batch, const struct kwb_store_answer *answer)
 {
-	struct kwb_batch *batch = call->context;
-	struct kwb_range range = {
-	    .table = TABLE_PARTIAL, .part = batch->head.id};
 	struct item_run *run;
 	uint32_t i;
 
-	if (answer->error != 0) {
-		load_failed(batch, answer->error);
-		return;
-	}
 	for (i = 0; i < answer->rows_count; i++) {
 		run = run_of(batch, answer->rows[i].key);
 		if (run == NULL || run->state == ITEM_LISTED)
 			continue;
+		run_finish(run);
 		run->state = ITEM_LISTED;
 		batch->listed++;
 	}
+}
+
+static void
+done_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+	struct kwb_range range = {
+	    .table = TABLE_PARTIAL, .part = batch->head.id};
+
+	if (answer->error != 0) {
+		load_failed(batch, answer->error);
+		return;
+	}
+	batch_mark_listed(batch, answer);
 	call->on_done = partials_answer;
 	load_done(batch, &range);
 }
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -10,16 +10,13 @@
 
 #include "batch.h"
 
-static void run_score(struct item_run *run);
-static bool pump_one(struct item_run *run);
-
-static const struct kwb_batch_env *
-env_of(const struct item_run *run)
+const struct kwb_batch_env *
+run_env(const struct item_run *run)
 {
 	return run->batch->batches->env;
 }
 
-static void
+void
 run_log(const struct item_run *run, const char *event, const char *reason)
 {
 	kwb_log(KWB_LOG_INFO, "item",
@@ -40,7 +37,7 @@
 		kwb_events_finish(&run->events);
 		run->upstream->in_flight--;
 		kwb_upstream_drop(
-		    env_of(run)->forward->registry, run->upstream);
+		    run_env(run)->forward->registry, run->upstream);
 		run->upstream = NULL;
 	}
 	if (run->score_open)
@@ -63,7 +60,7 @@
 ttl_deadline_ms(const struct item_run *run)
 {
 	const struct kwb_batch_head *head = &run->batch->head;
-	const struct kwb_node_config *config = *env_of(run)->config;
+	const struct kwb_node_config *config = *run_env(run)->config;
 	const struct kwb_route_entry *route =
 	    kwb_node_config_route(config, head->host, run->item->target);
 
@@ -71,13 +68,13 @@
 	    (route != NULL ? route->item_ttl_ms : KWB_ITEM_TTL_MS);
 }
 
-static bool
-is_past_ttl(const struct item_run *run)
+bool
+run_is_past_ttl(const struct item_run *run)
 {
-	return kwb_store_now_ms(env_of(run)->store) >= ttl_deadline_ms(run);
+	return kwb_store_now_ms(run_env(run)->store) >= ttl_deadline_ms(run);
 }
 
-static void
+void
 run_ready(struct item_run *run, enum kwb_item_state result, const char *reason)
 {
 	run->result = result;
@@ -98,13 +95,13 @@
 	run->versions_count = 0;
 }
 
-static void
+void
 run_retry(struct item_run *run, uint64_t wait_ns, const char *reason)
 {
 	run_log(run, "retry", reason);
 	run_stop(run);
 	run->retry_ns = kwb_clock_now_ns() + wait_ns;
-	if (is_past_ttl(run)) {
+	if (run_is_past_ttl(run)) {
 		run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
 		return;
 	}
@@ -161,7 +158,7 @@
 	struct item_run *run = exchange->context;
 	struct kwb_upstream_answer answer;
 
-	env_of(run)->forward->dialect->read_answer(
+	run_env(run)->forward->dialect->read_answer(
 	    kwb_exchange_message(exchange), &answer);
 	if (answer.has_load) {
 		run->upstream->reported = answer.running + answer.waiting;
@@ -205,7 +202,7 @@
 	if (run->versions_count < 2)
 		return;
 	route = kwb_node_config_route(
-	    *env_of(run)->config, run->batch->head.host, run->item->target);
+	    *run_env(run)->config, run->batch->head.host, run->item->target);
 	if (route != NULL && route->single_version) {
 		forget_text(run);
 		run_retry(run, 0, "versions_mixed");
@@ -217,7 +214,7 @@
 run_refused(struct item_run *run, const struct kwb_upstream_answer *answer)
 {
 	const struct kwb_route_entry *route = kwb_node_config_route(
-	    *env_of(run)->config, run->batch->head.host, run->item->target);
+	    *run_env(run)->config, run->batch->head.host, run->item->target);
 	uint64_t now_ns = kwb_clock_now_ns();
 
 	if (answer->status == 422) {
@@ -263,7 +260,7 @@
 		kwb_batches_kick(run->batch->batches);
 		return;
 	}
-	env_of(run)->forward->dialect->read_answer(
+	run_env(run)->forward->dialect->read_answer(
 	    kwb_exchange_message(exchange), &answer);
 	run_refused(run, &answer);
 }
@@ -274,114 +271,14 @@
     .on_done = exchange_done,
 };
 
-static void
-score_done(struct kwb_forward *forward)
-{
-	struct item_run *run = forward->context;
-	const struct kwb_route_entry *route;
-	struct kwb_upstream_answer answer = {0};
-
-	if (forward->outcome == KWB_FORWARD_ANSWERED)
-		env_of(run)->forward->dialect->read_answer(
-		    &forward->answer, &answer);
-	if (answer.status / 100 == 2 && answer.receipt != NULL) {
-		run->receipt = strdup(answer.receipt);
-		run_ready(run, KWB_ITEM_COMPLETED, "scored");
-		return;
-	}
-	route = kwb_node_config_route(*env_of(run)->config,
-	    run->item->score_host, run->item->score_target);
-	if (answer.status == 500)
-		run->score_errors++;
-	if (route != NULL && run->score_errors >= route->max_attempts) {
-		run_ready(run, KWB_ITEM_ERRORED, "score_failed_too_often");
-		return;
-	}
-	run->retry_ns = kwb_clock_now_ns() + KWB_ITEM_RETRY_NS;
-	kwb_batches_kick(run->batch->batches);
-}
-
-/* Asks for the reward; retried by the pump when it does not come. */
-static void
-run_score(struct item_run *run)
-{
-	const struct kwb_batch_env *env = env_of(run);
-	const struct kwb_batch_item *item = run->item;
-	const struct kwb_route_entry *route;
-	struct kwb_forward *score = &run->score;
-	uint64_t now_ns = kwb_clock_now_ns();
-
-	run->state = ITEM_SCORING;
-	if (item->score_id == NULL) {
-		run_ready(run, KWB_ITEM_COMPLETED, "not_scored");
-		return;
-	}
-	if (run->score_open)
-		kwb_forward_finish(score);
-	run->score_open = false;
-	route = kwb_node_config_route(
-	    *env->config, item->score_host, item->score_target);
-	run->retry_ns = now_ns + KWB_ITEM_RETRY_NS;
-	if (route == NULL) {
-		run_log(run, "score_waits", "no_route");
-		if (is_past_ttl(run))
-			run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
-		return;
-	}
-	run->retry_ns = UINT64_MAX;
-	memset(score, 0, sizeof(*score));
-	score->on_done = score_done;
-	score->context = run;
-	score->env = env->forward;
-	score->request = (struct kwb_upstream_request){.method = "POST",
-	    .target = item->score_target,
-	    .host = item->score_host,
-	    .id = item->score_id,
-	    .body = item->score_body,
-	    .body_bytes = item->score_body_bytes,
-	    .priority = -1};
-	kwb_text_copy(score->service, sizeof(score->service),
-	    kwb_route_entry_service(route, (uint64_t)random()));
-	score->repeatable = true;
-	score->passes_errors = true;
-	score->max_attempts = route->max_attempts;
-	score->deadline_ns = now_ns +
-	    (route->timeout_ms ? route->timeout_ms : KWB_SCORE_TIMEOUT_MS) *
-		KWB_MS_NS;
-	score->request.deadline_ns = score->deadline_ns;
-	score->hedge_ns = now_ns + route->target_ms * KWB_MS_NS;
-	run->score_open = true;
-	kwb_forward_start(score);
-}
-
-static struct kwb_upstream *
-run_pick(const struct item_run *run, const char *service)
-{
-	const struct kwb_batch *batch = run->batch;
-	struct kwb_pick pick = {
-	    .service = service,
-	    .failure_domain = env_of(run)->forward->failure_domain,
-	    .model = batch->spec.model,
-	    .min_version = batch->spec.min_version,
-	    .affinity = batch->groups[run->group].upstream_id,
-	    .within_slots = true,
-	    .now_ns = kwb_clock_now_ns(),
-	    .random = (uint64_t)random(),
-	};
-
-	if (pick.affinity[0] == '\0')
-		pick.affinity = NULL;
-	return kwb_upstream_pick(env_of(run)->forward->registry, &pick);
-}
-
-static void
+void
 run_start(struct item_run *run, struct kwb_upstream *upstream,
     const struct kwb_route_entry *route)
 {
-	const struct kwb_forward_env *env = env_of(run)->forward;
+	const struct kwb_forward_env *env = run_env(run)->forward;
 	struct kwb_batch *batch = run->batch;
 	uint64_t left_ms =
-	    ttl_deadline_ms(run) - kwb_store_now_ms(env_of(run)->store);
+	    ttl_deadline_ms(run) - kwb_store_now_ms(run_env(run)->store);
 	struct kwb_upstream_request request = {.method = "POST",
 	    .target = run->item->target,
 	    .host = batch->head.host,
@@ -427,132 +324,3 @@
 		run_retry(run, KWB_ITEM_RETRY_NS, kwb_error_name(code));
 	}
 }
-
-/* Pace of the fastest other place that is free for this item, 0 for none. */
-static uint64_t
-best_pace(const struct item_run *run, const char *service)
-{
-	const struct kwb_upstream *here = run->upstream;
-	struct kwb_pick pick = {.service = service,
-	    .model = run->batch->spec.model,
-	    .min_version = run->batch->spec.min_version,
-	    .exclude = &here,
-	    .exclude_count = 1,
-	    .within_slots = true,
-	    .now_ns = kwb_clock_now_ns()};
-	const struct kwb_upstream *found =
-	    kwb_upstream_pick(env_of(run)->forward->registry, &pick);
-
-	return found != NULL &&
-		pick.now_ns - found->pace_at_ns < KWB_PACE_KEEP_NS
-	    ? found->pace_ns
-	    : 0;
-}
-
-void
-batch_move(struct kwb_batch *batch)
-{
-	struct kwb_move_input input;
-	struct item_run *run;
-	bool loading;
-	uint32_t i;
-
-	for (i = 0; batch->loaded && i < batch->spec.items_count; i++) {
-		run = &batch->runs[i];
-		if (run->state != ITEM_RUNNING || run->last_event == 0)
-			continue;
-		input =
-		    (struct kwb_move_input){.pace_ns = run->upstream->pace_ns,
-			.best_pace_ns =
-			    best_pace(run, run->upstream->status.service),
-			.moves = run->moves,
-			.since_ns = kwb_clock_now_ns() - run->begin_ns};
-		loading = kwb_upstream_is_loading(
-		    run->upstream, batch->spec.model, kwb_clock_now_ns());
-		if (loading ? input.best_pace_ns == 0
-			    : !kwb_move_wanted(&input))
-			continue;
-		run->moves += !loading;
-		run_retry(run, 0, loading ? "weights_change" : "slow_upstream");
-		pump_one(run);
-	}
-}
-
-static void
-rank_of(const struct item_run *run, struct kwb_item_rank *rank)
-{
-	rank->group_index = run->group;
-	rank->wanted = !run->batch->groups[run->group].spare;
-	rank->length_hint = run->item->length_hint;
-	rank->made = run->last_event;
-}
-
-static int
-compare_runs(const void *a, const void *b)
-{
-	struct kwb_item_rank left;
-	struct kwb_item_rank right;
-
-	rank_of(*(struct item_run *const *)a, &left);
-	rank_of(*(struct item_run *const *)b, &right);
-	return kwb_item_rank_compare(&left, &right);
-}
-
-/* Starts one waiting item; false when there is no place for it. */
-static bool
-pump_one(struct item_run *run)
-{
-	const struct kwb_batch_env *env = env_of(run);
-	const struct kwb_route_entry *route = kwb_node_config_route(
-	    *env->config, run->batch->head.host, run->item->target);
-	struct kwb_upstream *upstream;
-	uint64_t seed = 0;
-	const char *at;
-
-	if (route == NULL) {
-		run_ready(run, KWB_ITEM_ERRORED, "route_removed");
-		return true;
-	}
-	for (at = run->item->id; *at != '\0'; at++)
-		seed = seed * 31 + (unsigned char)*at;
-	upstream = run_pick(run, kwb_route_entry_service(route, seed));
-	if (upstream == NULL)
-		return false;
-	run_start(run, upstream, route);
-	return true;
-}
-
-bool
-batch_pump(struct kwb_batch *batch)
-{
-	struct item_run **waiting;
-	uint64_t now_ns = kwb_clock_now_ns();
-	uint32_t count = 0;
-	bool left = false;
-	uint32_t i;
-
-	if (!batch->loaded || batch->closing || batch->leaving ||
-	    *batch->batches->env->config == NULL)
-		return false;
-	waiting = calloc(batch->spec.items_count, sizeof(struct item_run *));
-	if (waiting == NULL)
-		return true;
-	for (i = 0; i < batch->spec.items_count; i++) {
-		struct item_run *run = &batch->runs[i];
-
-		if (run->state == ITEM_SCORING && run->retry_ns <= now_ns)
-			run_score(run);
-		left |= run->state == ITEM_SCORING && !run->score_open;
-		if (run->state != ITEM_WAITING)
-			continue;
-		left = true;
-		if (run->retry_ns <= now_ns)
-			waiting[count++] = run;
-	}
-	qsort(waiting, count, sizeof(struct item_run *), compare_runs);
-	for (i = 0; i < count; i++)
-		if (!pump_one(waiting[i]))
-			break;
-	free(waiting);
-	return left;
-}
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -4,13 +4,12 @@
  * orders it has seen; every order is checked against the lease before it goes
  * out. After an order without answer the upstream's state is read first.
  */
-#include <event2/buffer.h>
 #include <event2/event.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "kwb_node.h"
+#include "mover.h"
 
 #define TABLE_HOMES "homes" /* key: upstream, value: model and version */
 #define LEASE_NAME "weights"
@@ -42,17 +41,17 @@
 	return upstream;
 }
 
-static struct kwb_upstream *
-listed(const struct kwb_mover *mover, const char *id)
+struct kwb_upstream *
+mover_listed(const struct kwb_mover *mover, const char *id)
 {
 	return kwb_registry_find(mover->env->forward->registry, id);
 }
 
 /* What the homes' rows say goes to the registry, where requests look. */
-static void
-home_apply(struct kwb_mover *mover, const struct kwb_mover_upstream *home)
+void
+mover_home_apply(struct kwb_mover *mover, const struct kwb_mover_upstream *home)
 {
-	struct kwb_upstream *upstream = listed(mover, home->id);
+	struct kwb_upstream *upstream = mover_listed(mover, home->id);
 
 	if (upstream == NULL)
 		return;
@@ -67,7 +66,7 @@
 
 	if (home == NULL)
 		return;
-	home_apply(mover, home);
+	mover_home_apply(mover, home);
 	if (home->ordered &&
 	    kwb_upstream_version(upstream, home->model) >= home->target)
 		home->ordered = false;
@@ -93,7 +92,7 @@
 		    "event=home_unreadable upstream=%s revision=%llu", row->key,
 		    (unsigned long long)row->revision);
 	home->target = target;
-	home_apply(mover, home);
+	mover_home_apply(mover, home);
 	kwb_batches_reconsider(mover->batches);
 }
 
@@ -132,177 +131,6 @@
 	kwb_timer_at(mover->timer, 0);
 }
 
-/* ---- Orders ------------------------------------------------------------- */
-
-static void home_write(struct kwb_mover *mover);
-
-static void
-exchange_close(struct kwb_mover_upstream *home)
-{
-	if (home->asking || home->ordering)
-		kwb_exchange_finish(&home->exchange);
-	home->asking = false;
-	home->ordering = false;
-}
-
-/* The state as asked for: how many orders, and which weights are there. */
-static void
-report_done(struct kwb_mover_upstream *home, const struct kwb_message *message)
-{
-	struct kwb_mover *mover = home->mover;
-	struct kwb_upstream *upstream = listed(mover, home->id);
-	struct kwb_upstream_report report;
-	uint64_t now_ns = kwb_clock_now_ns();
-	uint32_t i;
-
-	if (upstream == NULL ||
-	    mover->env->forward->dialect->read_report(message, &report) != 0)
-		return;
-	home->order_seq = report.order_seq;
-	home->seq_known = true;
-	for (i = 0; i < report.models_count; i++)
-		if (report.models[i].version >
-		    kwb_upstream_version(upstream, report.models[i].name))
-			kwb_upstream_set_version(upstream,
-			    report.models[i].name, report.models[i].version);
-	if (!report.busy ||
-	    kwb_upstream_version(upstream, home->model) >= home->target)
-		home->ordered = false;
-	home->busy_until_ns = report.busy ? now_ns + KWB_LOAD_LOOK_NS : now_ns;
-	home->look_ns = now_ns + KWB_LOAD_LOOK_NS;
-}
-
-static void
-order_done(struct kwb_mover_upstream *home, const struct kwb_message *message)
-{
-	struct kwb_mover *mover = home->mover;
-	struct kwb_upstream *upstream = listed(mover, home->id);
-	uint64_t now_ns = kwb_clock_now_ns();
-
-	kwb_log(KWB_LOG_INFO, "mover",
-	    "event=order_answered upstream=%s model=%s version=%llu status=%u",
-	    home->id, home->model, (unsigned long long)home->target,
-	    message->status);
-	switch (message->status) {
-	case 202:
-		home->order_seq++;
-		home->ordered = true;
-		home->ordered_ns = now_ns;
-		home->busy_until_ns = now_ns + KWB_LOAD_SEEN_NS;
-		home->look_ns = now_ns + KWB_LOAD_SEEN_NS;
-		home_apply(mover, home);
-		home_write(mover);
-		kwb_batches_reconsider(mover->batches);
-		return;
-	case 200:
-		home->ordered = false;
-		if (upstream != NULL)
-			kwb_upstream_set_version(
-			    upstream, home->model, home->target);
-		home_write(mover);
-		return;
-	case 412:
-		kwb_store_lease_lose(&mover->lease);
-		break;
-	default:
-		break;
-	}
-	home->seq_known = false;
-	home->ordered = false;
-	home->busy_until_ns = now_ns + KWB_LOAD_RETRY_NS;
-}
-
-static void
-exchange_done(struct kwb_exchange *exchange, int error)
-{
-	struct kwb_mover_upstream *home = exchange->context;
-	bool ordering = home->ordering;
-	struct kwb_message answer = exchange->answer;
-
-	kwb_message_init(&exchange->answer);
-	exchange_close(home);
-	if (error != 0) {
-		kwb_log(KWB_LOG_WARN, "mover", "event=%s upstream=%s error=%s",
-		    ordering ? "order_in_doubt" : "no_report", home->id,
-		    kwb_error_name(error));
-		home->seq_known = false;
-		home->busy_until_ns = kwb_clock_now_ns() + KWB_LOAD_RETRY_NS;
-	} else if (ordering) {
-		order_done(home, &answer);
-	} else {
-		report_done(home, &answer);
-	}
-	kwb_message_finish(&answer);
-	kwb_timer_at(home->mover->timer, 0);
-}
-
-static const struct kwb_exchange_ops exchange_ops = {
-    .on_done = exchange_done,
-};
-
-static void
-exchange_open(struct kwb_mover_upstream *home,
-    const struct kwb_upstream *upstream, struct evbuffer *out)
-{
-	memset(&home->exchange, 0, sizeof(home->exchange));
-	home->exchange.ops = &exchange_ops;
-	home->exchange.context = home;
-	home->exchange.deadline_ns =
-	    kwb_clock_now_ns() + KWB_ORDER_TIMEOUT_MS * KWB_MS_NS;
-	if (kwb_exchange_start(&home->exchange,
-		home->mover->env->forward->client, &upstream->status.address,
-		out) != 0) {
-		home->asking = false;
-		home->ordering = false;
-		home->seq_known = false;
-		home->busy_until_ns = kwb_clock_now_ns() + KWB_LOAD_RETRY_NS;
-	}
-	evbuffer_free(out);
-}
-
-static void
-report_start(
-    struct kwb_mover_upstream *home, const struct kwb_upstream *upstream)
-{
-	struct evbuffer *out = evbuffer_new();
-
-	home->asking = true;
-	home->mover->env->forward->dialect->write_report_request(
-	    &upstream->status.address, out);
-	exchange_open(home, upstream, out);
-}
-
-static void
-order_start(struct kwb_mover_upstream *home,
-    const struct kwb_upstream *upstream, uint64_t version)
-{
-	struct kwb_mover *mover = home->mover;
-	struct kwb_order order = {.model = home->model,
-	    .version = version,
-	    .holder = mover->env->settings->node,
-	    .fence = kwb_store_lease_fence(&mover->lease),
-	    .expect_seq = home->order_seq,
-	    .expect_incarnation = upstream->status.id};
-	struct evbuffer *out;
-
-	if (order.fence == 0)
-		return;
-	kwb_log(KWB_LOG_INFO, "mover",
-	    "event=order upstream=%s model=%s version=%llu from=%llu "
-	    "fence=%llu seq=%llu",
-	    home->id, home->model, (unsigned long long)version,
-	    (unsigned long long)kwb_upstream_version(upstream, home->model),
-	    (unsigned long long)order.fence,
-	    (unsigned long long)order.expect_seq);
-	kwb_metric_add(KWB_METRIC_SWAPS, 1);
-	home->target = version;
-	home->ordering = true;
-	out = evbuffer_new();
-	mover->env->forward->dialect->write_order(
-	    &order, &upstream->status.address, out);
-	exchange_open(home, upstream, out);
-}
-
 /* ---- Homes ----------------------------------------------------------------
  */
 
@@ -315,7 +143,7 @@
 
 	mover->writing = false;
 	if (answer->error == 0) {
-		home_write(mover);
+		mover_home_write(mover);
 		return;
 	}
 	kwb_log(KWB_LOG_WARN, "mover", "event=homes_not_written error=%s",
@@ -325,8 +153,8 @@
 }
 
 /* Tells all nodes of the homes and of what has been ordered. */
-static void
-home_write(struct kwb_mover *mover)
+void
+mover_home_write(struct kwb_mover *mover)
 {
 	static struct kwb_tx tx;
 	static char values[KWB_TX_ROWS_MAX][KWB_NAME_MAX_BYTES + 24];
@@ -355,16 +183,9 @@
 static uint64_t
 demand_of(const struct kwb_mover *mover, const char *model)
 {
-	const struct kwb_batch_head *newest = NULL;
-	const struct kwb_batch_head *head;
-	uint32_t i;
+	const struct kwb_batch_head *newest =
+	    kwb_batches_newest(mover->batches, model);
 
-	for (i = 0; i < mover->batches->heads_count; i++) {
-		head = mover->batches->heads[i];
-		if (strcmp(head->model, model) == 0 &&
-		    (newest == NULL || head->accepted_ms > newest->accepted_ms))
-			newest = head;
-	}
 	return newest ? newest->tokens : 0;
 }
 
@@ -413,7 +234,7 @@
 		home->target = 0;
 		home->ordered = false;
 		home->changed = true;
-		home_apply(mover, home);
+		mover_home_apply(mover, home);
 	}
 	free(plan);
 }
@@ -425,16 +246,9 @@
 static uint64_t
 lag_of(const struct kwb_mover *mover, const char *model)
 {
-	const struct kwb_batch_head *newest = NULL;
-	const struct kwb_batch_head *head;
-	uint32_t i;
+	const struct kwb_batch_head *newest =
+	    kwb_batches_newest(mover->batches, model);
 
-	for (i = 0; i < mover->batches->heads_count; i++) {
-		head = mover->batches->heads[i];
-		if (strcmp(head->model, model) == 0 &&
-		    (newest == NULL || head->step > newest->step))
-			newest = head;
-	}
 	if (newest == NULL || newest->step <= newest->min_version)
 		return newest != NULL && newest->step > 1 ? 0 : KWB_LAG_USUAL;
 	return newest->step - newest->min_version;
@@ -460,7 +274,7 @@
 	bool loading;
 
 	TAILQ_FOREACH (home, &mover->upstreams, entry) {
-		upstream = listed(mover, home->id);
+		upstream = mover_listed(mover, home->id);
 		if (upstream == NULL ||
 		    strcmp(upstream->status.service, service) != 0)
 			continue;
@@ -492,7 +306,7 @@
 	input.version = kwb_upstream_version(upstream, home->model);
 	input.newest = kwb_mover_named(mover, home->model);
 	if (home->ordered && now_ns >= home->look_ns) {
-		report_start(home, upstream);
+		mover_report_start(home, upstream);
 		return;
 	}
 	if (home->ordered || home->busy_until_ns > now_ns ||
@@ -503,11 +317,11 @@
 	if (kwb_load_wanted(&input) != urgency)
 		return;
 	if (!home->seq_known) {
-		report_start(home, upstream);
+		mover_report_start(home, upstream);
 		return;
 	}
 	home->changed = true;
-	order_start(home, upstream, input.newest);
+	mover_order_start(home, upstream, input.newest);
 }
 
 /* What a batch waits for goes before what keeps homes out of phase. */
@@ -520,7 +334,7 @@
 
 	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
 		next = TAILQ_NEXT(home, entry);
-		upstream = listed(mover, home->id);
+		upstream = mover_listed(mover, home->id);
 		if (home->asking || home->ordering || home->model[0] == '\0')
 			continue;
 		if (upstream != NULL && !upstream->status.draining)
@@ -547,7 +361,7 @@
 		for (i = 0; i < config->services_count; i++)
 			if (config->services[i].models_count > 0)
 				plan_service(mover, &config->services[i]);
-		home_write(mover);
+		mover_home_write(mover);
 	}
 	homes_step(mover, KWB_LOAD_NOW);
 	homes_step(mover, KWB_LOAD_SOON);
@@ -561,7 +375,7 @@
 
 	/* Another holder may have ordered since: nothing is known. */
 	TAILQ_FOREACH (home, &mover->upstreams, entry) {
-		exchange_close(home);
+		mover_exchange_close(home);
 		home->seq_known = false;
 		home->ordered = false;
 	}
@@ -611,7 +425,7 @@
 	event_free(mover->timer);
 	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
 		next = TAILQ_NEXT(home, entry);
-		exchange_close(home);
+		mover_exchange_close(home);
 		free(home);
 	}
 }
--- /dev/null
+++ b/src/weights/mover.h
@@ -0,0 +1,24 @@
+/*
+ * Inside of the mover: its homes and the orders to them.
+ */
+#ifndef KWB_MOVER_H
+#define KWB_MOVER_H
+
+#include "kwb_node.h"
+
+/* mover.c */
+struct kwb_upstream *mover_listed(
+    const struct kwb_mover *mover, const char *id); /* or NULL */
+void mover_home_apply(struct kwb_mover *mover,
+    const struct kwb_mover_upstream *home); /* into the registry */
+void mover_home_write(
+    struct kwb_mover *mover); /* tells all nodes of changed homes */
+
+/* mover_order.c */
+void mover_exchange_close(struct kwb_mover_upstream *home);
+void mover_report_start(
+    struct kwb_mover_upstream *home, const struct kwb_upstream *upstream);
+void mover_order_start(struct kwb_mover_upstream *home,
+    const struct kwb_upstream *upstream, uint64_t version);
+
+#endif
