Results too long for a row lie in objects; batches of more than 500 items

Cause: a text over the store's row limit could never be listed, and only the first 500 rows of what is listed were read after a doubt or a take-over.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -863,6 +863,7 @@
 	enum kwb_sweep_step sweep_step;
 	struct kwb_batch_head sweep_head;
 	uint32_t sweep_position;
+	char sweep_text[2 * KWB_KEY_MAX_BYTES + 32]; /* object dropped last */
 	uint64_t swept_ns;
 	struct kwb_store_call forget; /* removes rows of nodes long gone */
 };
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -13,6 +13,8 @@
 #define TABLE_NODES "nodes"	/* heartbeats of nodes that own batches */
 
 #define POSITION_DIGITS 6
+#define OBJECT_MARK '@' /* a value that names the object that holds it */
+#define OBJECT_NAME_BYTES (2 * KWB_KEY_MAX_BYTES + 32)
 #define ITEM_VERSIONS_MAX 8
 #define LEAVE_ROWS_MAX 20 /* texts handed over in one transaction */
 
@@ -45,6 +47,7 @@
 	uint32_t errors;       /* answers of 500 */
 	uint32_t score_errors; /* likewise, of its reward call */
 	uint64_t retry_ns;     /* not before */
+	bool in_object;	       /* its result is too long for a row */
 	bool order_broken;     /* an event was missing */
 	struct kwb_forward score;
 	bool score_open;
@@ -69,6 +72,8 @@
 	uint64_t longest_hint;	    /* of its items */
 	struct kwb_store_call call; /* loads, lists, hands over */
 	struct kwb_store_call checkpoint;
+	struct kwb_store_call text_call; /* a result into an object */
+	struct item_run *text_run;
 	uint64_t checkpoint_ns;
 	uint64_t loading_ns; /* when a failed load is tried again */
 	bool loaded;	     /* spec and done items are known */
@@ -88,6 +93,8 @@
 void batch_begun(struct kwb_batch *batch);
 void batch_load(struct kwb_batch *batch);
 void batch_free(struct kwb_batch *batch);
+bool batch_read_done(struct kwb_batch *batch,
+    const struct kwb_store_answer *answer); /* true when more rows follow */
 void batch_mark_listed(struct kwb_batch *batch,
     const struct kwb_store_answer *answer); /* rows of TABLE_DONE */
 struct kwb_batch *batch_find(const struct kwb_batches *batches, const char *id);
--- a/src/batch/list.c
+++ b/src/batch/list.c
@@ -8,14 +8,14 @@
 
 #include "batch.h"
 
-#define LIST_ROWS_MAX                                                          \
-	(KWB_TX_ROWS_MAX / 4) /* two conditions, two rows each                 \
-			       */
+/* Two conditions and two rows each. */
+#define LIST_ROWS_MAX (KWB_TX_ROWS_MAX / 4)
 
 struct listing {
 	struct kwb_tx tx;
 	struct kwb_buf values[LIST_ROWS_MAX];
 	char positions[LIST_ROWS_MAX][POSITION_DIGITS + 8];
+	char done[LIST_ROWS_MAX][POSITION_DIGITS + 8 + OBJECT_NAME_BYTES];
 	uint32_t count;
 	size_t bytes;
 };
@@ -39,6 +39,68 @@
 	    &result, value);
 }
 
+static void
+text_name(const struct item_run *run, char *name)
+{
+	snprintf(name, OBJECT_NAME_BYTES, "text-%s-%s-%llu",
+	    run->batch->head.id, run->item->id,
+	    (unsigned long long)run->batch->batches->env->incarnation);
+}
+
+static void
+text_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_batch *batch = call->context;
+
+	if (answer->error == 0 || answer->error == KWB_ERR_STORE_CONFLICT) {
+		batch->text_run->in_object = true;
+		batch_list(batch);
+		return;
+	}
+	kwb_log(KWB_LOG_WARN, "batch",
+	    "event=text_not_written batch=%s item=%s error=%s", batch->head.id,
+	    batch->text_run->item->id, kwb_error_name(answer->error));
+}
+
+/* A result that no row can hold lies in an object, before it is listed. */
+static void
+text_write(struct item_run *run, const struct kwb_buf *value)
+{
+	struct kwb_batch *batch = run->batch;
+	struct kwb_store *store = batch->batches->env->store;
+	char name[OBJECT_NAME_BYTES];
+
+	if (batch->text_call.driver != NULL)
+		return;
+	text_name(run, name);
+	batch->text_run = run;
+	batch->text_call.context = batch;
+	batch->text_call.on_done = text_answer;
+	if (store->ops->object_put(store, name, value->data, value->used_bytes,
+		&batch->text_call) != 0)
+		kwb_log(KWB_LOG_WARN, "batch",
+		    "event=text_not_written batch=%s item=%s error=not_sent",
+		    batch->head.id, run->item->id);
+}
+
+/* False when the result has to wait until its object is there. */
+static bool
+value_fits(struct item_run *run, struct kwb_buf *value)
+{
+	uint32_t row_bytes = run->batch->batches->env->settings->row_max_bytes;
+	char name[OBJECT_NAME_BYTES];
+
+	if (value->used_bytes < row_bytes - row_bytes / 16)
+		return true;
+	if (!run->in_object) {
+		text_write(run, value);
+		return false;
+	}
+	text_name(run, name);
+	value->used_bytes = 0;
+	return kwb_buf_printf(value, "%c%s", OBJECT_MARK, name) == 0;
+}
+
 static bool
 listing_add(
     struct listing *listing, struct kwb_batch *batch, struct item_run *run)
@@ -46,6 +108,7 @@
 	uint32_t at = listing->count;
 	struct kwb_buf *value = &listing->values[at];
 	char *position = listing->positions[at];
+	char *done = listing->done[at];
 
 	kwb_buf_init(value);
 	if (result_value(run, value) != 0) {
@@ -54,6 +117,10 @@
 		    batch->head.id, run->item->id, run->text.used_bytes);
 		return false;
 	}
+	if (!value_fits(run, value)) {
+		kwb_buf_finish(value);
+		return true;
+	}
 	if (at > 0 && listing->bytes + value->used_bytes > KWB_TX_MAX_BYTES) {
 		kwb_buf_finish(value);
 		return false;
@@ -67,8 +134,12 @@
 	    &listing->tx, TABLE_DONE, batch->head.id, run->item->id, 0);
 	kwb_tx_put(&listing->tx, TABLE_RESULTS, batch->head.id, position,
 	    value->data, value->used_bytes);
+	/* The item's row names the object, too, for the sweep to find. */
+	snprintf(done, sizeof(listing->done[at]), "%0*u%s%s", POSITION_DIGITS,
+	    batch->listed + at, run->in_object ? " " : "",
+	    run->in_object ? value->data : "");
 	kwb_tx_put(&listing->tx, TABLE_DONE, batch->head.id, run->item->id,
-	    position, strlen(position));
+	    done, strlen(done));
 	run->state = ITEM_LISTING;
 	return true;
 }
@@ -155,8 +226,10 @@
 		batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
 		return;
 	}
-	batch->in_doubt = false;
 	batch_mark_listed(batch, answer);
+	if (batch_read_done(batch, answer))
+		return;
+	batch->in_doubt = false;
 	for (i = 0; i < batch->spec.items_count; i++)
 		if (batch->runs[i].state == ITEM_LISTING)
 			batch->runs[i].state = ITEM_READY;
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -54,6 +54,7 @@
 
 	kwb_store_cancel(batch->batches->env->store, &batch->call);
 	kwb_store_cancel(batch->batches->env->store, &batch->checkpoint);
+	kwb_store_cancel(batch->batches->env->store, &batch->text_call);
 	for (i = 0; batch->runs != NULL && i < batch->spec.items_count; i++)
 		run_finish(&batch->runs[i]);
 	TAILQ_REMOVE(&batch->batches->running, batch, entry);
@@ -203,6 +204,24 @@
 	kwb_batches_kick(batch->batches);
 }
 
+/* Reads the next rows of what is listed; the callback is the same. */
+bool
+batch_read_done(struct kwb_batch *batch, const struct kwb_store_answer *answer)
+{
+	struct kwb_store *store = batch->batches->env->store;
+	char from[KWB_KEY_MAX_BYTES + 2];
+	struct kwb_range range = {
+	    .table = TABLE_DONE, .part = batch->head.id, .from = from};
+
+	if (!answer->more || answer->rows_count == 0)
+		return false;
+	snprintf(from, sizeof(from), "%s\x01",
+	    answer->rows[answer->rows_count - 1].key);
+	if (store->ops->range(store, &range, &batch->call) != 0)
+		batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
+	return true;
+}
+
 /* Items that have a result, by this node or another. */
 void
 batch_mark_listed(
@@ -233,6 +252,8 @@
 		return;
 	}
 	batch_mark_listed(batch, answer);
+	if (batch_read_done(batch, answer))
+		return;
 	call->on_done = partials_answer;
 	load_done(batch, &range);
 }
--- a/src/batch/read.c
+++ b/src/batch/read.c
@@ -40,6 +40,38 @@
 	kwb_timer_at(read->timer, now_ns + KWB_READ_POLL_NS);
 }
 
+static void
+text_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_read *read = call->context;
+	const char *text = kwb_buf_text(&answer->object);
+
+	if (answer->error != 0) {
+		read_again(read,
+		    answer->error == KWB_ERR_STORE_MISSING
+			? KWB_ERR_STORE_UNKNOWN /* its row is there */
+			: answer->error);
+		return;
+	}
+	read->next = read->after + 1;
+	read_done(read,
+	    read->batches->env->forward->dialect->write_results(
+		&text, 1, read->total, read->next, &read->answer));
+}
+
+/* One result that is too long for a row: it comes alone. */
+static void
+read_text(struct kwb_read *read, const char *name)
+{
+	struct kwb_store *store = read->batches->env->store;
+	int code;
+
+	read->call.on_done = text_answer;
+	code = store->ops->object_get(store, name, &read->call);
+	if (code != 0)
+		read_again(read, code);
+}
+
 static void
 results_send(struct kwb_read *read, const struct kwb_store_answer *answer)
 {
@@ -61,6 +93,13 @@
 		bytes += answer->rows[count].value_bytes;
 		if (count > 0 && bytes > KWB_RESULTS_MAX_BYTES)
 			break;
+		if (answer->rows[count].value[0] == OBJECT_MARK) {
+			if (count > 0)
+				break;
+			free(results);
+			read_text(read, answer->rows[0].value + 1);
+			return;
+		}
 		results[count] = answer->rows[count].value;
 	}
 	read->next = read->after + count;
--- a/src/batch/sweep.c
+++ b/src/batch/sweep.c
@@ -39,6 +39,18 @@
 	sweep_step(batches);
 }
 
+/* The object of a long result goes before the row that names it. */
+static void
+sweep_drop_text(struct kwb_batches *batches, const char *name)
+{
+	struct kwb_store *store = batches->env->store;
+
+	kwb_text_copy(batches->sweep_text, sizeof(batches->sweep_text), name);
+	batches->sweep.on_done = removed_answer;
+	if (store->ops->object_drop(store, name, &batches->sweep) != 0)
+		sweep_end(batches, KWB_ERR_STORE_REFUSED);
+}
+
 /* Removes the rows that were read; none means that the next step is due. */
 static void
 rows_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
@@ -46,6 +58,7 @@
 	static struct kwb_tx tx;
 	struct kwb_batches *batches = call->context;
 	struct kwb_store *store = batches->env->store;
+	const char *name;
 	uint32_t i;
 
 	if (answer->error != 0) {
@@ -58,9 +71,20 @@
 		return;
 	}
 	memset(&tx, 0, sizeof(tx));
-	for (i = 0; i < answer->rows_count; i++)
+	for (i = 0; i < answer->rows_count; i++) {
+		name = batches->sweep_step == KWB_SWEEP_DONE
+		    ? strchr(answer->rows[i].value, OBJECT_MARK)
+		    : NULL;
+		if (name != NULL &&
+		    strcmp(name + 1, batches->sweep_text) != 0) {
+			sweep_drop_text(batches, name + 1);
+			return;
+		}
 		kwb_tx_remove(&tx, answer->rows[i].table,
 		    batches->sweep_head.id, answer->rows[i].key);
+		if (name != NULL)
+			break; /* its object is gone, now the row */
+	}
 	call->on_done = removed_answer;
 	if (store->ops->transact(store, &tx, call) != 0)
 		sweep_end(batches, KWB_ERR_STORE_REFUSED);
@@ -195,6 +219,7 @@
 	batches->sweep_head = *oldest;
 	batches->sweep_step = KWB_SWEEP_DONE;
 	batches->sweep_position = 0;
+	batches->sweep_text[0] = '\0';
 	batches->sweep.context = batches;
 	sweep_step(batches);
 }
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -301,7 +301,7 @@
 read_results(const json_t *document, char **lines, unsigned count)
 {
 	const json_t *entry;
-	char line[512];
+	char line[2048];
 	char *versions;
 	size_t i;
 	char *at;
@@ -329,7 +329,7 @@
 run_results(struct script *script)
 {
 	uint64_t end_ns = kwb_clock_now_ns() + CALL_TIMEOUT_MS * KWB_MS_NS;
-	char *lines[64];
+	static char *lines[2048];
 	unsigned count = 0;
 	unsigned total = 1;
 	unsigned next = 0;
@@ -460,8 +460,8 @@
 	    "version", atoi(script->words[1]), "route-table", script->routes,
 	    "services", "name", "shop", "name", "engine", "engine", "slots", 4,
 	    "models", "name", "m", "limits", "max-header-bytes", 4096,
-	    "max-body-bytes", 100000, "header-timeout-ms", 500,
-	    "idle-timeout-ms", 15000);
+	    "max-body-bytes", number(script, "body", 100000),
+	    "header-timeout-ms", 500, "idle-timeout-ms", 15000);
 	char *text = json_dumps(document, JSON_COMPACT);
 
 	stage_store_put(&script->stage.store, "op", "config", text);
@@ -488,6 +488,7 @@
 
 	stage_node_start(node);
 	node->settings.batch_keep_ms = number(script, "keep", 120000);
+	node->settings.row_max_bytes = number(script, "row", 65536);
 	while (node->node.config == NULL && kwb_clock_now_ns() < end_ns)
 		stage_wait(&script->stage, 5);
 	stage_wait(&script->stage, 40);
@@ -689,6 +690,26 @@
 	kwb_buf_printf(&script->out, "%u\n", count);
 }
 
+static void
+run_objects(struct script *script)
+{
+	kwb_buf_printf(&script->out, "%u\n", script->stage.store.objects_count);
+}
+
+/* Reads all results and prints only how many, and how long they are. */
+static void
+run_lengths(struct script *script)
+{
+	size_t before = script->out.used_bytes;
+	size_t bytes;
+
+	run_results(script);
+	bytes = script->out.used_bytes - before;
+	script->out.used_bytes =
+	    strcspn(script->out.data + before, "\n") + before + 1;
+	kwb_buf_printf(&script->out, "%zu bytes\n", bytes);
+}
+
 static void
 run_rows(struct script *script)
 {
@@ -761,6 +782,7 @@
 	    {"garble", run_server_change}, {"beat", run_server_change},
 	    {"ran", run_ran}, {"until-some", run_until_some},
 	    {"orders", run_orders}, {"rows", run_rows},
+	    {"objects", run_objects}, {"lengths", run_lengths},
 	    {"running", run_running}, {"ctl", run_ctl},
 	    {"resumed", run_resumed}, {"explain", run_explain}};
 	struct stage *stage = &script->stage;
