Names are found through an index; the mover looks at all homes once

Cause: for each home the mover counted all homes, and found each of them in a list by name: 1,000 cubed. The registry and the follower searched their lists as well. Change: an index by name in the registry, the follower and the mover; one count a look, kept up to date as orders go out; answers that come together share a look. Test: index in decisions (3,000 names, 20,000 that come and go).

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -140,6 +140,7 @@
 #define KWB_WEIGHTS_POLL_NS (500 * KWB_MS_NS)
 #define KWB_SWAP_TIMEOUT_MS 15000
 #define KWB_MOVER_NS (100 * KWB_MS_NS)	    /* between looks at what to order */
+#define KWB_MOVER_SOON_NS (10 * KWB_MS_NS)  /* answers come together */
 #define KWB_PLAN_NS (1000 * KWB_MS_NS)	    /* between plans of homes */
 #define KWB_LOAD_NS (900 * KWB_MS_NS)	    /* a load takes, while few load */
 #define KWB_LOAD_SEEN_NS (1120 * KWB_MS_NS) /* and is in reports, which lag */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -180,6 +180,27 @@
     void (*on_event)(void *context, const struct kwb_event *event),
     void *context); /* takes all bytes, tells of whole events */
 
+/* ---- Index of items by name ---------------------------------------------- */
+
+struct kwb_index_slot {
+	const char *name;
+	void *item;
+};
+
+struct kwb_index {
+	struct kwb_index_slot *slots;
+	uint32_t room; /* a power of two */
+	uint32_t used; /* removed ones, too */
+};
+
+void kwb_index_init(struct kwb_index *index);	/* empty */
+void kwb_index_finish(struct kwb_index *index); /* frees it, not the items */
+void *kwb_index_get(
+    const struct kwb_index *index, const char *name); /* NULL for none */
+int kwb_index_put(struct kwb_index *index, const char *name,
+    void *item); /* the name lives as long as the item */
+void kwb_index_remove(struct kwb_index *index, const char *name);
+
 /* ---- Text --------------------------------------------------------------- */
 
 int kwb_base64_encode(struct kwb_buf *out, const void *data,
@@ -299,6 +320,7 @@
 /* Keeps in step with one table's part "", through read and feed. */
 struct kwb_follower_row {
 	char *key;
+	uint32_t at; /* among the follower's rows */
 	uint64_t revision;
 	bool seen;
 };
@@ -311,7 +333,8 @@
 	const char *table;
 	struct kwb_store_call call;
 	struct event *timer;
-	struct kwb_follower_row *rows;
+	struct kwb_follower_row **rows;
+	struct kwb_index index; /* of rows by key */
 	uint32_t rows_count;
 	uint32_t rows_room;
 	char *from; /* next key of a whole read in progress */
@@ -491,6 +514,7 @@
 };
 
 struct kwb_registry {
+	struct kwb_index index; /* of those that are listed */
 	struct kwb_upstream **upstreams;
 	uint32_t count;
 	uint32_t room;
@@ -1023,9 +1047,11 @@
 	struct kwb_store_call call;
 	struct event *timer;
 	struct kwb_mover_list upstreams;
+	struct kwb_index index; /* of them, by id */
 	struct kwb_named_version versions[KWB_MODELS_MAX];
 	uint32_t versions_count;
 	uint64_t plan_ns; /* when homes are planned again */
+	bool look_soon;	  /* the timer is armed for answers */
 	bool writing;
 };
 
--- a/src/store/follow.c
+++ b/src/store/follow.c
@@ -11,50 +11,53 @@
 
 static void follower_step(struct kwb_follower *follower);
 
-static struct kwb_follower_row *
-row_find(struct kwb_follower *follower, const char *key)
-{
-	uint32_t i;
-
-	for (i = 0; i < follower->rows_count; i++)
-		if (strcmp(follower->rows[i].key, key) == 0)
-			return &follower->rows[i];
-	return NULL;
-}
-
 static struct kwb_follower_row *
 row_new(struct kwb_follower *follower, const char *key)
 {
 	uint32_t room = follower->rows_room ? follower->rows_room * 2 : 16;
-	struct kwb_follower_row *rows;
+	struct kwb_follower_row **rows;
+	struct kwb_follower_row *row;
 
 	if (follower->rows_count == follower->rows_room) {
-		rows = realloc(follower->rows, room * sizeof(*rows));
+		rows = realloc(
+		    follower->rows, room * sizeof(struct kwb_follower_row *));
 		if (rows == NULL)
 			return NULL;
 		follower->rows = rows;
 		follower->rows_room = room;
 	}
-	rows = &follower->rows[follower->rows_count];
-	memset(rows, 0, sizeof(*rows));
-	rows->key = strdup(key);
-	if (rows->key == NULL)
+	row = calloc(1, sizeof(*row));
+	if (row == NULL)
+		return NULL;
+	row->key = strdup(key);
+	if (row->key == NULL ||
+	    kwb_index_put(&follower->index, row->key, row) != 0) {
+		free(row->key);
+		free(row);
 		return NULL;
-	follower->rows_count++;
-	return rows;
+	}
+	row->at = follower->rows_count;
+	follower->rows[follower->rows_count++] = row;
+	return row;
 }
 
 static void
 row_forget(struct kwb_follower *follower, struct kwb_follower_row *known)
 {
+	struct kwb_follower_row *last = follower->rows[--follower->rows_count];
+
+	kwb_index_remove(&follower->index, known->key);
+	last->at = known->at;
+	follower->rows[last->at] = last;
 	free(known->key);
-	*known = follower->rows[--follower->rows_count];
+	free(known);
 }
 
 static void
 row_apply(struct kwb_follower *follower, const struct kwb_row *row)
 {
-	struct kwb_follower_row *known = row_find(follower, row->key);
+	struct kwb_follower_row *known =
+	    kwb_index_get(&follower->index, row->key);
 
 	if (known != NULL && row->revision < known->revision)
 		return;
@@ -89,14 +92,14 @@
 	uint32_t i = 0;
 
 	while (i < follower->rows_count) {
-		if (follower->rows[i].seen) {
-			follower->rows[i++].seen = false;
+		if (follower->rows[i]->seen) {
+			follower->rows[i++]->seen = false;
 			continue;
 		}
-		gone.key = follower->rows[i].key;
+		gone.key = follower->rows[i]->key;
 		gone.revision = follower->read_revision;
 		follower->on_row(follower->context, &gone);
-		row_forget(follower, &follower->rows[i]);
+		row_forget(follower, follower->rows[i]);
 	}
 }
 
@@ -151,7 +154,7 @@
 	follower->from = NULL;
 	follower->reading = true;
 	for (i = 0; i < follower->rows_count; i++)
-		follower->rows[i].seen = false;
+		follower->rows[i]->seen = false;
 }
 
 static void
@@ -245,9 +248,12 @@
 
 	kwb_store_cancel(follower->store, &follower->call);
 	event_free(follower->timer);
-	for (i = 0; i < follower->rows_count; i++)
-		free(follower->rows[i].key);
+	for (i = 0; i < follower->rows_count; i++) {
+		free(follower->rows[i]->key);
+		free(follower->rows[i]);
+	}
 	free(follower->rows);
+	kwb_index_finish(&follower->index);
 	free(follower->from);
 }
 
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -22,19 +22,14 @@
 	for (i = 0; i < registry->count; i++)
 		free(registry->upstreams[i]);
 	free(registry->upstreams);
+	kwb_index_finish(&registry->index);
 	memset(registry, 0, sizeof(*registry));
 }
 
 struct kwb_upstream *
 kwb_registry_find(const struct kwb_registry *registry, const char *id)
 {
-	uint32_t i;
-
-	for (i = 0; i < registry->count; i++)
-		if (registry->upstreams[i]->listed &&
-		    strcmp(registry->upstreams[i]->status.id, id) == 0)
-			return registry->upstreams[i];
-	return NULL;
+	return kwb_index_get(&registry->index, id);
 }
 
 static struct kwb_upstream *
@@ -86,6 +81,11 @@
 	upstream->status = *status;
 	upstream->listed = true;
 	upstream->gone_ns = 0;
+	if (kwb_index_put(&registry->index, upstream->status.id, upstream) !=
+	    0) {
+		upstream->listed = false;
+		return NULL;
+	}
 	return upstream;
 }
 
@@ -112,6 +112,7 @@
 
 	if (upstream == NULL)
 		return;
+	kwb_index_remove(&registry->index, id);
 	upstream->listed = false;
 	upstream->gone_ns = kwb_clock_now_ns();
 	release(registry, upstream);
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -17,12 +17,7 @@
 static struct kwb_mover_upstream *
 upstream_find(const struct kwb_mover *mover, const char *id)
 {
-	struct kwb_mover_upstream *upstream;
-
-	TAILQ_FOREACH (upstream, &mover->upstreams, entry)
-		if (strcmp(upstream->id, id) == 0)
-			return upstream;
-	return NULL;
+	return kwb_index_get(&mover->index, id);
 }
 
 static struct kwb_mover_upstream *
@@ -37,6 +32,10 @@
 		return NULL;
 	kwb_text_copy(upstream->id, sizeof(upstream->id), id);
 	upstream->mover = mover;
+	if (kwb_index_put(&mover->index, upstream->id, upstream) != 0) {
+		free(upstream);
+		return NULL;
+	}
 	TAILQ_INSERT_TAIL(&mover->upstreams, upstream, entry);
 	return upstream;
 }
@@ -261,29 +260,53 @@
 	    (home->ordered && now_ns - home->ordered_ns < KWB_LOAD_NS);
 }
 
-/* Counts the homes of a model, and the loads of a service. */
+/* What one look at all homes found; kept up to date as orders go out. */
+struct look {
+	struct kwb_load_input models[KWB_MODELS_MAX]; /* as mover->versions */
+	uint32_t loading;			      /* all of them */
+	uint32_t upstreams;
+};
+
+static int
+version_index(const struct kwb_mover *mover, const char *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < mover->versions_count; i++)
+		if (strcmp(mover->versions[i].model, model) == 0)
+			return (int)i;
+	return -1;
+}
+
 static void
-count_homes(const struct kwb_mover *mover, const char *service,
-    const char *model, struct kwb_load_input *input)
+look_at(const struct kwb_mover *mover, struct look *look)
 {
 	const struct kwb_mover_upstream *home;
 	const struct kwb_upstream *upstream;
+	struct kwb_load_input *input;
 	uint64_t now_ns = kwb_clock_now_ns();
 	uint64_t version;
-	uint32_t count = 0;
 	bool loading;
+	uint32_t i;
+	int at;
 
+	memset(look, 0, sizeof(*look));
+	for (i = 0; i < mover->versions_count; i++) {
+		look->models[i].newest = mover->versions[i].version;
+		look->models[i].lag = lag_of(mover, mover->versions[i].model);
+	}
 	TAILQ_FOREACH (home, &mover->upstreams, entry) {
 		upstream = mover_listed(mover, home->id);
-		if (upstream == NULL ||
-		    strcmp(upstream->status.service, service) != 0)
+		if (upstream == NULL || home->model[0] == '\0')
 			continue;
 		loading = is_loading(home, now_ns);
-		count++;
-		input->loading += loading;
-		if (strcmp(home->model, model) != 0)
+		look->upstreams++;
+		look->loading += loading;
+		at = version_index(mover, home->model);
+		if (at < 0)
 			continue;
-		version = kwb_upstream_version(upstream, model);
+		input = &look->models[at];
+		version = kwb_upstream_version(upstream, home->model);
 		input->homes++;
 		input->homes_loading += loading;
 		input->homes_newest += version >= input->newest ||
@@ -291,42 +314,53 @@
 		input->serving +=
 		    !loading && version + input->lag >= input->newest;
 	}
-	input->loading_max = count / KWB_LOADS_PART;
-	if (input->loading_max < KWB_LOADS_MIN)
-		input->loading_max = KWB_LOADS_MIN;
+}
+
+static uint32_t
+loading_max(const struct look *look)
+{
+	uint32_t most = look->upstreams / KWB_LOADS_PART;
+
+	return most < KWB_LOADS_MIN ? KWB_LOADS_MIN : most;
 }
 
 static void
-home_step(struct kwb_mover *mover, struct kwb_mover_upstream *home,
-    const struct kwb_upstream *upstream, enum kwb_load urgency)
+home_step(struct kwb_mover *mover, struct look *look,
+    struct kwb_mover_upstream *home, const struct kwb_upstream *upstream,
+    enum kwb_load urgency)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
-	struct kwb_load_input input = {0};
+	int at = version_index(mover, home->model);
+	struct kwb_load_input *input;
 
-	input.version = kwb_upstream_version(upstream, home->model);
-	input.newest = kwb_mover_named(mover, home->model);
 	if (home->ordered && now_ns >= home->look_ns) {
 		mover_report_start(home, upstream);
 		return;
 	}
-	if (home->ordered || home->busy_until_ns > now_ns ||
-	    input.version >= input.newest)
+	if (at < 0 || home->ordered || home->busy_until_ns > now_ns)
 		return;
-	input.lag = lag_of(mover, home->model);
-	count_homes(mover, upstream->status.service, home->model, &input);
-	if (kwb_load_wanted(&input) != urgency)
+	input = &look->models[at];
+	input->version = kwb_upstream_version(upstream, home->model);
+	input->loading = look->loading;
+	input->loading_max = loading_max(look);
+	if (kwb_load_wanted(input) != urgency)
 		return;
 	if (!home->seq_known) {
 		mover_report_start(home, upstream);
 		return;
 	}
+	input->serving -=
+	    input->version + input->lag >= input->newest && input->serving > 0;
+	input->homes_loading++;
+	input->homes_newest++;
+	look->loading++;
 	home->changed = true;
-	mover_order_start(home, upstream, input.newest);
+	mover_order_start(home, upstream, input->newest);
 }
 
-/* What a batch waits for goes before what keeps homes out of phase. */
+/* What a batch waits for goes before what is loaded ahead. */
 static void
-homes_step(struct kwb_mover *mover, enum kwb_load urgency)
+homes_step(struct kwb_mover *mover, struct look *look, enum kwb_load urgency)
 {
 	struct kwb_mover_upstream *home;
 	struct kwb_mover_upstream *next;
@@ -334,24 +368,35 @@
 
 	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
 		next = TAILQ_NEXT(home, entry);
-		upstream = mover_listed(mover, home->id);
 		if (home->asking || home->ordering || home->model[0] == '\0')
 			continue;
+		upstream = mover_listed(mover, home->id);
 		if (upstream != NULL && !upstream->status.draining)
-			home_step(mover, home, upstream, urgency);
+			home_step(mover, look, home, upstream, urgency);
 	}
 }
 
+void
+mover_look_soon(struct kwb_mover *mover)
+{
+	if (mover->look_soon)
+		return;
+	mover->look_soon = true;
+	kwb_timer_at(mover->timer, kwb_clock_now_ns() + KWB_MOVER_SOON_NS);
+}
+
 static void
 mover_time(int fd, short what, void *context)
 {
 	struct kwb_mover *mover = context;
 	const struct kwb_node_config *config = *mover->env->config;
 	uint64_t now_ns = kwb_clock_now_ns();
+	struct look look;
 	uint32_t i;
 
 	(void)fd;
 	(void)what;
+	mover->look_soon = false;
 	kwb_timer_at(mover->timer, now_ns + KWB_MOVER_NS);
 	if (config == NULL || !mover->homes.synced ||
 	    kwb_store_lease_fence(&mover->lease) == 0)
@@ -363,8 +408,9 @@
 				plan_service(mover, &config->services[i]);
 		mover_home_write(mover);
 	}
-	homes_step(mover, KWB_LOAD_NOW);
-	homes_step(mover, KWB_LOAD_SOON);
+	look_at(mover, &look);
+	homes_step(mover, &look, KWB_LOAD_NOW);
+	homes_step(mover, &look, KWB_LOAD_SOON);
 }
 
 static void
@@ -423,6 +469,7 @@
 	kwb_store_lease_finish(&mover->lease);
 	kwb_follower_finish(&mover->homes);
 	event_free(mover->timer);
+	kwb_index_finish(&mover->index);
 	for (home = TAILQ_FIRST(&mover->upstreams); home != NULL; home = next) {
 		next = TAILQ_NEXT(home, entry);
 		mover_exchange_close(home);
--- a/src/weights/mover.h
+++ b/src/weights/mover.h
@@ -14,6 +14,9 @@
 void mover_home_write(
     struct kwb_mover *mover); /* tells all nodes of changed homes */
 
+void mover_look_soon(
+    struct kwb_mover *mover); /* one look for answers that come together */
+
 /* mover_order.c */
 void mover_exchange_close(struct kwb_mover_upstream *home);
 void mover_report_start(
--- a/src/weights/mover_order.c
+++ b/src/weights/mover_order.c
@@ -105,7 +105,7 @@
 		report_done(home, &answer);
 	}
 	kwb_message_finish(&answer);
-	kwb_timer_at(home->mover->timer, 0);
+	mover_look_soon(home->mover);
 }
 
 static const struct kwb_exchange_ops exchange_ops = {
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -882,6 +882,34 @@
 	event_base_free(base);
 }
 
+static void
+test_index(void)
+{
+	static char names[3000][16];
+	struct kwb_index index;
+	unsigned i;
+
+	kwb_index_init(&index);
+	CU_ASSERT_PTR_NULL(kwb_index_get(&index, "x"));
+	kwb_index_remove(&index, "x");
+	for (i = 0; i < COUNT(names); i++) {
+		snprintf(names[i], sizeof(names[i]), "i-%x", i * 7919);
+		CU_ASSERT_EQUAL(kwb_index_put(&index, names[i], names[i]), 0);
+	}
+	for (i = 0; i < COUNT(names); i += 2)
+		kwb_index_remove(&index, names[i]);
+	for (i = 0; i < COUNT(names); i++)
+		CU_ASSERT_PTR_EQUAL(kwb_index_get(&index, names[i]),
+		    i % 2 == 0 ? NULL : (void *)names[i]);
+	/* Names that come and go leave room for others. */
+	for (i = 0; i < 20000; i++) {
+		kwb_index_put(&index, names[i % 1000 * 2], names[0]);
+		kwb_index_remove(&index, names[i % 1000 * 2]);
+	}
+	CU_ASSERT_PTR_EQUAL(kwb_index_get(&index, names[1]), names[1]);
+	kwb_index_finish(&index);
+}
+
 static void
 test_base64(void)
 {
@@ -929,7 +957,8 @@
 	    {"upstream_entries", test_upstream_entries},
 	    {"documents", test_documents},
 	    {"mutated_documents", test_mutated_documents},
-	    {"requests", test_requests}, {"base64", test_base64}};
+	    {"requests", test_requests}, {"index", test_index},
+	    {"base64", test_base64}};
 	CU_pSuite suite;
 	unsigned failed;
 	unsigned i;
