No more homes than a model's batches can fill

Change: a model's homes are capped by the items of its largest batch, two and a half times over; the others rest, and serve where their weights fit.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -146,6 +146,7 @@
 #define KWB_LOAD_SEEN_NS (1120 * KWB_MS_NS) /* and is in reports, which lag */
 #define KWB_LOAD_LOOK_NS (150 * KWB_MS_NS)  /* between questions after that */
 #define KWB_LOAD_RETRY_NS (500 * KWB_MS_NS) /* after a refused order */
+#define KWB_HOMES_PERCENT 250 /* two batches are open, and some homes load */
 #define KWB_LOAD_AHEAD_PERCENT 67 /* homes loaded before they must be */
 #define KWB_LOAD_HOMES_PART 3	  /* a third of a model's homes at a time */
 #define KWB_LOAD_LEAST_NS (700 * KWB_MS_NS) /* no load is done before */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -986,6 +986,7 @@
 struct kwb_home_model {
 	const char *name;
 	uint64_t demand; /* tokens of its newest batch, 0 unknown */
+	uint32_t most;	 /* homes that its batches can fill, 0 unknown */
 };
 
 void kwb_homes_plan(struct kwb_home_upstream *upstreams,
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -42,9 +42,11 @@
 
 	memset(share, 0, models_count * sizeof(*share));
 	for (given = 0; given < upstreams_count; given++) {
-		best = 0;
+		best = models_count;
 		best_need = -1;
 		for (i = 0; i < models_count; i++) {
+			if (models[i].most != 0 && share[i] >= models[i].most)
+				continue;
 			need = demand_of(models, models_count, i) /
 			    (share[i] + 0.5);
 			if (share[i] == 0)
@@ -54,6 +56,8 @@
 				best = i;
 			}
 		}
+		if (best == models_count)
+			break; /* no model has use for another home */
 		share[best]++;
 	}
 }
@@ -108,23 +112,23 @@
 			continue;
 		to = neediest(share, have, models_count);
 		if (to < 0)
-			to = 0;
+			break;
 		kwb_text_copy(
 		    upstreams[i].model, KWB_NAME_MAX_BYTES, models[to].name);
 		have[to]++;
 	}
-	/* Moves one where a model has more than its share by one or more. */
+	/* What a model has beyond its share goes to one that lacks it, or
+	 * rests. */
 	for (i = 0; i < upstreams_count; i++) {
 		from = model_index(models, models_count, upstreams[i].model);
-		to = neediest(share, have, models_count);
-		if (to < 0)
-			break;
 		if (from < 0 || have[from] <= share[from])
 			continue;
+		to = neediest(share, have, models_count);
 		have[from]--;
-		have[to]++;
-		kwb_text_copy(
-		    upstreams[i].model, KWB_NAME_MAX_BYTES, models[to].name);
+		kwb_text_copy(upstreams[i].model, KWB_NAME_MAX_BYTES,
+		    to < 0 ? "" : models[to].name);
+		if (to >= 0)
+			have[to]++;
 	}
 }
 
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -13,6 +13,7 @@
 
 #define TABLE_HOMES "homes" /* key: upstream, value: model and version */
 #define LEASE_NAME "weights"
+#define NO_MODEL "-" /* in a row: home of no model */
 
 static struct kwb_mover_upstream *
 upstream_find(const struct kwb_mover *mover, const char *id)
@@ -90,6 +91,8 @@
 		kwb_log(KWB_LOG_WARN, "mover",
 		    "event=home_unreadable upstream=%s revision=%llu", row->key,
 		    (unsigned long long)row->revision);
+	if (strcmp(home->model, NO_MODEL) == 0)
+		home->model[0] = '\0';
 	home->target = target;
 	mover_home_apply(mover, home);
 	kwb_batches_reconsider(mover->batches);
@@ -167,7 +170,8 @@
 		if (!home->changed || tx.put_count >= KWB_TX_ROWS_MAX - 1)
 			continue;
 		snprintf(values[tx.put_count], sizeof(values[0]), "%s %llu",
-		    home->model, (unsigned long long)home->target);
+		    home->model[0] ? home->model : NO_MODEL,
+		    (unsigned long long)home->target);
 		home->changed = false;
 		kwb_tx_put(&tx, TABLE_HOMES, "", home->id, values[tx.put_count],
 		    strlen(values[tx.put_count]));
@@ -188,6 +192,24 @@
 	return newest ? newest->tokens : 0;
 }
 
+/* Homes that the largest batch of a model can fill, twice over and a half. */
+static uint32_t
+homes_most(const struct kwb_mover *mover, const char *model, uint32_t slots)
+{
+	const struct kwb_batch_head *head;
+	uint32_t items = 0;
+	uint32_t i;
+
+	for (i = 0; i < mover->batches->heads_count; i++) {
+		head = mover->batches->heads[i];
+		if (head->total > items && strcmp(head->model, model) == 0)
+			items = head->total;
+	}
+	if (items == 0 || slots == 0)
+		return 0;
+	return items * KWB_HOMES_PERCENT / 100 / slots + 1;
+}
+
 static void
 plan_service(struct kwb_mover *mover, const struct kwb_service *service)
 {
@@ -208,6 +230,8 @@
 	for (i = 0; i < models_count; i++) {
 		models[i].name = service->models[i];
 		models[i].demand = demand_of(mover, service->models[i]);
+		models[i].most =
+		    homes_most(mover, service->models[i], service->slots);
 	}
 	for (i = 0; i < registry->count; i++) {
 		upstream = registry->upstreams[i];
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -251,7 +251,8 @@
 {
 	struct kwb_home_upstream upstreams[9];
 	struct kwb_home_upstream before[9];
-	struct kwb_home_model models[] = {{"a", 100}, {"b", 200}, {"c", 0}};
+	struct kwb_home_model models[] = {
+	    {"a", 100, 0}, {"b", 200, 0}, {"c", 0, 0}};
 	static const char *const ids[] = {
 	    "1", "2", "3", "4", "5", "6", "7", "8", "9"};
 	unsigned moved = 0;
@@ -278,6 +279,18 @@
 	kwb_homes_plan(upstreams, 2, models, 3);
 	CU_ASSERT(upstreams[0].model[0] != '\0');
 	CU_ASSERT(upstreams[1].model[0] != '\0');
+	/* No more homes than a model's batches can fill; the others rest. */
+	memset(upstreams, 0, sizeof(upstreams));
+	models[0].most = models[1].most = models[2].most = 2;
+	kwb_homes_plan(upstreams, 9, models, 3);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, "a"), 2);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, "b"), 2);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, ""), 3);
+	models[1].most = 1;
+	kwb_homes_plan(upstreams, 9, models, 3);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, "b"), 1);
+	CU_ASSERT_EQUAL(homes_of(upstreams, 9, ""), 4);
+	models[0].most = models[1].most = models[2].most = 0;
 	/* A model that is no longer there. */
 	kwb_text_copy(upstreams[0].model, KWB_NAME_MAX_BYTES, "gone");
 	kwb_homes_plan(upstreams, 1, models, 3);
