A named call refused before its lookup is "unknown", not "not run"

Cause: an entry refuses some requests before it looks at their key or ticket: no lists yet, no such plan here, no free worker, body too large. All of these said "not run". For a call that its caller had named this can be false: the first attempt ran through an entry that was killed before it answered, the second found the claim's table out ("unknown"), the third met the entry started in the outage, which had no lists and said "not run".

Ruled out by reading: the bar at the agent (call.c bars before it says "not run"), a query that overtakes its run (the agent bars the key), kwb_http_do's "sent" (false only before the connection stood), a full link (nothing queued). The users' platform is not concerned: there an attempt has its own id, and forward.c says "not run" only while no attempt was sent or all were refused.

--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -25,6 +25,8 @@
 static void on_thread_end(
     const struct mg_context *context, int type, void *thread);
 static void dispatch(struct exchange *exchange);
+static void refuse_early(
+    struct exchange *exchange, int status, int error, const char *detail);
 static int plan_load(struct exchange *exchange);
 static int body_read(struct exchange *exchange);
 static void serve_pull(struct exchange *exchange);
@@ -108,8 +110,8 @@
 	kwb_buf_init(&exchange.body);
 	/* A stream holds a worker: refuse while some are left for others. */
 	if (active + WORKERS_SPARE > entry->settings->workers)
-		http_refuse(connection, 503, KWB_OUTCOME_NOT_RUN,
-		    KWB_ERR_CALL_BUSY, "no free worker");
+		refuse_early(
+		    &exchange, 503, KWB_ERR_CALL_BUSY, "no free worker");
 	else if (plan_load(&exchange) == 0 && body_read(&exchange) == 0)
 		dispatch(&exchange);
 	kwb_buf_finish(&exchange.body);
@@ -155,8 +157,25 @@
 	    kind == KWB_PLAN_TRAINING)
 		serve_pull(exchange);
 	else
-		http_refuse(exchange->connection, 404, KWB_OUTCOME_NOT_RUN,
-		    KWB_ERR_ARGUMENT, "no such interface for this plan");
+		refuse_early(exchange, 404, KWB_ERR_ARGUMENT,
+		    "no such interface for this plan");
+}
+
+/*
+ * Refuses before the call's name was looked at. An earlier attempt under the
+ * same key or ticket may have run through another entry, so that only a call
+ * without a name is surely not run.
+ */
+static void
+refuse_early(
+    struct exchange *exchange, int status, int error, const char *detail)
+{
+	struct mg_connection *connection = exchange->connection;
+	bool named = mg_get_header(connection, "Idempotency-Key") != NULL ||
+	    mg_get_header(connection, "X-Kwb-Ticket") != NULL;
+
+	http_refuse(connection, status,
+	    named ? KWB_OUTCOME_UNKNOWN : KWB_OUTCOME_NOT_RUN, error, detail);
 }
 
 /* Copies the plan, so that no list is held while a request runs. */
@@ -191,8 +210,7 @@
 	}
 	kwb_current_drop();
 	if (error != 0)
-		http_refuse(exchange->connection,
-		    error == KWB_ERR_ARGUMENT ? 404 : 503, KWB_OUTCOME_NOT_RUN,
+		refuse_early(exchange, error == KWB_ERR_ARGUMENT ? 404 : 503,
 		    error, "no such plan");
 	return error;
 }
@@ -207,9 +225,8 @@
 		    sizeof(chunk_bytes))) > 0) {
 		if (exchange->body.used_bytes + (size_t)got >
 		    KWB_FRAME_MAX_BYTES / 2) {
-			http_refuse(exchange->connection, 413,
-			    KWB_OUTCOME_NOT_RUN, KWB_ERR_WIRE_SIZE,
-			    "body too large");
+			refuse_early(
+			    exchange, 413, KWB_ERR_WIRE_SIZE, "body too large");
 			return KWB_ERR_WIRE_SIZE;
 		}
 		kwb_buf_add(&exchange->body, chunk_bytes, (size_t)got);
--- a/tests/session_faults.c
+++ b/tests/session_faults.c
@@ -14,6 +14,7 @@
 #define FREEZE_MS 8000 /* past every lease and silence deadline */
 #define LOST_MS 17000  /* past the time that a lost VM keeps its share */
 #define SLOW_MS 1200
+#define ORDERS_RUN_NS (500 * KWB_MS_NS) /* each caller has an order running */
 
 enum target { T_ENTRY, T_LLM, T_SHOP, T_ENGINE, T_SERVICE };
 
@@ -253,6 +254,41 @@
 	kill_entry_go(session, index);
 }
 
+/*
+ * An entry dies while orders run, and the one started in its place learns from
+ * nobody: the platform is out and the links to all agents are cut.
+ */
+static void
+start_alone_come(struct session *session, unsigned index)
+{
+	unsigned i;
+
+	for (i = 0; i < SERVICES; i++)
+		late_service_come(session, i);
+	kwb_clock_sleep_ns(ORDERS_RUN_NS);
+	table_down_come(session, index);
+	for (i = 0; i < ENGINES; i++)
+		cut_llm_come(session, i);
+	for (i = 0; i < SERVICES; i++)
+		cut_shop_come(session, i);
+	kill_entry_come(session, index);
+	kill_entry_go(session, index);
+}
+
+static void
+start_alone_go(struct session *session, unsigned index)
+{
+	unsigned i;
+
+	for (i = 0; i < ENGINES; i++)
+		cut_llm_go(session, i);
+	for (i = 0; i < SERVICES; i++) {
+		cut_shop_go(session, i);
+		late_service_go(session, i);
+	}
+	table_down_go(session, index);
+}
+
 /* Two operators change different entries at the same time, many times. */
 static void
 operators_race_come(struct session *session, unsigned index)
@@ -325,6 +361,7 @@
     {"start_in_outage", start_in_outage_come, table_down_go, HOLD_MS, false,
 	NULL},
     {"operators_race", operators_race_come, nothing_go, HOLD_MS, true, NULL},
+    FAULT(start_alone, HOLD_MS),
 };
 const unsigned session_faults_count =
     sizeof(session_faults) / sizeof(session_faults[0]);
