An agent takes no units of an allowance while the table is out

Cause: with the table out of reach, the keeper of shares went on to decide what to hold next, and put that into its copy of the row. It was not written, but the next poll read the units from that copy and raised the cap in force. An agent that is cut off from the table while a raised allowance reaches it over a link took the new units; so did each other one cut off, and the sum passed the allowance.

Change: without the table, caps are lowered where needed and nothing is taken.

Test first: contract "an outage keeps what is held" (table out, lists with 9 in place of 2 concurrent sent over the link) gave "most 9, last 9"; now 2 and 2, and 9 once the table is back. build/tests/contract: 35 passed, 1 failed before; 36 passed after.

--- a/src/limit/share_keeper.c
+++ b/src/limit/share_keeper.c
@@ -150,6 +150,9 @@
 			    0)
 				continue;
 			plan_lower(keeper, plan->name, allowance->concurrent);
+			/* Units that can't be written now may go to others. */
+			if (!reachable)
+				continue;
 			/* First known to all, so that parts are fair. */
 			if (kwb_clock_now_ns() < keeper->take_ns) {
 				*settled = false;
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -49,6 +49,8 @@
 static void check_swap(void);
 static void check_attempts(void);
 static void check_silence(void);
+static void check_share(struct world *world);
+static uint32_t units_of(const Kwb__Wire__Status *status, const char *plan);
 static void check_bytes(void);
 
 int
@@ -75,6 +77,7 @@
 	check_attempts();
 	check_swap();
 	check_silence();
+	check_share(&world);
 	check_bytes();
 	world_stop(&world);
 	printf("contract tests: %u passed, %u failed\n", passed, failed);
@@ -382,6 +385,81 @@
 	}
 }
 
+/*
+ * A raised allowance gives an agent no more units while the table is out,
+ * because others may take the same ones; once it is back they are held.
+ */
+static void
+check_share(struct world *world)
+{
+	static const char raised[] =
+	    "plans:\n"
+	    "  - {name: quotes, customer: a, kind: training, pool: llm, "
+	    "model: m}\n"
+	    "  - {name: orders, customer: a, kind: service, pool: shop}\n"
+	    "allowances:\n"
+	    "  - {plan: quotes, concurrent: 4, queue: 4}\n"
+	    "  - {plan: orders, concurrent: 9, queue: 4}\n";
+	static const struct {
+		const char *name;
+		int down;
+		uint32_t watch_ms;
+		uint32_t units_most;
+		uint32_t units_last;
+	} cases[] = {
+	    {"an outage keeps what is held", 1, 6000, 2, 2},
+	    {"its end lets more be taken", 0, 6000, 9, 9},
+	};
+	Kwb__Wire__Lists lists = KWB__WIRE__LISTS__INIT;
+	KWB_FRAME(frame, LISTS, lists, lists);
+	struct client client;
+	size_t i;
+
+	world_set(world, "platform", "down", 1);
+	client_open(&client, PORT_SHOP);
+	lists.revision = client.revision + 1;
+	lists.document.data = (uint8_t *)raised;
+	lists.document.len = sizeof(raised) - 1;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		uint64_t until_ns =
+		    kwb_clock_now_ns() + cases[i].watch_ms * KWB_MS_NS;
+		uint32_t most = 0, last = 0;
+		Kwb__Wire__Frame *beat;
+		char detail[64];
+
+		world_set(world, "platform", "down", cases[i].down);
+		while (kwb_clock_now_ns() < until_ns) {
+			client_send(&client, &frame); /* keeps the link alive */
+			beat = client_await(
+			    &client, KWB__WIRE__FRAME__BODY_HEARTBEAT, 0, 2000);
+			/* Some beats say nothing of the agent's state. */
+			if (beat != NULL && beat->heartbeat->status != NULL)
+				last =
+				    units_of(beat->heartbeat->status, "orders");
+			if (last > most)
+				most = last;
+			kwb_frame_free(beat);
+		}
+		snprintf(
+		    detail, sizeof(detail), "most %u, last %u", most, last);
+		check(
+		    most <= cases[i].units_most && last == cases[i].units_last,
+		    cases[i].name, detail);
+	}
+	client_close(&client);
+}
+
+static uint32_t
+units_of(const Kwb__Wire__Status *status, const char *plan)
+{
+	size_t i;
+
+	for (i = 0; i < status->n_plans; i++)
+		if (strcmp(status->plans[i]->plan, plan) == 0)
+			return status->plans[i]->units;
+	return 0;
+}
+
 /* Bytes that are no frame end the link; the agent serves on. */
 static void
 check_bytes(void)
