A lost VM's units are free when the table returns; the check sees who holds them

Cause, two parts. (1) The check counted what an entry last heard of the killed agent, so that it passed without any take-over (logs of calm runs: no "event=reclaim" at all) and failed only when it looked between the moves of the two survivors. (2) In the agent: while the table was out it looked every 2 s only, and after the return it first removed the lost member, wrote, and took its units at the next look: up to 4 s in all.

Ruled out: the 10 s count standing still in an outage was the first suspicion. The platform's stand-in takes the list of VMs away too ("down" is the whole platform), and nobody can see a VM listed as gone that can't read the list; a count that began before goes on.

Change: the check skips agents that don't run; the time for the take-over runs from when the list can be read (LOST_MS, as before, + 1 s). The agent removes lost members before it decides on the plans, so that one write does both, and while somebody is missing and the table is out it looks each 500 ms; that is asked of the three watchers of a pool only.

--- a/src/limit/share_keeper.c
+++ b/src/limit/share_keeper.c
@@ -41,6 +41,7 @@
 };
 
 static void keeper_poll(struct keeper *keeper, bool *settled);
+static bool plans_next(struct keeper *keeper, bool reachable, bool *settled);
 static int row_read(struct keeper *keeper);
 static int row_write(struct keeper *keeper);
 static json_t *row_members(const struct keeper *keeper);
@@ -52,7 +53,7 @@
 static bool plan_next(
     struct keeper *keeper, const char *plan, uint32_t allowance, bool *settled);
 static void plans_apply(struct keeper *keeper, json_t *units);
-static bool drop_gone(struct keeper *keeper);
+static unsigned gone_members(struct keeper *keeper, bool remove);
 static bool watches(const struct keeper *keeper);
 static bool gone_long(struct keeper *keeper, const char *vm);
 static void missing_forget(struct keeper *keeper, const char *vm);
@@ -123,11 +124,9 @@
 static void
 keeper_poll(struct keeper *keeper, bool *settled)
 {
-	const struct kwb_lists *lists;
-	bool reachable, joined, changed = false;
+	bool reachable, joined, changed;
 	json_t *units;
 	int tries;
-	uint32_t i;
 
 	for (tries = 0; tries < KWB_CAS_TRIES; tries++) {
 		reachable = row_read(keeper) == 0;
@@ -140,35 +139,19 @@
 			keeper->take_ns = kwb_clock_now_ns() + UNSETTLED_NS;
 		changed = joined;
 		units = own_units(keeper);
-		lists = kwb_current_hold();
-		for (i = 0; lists != NULL && i < lists->plans_count; i++) {
-			const struct kwb_plan *plan = &lists->plans[i];
-			const struct kwb_allowance *allowance =
-			    kwb_lists_allowance(lists, plan->name);
-
-			if (strcmp(plan->pool, keeper->agent->settings->pool) !=
-			    0)
-				continue;
-			plan_lower(keeper, plan->name, allowance->concurrent);
-			/* Units that can't be written now may go to others. */
-			if (!reachable)
-				continue;
-			/* First known to all, so that parts are fair. */
-			if (kwb_clock_now_ns() < keeper->take_ns) {
-				*settled = false;
-				continue;
-			}
-			if (plan_next(keeper, plan->name, allowance->concurrent,
-				settled))
-				changed = true;
-		}
-		kwb_current_drop();
-		if (!reachable)
-			return;
+		/* First, so that what they held is free for the plans below. */
 		if (!watches(keeper))
 			keeper->missing_count = 0;
-		else if (drop_gone(keeper))
+		else if (gone_members(keeper, reachable) > 0)
+			changed = true;
+		if (plans_next(keeper, reachable, settled))
 			changed = true;
+		if (!reachable) {
+			/* What a lost member held is free soon. */
+			if (keeper->missing_count > 0)
+				*settled = false;
+			return;
+		}
 		if (!changed) {
 			plans_apply(keeper, units);
 			return;
@@ -187,6 +170,37 @@
 	}
 }
 
+/* Lowers and raises this agent's part of each plan; true when the row changed.
+ */
+static bool
+plans_next(struct keeper *keeper, bool reachable, bool *settled)
+{
+	const struct kwb_lists *lists = kwb_current_hold();
+	bool changed = false;
+	uint32_t i;
+
+	for (i = 0; lists != NULL && i < lists->plans_count; i++) {
+		const struct kwb_plan *plan = &lists->plans[i];
+		const struct kwb_allowance *allowance =
+		    kwb_lists_allowance(lists, plan->name);
+
+		if (strcmp(plan->pool, keeper->agent->settings->pool) != 0)
+			continue;
+		plan_lower(keeper, plan->name, allowance->concurrent);
+		/* Units that can't be written now may go to others. */
+		if (!reachable)
+			continue;
+		/* First known to all, so that parts are fair. */
+		if (kwb_clock_now_ns() < keeper->take_ns)
+			*settled = false;
+		else if (plan_next(keeper, plan->name, allowance->concurrent,
+			     settled))
+			changed = true;
+	}
+	kwb_current_drop();
+	return changed;
+}
+
 static int
 row_read(struct keeper *keeper)
 {
@@ -350,25 +364,28 @@
 }
 
 /*
- * Removes members that the platform has long listed as gone. They stopped
- * work before: entries tell a live agent that it is listed so, and it leaves.
+ * Counts the members that the platform has long listed as gone, and removes
+ * them where the row was read. They stopped work before: entries tell a live
+ * agent that it is listed so, and it leaves. The list of VMs is not in the
+ * table, so that a member's time runs while the table is out.
  */
-static bool
-drop_gone(struct keeper *keeper)
+static unsigned
+gone_members(struct keeper *keeper, bool remove)
 {
 	const struct kwb_platform *platform = &keeper->agent->platform;
 	struct kwb_vms *vms = keeper->vms;
 	const char *vm;
 	json_t *units;
 	void *next;
-	bool listed, dropped = false;
+	unsigned gone = 0;
+	bool listed;
 	uint32_t i;
 
 	if (vms == NULL)
 		vms = keeper->vms = calloc(1, sizeof(*vms));
 	/* An empty list says nothing about anybody. */
 	if (vms == NULL || kwb_vms_get(platform, vms) < 0 || vms->count == 0)
-		return false;
+		return 0;
 	json_object_foreach_safe (row_members(keeper), next, vm, units) {
 		listed = strcmp(vm, keeper->agent->settings->vm) == 0;
 		for (i = 0; i < vms->count && !listed; i++)
@@ -377,12 +394,14 @@
 			missing_forget(keeper, vm);
 		if (listed || !gone_long(keeper, vm))
 			continue;
+		gone++;
+		if (!remove)
+			continue;
 		kwb_log(KWB_LOG_WARN, "limit", "event=reclaim vm=%s", vm);
 		json_object_del(row_members(keeper), vm);
 		keeper->row_dirty = true;
-		dropped = true;
 	}
-	return dropped;
+	return gone;
 }
 
 /*
--- a/tests/session.h
+++ b/tests/session.h
@@ -40,7 +40,9 @@
 	_Atomic bool stopping;
 	_Atomic bool faulty; /* a fault is present */
 	bool planned;
-	unsigned frozen_entry; /* number of an entry that can't answer; 0 */
+	bool platform_out;
+	uint64_t vms_readable_ns; /* since then the list of VMs can be read */
+	unsigned frozen_entry;	  /* number of an entry that can't answer; 0 */
 
 	pthread_mutex_t lock;
 	struct order_record orders[SESSION_ORDERS_MAX];
--- a/tests/session_faults.c
+++ b/tests/session_faults.c
@@ -13,6 +13,9 @@
 #define HOLD_MS 4500
 #define FREEZE_MS 8000 /* past every lease and silence deadline */
 #define LOST_MS 17000  /* past the time that a lost VM keeps its share */
+#define TAKEN_MS 1000  /* for the take-over itself, once its time is over */
+#define SEEN_NS (5000 * KWB_MS_NS)  /* past two looks at the list of VMs */
+#define SPREAD_NS (500 * KWB_MS_NS) /* a quarter of KWB_SHARE_POLL_NS */
 #define SLOW_MS 1200
 #define ORDERS_RUN_NS (500 * KWB_MS_NS) /* each caller has an order running */
 
@@ -109,12 +112,15 @@
 	static void function##_come(struct session *session, unsigned index)   \
 	{                                                                      \
 		(void)index;                                                   \
+		session->platform_out = true;                                  \
 		world_set(&session->world, "platform", control, on);           \
 	}                                                                      \
 	static void function##_go(struct session *session, unsigned index)     \
 	{                                                                      \
 		(void)index;                                                   \
 		world_set(&session->world, "platform", control, 0);            \
+		session->platform_out = false;                                 \
+		session->vms_readable_ns = kwb_clock_now_ns();                 \
 	}
 
 /* A planned stop: the signal, the end by itself with code 0, a new start. */
@@ -226,6 +232,13 @@
 	kill_llm_go(session, index);
 }
 
+static void
+vm_lost_judge(struct session *session, uint32_t timeout_ms)
+{
+	if (!world_settled(&session->world, timeout_ms))
+		session_fail(session, "a lost VM's share was not taken over");
+}
+
 /* A VM is lost for good: its part of each allowance goes to the others. */
 static void
 vm_lost_come(struct session *session, unsigned index)
@@ -233,18 +246,43 @@
 	listed_gone_come(session, index);
 	kill_llm_come(session, index);
 	kill_engine_come(session, index);
+	session->vms_readable_ns = kwb_clock_now_ns();
 }
 
 static void
 vm_lost_go(struct session *session, unsigned index)
 {
-	if (!world_settled(&session->world, 1000))
-		session_fail(session, "a lost VM's share was not taken over");
+	uint64_t due_ns =
+	    session->vms_readable_ns + (LOST_MS + TAKEN_MS) * KWB_MS_NS;
+
+	/* Nobody can write a share while the platform is out. */
+	if (!session->platform_out)
+		vm_lost_judge(session, (uint32_t)kwb_clock_left_ms(due_ns));
 	kill_engine_go(session, index);
 	kill_llm_go(session, index);
 	listed_gone_go(session, index);
 }
 
+/*
+ * Seen as gone, then the platform is out until long after its time is over.
+ * Seeds spread the end of the outage over the agents' looks at the table.
+ */
+static void
+vm_lost_then_outage_come(struct session *session, unsigned index)
+{
+	vm_lost_come(session, index);
+	kwb_clock_sleep_ns(SEEN_NS + index % 4 * SPREAD_NS);
+	table_down_come(session, index);
+}
+
+static void
+vm_lost_then_outage_go(struct session *session, unsigned index)
+{
+	table_down_go(session, index);
+	vm_lost_judge(session, TAKEN_MS);
+	vm_lost_go(session, index);
+}
+
 /* An entry starts while the platform is out and learns from its peers. */
 static void
 start_in_outage_come(struct session *session, unsigned index)
@@ -362,6 +400,7 @@
 	NULL},
     {"operators_race", operators_race_come, nothing_go, HOLD_MS, true, NULL},
     FAULT(start_alone, HOLD_MS),
+    FAULT(vm_lost_then_outage, LOST_MS),
 };
 const unsigned session_faults_count =
     sizeof(session_faults) / sizeof(session_faults[0]);
--- a/tests/world.c
+++ b/tests/world.c
@@ -40,7 +40,9 @@
 static void file_write(
     const struct world *world, const char *name, const char *text);
 static bool units_settled(struct world *world, json_t *wanted);
-static bool parts_equal(json_t *agents, json_t *wanted);
+static bool parts_equal(
+    const struct world *world, json_t *agents, json_t *wanted);
+static bool is_running(const struct world *world, const char *name);
 static pid_t spawn(const struct world *world, const struct world_proc *proc,
     const char *output);
 
@@ -539,24 +541,29 @@
 		world_http("GET", url, NULL, NULL, &text, NULL, 1000);
 		status = json_loads(kwb_buf_text(&text), 0, NULL);
 		kwb_buf_finish(&text);
-		if (!parts_equal(json_object_get(status, "agents"), wanted))
+		if (!parts_equal(
+			world, json_object_get(status, "agents"), wanted))
 			settled = false;
 		json_decref(status);
 	}
 	return settled;
 }
 
+/* What an entry last heard of an agent that was killed is held by nobody. */
 static bool
-parts_equal(json_t *agents, json_t *wanted)
+parts_equal(const struct world *world, json_t *agents, json_t *wanted)
 {
 	json_t *agent, *allowance;
-	const char *plan;
+	const char *plan, *vm;
 	size_t i;
 
 	json_object_foreach (wanted, plan, allowance) {
 		json_int_t sum = 0, most = 0, holders = 0, units;
 
 		json_array_foreach (agents, i, agent) {
+			vm = json_string_value(json_object_get(agent, "vm"));
+			if (vm == NULL || !is_running(world, vm))
+				continue;
 			units = json_integer_value(json_object_get(
 			    json_object_get(agent, "units"), plan));
 			sum += units;
@@ -571,6 +578,17 @@
 	return true;
 }
 
+static bool
+is_running(const struct world *world, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < world->procs_count; i++)
+		if (strcmp(world->procs[i].name, name) == 0)
+			return world->procs[i].pid != 0;
+	return false;
+}
+
 static pid_t
 spawn(const struct world *world, const struct world_proc *proc,
     const char *output)
