Weights that an open batch needs are loaded, also on the only home

Cause: loads are ordered when a home is older than the newest version by more than the lag that the trainer's newest batch implies (step less min-version, 1 before that is known), or ahead of time while another home serves. With one home, and a batch that takes only the newest version in its first steps, or a trainer whose steps run ahead of its versions, neither comes true: the load waits for the batch and the batch for the load, until its items are given up.

Change: the newest version that an open batch asks for is looked up; a home that is older is loaded at once where no home has that version or loads it.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -998,8 +998,10 @@
 	uint64_t version; /* it has */
 	uint64_t newest;  /* version that is named */
 	uint64_t lag;	  /* versions that a batch's weights may be behind */
+	uint64_t needed;  /* by a batch that is open; 0 for none */
 	uint32_t homes;	  /* of the model */
 	uint32_t homes_newest;	/* that have the newest version, or load it */
+	uint32_t homes_needed;	/* that have the needed one, or load it */
 	uint32_t homes_loading; /* of the model */
 	uint32_t serving; /* homes whose weights fit and that don't load */
 	uint32_t loading; /* upstreams of the service that load */
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -148,7 +148,8 @@
 	if (input->version >= input->newest ||
 	    input->loading >= input->loading_max)
 		return KWB_LOAD_NO;
-	if (input->version + input->lag < input->newest)
+	if (input->version + input->lag < input->newest ||
+	    (input->version < input->needed && input->homes_needed == 0))
 		return KWB_LOAD_NOW;
 	if (input->homes_newest < ahead &&
 	    input->homes_loading < (part > 0 ? part : 1) && input->serving > 1)
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -277,6 +277,24 @@
 	return newest->step - newest->min_version;
 }
 
+/* The newest version that an open batch asks for, 0 for none. */
+static uint64_t
+needed_by(const struct kwb_mover *mover, const char *model)
+{
+	const struct kwb_batch_head *head;
+	uint64_t needed = 0;
+	uint32_t i;
+
+	for (i = 0; i < mover->batches->heads_count; i++) {
+		head = mover->batches->heads[i];
+		if (!head->ended && !head->listed &&
+		    head->min_version > needed &&
+		    strcmp(head->model, model) == 0)
+			needed = head->min_version;
+	}
+	return needed;
+}
+
 static bool
 is_loading(const struct kwb_mover_upstream *home, uint64_t now_ns)
 {
@@ -318,6 +336,8 @@
 	for (i = 0; i < mover->versions_count; i++) {
 		look->models[i].newest = mover->versions[i].version;
 		look->models[i].lag = lag_of(mover, mover->versions[i].model);
+		look->models[i].needed =
+		    needed_by(mover, mover->versions[i].model);
 	}
 	TAILQ_FOREACH (home, &mover->upstreams, entry) {
 		upstream = mover_listed(mover, home->id);
@@ -335,6 +355,8 @@
 		input->homes_loading += loading;
 		input->homes_newest += version >= input->newest ||
 		    (loading && home->target >= input->newest);
+		input->homes_needed += version >= input->needed ||
+		    (loading && home->target >= input->needed);
 		input->serving +=
 		    !loading && version + input->lag >= input->newest;
 	}
@@ -377,6 +399,7 @@
 	    input->version + input->lag >= input->newest && input->serving > 0;
 	input->homes_loading++;
 	input->homes_newest++;
+	input->homes_needed++;
 	look->loading++;
 	home->changed = true;
 	mover_order_start(home, upstream, input->newest);
--- a/tests/world.c
+++ b/tests/world.c
@@ -238,12 +238,13 @@
 int
 world_apply(struct world *world, const char *lists)
 {
-	char path[256];
+	char path[256], output[256];
 	const char *arguments[] = {"apply", path, NULL};
 
 	snprintf(path, sizeof(path), "%s/lists.yaml", world->directory);
+	snprintf(output, sizeof(output), "%s/apply.log", world->directory);
 	file_write(world, "lists.yaml", lists);
-	return world_ctl(world, arguments, "/dev/null");
+	return world_ctl(world, arguments, output);
 }
 
 int
