--- a/bench/measure.c
+++ b/bench/measure.c
@@ -33,7 +33,7 @@
 	if (file != NULL)
 		fclose(file);
 	account->control_bytes =
-	    metric_read(world, name, "kwb_control_bytes_total ");
+	    metric_read(world, name, "\nkwb_control_bytes_total ");
 }
 
 void
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -136,7 +136,10 @@
 void kwb_metric_set(enum kwb_metric metric, uint64_t value);  /* sets a gauge */
 uint64_t kwb_metric_get(enum kwb_metric metric);	      /* reads one */
 enum kwb_histogram {
-	KWB_HISTOGRAM_CALLER, /* a caller's request, to its last byte */
+	KWB_HISTOGRAM_CALLER,	/* a caller's request, to its last byte */
+	KWB_HISTOGRAM_UPSTREAM, /* a forwarded try, to its last byte */
+	KWB_HISTOGRAM_ITEM,	/* an item, from its submission to its result */
+	KWB_HISTOGRAM_STORE,	/* a call to the store that does not wait */
 	KWB_HISTOGRAM_COUNT
 };
 
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -77,6 +77,10 @@
 void
 run_ready(struct item_run *run, enum kwb_item_state result, const char *reason)
 {
+	kwb_histogram_add(KWB_HISTOGRAM_ITEM,
+	    (kwb_store_now_ms(run_env(run)->store) -
+		run->batch->head.accepted_ms) *
+		KWB_MS_NS);
 	run->result = result;
 	run_log(run, result == KWB_ITEM_COMPLETED ? "completed" : "errored",
 	    reason);
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -52,6 +52,9 @@
     5, 10, 25, 50, 100, 150, 250, 500, 1000, 2500, 5000, 10000};
 static const char *const histogram_names[KWB_HISTOGRAM_COUNT] = {
     [KWB_HISTOGRAM_CALLER] = "kwb_caller_seconds",
+    [KWB_HISTOGRAM_UPSTREAM] = "kwb_upstream_seconds",
+    [KWB_HISTOGRAM_ITEM] = "kwb_item_seconds",
+    [KWB_HISTOGRAM_STORE] = "kwb_store_seconds",
 };
 static _Atomic uint64_t buckets[KWB_HISTOGRAM_COUNT][BUCKETS + 1];
 static _Atomic uint64_t sums_ns[KWB_HISTOGRAM_COUNT];
@@ -77,6 +80,7 @@
 	uint64_t count = 0;
 	unsigned i;
 
+	kwb_buf_printf(out, "# TYPE %s histogram\n", name);
 	for (i = 0; i < BUCKETS; i++) {
 		count += atomic_load_explicit(
 		    &buckets[histogram][i], memory_order_relaxed);
@@ -100,8 +104,9 @@
 	unsigned i;
 
 	for (i = 0; i < KWB_METRIC_COUNT; i++)
-		kwb_buf_printf(out, "%s %llu\n", names[i],
-		    (unsigned long long)kwb_metric_get(i));
+		kwb_buf_printf(out, "# TYPE %s %s\n%s %llu\n", names[i],
+		    i == KWB_METRIC_LISTS_REVISION ? "gauge" : "counter",
+		    names[i], (unsigned long long)kwb_metric_get(i));
 	for (i = 0; i < KWB_HISTOGRAM_COUNT; i++)
 		histogram_print(i, out);
 }
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -154,6 +154,8 @@
 		attempt_failed(attempt, false, "no_receipt");
 		return;
 	}
+	kwb_histogram_add(
+	    KWB_HISTOGRAM_UPSTREAM, kwb_clock_now_ns() - attempt->started_ns);
 	if (answer.status < 500)
 		kwb_upstream_pace(
 		    upstream, kwb_clock_now_ns() - attempt->started_ns);
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -16,6 +16,7 @@
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
  *   $ store FAULT [N], $ fault SERVER FAULT [N], $ forget
  *   $ drain SERVER, $ remove SERVER, $ garble SERVER, $ name VERSION
+ *   $ metrics NODE                their kinds
  *   $ ran ID                      how often, and from which events on
  *   $ prompt ID                   its parts, as the upstream was told
  *   $ orders SERVER, $ version SERVER, $ wait MS, $ until-version SERVER V
@@ -534,6 +535,37 @@
 	kwb_exchange_finish(&call.exchange);
 }
 
+/* The kinds of all metrics; of histograms, whether anything was counted. */
+static void
+run_metrics(struct script *script)
+{
+	struct stage_node *node = stage_node(&script->stage, script->words[1]);
+	char name[96];
+	struct call call;
+	const char *text;
+	const char *at;
+	int length;
+
+	call_run(&script->stage, &call, &node->settings.metrics,
+	    request_new("GET", "/metrics", "Host: x\r\n", "", 0), 0);
+	text = kwb_buf_text(&kwb_exchange_message(&call.exchange)->body);
+	for (at = strstr(text, "# TYPE "); at != NULL;
+	     at = strstr(at + 1, "# TYPE ")) {
+		length = (int)strcspn(at + 7, "\n");
+		kwb_buf_printf(&script->out, "%.*s", length, at + 7);
+		snprintf(name, sizeof(name), "\n%.*s_count ",
+		    (int)strcspn(at + 7, " "), at + 7);
+		if (strstr(text, name) != NULL)
+			kwb_buf_printf(&script->out,
+			    strtoull(
+				strstr(text, name) + strlen(name), NULL, 10) > 0
+				? ", counted"
+				: ", nothing counted");
+		kwb_buf_printf(&script->out, "\n");
+	}
+	kwb_exchange_finish(&call.exchange);
+}
+
 static void
 run_ran(struct script *script)
 {
@@ -803,7 +835,7 @@
 	    {"item", run_item}, {"store", run_store}, {"fault", run_fault},
 	    {"drain", run_server_change}, {"remove", run_server_change},
 	    {"garble", run_server_change}, {"beat", run_server_change},
-	    {"ran", run_ran}, {"prompt", run_prompt},
+	    {"metrics", run_metrics}, {"ran", run_ran}, {"prompt", run_prompt},
 	    {"until-some", run_until_some}, {"orders", run_orders},
 	    {"rows", run_rows}, {"objects", run_objects},
 	    {"lengths", run_lengths}, {"running", run_running},
--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -128,6 +128,7 @@
 	kwb_text_copy(node->settings.failure_domain, KWB_NAME_MAX_BYTES, "z1");
 	stage_free_address(&node->settings.listen);
 	stage_free_address(&node->settings.ready);
+	stage_free_address(&node->settings.metrics);
 	node->settings.store = node->stage->store.port.address;
 	node->settings.orders_fenced = true;
 	node->settings.grace_ms = 8000;
