--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 NODE_SRC = $(wildcard src/net/*.c src/store/*.c src/upstream/*.c \
 	src/forward/*.c src/batch/*.c src/node/*.c platform/*.c) \
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
-	src/weights/mover_order.c $(addprefix src/core/,base64.c buf.c clock.c error.c faults.c index.c log.c \
+	src/weights/mover_order.c $(addprefix src/core/,base64.c buf.c clock.c completion.c error.c faults.c index.c log.c \
 	metrics.c timer.c address.c)
 NODE_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/ctl.c,$(NODE_SRC)))
 
--- a/cli/kwbctl.c
+++ b/cli/kwbctl.c
@@ -39,6 +39,7 @@
     {"platform", required_argument, NULL, 'p'},
     {"output", required_argument, NULL, 'o'},
     {"wait-ms", required_argument, NULL, 'w'},
+    {"completion", no_argument, NULL, 'c'},
     {"version", no_argument, NULL, 'v'},
     {"help", no_argument, NULL, 'h'},
     {NULL, 0, NULL, 0},
@@ -46,6 +47,7 @@
 
 static const struct command *command_find(const char *name);
 static void usage(FILE *out);
+static void completion(void);
 static void command_usage(const struct command *command);
 
 int
@@ -72,6 +74,9 @@
 		case 'w':
 			ctl.wait_ms = (uint32_t)strtoul(optarg, NULL, 10);
 			break;
+		case 'c':
+			completion();
+			return EXIT_DONE;
 		case 'v':
 			printf("kwbctl %s\n", KWB_VERSION);
 			return EXIT_DONE;
@@ -139,7 +144,8 @@
 
 	fprintf(out,
 	    "usage: kwbctl [--platform URL] [--output text|json] "
-	    "[--wait-ms N] COMMAND ...\n\n");
+	    "[--wait-ms N] COMMAND ...\n"
+	    "       kwbctl --completion   prints a script for bash\n\n");
 	for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
 		fprintf(out, "  kwbctl %s\n", commands[i].usage);
 	fprintf(out,
@@ -149,6 +155,17 @@
 	    "everywhere.\n");
 }
 
+static void
+completion(void)
+{
+	const char *words[sizeof(commands) / sizeof(commands[0]) + 1] = {NULL};
+	size_t i;
+
+	for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		words[i] = commands[i].name;
+	kwb_completion_print(stdout, "kwbctl", long_options, words);
+}
+
 static void
 command_usage(const struct command *command)
 {
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -8,10 +8,12 @@
 #ifndef KWB_H
 #define KWB_H
 
+#include <getopt.h>
 #include <pthread.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #define KWB_MS_NS 1000000ull
 
@@ -66,6 +68,12 @@
 
 const char *kwb_error_name(int error); /* short name of an error number */
 
+/* ---- Command line ---------------------------------------------------- */
+
+void kwb_completion_print(FILE *out, const char *program,
+    const struct option *options,
+    const char *const *words); /* for bash; words end with NULL */
+
 /* ---- Clock ----------------------------------------------------------- */
 
 uint64_t kwb_clock_now_ns(void);  /* monotonic time */
