Logs: warnings are bounded too; a test that nobody reads the output

Cause of the gap: the bound of 400 lines a second held for usual lines only. Each failed try is a warning, so that a service in trouble could fill the log of a node at the rate of its callers' retries, when processor time is needed most. Warnings have a bound of their own, so that usual lines never push one out.

--- a/src/core/log.c
+++ b/src/core/log.c
@@ -33,6 +33,7 @@
 static uint64_t dropped;
 static uint64_t second_ms;
 static uint32_t second_lines;
+static uint32_t second_warnings;
 
 void
 kwb_log_buffer(void)
@@ -67,6 +68,7 @@
 	if (wall_ms / 1000 != second_ms / 1000) {
 		second_ms = wall_ms;
 		second_lines = 0;
+		second_warnings = 0;
 		if (dropped > 0) {
 			uint64_t count = dropped;
 
@@ -76,7 +78,9 @@
 			    (unsigned long long)count);
 		}
 	}
-	if (level < KWB_LOG_WARN && ++second_lines > KWB_LOG_LINES_PER_S) {
+	/* Apart, so that usual lines never push a warning out. */
+	if ((level < KWB_LOG_WARN ? ++second_lines : ++second_warnings) >
+	    KWB_LOG_LINES_PER_S) {
 		dropped++;
 		return false;
 	}
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -1,16 +1,22 @@
 /*
  * Unit tests: decisions over tables of cases, frames, lists, settings.
  */
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
 #include "../src/wire/wire.h"
+#include "../src/core/yaml.h"
 #include "kwb.h"
 
+#define LOG_LINES 20000
+#define LOG_LINE_MOST_NS (50 * 1000) /* ten times a line, on a busy machine */
 #define COUNT(table) (sizeof(table) / sizeof((table)[0]))
 
 static void
@@ -616,6 +622,96 @@
 	remove(path);
 }
 
+/* Logs a burst of both kinds of lines into the file, as a process of its own.
+ */
+static uint64_t
+log_burst(int fd, unsigned lines)
+{
+	uint64_t begin_ns = kwb_clock_now_ns();
+	uint64_t taken_ns;
+	unsigned i;
+
+	dup2(fd, STDOUT_FILENO);
+	kwb_log_init("burst", KWB_LOG_INFO);
+	kwb_log_buffer();
+	for (i = 0; i < lines; i++)
+		kwb_log(i % 2 ? KWB_LOG_INFO : KWB_LOG_WARN, "burst",
+		    "event=line number=%u", i);
+	taken_ns = kwb_clock_now_ns() - begin_ns;
+	kwb_log_flush();
+	return taken_ns;
+}
+
+static int
+exit_code(pid_t pid)
+{
+	int status = -1;
+
+	waitpid(pid, &status, 0);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+/* Nobody reads the output: no line may wait for its reader. */
+static void
+test_log_unread(void)
+{
+	char chunk[4096] = {0};
+	int ends[2], flags;
+	pid_t pid;
+
+	CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+	flags = fcntl(ends[1], F_GETFL);
+	fcntl(ends[1], F_SETFL, flags | O_NONBLOCK);
+	while (write(ends[1], chunk, sizeof(chunk)) > 0)
+		continue;
+	fcntl(ends[1], F_SETFL, flags);
+	pid = fork();
+	if (pid == 0) {
+		alarm(20); /* a write that blocks never ends */
+		_exit(log_burst(ends[1], LOG_LINES) >
+		    LOG_LINES * LOG_LINE_MOST_NS);
+	}
+	CU_ASSERT_EQUAL(exit_code(pid), 0);
+	close(ends[0]);
+	close(ends[1]);
+}
+
+/* What a second may bring is bounded, and what is left out is counted. */
+static void
+test_log_bounded(void)
+{
+	char path[] = "/tmp/kwb-unit-XXXXXX";
+	int fd = mkstemp(path);
+	unsigned lines = 0, seconds;
+	uint64_t begin_ms = kwb_clock_wall_ms();
+	struct kwb_buf text;
+	const char *at;
+	pid_t pid = fork();
+
+	if (pid == 0) {
+		log_burst(fd, LOG_LINES);
+		kwb_clock_sleep_ns(1100 * KWB_MS_NS);
+		kwb_log(KWB_LOG_INFO, "burst", "event=end");
+		kwb_log_flush();
+		_exit(0);
+	}
+	CU_ASSERT_EQUAL(exit_code(pid), 0);
+	seconds = (unsigned)((kwb_clock_wall_ms() - begin_ms) / 1000) + 1;
+	kwb_buf_init(&text);
+	kwb_file_read(path, &text);
+	for (at = text.data; at != NULL && (at = strchr(at, '\n')) != NULL;
+	     at++)
+		lines++;
+	CU_ASSERT(lines > 2);
+	CU_ASSERT(lines <= (2 * KWB_LOG_LINES_PER_S + 1) * seconds);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(kwb_buf_text(&text), "event=lines_dropped count="));
+	CU_ASSERT_PTR_NOT_NULL(strstr(kwb_buf_text(&text), "event=end"));
+	kwb_buf_finish(&text);
+	close(fd);
+	remove(path);
+}
+
 int
 main(void)
 {
@@ -638,6 +734,8 @@
 	    {"lists merge", test_lists_merge},
 	    {"lists in force", test_current},
 	    {"settings faults", test_settings},
+	    {"log without a reader", test_log_unread},
+	    {"log in a burst", test_log_bounded},
 	    CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
