--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -265,118 +265,13 @@
 /* ---- What is ordered now ----------------------------------------------------
  */
 
-/* How old weights may be, as the trainer's newest batch says. */
-static uint64_t
-lag_of(const struct kwb_mover *mover, const char *model)
-{
-	const struct kwb_batch_head *newest =
-	    kwb_batches_newest(mover->batches, model);
-
-	if (newest == NULL || newest->step <= newest->min_version)
-		return newest != NULL && newest->step > 1 ? 0 : KWB_LAG_USUAL;
-	return newest->step - newest->min_version;
-}
-
-/* The newest version that an open batch asks for, 0 for none. */
-static uint64_t
-needed_by(const struct kwb_mover *mover, const char *model)
-{
-	const struct kwb_batch_head *head;
-	uint64_t needed = 0;
-	uint32_t i;
-
-	for (i = 0; i < mover->batches->heads_count; i++) {
-		head = mover->batches->heads[i];
-		if (!head->ended && !head->listed &&
-		    head->min_version > needed &&
-		    strcmp(head->model, model) == 0)
-			needed = head->min_version;
-	}
-	return needed;
-}
-
-static bool
-is_loading(const struct kwb_mover_upstream *home, uint64_t now_ns)
-{
-	return home->ordering ||
-	    (home->ordered && now_ns - home->ordered_ns < KWB_LOAD_NS);
-}
-
-/* What one look at all homes found; kept up to date as orders go out. */
-struct look {
-	struct kwb_load_input models[KWB_MODELS_MAX]; /* as mover->versions */
-	uint32_t loading;			      /* all of them */
-	uint32_t upstreams;
-};
-
-static int
-version_index(const struct kwb_mover *mover, const char *model)
-{
-	uint32_t i;
-
-	for (i = 0; i < mover->versions_count; i++)
-		if (strcmp(mover->versions[i].model, model) == 0)
-			return (int)i;
-	return -1;
-}
-
-static void
-look_at(const struct kwb_mover *mover, struct look *look)
-{
-	const struct kwb_mover_upstream *home;
-	const struct kwb_upstream *upstream;
-	struct kwb_load_input *input;
-	uint64_t now_ns = kwb_clock_now_ns();
-	uint64_t version;
-	bool loading;
-	uint32_t i;
-	int at;
-
-	memset(look, 0, sizeof(*look));
-	for (i = 0; i < mover->versions_count; i++) {
-		look->models[i].newest = mover->versions[i].version;
-		look->models[i].lag = lag_of(mover, mover->versions[i].model);
-		look->models[i].needed =
-		    needed_by(mover, mover->versions[i].model);
-	}
-	TAILQ_FOREACH (home, &mover->upstreams, entry) {
-		upstream = mover_listed(mover, home->id);
-		if (upstream == NULL || home->model[0] == '\0')
-			continue;
-		loading = is_loading(home, now_ns);
-		look->upstreams++;
-		look->loading += loading;
-		at = version_index(mover, home->model);
-		if (at < 0)
-			continue;
-		input = &look->models[at];
-		version = kwb_upstream_version(upstream, home->model);
-		input->homes++;
-		input->homes_loading += loading;
-		input->homes_newest += version >= input->newest ||
-		    (loading && home->target >= input->newest);
-		input->homes_needed += version >= input->needed ||
-		    (loading && home->target >= input->needed);
-		input->serving +=
-		    !loading && version + input->lag >= input->newest;
-	}
-}
-
-static uint32_t
-loading_max(const struct look *look)
-{
-	uint32_t most = look->upstreams / KWB_LOADS_PART;
-
-	return most < KWB_LOADS_MIN ? KWB_LOADS_MIN : most;
-}
-
 static void
-home_step(struct kwb_mover *mover, struct look *look,
+home_step(struct kwb_mover *mover, struct mover_look *look,
     struct kwb_mover_upstream *home, const struct kwb_upstream *upstream,
     enum kwb_load urgency)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
-	int at = version_index(mover, home->model);
+	int at = mover_version_index(mover, home->model);
 	struct kwb_load_input *input;
 
 	if (home->ordered && now_ns >= home->look_ns) {
@@ -388,7 +283,7 @@
 	input = &look->models[at];
 	input->version = kwb_upstream_version(upstream, home->model);
 	input->loading = look->loading;
-	input->loading_max = loading_max(look);
+	input->loading_max = mover_loading_max(look);
 	if (kwb_load_wanted(input) != urgency)
 		return;
 	if (!home->seq_known) {
@@ -407,7 +302,8 @@
 
 /* What a batch waits for goes before what is loaded ahead. */
 static void
-homes_step(struct kwb_mover *mover, struct look *look, enum kwb_load urgency)
+homes_step(
+    struct kwb_mover *mover, struct mover_look *look, enum kwb_load urgency)
 {
 	struct kwb_mover_upstream *home;
 	struct kwb_mover_upstream *next;
@@ -438,7 +334,7 @@
 	struct kwb_mover *mover = context;
 	const struct kwb_node_config *config = *mover->env->config;
 	uint64_t now_ns = kwb_clock_now_ns();
-	struct look look;
+	struct mover_look look;
 	uint32_t i;
 
 	(void)fd;
@@ -455,7 +351,7 @@
 				plan_service(mover, &config->services[i]);
 		mover_home_write(mover);
 	}
-	look_at(mover, &look);
+	mover_look_at(mover, &look);
 	homes_step(mover, &look, KWB_LOAD_NOW);
 	homes_step(mover, &look, KWB_LOAD_SOON);
 }
--- a/src/weights/mover.h
+++ b/src/weights/mover.h
@@ -17,6 +17,20 @@
 void mover_look_soon(
     struct kwb_mover *mover); /* one look for answers that come together */
 
+/* mover_look.c */
+/* What one look at all homes found; kept up to date as orders go out. */
+struct mover_look {
+	struct kwb_load_input models[KWB_MODELS_MAX]; /* as mover->versions */
+	uint32_t loading;			      /* all of them */
+	uint32_t upstreams;
+};
+
+void mover_look_at(const struct kwb_mover *mover, struct mover_look *look);
+uint32_t mover_loading_max(
+    const struct mover_look *look); /* loads at once, of all homes */
+int mover_version_index(
+    const struct kwb_mover *mover, const char *model); /* or -1 */
+
 /* mover_order.c */
 void mover_exchange_close(struct kwb_mover_upstream *home);
 void mover_report_start(
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -678,14 +678,19 @@
 	    &script->out, "version %llu\n", (unsigned long long)newest);
 }
 
+/* Over all upstreams: orders so far, or requests that run. */
 static void
-run_orders(struct script *script)
+run_sum(struct script *script)
 {
+	bool orders = strcmp(script->words[0], "orders") == 0;
+	const struct stage_server *server;
 	unsigned count = 0;
 	unsigned i;
 
-	for (i = 0; i < script->stage.servers_count; i++)
-		count += script->stage.servers[i].orders;
+	for (i = 0; i < script->stage.servers_count; i++) {
+		server = &script->stage.servers[i];
+		count += orders ? server->orders : server->running;
+	}
 	kwb_buf_printf(&script->out, "%u\n", count);
 }
 
@@ -734,17 +739,6 @@
 	unlink(output);
 }
 
-static void
-run_running(struct script *script)
-{
-	unsigned count = 0;
-	unsigned i;
-
-	for (i = 0; i < script->stage.servers_count; i++)
-		count += script->stage.servers[i].running;
-	kwb_buf_printf(&script->out, "%u\n", count);
-}
-
 static void
 run_objects(struct script *script)
 {
@@ -836,11 +830,10 @@
 	    {"drain", run_server_change}, {"remove", run_server_change},
 	    {"garble", run_server_change}, {"beat", run_server_change},
 	    {"metrics", run_metrics}, {"ran", run_ran}, {"prompt", run_prompt},
-	    {"until-some", run_until_some}, {"orders", run_orders},
+	    {"until-some", run_until_some}, {"orders", run_sum},
 	    {"rows", run_rows}, {"objects", run_objects},
-	    {"lengths", run_lengths}, {"running", run_running},
-	    {"ctl", run_ctl}, {"resumed", run_resumed},
-	    {"explain", run_explain}};
+	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
+	    {"resumed", run_resumed}, {"explain", run_explain}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
