--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -77,10 +77,12 @@
 void
 run_ready(struct item_run *run, enum kwb_item_state result, const char *reason)
 {
-	kwb_histogram_add(KWB_HISTOGRAM_ITEM,
-	    (kwb_store_now_ms(run_env(run)->store) -
-		run->batch->head.accepted_ms) *
-		KWB_MS_NS);
+	uint64_t now_ms = kwb_store_now_ms(run_env(run)->store);
+
+	/* Another node accepted it, by a clock that this one may be behind. */
+	if (now_ms >= run->batch->head.accepted_ms)
+		kwb_histogram_add(KWB_HISTOGRAM_ITEM,
+		    (now_ms - run->batch->head.accepted_ms) * KWB_MS_NS);
 	run->result = result;
 	run_log(run, result == KWB_ITEM_COMPLETED ? "completed" : "errored",
 	    reason);
