Keys of calls name their entry: two starts at one moment made one key

Cause: an entry's key for a call without a name, and the ticket it mints, was plan, incarnation and a count. The incarnation is the wall clock's millisecond and three digits of the monotonic clock, so two entries that start in the same millisecond have the same one now and then, and both count from 1. The agent took the second order for a repetition of the first: its caller got the answer of another order and was told that its own had run. Keys of generations had the same fault.

Ruled out by reading: ports shared with other tests, bodies lost on the way to the service.

Keys now hold the entry's VM. The node on the users' platform is not concerned: its names hold the node.

--- a/include/kwb.h
+++ b/include/kwb.h
@@ -567,6 +567,17 @@
 	char key[KWB_KEY_MAX_BYTES];
 };
 
+/* An entry's start. Two entries may start at the same moment. */
+struct kwb_origin {
+	const char *vm;
+	uint64_t incarnation;
+};
+
+void kwb_key_call(char *key, size_t room_bytes, const struct kwb_origin *origin,
+    const char *plan, uint64_t number); /* unique among all entries */
+void kwb_key_start(char *key, size_t room_bytes,
+    const struct kwb_origin *origin, const char *name,
+    unsigned starts); /* of one start of a generation */
 int kwb_ticket_print(
     const struct kwb_pin *pin, struct kwb_buf *out);	     /* a pin as text */
 int kwb_ticket_parse(struct kwb_pin *pin, const char *text); /* text as a pin */
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -88,8 +88,7 @@
 	pin->incarnation = target.incarnation;
 	pin->minted_ms = kwb_clock_wall_ms();
 	if (pin->key[0] == '\0')
-		snprintf(pin->key, sizeof(pin->key),
-		    "m/%s/%" PRIx64 "/%" PRIx64, plan, entry->incarnation,
+		kwb_key_call(pin->key, sizeof(pin->key), &entry->origin, plan,
 		    atomic_fetch_add(&entry->registry.next_id, 1));
 	peers_release(entry, &target, 0);
 	return 0;
--- a/src/call/generation.c
+++ b/src/call/generation.c
@@ -47,9 +47,8 @@
 	int error;
 
 	/* Never the key of an earlier start: that copy went its own way. */
-	snprintf(generation->key, sizeof(generation->key), "%s/%llx/%u",
-	    generation->name, (unsigned long long)entry->incarnation,
-	    generation->starts);
+	kwb_key_start(generation->key, sizeof(generation->key), &entry->origin,
+	    generation->name, generation->starts);
 	error = peers_pick(entry, &route, generation->plan, generation->model,
 	    generation->key, &generation->target);
 	if (error == KWB_ERR_ROUTE_NONE && route.exclude >= 0) {
--- a/src/call/ticket.c
+++ b/src/call/ticket.c
@@ -30,6 +30,23 @@
 	}
 }
 
+/* The VM is part of a key: incarnations of two entries may be equal. */
+void
+kwb_key_call(char *key, size_t room_bytes, const struct kwb_origin *origin,
+    const char *plan, uint64_t number)
+{
+	snprintf(key, room_bytes, "m/%s/%s/%" PRIx64 "/%" PRIx64, plan,
+	    origin->vm, origin->incarnation, number);
+}
+
+void
+kwb_key_start(char *key, size_t room_bytes, const struct kwb_origin *origin,
+    const char *name, unsigned starts)
+{
+	snprintf(key, room_bytes, "%s/%s/%" PRIx64 "/%u", name, origin->vm,
+	    origin->incarnation, starts);
+}
+
 int
 kwb_ticket_print(const struct kwb_pin *pin, struct kwb_buf *out)
 {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -27,7 +27,8 @@
 	if (entry == NULL)
 		return KWB_ERR_MEMORY;
 	entry->settings = settings;
-	entry->incarnation =
+	entry->origin.vm = settings->vm;
+	entry->origin.incarnation =
 	    kwb_clock_wall_ms() * 1000 + kwb_clock_now_ns() % 1000;
 	kwb_policy_parse(&entry->policy, settings->policy);
 	kwb_platform_init(&entry->platform, settings->platform);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -126,7 +126,7 @@
 
 struct kwb_entry {
 	const struct kwb_entry_settings *settings;
-	uint64_t incarnation;
+	struct kwb_origin origin; /* of the keys it makes */
 	enum kwb_policy policy;
 	struct kwb_platform platform;
 	struct kwb_loop loop;
--- a/src/member/peer_link.c
+++ b/src/member/peer_link.c
@@ -68,7 +68,7 @@
 	(void)tag;
 	hello.protocol = KWB_PROTOCOL;
 	hello.vm = (char *)entry->settings->vm;
-	hello.incarnation = entry->incarnation;
+	hello.incarnation = entry->origin.incarnation;
 	hello.failure_domain = (char *)entry->settings->failure_domain;
 	hello.lists_revision = kwb_current_revision();
 	kwb_link_send(&entry->loop, link, &frame);
--- a/src/weights/leader.c
+++ b/src/weights/leader.c
@@ -185,7 +185,7 @@
 		snprintf(name, sizeof(name), "leases/weights/%s/%s", plan->name,
 		    failure_domain);
 		kwb_lease_init(&lead->lease, name, leader->entry->settings->vm,
-		    leader->entry->incarnation);
+		    leader->entry->origin.incarnation);
 	}
 	lead->wanted = true;
 	lead->objective = plan->objective;
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -334,6 +334,34 @@
 	CU_ASSERT_EQUAL(kwb_home(&vms, "shop", "quotes", 8, chosen, 64), 0);
 }
 
+/* Two entries that start at the same moment never make the same key. */
+static void
+test_keys(void)
+{
+	static const struct kwb_origin origins[] = {
+	    {"entry-1", 1764841500000123ull}, {"entry-2", 1764841500000123ull}};
+	char name[KWB_NAME_MAX_BYTES], calls[2][KWB_KEY_MAX_BYTES];
+	char starts[2][KWB_KEY_MAX_BYTES];
+	struct kwb_origin longest = {name, UINT64_MAX};
+	unsigned i;
+
+	for (i = 0; i < 2; i++) {
+		kwb_key_call(
+		    calls[i], sizeof(calls[i]), &origins[i], "orders", 7);
+		kwb_key_start(
+		    starts[i], sizeof(starts[i]), &origins[i], "s/quotes/1", 1);
+	}
+	CU_ASSERT_STRING_NOT_EQUAL(calls[0], calls[1]);
+	CU_ASSERT_STRING_NOT_EQUAL(starts[0], starts[1]);
+	/* Names of full length leave room for the number. */
+	memset(name, 'n', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	kwb_key_call(calls[0], sizeof(calls[0]), &longest, name, UINT64_MAX);
+	kwb_key_call(
+	    calls[1], sizeof(calls[1]), &longest, name, UINT64_MAX - 1);
+	CU_ASSERT_STRING_NOT_EQUAL(calls[0], calls[1]);
+}
+
 static void
 test_ticket(void)
 {
@@ -725,6 +753,7 @@
 	    {"hedge", test_hedge},
 	    {"swap order", test_swap},
 	    {"subset", test_subset},
+	    {"keys", test_keys},
 	    {"ticket", test_ticket},
 	    {"frames", test_frames},
 	    {"frames of random bytes", test_frames_random},
