Store: its return after silence is found by a probe, lost calls are given up

Cause: while the store is silent every call waits for its own timeout of 2.5 s.

A node that has heard nothing for 0.75 s sends a small read each 0.5 s, and when one is answered ends all calls begun before it that are not answered 0.1 s later as unknown. Each caller already reads back or sends again after that.

Ruled out: shorter timeouts, which a store that is only slow would run into.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -50,6 +50,11 @@
 /* Store of the platform */
 #define KWB_FEED_WAIT_MS 1500 /* a silent feed is noticed before 3 s */
 #define KWB_FOLLOW_RETRY_NS (150 * KWB_MS_NS) /* after a failed call */
+#define KWB_STORE_WATCH_NS (250 * KWB_MS_NS)  /* between looks at its silence  \
+					       */
+#define KWB_STORE_SILENT_NS (750 * KWB_MS_NS) /* a node calls each 500 ms */
+#define KWB_PROBE_MOST_NS (500 * KWB_MS_NS)   /* usual answers take 20 */
+#define KWB_GIVE_UP_NS (100 * KWB_MS_NS)      /* after an answer to a probe */
 
 /* Upstreams of the shared platform */
 #define KWB_CONNECT_COST 0.15  /* of a new connection, in pieces of work */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -292,6 +292,8 @@
 	int (*object_drop)(struct kwb_store *store, const char *name,
 	    struct kwb_store_call *call);
 	void (*cancel)(struct kwb_store *store, struct kwb_store_call *call);
+	/* Ends calls begun before then as unknown; their number. */
+	uint32_t (*give_up)(struct kwb_store *store, uint64_t before_ns);
 };
 
 struct kwb_store {
@@ -319,6 +321,20 @@
 void kwb_tx_remove(struct kwb_tx *tx, const char *table, const char *part,
     const char *key); /* adds a row to remove */
 
+/* Notices a silent store's return and gives up what it will not answer. */
+struct kwb_store_watch {
+	struct kwb_store *store;
+	struct kwb_store_call probe;
+	struct event *timer;
+	uint64_t probe_ns; /* when it was sent */
+	uint64_t back_ns;  /* when the first answered one was; 0: all is done */
+	bool silent;
+};
+
+int kwb_store_watch_init(struct kwb_store_watch *watch, struct event_base *base,
+    struct kwb_store *store); /* begins to watch */
+void kwb_store_watch_finish(struct kwb_store_watch *watch); /* ends it */
+
 /* Keeps in step with one table's part "", through read and feed. */
 struct kwb_follower_row {
 	char *key;
@@ -1114,6 +1130,7 @@
 	struct kwb_batch_env batch_env;
 	struct kwb_batches batches;
 	struct kwb_mover mover;
+	struct kwb_store_watch store_watch;
 	struct kwb_follower operator_rows;
 	struct kwb_follower upstream_rows;
 	struct kwb_node_config *config; /* newest, NULL before the first */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -206,6 +206,9 @@
 	if (code == 0)
 		code = kwb_mover_init(
 		    &node->mover, &node->batch_env, &node->batches);
+	if (code == 0)
+		code = kwb_store_watch_init(
+		    &node->store_watch, node->base, node->store);
 	if (code == 0)
 		code = kwb_follower_init(&node->operator_rows, node->base,
 		    node->store, node->documents->operator_table, operator_row,
@@ -293,6 +296,7 @@
 	evconnlistener_free(node->ready_listener);
 	if (node->metrics_listener != NULL)
 		evconnlistener_free(node->metrics_listener);
+	kwb_store_watch_finish(&node->store_watch);
 	kwb_follower_finish(&node->operator_rows);
 	kwb_follower_finish(&node->upstream_rows);
 	kwb_mover_finish(&node->mover);
--- /dev/null
+++ b/src/store/watch.c
@@ -0,0 +1,95 @@
+/*
+ * Watches for a store that falls silent: connections stay open and nothing is
+ * answered. Without this, calls sent during the silence wait for their own
+ * timeouts long after the store is back. A probe finds its return, and what was
+ * sent before that probe and is not answered soon after it is given up, to be
+ * read back or sent again.
+ */
+#include <event2/event.h>
+#include <string.h>
+
+#include "kwb_node.h"
+
+#define PROBE_TABLE "leases" /* small, and always there */
+
+static void
+probe_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	struct kwb_store_watch *watch = call->context;
+
+	if (answer->error != 0)
+		return;
+	watch->silent = false;
+	watch->back_ns = watch->probe_ns;
+	kwb_timer_at(watch->timer, kwb_clock_now_ns() + KWB_GIVE_UP_NS);
+}
+
+/* Ends what the silence has swallowed. */
+static void
+give_up(struct kwb_store_watch *watch)
+{
+	struct kwb_store *store = watch->store;
+	uint32_t count = store->ops->give_up(store, watch->back_ns);
+
+	kwb_log(KWB_LOG_INFO, "store",
+	    "event=calls_given_up count=%u age_ms=%llu", count,
+	    (unsigned long long)((kwb_clock_now_ns() - watch->back_ns) /
+		KWB_MS_NS));
+	watch->back_ns = 0;
+}
+
+static void
+probe_start(struct kwb_store_watch *watch)
+{
+	struct kwb_range range = {.table = PROBE_TABLE, .part = "", .limit = 1};
+
+	watch->probe_ns = kwb_clock_now_ns();
+	watch->probe.on_done = probe_answer;
+	watch->probe.context = watch;
+	if (watch->store->ops->range(watch->store, &range, &watch->probe) != 0)
+		kwb_log(KWB_LOG_WARN, "store", "event=probe_not_sent");
+}
+
+static void
+watch_time(int fd, short what, void *context)
+{
+	static const struct kwb_store_answer none = {
+	    .error = KWB_ERR_STORE_UNKNOWN};
+	struct kwb_store_watch *watch = context;
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	(void)fd;
+	(void)what;
+	if (watch->back_ns != 0)
+		give_up(watch);
+	if (watch->probe.driver != NULL &&
+	    now_ns - watch->probe_ns >= KWB_PROBE_MOST_NS) {
+		kwb_store_cancel(watch->store, &watch->probe);
+		kwb_store_note(watch->store, &none);
+	}
+	if (now_ns - watch->store->answered_ns >= KWB_STORE_SILENT_NS)
+		watch->silent = true;
+	if (watch->silent && watch->probe.driver == NULL)
+		probe_start(watch);
+	kwb_timer_at(watch->timer, now_ns + KWB_STORE_WATCH_NS);
+}
+
+int
+kwb_store_watch_init(struct kwb_store_watch *watch, struct event_base *base,
+    struct kwb_store *store)
+{
+	memset(watch, 0, sizeof(*watch));
+	watch->store = store;
+	watch->timer = kwb_timer_new(base, watch_time, watch);
+	if (watch->timer == NULL)
+		return KWB_ERR_MEMORY;
+	kwb_timer_at(watch->timer, kwb_clock_now_ns() + KWB_STORE_SILENT_NS);
+	return 0;
+}
+
+void
+kwb_store_watch_finish(struct kwb_store_watch *watch)
+{
+	kwb_store_cancel(watch->store, &watch->probe);
+	event_free(watch->timer);
+}
