Owners: a dead node's silence goes on, claims are spread, large nodes first

A node that was beating keeps its silence when it is given a batch. A claim waits a random time that grows as the node is smaller. A beat says how large its node is, and an owner of less than half the acceptor's size doesn't stay.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -50,7 +50,8 @@
 /* Store of the platform */
 #define KWB_FEED_WAIT_MS 1500 /* a silent feed is noticed before 3 s */
 #define KWB_FOLLOW_RETRY_NS (150 * KWB_MS_NS) /* after a failed call */
-#define KWB_STORE_WATCH_NS (250 * KWB_MS_NS)  /* between looks at its silence  \
+#define KWB_STORE_WATCH_NS                                                     \
+	(250 * KWB_MS_NS)		      /* between looks at its silence  \
 					       */
 #define KWB_STORE_SILENT_NS (750 * KWB_MS_NS) /* a node calls each 500 ms */
 #define KWB_PROBE_MOST_NS (500 * KWB_MS_NS)   /* usual answers take 20 */
@@ -96,6 +97,10 @@
 #define KWB_OWNER_STAY_NS (10000 * KWB_MS_NS)	/* beats on without batches */
 #define KWB_BEAT_FORGET_NS (600000 * KWB_MS_NS) /* a node gone for good */
 #define KWB_SWEEP_NS (1000 * KWB_MS_NS) /* between looks for old batches */
+/* Claims of a whole core are spread over so long, of a tenth ten times that. */
+#define KWB_CLAIM_SPREAD_NS (50 * KWB_MS_NS)
+#define KWB_CLAIM_SPREAD_MAX_NS (600 * KWB_MS_NS)
+#define KWB_OWNER_PROCESSOR_TIMES 2 /* so much larger nodes get the batches */
 #define KWB_CLAIMS_MAX 32 /* conditional writes of heads in progress */
 
 /* Nodes */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -418,6 +418,7 @@
 	struct kwb_address store;   /* of the platform */
 	struct kwb_address metrics; /* port 0 for none */
 	uint32_t memory_mb;
+	uint32_t processor_milli; /* thousandths of a core */
 	uint32_t descriptors;
 	uint32_t grace_ms;	/* from SIGTERM to SIGKILL */
 	uint32_t lease_ms;	/* between two holders of orders */
@@ -839,6 +840,7 @@
 	bool listed; /* all items have a result */
 	bool fresh;  /* nobody has run it yet */
 	uint64_t revision;
+	uint64_t claim_ns; /* this node claims it then; 0 undecided */
 };
 
 int kwb_batch_head_parse(
@@ -890,7 +892,20 @@
 	uint64_t changed_ns; /* boot time when it last changed */
 	bool changed;	     /* a beat has been seen, not just a row */
 	uint32_t reads;	     /* successful reads since then */
-};
+	uint32_t processor_milli;
+};
+
+/* Who runs a batch; all times are boot times; pure. */
+bool kwb_beat_is_alive(const struct kwb_node_beat *beat,
+    uint64_t now_ns); /* new enough to be given a batch */
+bool kwb_beat_is_silent(const struct kwb_node_beat *beat,
+    uint64_t now_ns); /* for so long that its batches are taken over */
+void kwb_beat_given(struct kwb_node_beat *beat,
+    uint64_t now_ns); /* the node has been given a batch */
+uint64_t kwb_claim_wait_ns(uint32_t processor_milli,
+    uint64_t random); /* before a node claims a batch without owner */
+bool kwb_owner_stays(uint32_t owner_milli,
+    uint32_t other_milli); /* the next batch goes to the last one's owner */
 
 enum kwb_sweep_step {
 	KWB_SWEEP_NONE,
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -128,8 +128,9 @@
 }
 
 /*
- * The node that ran the trainer's last batch gets the next one, too: it has
- * connections to the model's homes and knows what it has placed there.
+ * The node that ran the trainer's last batch gets the next one, too, unless it
+ * is much smaller than this one: it has connections to the model's homes and
+ * knows what it has placed there.
  */
 static void
 owner_choose(struct kwb_accept *accept)
@@ -142,7 +143,7 @@
 
 	kwb_text_copy(head->owner, sizeof(head->owner), env->settings->node);
 	head->owner_incarnation = env->incarnation;
-	if (newest == NULL || !own_is_alive(batches, newest->owner))
+	if (newest == NULL || !own_keeps(batches, newest->owner))
 		return;
 	kwb_text_copy(head->owner, sizeof(head->owner), newest->owner);
 	head->owner_incarnation = newest->owner_incarnation;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -132,8 +132,9 @@
     const struct kwb_batch_head *head); /* the owner of a batch is new */
 bool own_is_mine(
     const struct kwb_batches *batches, const struct kwb_batch_head *head);
-bool own_is_alive(const struct kwb_batches *batches,
-    const char *node); /* has beaten just now */
+bool own_is_alive(const struct kwb_batches *batches, const char *node);
+bool own_keeps(const struct kwb_batches *batches, const char *owner);
+    /* is given its trainer's next batch, too */ /* has beaten just now */
 void own_look(struct kwb_batches *batches);
 
 /* partial.c: texts that items have so far */
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -39,8 +39,20 @@
 	return NULL;
 }
 
+/* From a beat's value: incarnation and thousandths of a core. */
+static uint32_t
+processor_of(const char *value)
+{
+	unsigned processor = 0;
+
+	if (sscanf(value, "%*u %u", &processor) != 1)
+		return 0; /* a row of an earlier release */
+	return processor;
+}
+
 static void
-beat_note(struct kwb_batches *batches, const char *node, uint64_t revision)
+beat_note(struct kwb_batches *batches, const char *node, uint64_t revision,
+    const char *value)
 {
 	struct kwb_node_beat *beat = beat_find(batches, node);
 	struct kwb_node_beat *beats;
@@ -57,6 +69,7 @@
 		beat->seen_ns = kwb_boot_now_ns();
 		beat->changed_ns = beat->seen_ns;
 		beat->revision = revision;
+		beat->processor_milli = processor_of(value);
 		return;
 	}
 	beat->reads++;
@@ -67,6 +80,7 @@
 	beat->changed_ns = beat->seen_ns;
 	beat->changed = true;
 	beat->reads = 0;
+	beat->processor_milli = processor_of(value);
 }
 
 bool
@@ -74,20 +88,26 @@
 {
 	const struct kwb_node_beat *beat = beat_find(batches, node);
 
-	return beat != NULL && beat->revision != 0 && beat->changed &&
-	    kwb_boot_now_ns() - beat->changed_ns < KWB_OWNER_ALIVE_NS;
+	return beat != NULL && kwb_beat_is_alive(beat, kwb_boot_now_ns());
+}
+
+bool
+own_keeps(const struct kwb_batches *batches, const char *owner)
+{
+	const struct kwb_node_beat *beat = beat_find(batches, owner);
+
+	return own_is_alive(batches, owner) &&
+	    kwb_owner_stays(
+		beat->processor_milli, batches->env->settings->processor_milli);
 }
 
-/* A node may have been idle, and so silent, before it got this batch. */
 void
 own_changed(struct kwb_batches *batches, const struct kwb_batch_head *head)
 {
 	struct kwb_node_beat *beat = beat_find(batches, head->owner);
 
-	if (beat == NULL)
-		return;
-	beat->seen_ns = kwb_boot_now_ns();
-	beat->reads = 0;
+	if (beat != NULL)
+		kwb_beat_given(beat, kwb_boot_now_ns());
 }
 
 /* Silent for the whole time that this node itself could read the beats. */
@@ -97,11 +117,10 @@
 	const struct kwb_node_beat *beat = beat_find(batches, node);
 
 	if (beat == NULL) {
-		beat_note(batches, node, 0);
+		beat_note(batches, node, 0, "");
 		return false;
 	}
-	return beat->reads >= KWB_BEAT_READS &&
-	    kwb_boot_now_ns() - beat->seen_ns >= KWB_OWNER_SILENT_NS;
+	return kwb_beat_is_silent(beat, kwb_boot_now_ns());
 }
 
 static void
@@ -158,8 +177,8 @@
 			batches->beats[i].reads++;
 	}
 	for (k = 0; k < answer->rows_count; k++) {
-		beat_note(
-		    batches, answer->rows[k].key, answer->rows[k].revision);
+		beat_note(batches, answer->rows[k].key,
+		    answer->rows[k].revision, answer->rows[k].value);
 		beat_forget(batches, &answer->rows[k]);
 	}
 }
@@ -178,9 +197,10 @@
 {
 	static struct kwb_tx tx;
 	struct kwb_store *store = batches->env->store;
-	char value[32];
-	int length = snprintf(value, sizeof(value), "%llu",
-	    (unsigned long long)batches->env->incarnation);
+	char value[48];
+	int length = snprintf(value, sizeof(value), "%llu %u",
+	    (unsigned long long)batches->env->incarnation,
+	    batches->env->settings->processor_milli);
 
 	memset(&tx, 0, sizeof(tx));
 	kwb_tx_put(&tx, TABLE_NODES, "", batches->env->settings->node, value,
@@ -250,14 +270,25 @@
 	kwb_buf_finish(&value);
 }
 
-static bool
-may_claim(struct kwb_batches *batches, const struct kwb_batch_head *head)
+/*
+ * When this node may claim a batch that is not its own, UINT64_MAX for not yet.
+ * Nodes wait for different times, so that most see the first claim and make
+ * none.
+ */
+static uint64_t
+claim_at(struct kwb_batches *batches, struct kwb_batch_head *head)
 {
-	if (head->owner[0] == '\0')
-		return true;
 	if (strcmp(head->owner, batches->env->settings->node) == 0)
-		return true; /* of an earlier process of this node */
-	return is_silent(batches, head->owner);
+		return 0; /* of an earlier process of this node */
+	if (head->owner[0] != '\0' && !is_silent(batches, head->owner)) {
+		head->claim_ns = 0;
+		return UINT64_MAX;
+	}
+	if (head->claim_ns == 0)
+		head->claim_ns = kwb_clock_now_ns() +
+		    kwb_claim_wait_ns(batches->env->settings->processor_milli,
+			(uint64_t)random());
+	return head->claim_ns;
 }
 
 static bool
@@ -315,6 +346,8 @@
 	struct kwb_batch *batch;
 	bool look = batches->heads_count > 0 &&
 	    now_ns - batches->changed_ns < KWB_OWNER_STAY_NS;
+	uint64_t next_ns = now_ns + KWB_MINDER_NS;
+	uint64_t claim_ns;
 	uint32_t i;
 
 	(void)fd;
@@ -343,8 +376,13 @@
 			continue;
 		}
 		look = true;
-		if (!batches->leaving && may_claim(batches, head))
+		if (batches->leaving)
+			continue;
+		claim_ns = claim_at(batches, head);
+		if (claim_ns <= now_ns)
 			claim_start(batches, head, false);
+		else if (claim_ns < next_ns)
+			next_ns = claim_ns;
 	}
 	if (!TAILQ_EMPTY(&batches->running))
 		batches->owned_ns = now_ns;
@@ -362,7 +400,7 @@
 		    batches->env->store, &range, &batches->look);
 	}
 	sweep_look(batches);
-	kwb_timer_at(batches->minder, now_ns + KWB_MINDER_NS);
+	kwb_timer_at(batches->minder, next_ns);
 }
 
 int
--- /dev/null
+++ b/src/batch/owner.c
@@ -0,0 +1,53 @@
+/*
+ * Decisions on who runs a batch. They answer nodes that die at any moment, and
+ * fleets of large and very small nodes: a tenth of a core falls behind in
+ * reading the events of a batch, and its trainer waits.
+ */
+#include "kwb_node.h"
+
+bool
+kwb_beat_is_alive(const struct kwb_node_beat *beat, uint64_t now_ns)
+{
+	return beat->revision != 0 && beat->changed &&
+	    now_ns - beat->changed_ns < KWB_OWNER_ALIVE_NS;
+}
+
+/* Counted are only reads that succeeded: the silence may be the reader's. */
+bool
+kwb_beat_is_silent(const struct kwb_node_beat *beat, uint64_t now_ns)
+{
+	return beat->reads >= KWB_BEAT_READS &&
+	    now_ns - beat->seen_ns >= KWB_OWNER_SILENT_NS;
+}
+
+/*
+ * An idle node does not beat and needs time to begin. One that was beating may
+ * have died just now, before anyone could know.
+ */
+void
+kwb_beat_given(struct kwb_node_beat *beat, uint64_t now_ns)
+{
+	if (now_ns - beat->changed_ns < KWB_OWNER_SILENT_NS)
+		return;
+	beat->seen_ns = now_ns;
+	beat->reads = 0;
+}
+
+/* Spread evenly, over a time that grows as the node is smaller. */
+uint64_t
+kwb_claim_wait_ns(uint32_t processor_milli, uint64_t random)
+{
+	uint64_t spread_ns = KWB_CLAIM_SPREAD_NS * 1000 /
+	    (processor_milli > 0 ? processor_milli : 1);
+
+	if (spread_ns > KWB_CLAIM_SPREAD_MAX_NS)
+		spread_ns = KWB_CLAIM_SPREAD_MAX_NS;
+	return random % spread_ns;
+}
+
+bool
+kwb_owner_stays(uint32_t owner_milli, uint32_t other_milli)
+{
+	return owner_milli == 0 ||
+	    other_milli < owner_milli * KWB_OWNER_PROCESSOR_TIMES;
+}
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -10,6 +10,7 @@
 #define BATCH_KEEP_MS 120000
 #define ROW_MAX_BYTES 65536
 #define MEMORY_MB 256
+#define PROCESSOR_MILLI 1000 /* a core, where the platform tells no share */
 #define DESCRIPTORS 4096
 
 void
@@ -21,5 +22,6 @@
 	settings->batch_keep_ms = BATCH_KEEP_MS;
 	settings->row_max_bytes = ROW_MAX_BYTES;
 	settings->memory_mb = MEMORY_MB;
+	settings->processor_milli = PROCESSOR_MILLI;
 	settings->descriptors = DESCRIPTORS;
 }
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -643,6 +643,92 @@
 		    kwb_move_wanted(&cases[i].input), cases[i].wanted);
 }
 
+#define AT_MS(ms) ((uint64_t)(ms)*KWB_MS_NS)
+
+/*
+ * A node that has just died is given a batch by one that does not know yet: the
+ * silence goes on from its last beat. One that was idle has time to begin.
+ */
+static void
+test_owner_silence(void)
+{
+	struct kwb_node_beat dead = {.revision = 7,
+	    .changed = true,
+	    .seen_ns = AT_MS(10000),
+	    .changed_ns = AT_MS(10000),
+	    .reads = 2};
+	struct kwb_node_beat idle = dead;
+
+	CU_ASSERT_TRUE(kwb_beat_is_alive(&dead, AT_MS(11000)));
+	kwb_beat_given(&dead, AT_MS(11000));
+	dead.reads += KWB_BEAT_READS;
+	CU_ASSERT_FALSE(kwb_beat_is_silent(&dead, AT_MS(12100)));
+	CU_ASSERT_TRUE(kwb_beat_is_silent(&dead, AT_MS(12200)));
+	CU_ASSERT_FALSE(kwb_beat_is_alive(&idle, AT_MS(30000)));
+	idle.reads = 90;
+	kwb_beat_given(&idle, AT_MS(30000));
+	CU_ASSERT_FALSE(kwb_beat_is_silent(&idle, AT_MS(30100)));
+	idle.reads += KWB_BEAT_READS;
+	CU_ASSERT_FALSE(kwb_beat_is_silent(&idle, AT_MS(32100)));
+	CU_ASSERT_TRUE(kwb_beat_is_silent(&idle, AT_MS(32200)));
+}
+
+#define CLAIM_NODES 40
+#define CLAIM_LARGE 21
+#define CLAIM_PLAYS 200
+#define FEED_NS (30 * KWB_MS_NS) /* until all know of a claim */
+
+/*
+ * A batch loses its owner; 21 nodes of half a core and 19 of 0.09 see it. It is
+ * claimed soon, by few, and mostly by a large one.
+ */
+static void
+test_claims(void)
+{
+	uint64_t state = 88172645463325252ull;
+	uint64_t sum_ns = 0;
+	unsigned claims = 0;
+	unsigned small_first = 0;
+	unsigned play;
+	unsigned i;
+
+	for (play = 0; play < CLAIM_PLAYS; play++) {
+		uint64_t wait_ns[CLAIM_NODES];
+		uint64_t first_ns = UINT64_MAX;
+		bool is_small = false;
+
+		for (i = 0; i < CLAIM_NODES; i++) {
+			state ^= state << 13;
+			state ^= state >> 7;
+			state ^= state << 17;
+			wait_ns[i] = kwb_claim_wait_ns(
+			    i < CLAIM_LARGE ? 500 : 90, state >> 16);
+			if (wait_ns[i] < first_ns) {
+				first_ns = wait_ns[i];
+				is_small = i >= CLAIM_LARGE;
+			}
+		}
+		for (i = 0; i < CLAIM_NODES; i++)
+			claims += wait_ns[i] < first_ns + FEED_NS;
+		sum_ns += first_ns;
+		small_first += is_small;
+	}
+	CU_ASSERT_TRUE(claims < 12 * CLAIM_PLAYS);
+	CU_ASSERT_TRUE(sum_ns < 20 * KWB_MS_NS * CLAIM_PLAYS);
+	CU_ASSERT_TRUE(small_first * 4 < CLAIM_PLAYS);
+}
+
+static void
+test_owner_size(void)
+{
+	CU_ASSERT_TRUE(kwb_owner_stays(500, 500));
+	CU_ASSERT_TRUE(kwb_owner_stays(500, 90));
+	CU_ASSERT_TRUE(kwb_owner_stays(300, 500));
+	CU_ASSERT_FALSE(kwb_owner_stays(90, 500));
+	CU_ASSERT_TRUE(kwb_owner_stays(90, 90));
+	CU_ASSERT_TRUE(kwb_owner_stays(0, 90)); /* size not told */
+}
+
 /* ---- Parsers
  * ------------------------------------------------------------------------ */
 
@@ -1033,7 +1119,9 @@
 	    {"homes", test_homes}, {"load_wanted", test_load_wanted},
 	    {"loads_leave_homes", test_loads_leave_homes}, {"rank", test_rank},
 	    {"order_of_items", test_order_of_items}, {"move", test_move},
-	    {"events", test_events}, {"settings", test_settings},
+	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
+	    {"owner_size", test_owner_size}, {"events", test_events},
+	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
 	    {"documents", test_documents},
 	    {"mutated_documents", test_mutated_documents},
