Items: a move goes where it was decided for; a stopped stream is seen in 0.6 s

A move now starts at the place that it was decided for. A stream without events for 0.6 s (1 s before its first one, ten times the usual pause where that is more) is taken for stopped unless its upstream changes weights. Decisions on items have a file of their own.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -50,9 +50,7 @@
 /* Store of the platform */
 #define KWB_FEED_WAIT_MS 1500 /* a silent feed is noticed before 3 s */
 #define KWB_FOLLOW_RETRY_NS (150 * KWB_MS_NS) /* after a failed call */
-#define KWB_STORE_WATCH_NS                                                     \
-	(250 * KWB_MS_NS)		      /* between looks at its silence  \
-					       */
+#define KWB_STORE_WATCH_NS (250 * KWB_MS_NS)  /* between looks */
 #define KWB_STORE_SILENT_NS (750 * KWB_MS_NS) /* a node calls each 500 ms */
 #define KWB_PROBE_MOST_NS (500 * KWB_MS_NS)   /* usual answers take 20 */
 #define KWB_GIVE_UP_NS (100 * KWB_MS_NS)      /* after an answer to a probe */
@@ -77,6 +75,9 @@
 #define KWB_ITEM_TTL_MS 30000		       /* when no route names one */
 #define KWB_ITEM_RETRY_NS (100 * KWB_MS_NS)    /* after an upstream's error */
 #define KWB_ITEM_SILENCE_NS (1500 * KWB_MS_NS) /* 40 times a usual pause */
+#define KWB_EVENT_SILENCE_NS (600 * KWB_MS_NS) /* below a load's 900 */
+#define KWB_FIRST_EVENT_NS (1000 * KWB_MS_NS)  /* with the prompt's read */
+#define KWB_SILENCE_PACES 10 /* so many usual pauses, where that is more */
 #define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS)   /* between looks for slow items */
 #define KWB_MOVES_MAX 4			     /* of one item */
 #define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS)  /* before it is moved again */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -870,6 +870,16 @@
 
 bool kwb_move_wanted(const struct kwb_move_input *input); /* pure */
 
+/* What decides whether a generation has stopped; see kwb_item_is_silent(). */
+struct kwb_silence_input {
+	uint64_t since_ns; /* its last event, or its start */
+	uint64_t pace_ns;  /* usual time between events there, 0 unknown */
+	bool has_begun;	   /* an event has come from there */
+	bool is_loading;   /* its upstream changes weights */
+};
+
+bool kwb_item_is_silent(const struct kwb_silence_input *input); /* pure */
+
 /* All batches that this node knows of, and those it runs. */
 struct kwb_batch_env {
 	struct event_base *base;
--- a/src/batch/head.c
+++ b/src/batch/head.c
@@ -96,35 +96,3 @@
 	free(text);
 	return code;
 }
-
-/*
- * A batch is done when the last item of its wanted groups is, so the longest
- * go first; what has begun goes on before anything new.
- */
-int
-kwb_item_rank_compare(
-    const struct kwb_item_rank *a, const struct kwb_item_rank *b)
-{
-	if (a->wanted != b->wanted)
-		return a->wanted ? -1 : 1;
-	if ((a->made > 0) != (b->made > 0))
-		return a->made > 0 ? -1 : 1;
-	if (a->length_hint != b->length_hint)
-		return a->length_hint > b->length_hint ? -1 : 1;
-	if (a->group_index != b->group_index)
-		return a->group_index < b->group_index ? -1 : 1;
-	return 0;
-}
-
-/*
- * Moving costs a read of the prompt and of the text so far, some milliseconds,
- * so it pays wherever another place is clearly faster: a trainer waits for the
- * last item of its groups.
- */
-bool
-kwb_move_wanted(const struct kwb_move_input *input)
-{
-	return input->best_pace_ns != 0 && input->moves < KWB_MOVES_MAX &&
-	    input->since_ns >= KWB_MOVE_LEAST_NS &&
-	    input->pace_ns * 10 > input->best_pace_ns * 17;
-}
--- /dev/null
+++ b/src/batch/item.c
@@ -0,0 +1,57 @@
+/*
+ * Decisions on items: which starts first, and which goes on elsewhere. They
+ * answer batches whose longest item takes nearly all of the time that its
+ * trainer has.
+ */
+#include "kwb_node.h"
+
+/*
+ * A batch is done when the last item of its wanted groups is, so the longest
+ * go first; what has begun goes on before anything new.
+ */
+int
+kwb_item_rank_compare(
+    const struct kwb_item_rank *a, const struct kwb_item_rank *b)
+{
+	if (a->wanted != b->wanted)
+		return a->wanted ? -1 : 1;
+	if ((a->made > 0) != (b->made > 0))
+		return a->made > 0 ? -1 : 1;
+	if (a->length_hint != b->length_hint)
+		return a->length_hint > b->length_hint ? -1 : 1;
+	if (a->group_index != b->group_index)
+		return a->group_index < b->group_index ? -1 : 1;
+	return 0;
+}
+
+/*
+ * Moving costs a read of the prompt and of the text so far, some milliseconds,
+ * so it pays wherever another place is clearly faster: a trainer waits for the
+ * last item of its groups.
+ */
+bool
+kwb_move_wanted(const struct kwb_move_input *input)
+{
+	return input->best_pace_ns != 0 && input->moves < KWB_MOVES_MAX &&
+	    input->since_ns >= KWB_MOVE_LEAST_NS &&
+	    input->pace_ns * 10 > input->best_pace_ns * 17;
+}
+
+/*
+ * Events come at an even pace. A load of weights interrupts them for about a
+ * second, and the first one waits for the reading of the prompt; any longer
+ * gap is an upstream that has stopped, and its connection may stay open.
+ */
+bool
+kwb_item_is_silent(const struct kwb_silence_input *input)
+{
+	uint64_t limit_ns = KWB_EVENT_SILENCE_NS;
+
+	if (input->is_loading)
+		return false;
+	if (!input->has_begun)
+		limit_ns = KWB_FIRST_EVENT_NS;
+	if (input->pace_ns * KWB_SILENCE_PACES > limit_ns)
+		limit_ns = input->pace_ns * KWB_SILENCE_PACES;
+	return input->since_ns >= limit_ns;
+}
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -8,18 +8,20 @@
 
 #include "batch.h"
 
-static bool pump_one(struct item_run *run);
-
+/* Cheapest free place for an item, but for where it runs now. */
 static struct kwb_upstream *
 run_pick(const struct item_run *run, const char *service)
 {
 	const struct kwb_batch *batch = run->batch;
+	const struct kwb_upstream *here = run->upstream;
 	struct kwb_pick pick = {
 	    .service = service,
 	    .failure_domain = run_env(run)->forward->failure_domain,
 	    .model = batch->spec.model,
 	    .min_version = batch->spec.min_version,
 	    .affinity = batch->groups[run->group].upstream_id,
+	    .exclude = &here,
+	    .exclude_count = here != NULL,
 	    .within_slots = true,
 	    .now_ns = kwb_clock_now_ns(),
 	    .random = (uint64_t)random(),
@@ -30,54 +32,71 @@
 	return kwb_upstream_pick(run_env(run)->forward->registry, &pick);
 }
 
-/* Pace of the fastest other place that is free for this item, 0 for none. */
-static uint64_t
-best_pace(const struct item_run *run, const char *service)
+static bool
+is_silent(const struct item_run *run, uint64_t now_ns)
 {
-	const struct kwb_upstream *here = run->upstream;
-	struct kwb_pick pick = {.service = service,
-	    .model = run->batch->spec.model,
-	    .min_version = run->batch->spec.min_version,
-	    .exclude = &here,
-	    .exclude_count = 1,
-	    .within_slots = true,
-	    .now_ns = kwb_clock_now_ns()};
-	const struct kwb_upstream *found =
-	    kwb_upstream_pick(run_env(run)->forward->registry, &pick);
-
-	return found != NULL &&
-		pick.now_ns - found->pace_at_ns < KWB_PACE_KEEP_NS
-	    ? found->pace_ns
-	    : 0;
+	struct kwb_silence_input input = {.since_ns = now_ns -
+		(run->event_ns ? run->event_ns : run->begin_ns),
+	    .pace_ns = run->upstream->pace_ns,
+	    .has_begun = run->event_ns != 0,
+	    .is_loading = kwb_upstream_is_loading(
+		run->upstream, run->batch->spec.model, now_ns)};
+
+	return kwb_item_is_silent(&input);
+}
+
+/* Why a running item goes on at that place, NULL to stay. */
+static const char *
+move_reason(const struct item_run *run, const struct kwb_upstream *place,
+    uint64_t now_ns)
+{
+	struct kwb_move_input input = {.pace_ns = run->upstream->pace_ns,
+	    .moves = run->moves,
+	    .since_ns = now_ns - run->begin_ns};
+
+	if (now_ns - place->pace_at_ns < KWB_PACE_KEEP_NS)
+		input.best_pace_ns = place->pace_ns;
+	if (kwb_upstream_is_loading(
+		run->upstream, run->batch->spec.model, now_ns))
+		return input.best_pace_ns != 0 ? "weights_change" : NULL;
+	return kwb_move_wanted(&input) ? "slow_upstream" : NULL;
+}
+
+static void
+move_look(struct item_run *run)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct kwb_upstream *place;
+	const struct kwb_route_entry *route;
+	const char *reason;
+
+	if (is_silent(run, now_ns)) {
+		kwb_upstream_failed(run->upstream, now_ns);
+		run_retry(run, 0, "silent");
+		return;
+	}
+	if (run->last_event == 0)
+		return;
+	place = run_pick(run, run->upstream->status.service);
+	reason = place != NULL ? move_reason(run, place, now_ns) : NULL;
+	route = kwb_node_config_route(
+	    *run_env(run)->config, run->batch->head.host, run->item->target);
+	if (reason == NULL || route == NULL)
+		return;
+	run->moves += strcmp(reason, "slow_upstream") == 0;
+	run_retry(run, 0, reason);
+	if (run->state == ITEM_WAITING)
+		run_start(run, place, route);
 }
 
 void
 batch_move(struct kwb_batch *batch)
 {
-	struct kwb_move_input input;
-	struct item_run *run;
-	bool loading;
 	uint32_t i;
 
-	for (i = 0; batch->loaded && i < batch->spec.items_count; i++) {
-		run = &batch->runs[i];
-		if (run->state != ITEM_RUNNING || run->last_event == 0)
-			continue;
-		input =
-		    (struct kwb_move_input){.pace_ns = run->upstream->pace_ns,
-			.best_pace_ns =
-			    best_pace(run, run->upstream->status.service),
-			.moves = run->moves,
-			.since_ns = kwb_clock_now_ns() - run->begin_ns};
-		loading = kwb_upstream_is_loading(
-		    run->upstream, batch->spec.model, kwb_clock_now_ns());
-		if (loading ? input.best_pace_ns == 0
-			    : !kwb_move_wanted(&input))
-			continue;
-		run->moves += !loading;
-		run_retry(run, 0, loading ? "weights_change" : "slow_upstream");
-		pump_one(run);
-	}
+	for (i = 0; batch->loaded && i < batch->spec.items_count; i++)
+		if (batch->runs[i].state == ITEM_RUNNING)
+			move_look(&batch->runs[i]);
 }
 
 static void
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -643,6 +643,35 @@
 		    kwb_move_wanted(&cases[i].input), cases[i].wanted);
 }
 
+static void
+test_silence(void)
+{
+	static const struct {
+		struct kwb_silence_input input;
+		bool silent;
+	} cases[] = {
+	    {{.since_ns = 590 * KWB_MS_NS, .has_begun = true}, false},
+	    {{.since_ns = 610 * KWB_MS_NS, .has_begun = true}, true},
+	    {{.since_ns = 610 * KWB_MS_NS}, false}, /* its prompt is read */
+	    {{.since_ns = 1010 * KWB_MS_NS}, true},
+	    /* A load takes 900 ms. */
+	    {{.since_ns = 1400 * KWB_MS_NS,
+		 .has_begun = true,
+		 .is_loading = true},
+		false},
+	    /* A slow one, five times the usual pace. */
+	    {{.since_ns = 900 * KWB_MS_NS,
+		 .pace_ns = 240 * KWB_MS_NS,
+		 .has_begun = true},
+		false},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		CU_ASSERT_EQUAL(
+		    kwb_item_is_silent(&cases[i].input), cases[i].silent);
+}
+
 #define AT_MS(ms) ((uint64_t)(ms)*KWB_MS_NS)
 
 /*
@@ -1119,9 +1148,9 @@
 	    {"homes", test_homes}, {"load_wanted", test_load_wanted},
 	    {"loads_leave_homes", test_loads_leave_homes}, {"rank", test_rank},
 	    {"order_of_items", test_order_of_items}, {"move", test_move},
-	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
-	    {"owner_size", test_owner_size}, {"events", test_events},
-	    {"settings", test_settings},
+	    {"silence", test_silence}, {"owner_silence", test_owner_silence},
+	    {"claims", test_claims}, {"owner_size", test_owner_size},
+	    {"events", test_events}, {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
 	    {"documents", test_documents},
 	    {"mutated_documents", test_mutated_documents},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -61,7 +61,7 @@
     "ok", "busy", "many", "reset", "silent", "lost", "late", NULL};
 static const char *const server_faults[] = {"ok", "refuse", "error", "never",
     "reset", "silent", "other-id", "cut", "extra", "unframed", "garbage",
-    "no-receipt", "skip", "misdirected", NULL};
+    "no-receipt", "skip", "misdirected", "stall", NULL};
 
 static int
 index_of(const char *const *names, const char *name)
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -11,6 +11,8 @@
 
 #include "stage.h"
 
+#define STALL_LOOK_MS 20
+
 struct stream {
 	struct stage_server *server;
 	unsigned next; /* event to send */
@@ -175,6 +177,11 @@
 
 	(void)fd;
 	(void)what;
+	if (stream->server->fault == SERVER_STALL) {
+		kwb_timer_at(peer->timer,
+		    kwb_clock_now_ns() + STALL_LOOK_MS * KWB_MS_NS);
+		return;
+	}
 	if (stream->skips && stream->next == 3)
 		stream->next++;
 	if (stream->cut && stream->next == 3) {
@@ -312,7 +319,7 @@
 		return;
 	if (server->engine &&
 	    (fault == SERVER_OK || fault == SERVER_SKIP ||
-		fault == SERVER_CUT)) {
+		fault == SERVER_CUT || fault == SERVER_STALL)) {
 		stream_begin(peer, fault);
 		return;
 	}
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -105,19 +105,20 @@
 
 enum server_fault {
 	SERVER_OK,
-	SERVER_REFUSE,	   /* 503, not run */
-	SERVER_ERROR,	   /* 500 */
-	SERVER_NEVER,	   /* 422 */
-	SERVER_RESET,	   /* runs it and closes without an answer */
-	SERVER_SILENT,	   /* runs it and says nothing */
-	SERVER_OTHER_ID,   /* the answer of another request */
-	SERVER_CUT,	   /* ends in the middle of the body */
-	SERVER_EXTRA,	   /* a second answer behind the first */
-	SERVER_UNFRAMED,   /* no length, ends with the connection */
-	SERVER_GARBAGE,	   /* no HTTP */
-	SERVER_NO_RECEIPT, /* 200 without receipt */
-	SERVER_SKIP,	   /* a stream lacks an event */
-	SERVER_MISDIRECTED /* 421: another server has the address */
+	SERVER_REFUSE,	    /* 503, not run */
+	SERVER_ERROR,	    /* 500 */
+	SERVER_NEVER,	    /* 422 */
+	SERVER_RESET,	    /* runs it and closes without an answer */
+	SERVER_SILENT,	    /* runs it and says nothing */
+	SERVER_OTHER_ID,    /* the answer of another request */
+	SERVER_CUT,	    /* ends in the middle of the body */
+	SERVER_EXTRA,	    /* a second answer behind the first */
+	SERVER_UNFRAMED,    /* no length, ends with the connection */
+	SERVER_GARBAGE,	    /* no HTTP */
+	SERVER_NO_RECEIPT,  /* 200 without receipt */
+	SERVER_SKIP,	    /* a stream lacks an event */
+	SERVER_MISDIRECTED, /* 421: another server has the address */
+	SERVER_STALL	    /* sends nothing more on what is open */
 };
 
 struct stage_run {
