Items: texts are kept in pieces, each half second

Cause: a text so far was written whole, once it had grown by 24 events, at most each second and in the order of the items until 400 kB were reached. Writing the whole text more often costs bytes that grow with its square.

A piece holds the events since the last one. Two owners may write for a moment: a piece names its text, and a resumed one the text and event it goes on from, so no event of one run is ever joined to another's (kwb_piece_joins and its table).

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -78,11 +78,12 @@
 #define KWB_EVENT_SILENCE_NS (600 * KWB_MS_NS) /* below a load's 900 */
 #define KWB_FIRST_EVENT_NS (1000 * KWB_MS_NS)  /* with the prompt's read */
 #define KWB_SILENCE_PACES 10 /* so many usual pauses, where that is more */
-#define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS)   /* between looks for slow items */
-#define KWB_MOVES_MAX 4			     /* of one item */
-#define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS)  /* before it is moved again */
-#define KWB_CHECKPOINT_NS (1000 * KWB_MS_NS) /* between writes of texts */
-#define KWB_CHECKPOINT_EVENTS 24     /* a text that has grown by so many */
+#define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS)  /* between looks for slow items */
+#define KWB_MOVES_MAX 4			    /* of one item */
+#define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS) /* before it is moved again */
+#define KWB_CHECKPOINT_NS (500 * KWB_MS_NS) /* between writes of texts */
+#define KWB_CHECKPOINT_LEAST 20		    /* events, a second of work */
+#define KWB_CHECKPOINT_EVENTS 8	     /* a text that has grown by so many */
 #define KWB_SCORE_TIMEOUT_MS 1500    /* when no route names one */
 #define KWB_PUMP_NS (20 * KWB_MS_NS) /* between looks for free places */
 #define KWB_BATCH_RETRY_NS (250 * KWB_MS_NS) /* after a failed store call */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -880,6 +880,18 @@
 
 bool kwb_item_is_silent(const struct kwb_silence_input *input); /* pure */
 
+/* A part of an item's text in the store: events first to last. */
+struct kwb_piece {
+	uint64_t text;	     /* which one it belongs to, never 0 */
+	uint64_t before;     /* the one that this text goes on from, or 0 */
+	uint64_t resumed_at; /* after this event of that one */
+	uint64_t first;
+	uint64_t last;
+};
+
+bool kwb_piece_joins(const struct kwb_piece *piece,
+    const struct kwb_piece *before); /* goes on where that one ends; pure */
+
 /* All batches that this node knows of, and those it runs. */
 struct kwb_batch_env {
 	struct event_base *base;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -9,14 +9,14 @@
 #define TABLE_HEADS "heads"	/* one row a batch, part "" */
 #define TABLE_RESULTS "results" /* part: batch, key: position */
 #define TABLE_DONE "done"	/* part: batch, key: item, value: position */
-#define TABLE_PARTIAL "partial" /* part: batch, key: item */
+#define TABLE_PARTIAL "partial" /* part: batch, key: item.event */
 #define TABLE_NODES "nodes"	/* heartbeats of nodes that own batches */
 
 #define POSITION_DIGITS 6
 #define OBJECT_MARK '@' /* a value that names the object that holds it */
 #define OBJECT_NAME_BYTES (2 * KWB_KEY_MAX_BYTES + 32)
 #define ITEM_VERSIONS_MAX 8
-#define LEAVE_ROWS_MAX 20 /* texts handed over in one transaction */
+#define PIECES_MAX 40 /* of texts, written in one transaction */
 
 enum item_state {
 	ITEM_WAITING,
@@ -37,9 +37,13 @@
 	struct kwb_upstream *upstream; /* while running */
 	struct kwb_buf text;
 	uint64_t last_event;
-	uint64_t saved_event; /* up to here its text is in the store */
-	uint64_t event_ns;    /* when it came */
-	uint64_t version;     /* of the events that come now */
+	struct kwb_piece saved; /* last one of its text in the store */
+	size_t saved_bytes;	/* of the text, up to there */
+	uint64_t sending_event; /* last one of a piece on its way; 0: none */
+	size_t sending_bytes;	/* of the text, likewise */
+	bool resumed;		/* after the last piece, by this process */
+	uint64_t event_ns;	/* when it came */
+	uint64_t version;	/* of the events that come now */
 	uint64_t versions[ITEM_VERSIONS_MAX];
 	uint32_t versions_count;
 	uint64_t begin_ns;     /* at this upstream */
@@ -93,8 +97,10 @@
 void batch_begun(struct kwb_batch *batch);
 void batch_load(struct kwb_batch *batch);
 void batch_free(struct kwb_batch *batch);
-bool batch_read_done(struct kwb_batch *batch,
+bool batch_read_more(struct kwb_batch *batch, const char *table,
     const struct kwb_store_answer *answer); /* true when more rows follow */
+struct item_run *batch_run(
+    struct kwb_batch *batch, const char *item, size_t item_bytes);
 void batch_mark_listed(struct kwb_batch *batch,
     const struct kwb_store_answer *answer); /* rows of TABLE_DONE */
 struct kwb_batch *batch_find(const struct kwb_batches *batches, const char *id);
@@ -132,14 +138,18 @@
     const struct kwb_batch_head *head); /* the owner of a batch is new */
 bool own_is_mine(
     const struct kwb_batches *batches, const struct kwb_batch_head *head);
-bool own_is_alive(const struct kwb_batches *batches, const char *node);
-bool own_keeps(const struct kwb_batches *batches, const char *owner);
-    /* is given its trainer's next batch, too */ /* has beaten just now */
+bool own_is_alive(const struct kwb_batches *batches,
+    const char *node); /* has beaten just now */
+bool own_keeps(const struct kwb_batches *batches,
+    const char *owner); /* is given its trainer's next batch, too */
 void own_look(struct kwb_batches *batches);
 
 /* partial.c: texts that items have so far */
-void batch_leave(struct kwb_batch *batch);
-void batch_checkpoint(struct kwb_batch *batch);
+void batch_leave(struct kwb_batch *batch);	/* hands the batch over */
+void batch_checkpoint(struct kwb_batch *batch); /* writes what has grown */
+void partial_read(struct kwb_batch *batch,
+    const struct kwb_row *row); /* a piece, in the order of their keys */
+void text_forget(struct item_run *run); /* begins anew */
 
 /* sweep.c: batches that nobody may ask for any more */
 void sweep_look(struct kwb_batches *batches);
--- a/src/batch/item.c
+++ b/src/batch/item.c
@@ -55,3 +55,18 @@
 		limit_ns = input->pace_ns * KWB_SILENCE_PACES;
 	return input->since_ns >= limit_ns;
 }
+
+/*
+ * Two owners that write for a moment make two texts; events of one never go on
+ * from events of the other, but where it was resumed.
+ */
+bool
+kwb_piece_joins(const struct kwb_piece *piece, const struct kwb_piece *before)
+{
+	if (piece->first != before->last + 1)
+		return false;
+	if (piece->text == before->text)
+		return true;
+	return piece->before == before->text &&
+	    piece->resumed_at == before->last;
+}
--- a/src/batch/list.c
+++ b/src/batch/list.c
@@ -227,7 +227,7 @@
 		return;
 	}
 	batch_mark_listed(batch, answer);
-	if (batch_read_done(batch, answer))
+	if (batch_read_more(batch, TABLE_DONE, answer))
 		return;
 	batch->in_doubt = false;
 	for (i = 0; i < batch->spec.items_count; i++)
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -141,38 +141,18 @@
 	batch->loading_ns = kwb_clock_now_ns() + KWB_BATCH_RETRY_NS;
 }
 
-/* Texts that the node before has left: "last event, versions, text". */
-static void
-partial_read(struct item_run *run, const struct kwb_row *row)
-{
-	const char *at = row->value;
-	char *next;
-
-	run->last_event = strtoull(at, &next, 10);
-	while (*next == ' ' && run->versions_count < ITEM_VERSIONS_MAX)
-		run->versions[run->versions_count++] =
-		    strtoull(next + 1, &next, 10);
-	if (*next != '\n' || run->last_event == 0 ||
-	    kwb_buf_add(&run->text, next + 1,
-		row->value_bytes - (size_t)(next + 1 - row->value)) != 0) {
-		kwb_log(KWB_LOG_WARN, "batch",
-		    "event=partial_unreadable batch=%s item=%s",
-		    run->batch->head.id, row->key);
-		run->last_event = 0;
-		run->versions_count = 0;
-		run->text.used_bytes = 0;
-	}
-	run->saved_event = run->last_event;
-}
-
-static struct item_run *
-run_of(struct kwb_batch *batch, const char *item)
+struct item_run *
+batch_run(struct kwb_batch *batch, const char *item, size_t item_bytes)
 {
+	const char *id;
 	uint32_t i;
 
-	for (i = 0; i < batch->spec.items_count; i++)
-		if (strcmp(batch->spec.items[i].id, item) == 0)
+	for (i = 0; i < batch->spec.items_count; i++) {
+		id = batch->spec.items[i].id;
+		if (strncmp(id, item, item_bytes) == 0 &&
+		    id[item_bytes] == '\0')
 			return &batch->runs[i];
+	}
 	return NULL;
 }
 
@@ -181,37 +161,37 @@
     struct kwb_store_call *call, const struct kwb_store_answer *answer)
 {
 	struct kwb_batch *batch = call->context;
-	struct item_run *run;
+	uint32_t resumed = 0;
 	uint32_t i;
 
 	if (answer->error != 0) {
 		load_failed(batch, answer->error);
 		return;
 	}
-	for (i = 0; i < answer->rows_count; i++) {
-		run = run_of(batch, answer->rows[i].key);
-		if (run != NULL && run->state == ITEM_WAITING &&
-		    run->text.used_bytes == 0)
-			partial_read(run, &answer->rows[i]);
-	}
+	for (i = 0; i < answer->rows_count; i++)
+		partial_read(batch, &answer->rows[i]);
+	if (batch_read_more(batch, TABLE_PARTIAL, answer))
+		return;
+	for (i = 0; i < batch->spec.items_count; i++)
+		resumed += batch->runs[i].resumed;
 	batch->loaded = true;
 	kwb_log(KWB_LOG_INFO, "batch",
 	    "event=loaded batch=%s items=%u listed=%u partial=%u",
-	    batch->head.id, batch->spec.items_count, batch->listed,
-	    answer->rows_count);
+	    batch->head.id, batch->spec.items_count, batch->listed, resumed);
 	if (batch->listed == batch->spec.items_count)
 		batch_listed(batch);
 	kwb_batches_kick(batch->batches);
 }
 
-/* Reads the next rows of what is listed; the callback is the same. */
+/* Reads the next rows of a table; the callback is the same. */
 bool
-batch_read_done(struct kwb_batch *batch, const struct kwb_store_answer *answer)
+batch_read_more(struct kwb_batch *batch, const char *table,
+    const struct kwb_store_answer *answer)
 {
 	struct kwb_store *store = batch->batches->env->store;
-	char from[KWB_KEY_MAX_BYTES + 2];
+	char from[2 * KWB_KEY_MAX_BYTES];
 	struct kwb_range range = {
-	    .table = TABLE_DONE, .part = batch->head.id, .from = from};
+	    .table = table, .part = batch->head.id, .from = from};
 
 	if (!answer->more || answer->rows_count == 0)
 		return false;
@@ -231,7 +211,8 @@
 	uint32_t i;
 
 	for (i = 0; i < answer->rows_count; i++) {
-		run = run_of(batch, answer->rows[i].key);
+		run = batch_run(
+		    batch, answer->rows[i].key, strlen(answer->rows[i].key));
 		if (run == NULL || run->state == ITEM_LISTED)
 			continue;
 		run_finish(run);
@@ -252,7 +233,7 @@
 		return;
 	}
 	batch_mark_listed(batch, answer);
-	if (batch_read_done(batch, answer))
+	if (batch_read_more(batch, TABLE_DONE, answer))
 		return;
 	call->on_done = partials_answer;
 	load_done(batch, &range);
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -92,15 +92,6 @@
 	kwb_batches_kick(run->batch->batches);
 }
 
-/* Text of one version only: what came under another one is of no use. */
-static void
-forget_text(struct item_run *run)
-{
-	run->text.used_bytes = 0;
-	run->last_event = 0;
-	run->versions_count = 0;
-}
-
 void
 run_retry(struct item_run *run, uint64_t wait_ns, const char *reason)
 {
@@ -210,7 +201,8 @@
 	route = kwb_node_config_route(
 	    *run_env(run)->config, run->batch->head.host, run->item->target);
 	if (route != NULL && route->single_version) {
-		forget_text(run);
+		/* What came under another version is of no use. */
+		text_forget(run);
 		run_retry(run, 0, "versions_mixed");
 	}
 }
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -672,6 +672,78 @@
 		    kwb_item_is_silent(&cases[i].input), cases[i].silent);
 }
 
+/*
+ * Text 1 was written by a node that was taken for dead; text 2 goes on after
+ * its event 20. Whatever rows are there, no event of one follows the other's.
+ */
+static void
+test_pieces(void)
+{
+	static const struct {
+		struct kwb_piece before;
+		struct kwb_piece piece;
+		bool joins;
+	} cases[] = {
+	    {{0}, {.text = 1, .first = 1, .last = 20}, true},
+	    {{.text = 1, .first = 1, .last = 20},
+		{.text = 1, .first = 21, .last = 40}, true},
+	    {{.text = 1, .first = 1, .last = 20},
+		{.text = 2,
+		    .before = 1,
+		    .resumed_at = 20,
+		    .first = 21,
+		    .last = 35},
+		true},
+	    {{.text = 2,
+		 .before = 1,
+		 .resumed_at = 20,
+		 .first = 21,
+		 .last = 35},
+		{.text = 2,
+		    .before = 1,
+		    .resumed_at = 20,
+		    .first = 36,
+		    .last = 50},
+		true},
+	    /* The dead one wakes up and writes on. */
+	    {{.text = 2,
+		 .before = 1,
+		 .resumed_at = 20,
+		 .first = 21,
+		 .last = 40},
+		{.text = 1, .first = 41, .last = 60}, false},
+	    /* Its late write took the place of text 2's first piece. */
+	    {{.text = 1, .first = 21, .last = 35},
+		{.text = 2,
+		    .before = 1,
+		    .resumed_at = 20,
+		    .first = 36,
+		    .last = 50},
+		false},
+	    /* A piece was lost. */
+	    {{.text = 1, .first = 1, .last = 20},
+		{.text = 1, .first = 31, .last = 40}, false},
+	    {{0}, {.text = 1, .first = 21, .last = 40}, false},
+	    /* The same events again, at another key. */
+	    {{.text = 1, .first = 1, .last = 20},
+		{.text = 1, .first = 16, .last = 30}, false},
+	    /* Its first piece was lost, a text resumed from one not there. */
+	    {{0},
+		{.text = 2,
+		    .before = 1,
+		    .resumed_at = 20,
+		    .first = 21,
+		    .last = 30},
+		false},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		CU_ASSERT_EQUAL(
+		    kwb_piece_joins(&cases[i].piece, &cases[i].before),
+		    cases[i].joins);
+}
+
 #define AT_MS(ms) ((uint64_t)(ms)*KWB_MS_NS)
 
 /*
@@ -1148,9 +1220,10 @@
 	    {"homes", test_homes}, {"load_wanted", test_load_wanted},
 	    {"loads_leave_homes", test_loads_leave_homes}, {"rank", test_rank},
 	    {"order_of_items", test_order_of_items}, {"move", test_move},
-	    {"silence", test_silence}, {"owner_silence", test_owner_silence},
-	    {"claims", test_claims}, {"owner_size", test_owner_size},
-	    {"events", test_events}, {"settings", test_settings},
+	    {"silence", test_silence}, {"pieces", test_pieces},
+	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
+	    {"owner_size", test_owner_size}, {"events", test_events},
+	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
 	    {"documents", test_documents},
 	    {"mutated_documents", test_mutated_documents},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -613,6 +613,29 @@
 	    &script->out, from > 1 ? "resumed\n" : "from the first event\n");
 }
 
+/* Events of an item that a later run made once more: none beyond the most. */
+static void
+run_again(struct script *script)
+{
+	const struct stage *stage = &script->stage;
+	unsigned most = (unsigned)atoi(script->words[2]);
+	unsigned sent = 0;
+	unsigned again = 0;
+	unsigned i;
+
+	for (i = 0; i < stage->runs_count; i++) {
+		if (strcmp(stage->runs[i].id, script->words[1]) != 0)
+			continue;
+		if (stage->runs[i].from <= sent)
+			again += sent + 1 - stage->runs[i].from;
+		sent = stage->runs[i].sent;
+	}
+	if (again <= most)
+		kwb_buf_printf(&script->out, "at most %u again\n", most);
+	else
+		kwb_buf_printf(&script->out, "%u again\n", again);
+}
+
 /* The value of a field of a log line. */
 static void
 log_field(const char *line, const char *name, char *value, size_t room_bytes)
@@ -841,7 +864,8 @@
 	    {"until-some", run_until_some}, {"orders", run_sum},
 	    {"rows", run_rows}, {"objects", run_objects},
 	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
-	    {"resumed", run_resumed}, {"explain", run_explain}};
+	    {"resumed", run_resumed}, {"again", run_again},
+	    {"explain", run_explain}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -15,6 +15,7 @@
 
 struct stream {
 	struct stage_server *server;
+	struct stage_run *run;
 	unsigned next; /* event to send */
 	unsigned total;
 	bool skips;
@@ -198,6 +199,7 @@
 	snprintf(text, sizeof(text), "id: %u\ndata: word%u\n\n", stream->next,
 	    stream->next);
 	chunk(out, text);
+	stream->run->sent = stream->next;
 	stream->next++;
 	kwb_timer_at(peer->timer,
 	    kwb_clock_now_ns() + stream->server->pace_ms * KWB_MS_NS);
@@ -219,6 +221,7 @@
 	sscanf(kwb_buf_text(&peer->conn.message.body), "events=%u",
 	    &stream->total);
 	note_run(server, peer, stream->next);
+	stream->run = &server->stage->runs[server->stage->runs_count - 1];
 	server->running++;
 	peer->work = stream;
 	common_headers(headers, sizeof(headers), peer, true);
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -126,6 +126,7 @@
 	char server[32];
 	char prompt[64]; /* its parts */
 	unsigned from;	 /* first event */
+	unsigned sent;	 /* last event */
 };
 
 struct stage_server {
