Owners beat each 0.4 s, answered or not; the store's return is seen sooner

A beat gives up the one before, beats come each 0.4 s and 1.6 s of silence end an ownership; a probe is replaced after 0.25 s while nothing else is answered; failed loads set the time of the next look.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -52,7 +52,7 @@
 #define KWB_FOLLOW_RETRY_NS (150 * KWB_MS_NS) /* after a failed call */
 #define KWB_STORE_WATCH_NS (250 * KWB_MS_NS)  /* between looks */
 #define KWB_STORE_SILENT_NS (750 * KWB_MS_NS) /* a node calls each 500 ms */
-#define KWB_PROBE_MOST_NS (500 * KWB_MS_NS)   /* usual answers take 20 */
+#define KWB_PROBE_MOST_NS (1000 * KWB_MS_NS)  /* while others are answered */
 #define KWB_GIVE_UP_NS (100 * KWB_MS_NS)      /* after an answer to a probe */
 
 /* Upstreams of the shared platform */
@@ -86,16 +86,17 @@
 #define KWB_CHECKPOINT_EVENTS 8	     /* a text that has grown by so many */
 #define KWB_SCORE_TIMEOUT_MS 1500    /* when no route names one */
 #define KWB_PUMP_NS (20 * KWB_MS_NS) /* between looks for free places */
-#define KWB_BATCH_RETRY_NS (250 * KWB_MS_NS) /* after a failed store call */
+#define KWB_BATCH_RETRY_NS (100 * KWB_MS_NS) /* after a failed store call */
 #define KWB_TX_MAX_BYTES (400u << 10) /* of values; 1 MB as text at most */
 #define KWB_RESULTS_MAX 100	      /* results in one answer */
 #define KWB_RESULTS_MAX_BYTES (900u << 10)
 #define KWB_READ_POLL_NS (120 * KWB_MS_NS) /* a reader's look for results */
 #define KWB_MINDER_NS (400 * KWB_MS_NS)	   /* between looks at owners */
-#define KWB_BEAT_NS (600 * KWB_MS_NS)	   /* between beats of an owner */
-#define KWB_BEAT_READS 4 /* reads without a beat before a take-over */
-#define KWB_OWNER_SILENT_NS (2200 * KWB_MS_NS)	/* likewise, time */
-#define KWB_OWNER_ALIVE_NS (1150 * KWB_MS_NS)	/* its last beat is so new */
+#define KWB_BEAT_NS (400 * KWB_MS_NS)	   /* between beats of an owner */
+#define KWB_BEAT_READS 3 /* reads without a beat before a take-over */
+#define KWB_OWNER_SILENT_NS (1600 * KWB_MS_NS)	/* likewise, time */
+#define KWB_START_STORE_NS (2200 * KWB_MS_NS)	/* ends are known in 3 s */
+#define KWB_OWNER_ALIVE_NS (900 * KWB_MS_NS)	/* its last beat is so new */
 #define KWB_OWNER_STAY_NS (10000 * KWB_MS_NS)	/* beats on without batches */
 #define KWB_BEAT_FORGET_NS (600000 * KWB_MS_NS) /* a node gone for good */
 #define KWB_SWEEP_NS (1000 * KWB_MS_NS) /* between looks for old batches */
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -113,11 +113,11 @@
 	if (batches->leaving)
 		return;
 	/*
-	 * A node that the store has turned away for so long has lost its
-	 * batches to others: what runs goes on, nothing new starts.
+	 * A node that the store has turned away for so long may have missed
+	 * the end of a batch: what runs goes on, nothing new starts.
 	 */
 	if (kwb_clock_now_ns() - batches->env->store->answered_ns <
-	    KWB_OWNER_SILENT_NS)
+	    KWB_START_STORE_NS)
 		TAILQ_FOREACH (batch, &batches->running, entry)
 			left |= batch_pump(batch);
 	if (kwb_clock_now_ns() - batches->moved_ns >= KWB_MOVE_LOOK_NS) {
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -202,6 +202,8 @@
 	    (unsigned long long)batches->env->incarnation,
 	    batches->env->settings->processor_milli);
 
+	/* An answer that is lost must not hold up the next beat. */
+	kwb_store_cancel(store, &batches->beat);
 	memset(&tx, 0, sizeof(tx));
 	kwb_tx_put(&tx, TABLE_NODES, "", batches->env->settings->node, value,
 	    (size_t)length);
@@ -337,6 +339,20 @@
 	kwb_timer_at(batches->minder, 0);
 }
 
+/* Reads again what could not be read, or says when. */
+static void
+load_again(struct kwb_batch *batch, uint64_t now_ns, uint64_t *next_ns)
+{
+	if (batch->loading_ns > now_ns) {
+		if (batch->loading_ns < *next_ns)
+			*next_ns = batch->loading_ns;
+	} else if (batch->loaded) {
+		batch_reconcile(batch);
+	} else {
+		batch_load(batch);
+	}
+}
+
 static void
 minder_time(int fd, short what, void *context)
 {
@@ -366,12 +382,8 @@
 			} else if (batch == NULL) {
 				/* Given to this node as it began to stop. */
 				claim_start(batches, head, true);
-			} else if (batch->loading_ns != 0 &&
-			    batch->loading_ns <= now_ns) {
-				if (batch->loaded)
-					batch_reconcile(batch);
-				else
-					batch_load(batch);
+			} else if (batch->loading_ns != 0) {
+				load_again(batch, now_ns, &next_ns);
 			}
 			continue;
 		}
@@ -388,7 +400,6 @@
 		batches->owned_ns = now_ns;
 	if (batches->owned_ns != 0 && !batches->leaving &&
 	    now_ns - batches->owned_ns < KWB_OWNER_STAY_NS &&
-	    batches->beat.driver == NULL &&
 	    now_ns - batches->beat_ns >= KWB_BEAT_NS)
 		beat_write(batches);
 	if (look && !batches->leaving && batches->look.driver == NULL) {
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -57,17 +57,21 @@
 	    .error = KWB_ERR_STORE_UNKNOWN};
 	struct kwb_store_watch *watch = context;
 	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t quiet_ns = now_ns - watch->store->answered_ns;
+	uint64_t most_ns = quiet_ns >= KWB_STORE_SILENT_NS
+	    ? KWB_STORE_WATCH_NS
+	    : KWB_PROBE_MOST_NS; /* others are answered: it is only slow */
 
 	(void)fd;
 	(void)what;
 	if (watch->back_ns != 0)
 		give_up(watch);
 	if (watch->probe.driver != NULL &&
-	    now_ns - watch->probe_ns >= KWB_PROBE_MOST_NS) {
+	    now_ns - watch->probe_ns >= most_ns) {
 		kwb_store_cancel(watch->store, &watch->probe);
 		kwb_store_note(watch->store, &none);
 	}
-	if (now_ns - watch->store->answered_ns >= KWB_STORE_SILENT_NS)
+	if (quiet_ns >= KWB_STORE_SILENT_NS)
 		watch->silent = true;
 	if (watch->silent && watch->probe.driver == NULL)
 		probe_start(watch);
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -760,18 +760,18 @@
 	    .reads = 2};
 	struct kwb_node_beat idle = dead;
 
-	CU_ASSERT_TRUE(kwb_beat_is_alive(&dead, AT_MS(11000)));
-	kwb_beat_given(&dead, AT_MS(11000));
+	CU_ASSERT_TRUE(kwb_beat_is_alive(&dead, AT_MS(10800)));
+	kwb_beat_given(&dead, AT_MS(10800));
 	dead.reads += KWB_BEAT_READS;
-	CU_ASSERT_FALSE(kwb_beat_is_silent(&dead, AT_MS(12100)));
-	CU_ASSERT_TRUE(kwb_beat_is_silent(&dead, AT_MS(12200)));
+	CU_ASSERT_FALSE(kwb_beat_is_silent(&dead, AT_MS(11500)));
+	CU_ASSERT_TRUE(kwb_beat_is_silent(&dead, AT_MS(11600)));
 	CU_ASSERT_FALSE(kwb_beat_is_alive(&idle, AT_MS(30000)));
 	idle.reads = 90;
 	kwb_beat_given(&idle, AT_MS(30000));
 	CU_ASSERT_FALSE(kwb_beat_is_silent(&idle, AT_MS(30100)));
 	idle.reads += KWB_BEAT_READS;
-	CU_ASSERT_FALSE(kwb_beat_is_silent(&idle, AT_MS(32100)));
-	CU_ASSERT_TRUE(kwb_beat_is_silent(&idle, AT_MS(32200)));
+	CU_ASSERT_FALSE(kwb_beat_is_silent(&idle, AT_MS(31500)));
+	CU_ASSERT_TRUE(kwb_beat_is_silent(&idle, AT_MS(31600)));
 }
 
 #define CLAIM_NODES 40
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -58,7 +58,7 @@
 };
 
 static const char *const store_faults[] = {
-    "ok", "busy", "many", "reset", "silent", "lost", "late", NULL};
+    "ok", "busy", "many", "reset", "silent", "lost", "late", "mute", NULL};
 static const char *const server_faults[] = {"ok", "refuse", "error", "never",
     "reset", "silent", "other-id", "cut", "extra", "unframed", "garbage",
     "no-receipt", "skip", "misdirected", "stall", NULL};
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -57,7 +57,8 @@
 	STORE_RESET,  /* closes */
 	STORE_SILENT, /* answers nothing */
 	STORE_LOST,   /* writes are done and not answered */
-	STORE_LATE    /* writes are done 300 ms later and not answered */
+	STORE_LATE,   /* writes are done 300 ms later and not answered */
+	STORE_MUTE    /* writes are done, their connections say no more */
 };
 
 struct stage_row {
--- a/tests/platform/store.c
+++ b/tests/platform/store.c
@@ -191,6 +191,8 @@
 	conflicts = transact(store, body);
 	if (fault == STORE_LOST)
 		peer_close(peer, true);
+	else if (fault == STORE_MUTE)
+		;
 	else if (conflicts != NULL)
 		answer_json(peer, 412, json_pack("{s:O}", "rows", conflicts));
 	else
