--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -15,6 +15,7 @@
 #define STAGE_SERVERS_MAX 16
 #define STAGE_NODES_MAX 4
 #define STAGE_RUNS_MAX 16384
+#define STAGE_ORDERS_MAX 2048
 
 /* ---- A small HTTP server --------------------------------------------------
  */
@@ -130,6 +131,14 @@
 	unsigned sent;	 /* last event */
 };
 
+/* An order as it arrived, taken or not. */
+struct stage_order {
+	const struct stage_server *server;
+	char holder[32];
+	uint64_t fence;
+	uint64_t at_ns;
+};
+
 struct stage_server {
 	struct stage *stage;
 	struct stage_port port;
@@ -137,6 +146,7 @@
 	char service[32];
 	struct kwb_address advertised; /* in its row; port 0: its own */
 	bool engine;
+	bool ignores_fences;
 	bool listed;
 	bool draining;
 	unsigned slots;
@@ -177,6 +187,8 @@
 	unsigned nodes_count;
 	struct stage_run runs[STAGE_RUNS_MAX];
 	unsigned runs_count;
+	struct stage_order orders[STAGE_ORDERS_MAX];
+	unsigned orders_count;
 };
 
 void stage_init(struct stage *stage);
