A reader at another node looks for results each 60 ms

A look costs one call of about 16 a second for each reader that waits; after a failure it stays at 120 ms.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -90,9 +90,10 @@
 #define KWB_TX_MAX_BYTES (400u << 10) /* of values; 1 MB as text at most */
 #define KWB_RESULTS_MAX 100	      /* results in one answer */
 #define KWB_RESULTS_MAX_BYTES (900u << 10)
-#define KWB_READ_POLL_NS (120 * KWB_MS_NS) /* a reader's look for results */
-#define KWB_MINDER_NS (400 * KWB_MS_NS)	   /* between looks at owners */
-#define KWB_BEAT_NS (400 * KWB_MS_NS)	   /* between beats of an owner */
+#define KWB_READ_POLL_NS (60 * KWB_MS_NS)   /* a reader's look for results */
+#define KWB_READ_RETRY_NS (120 * KWB_MS_NS) /* likewise, after a failure */
+#define KWB_MINDER_NS (400 * KWB_MS_NS)	    /* between looks at owners */
+#define KWB_BEAT_NS (400 * KWB_MS_NS)	    /* between beats of an owner */
 #define KWB_BEAT_READS 3 /* reads without a beat before a take-over */
 #define KWB_OWNER_SILENT_NS (1600 * KWB_MS_NS)	/* likewise, time */
 #define KWB_START_STORE_NS (2200 * KWB_MS_NS)	/* ends are known in 3 s */
--- a/src/batch/read.c
+++ b/src/batch/read.c
@@ -33,11 +33,11 @@
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 
-	if (now_ns + KWB_READ_POLL_NS >= read->deadline_ns) {
+	if (now_ns + KWB_READ_RETRY_NS >= read->deadline_ns) {
 		read_done(read, error);
 		return;
 	}
-	kwb_timer_at(read->timer, now_ns + KWB_READ_POLL_NS);
+	kwb_timer_at(read->timer, now_ns + KWB_READ_RETRY_NS);
 }
 
 static void
