Items probe a suspected home only where no sound one has a place

Requests go on to probe, they cost half of their latency target; items come in numbers that fill the sound homes, so the short ones, which start last, find out.

--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -88,14 +88,21 @@
 	    load_of(upstream, pick->now_ns) < upstream->status.slots;
 }
 
-/* Suspected: left alone, but for one request at a time once the wait is over.
- */
+/* How much an upstream's failures count. */
+enum trust {
+	TRUST_SOUND,  /* none in a row */
+	TRUST_PROBED, /* or suspected, its wait is over, and nothing tries it */
+	TRUST_ANY
+};
+
 static bool
-is_trusted(const struct kwb_upstream *upstream, uint64_t now_ns)
+is_trusted(
+    const struct kwb_upstream *upstream, enum trust trust, uint64_t now_ns)
 {
-	if (upstream->failures < KWB_SUSPECT_FAILURES)
+	if (trust == TRUST_ANY || upstream->failures < KWB_SUSPECT_FAILURES)
 		return true;
-	return upstream->suspect_until_ns <= now_ns && !upstream->probing;
+	return trust == TRUST_PROBED && upstream->suspect_until_ns <= now_ns &&
+	    !upstream->probing;
 }
 
 static bool
@@ -154,7 +161,7 @@
 /* Cheapest upstream of one sort: homes of the model, or any. */
 static struct kwb_upstream *
 pick_among(const struct kwb_registry *registry, const struct kwb_pick *pick,
-    bool homes, bool trusted)
+    bool homes, enum trust trust)
 {
 	struct kwb_upstream *best = NULL;
 	double usual = usual_pace(registry, pick);
@@ -170,7 +177,7 @@
 			continue;
 		if (homes && strcmp(upstream->home_model, pick->model) != 0)
 			continue;
-		if (trusted && !is_trusted(upstream, pick->now_ns))
+		if (!is_trusted(upstream, trust, pick->now_ns))
 			continue;
 		cost = cost_of(pick, upstream, usual);
 		if (best == NULL || cost < best_cost) {
@@ -187,11 +194,14 @@
 {
 	struct kwb_upstream *found = NULL;
 
+	/* A generation that finds a home dead has lost a second. */
 	if (pick->model != NULL)
-		found = pick_among(registry, pick, true, true);
+		found = pick_among(registry, pick, true, TRUST_SOUND);
+	if (found == NULL && pick->model != NULL)
+		found = pick_among(registry, pick, true, TRUST_PROBED);
 	if (found == NULL)
-		found = pick_among(registry, pick, false, true);
+		found = pick_among(registry, pick, false, TRUST_PROBED);
 	if (found == NULL && !pick->within_slots)
-		found = pick_among(registry, pick, false, false);
+		found = pick_among(registry, pick, false, TRUST_ANY);
 	return found;
 }
