--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -30,8 +30,6 @@
 struct item_run {
 	struct kwb_batch *batch;
 	const struct kwb_batch_item *item;
-	uint32_t group;
-	enum item_state state;
 	struct kwb_exchange exchange;
 	struct kwb_events events;
 	struct kwb_upstream *upstream; /* while running */
@@ -41,22 +39,24 @@
 	size_t saved_bytes;	/* of the text, up to there */
 	uint64_t sending_event; /* last one of a piece on its way; 0: none */
 	size_t sending_bytes;	/* of the text, likewise */
-	bool resumed;		/* after the last piece, by this process */
 	uint64_t event_ns;	/* when it came */
 	uint64_t version;	/* of the events that come now */
 	uint64_t versions[ITEM_VERSIONS_MAX];
+	uint64_t begin_ns; /* at this upstream */
+	uint64_t retry_ns; /* not before */
+	struct kwb_forward score;
+	char *receipt; /* of the reward call */
+	uint32_t group;
+	enum item_state state;
+	enum kwb_item_state result;
 	uint32_t versions_count;
-	uint64_t begin_ns;     /* at this upstream */
 	uint32_t moves;	       /* away from slow upstreams */
 	uint32_t errors;       /* answers of 500 */
 	uint32_t score_errors; /* likewise, of its reward call */
-	uint64_t retry_ns;     /* not before */
+	bool resumed;	       /* after the last piece, by this process */
 	bool in_object;	       /* its result is too long for a row */
 	bool order_broken;     /* an event was missing */
-	struct kwb_forward score;
 	bool score_open;
-	char *receipt; /* of the reward call */
-	enum kwb_item_state result;
 };
 
 struct batch_group {
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -13,7 +13,8 @@
 	make -s -C "$scratch/tree" -j8 SANITIZE=-Wno-error all \
 		build/tests/unit build/tests/contract build/tests/golden \
 		build/tests/faults build/tests/platform/decisions \
-		build/tests/platform/script >"$scratch/log" 2>&1
+		build/tests/platform/script build/tests/platform/soak \
+		>"$scratch/log" 2>&1
 }
 while IFS="~" read -r name file expression command; do
 	case "$name" in '' | '#'*) continue ;; esac
