--- a/src/batch/partial.c
+++ b/src/batch/partial.c
@@ -258,6 +258,7 @@
 		for (i = 0; i < batch->spec.items_count; i++)
 			run_stop(&batch->runs[i]);
 	kwb_store_cancel(batch->batches->env->store, &batch->call);
+	kwb_store_cancel(batch->batches->env->store, &batch->checkpoint);
 	batch->listing = false;
 	batch->in_doubt = true; /* the listing may still be done */
 	batch->leave_next = batch->loaded ? 0 : batch->spec.items_count;
