An item that waits in an upstream's queue says nothing of its health

Under more load than places the items wait in queues for that long, and sound upstreams would be lost just then. Now only silence of all that runs there counts.

--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -71,7 +71,9 @@
 	const char *reason;
 
 	if (is_silent(run, now_ns)) {
-		kwb_upstream_failed(run->upstream, now_ns);
+		/* While others go on there, this one waits in its queue. */
+		if (now_ns - run->upstream->pace_at_ns >= KWB_EVENT_SILENCE_NS)
+			kwb_upstream_failed(run->upstream, now_ns);
 		run_retry(run, 0, "silent");
 		return;
 	}
