Peers: an owner whose path to the store is cut goes on through another node

Cause: nodes know only their own way to the store. Chosen: each node listens on its first inner port and passes a peer's connection on to the store, byte for byte; the calls keep their conditions, so nothing new decides what is durable. Sixteen peers a node, from a ring of rows. A frame of our own around the store's calls was weighed: it would carry the same bytes and add a codec to each.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 
 # What a node on the shared platform is made of; its program links no more.
 NODE_SRC = $(wildcard src/net/*.c src/store/*.c src/upstream/*.c \
-	src/forward/*.c src/batch/*.c src/node/*.c platform/*.c) \
+	src/forward/*.c src/batch/*.c src/node/*.c src/peer/*.c \
+	platform/*.c) \
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
 	src/weights/mover_look.c src/weights/mover_order.c \
 	$(addprefix src/core/,base64.c buf.c clock.c completion.c error.c faults.c index.c log.c \
@@ -24,7 +25,7 @@
 NODE_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/ctl.c,$(NODE_SRC)))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
-	src/batch/% src/node/% src/route/node_config.c src/weights/homes.c \
+	src/batch/% src/node/% src/peer/% src/route/node_config.c src/weights/homes.c \
 	src/weights/mover.c src/weights/mover_look.c src/weights/mover_order.c src/core/base64.c src/core/timer.c src/core/index.c, \
 	$(wildcard src/*/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
@@ -88,15 +89,14 @@
 		$(B)/fakes/text.o $(B)/fakes/trainer.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o) \
+STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o proxy.o) \
 	$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 
 $(B)/tests/platform/script: $(B)/tests/platform/script.o $(STAGE_OBJ) \
 		| $(B)/kwb-nodectl
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
-$(B)/tests/platform/soak: $(B)/tests/platform/soak.o \
-		$(B)/tests/platform/proxy.o $(STAGE_OBJ)
+$(B)/tests/platform/soak: $(B)/tests/platform/soak.o $(STAGE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
 $(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -55,6 +55,22 @@
 #define KWB_PROBE_MOST_NS (1000 * KWB_MS_NS)  /* while others are answered */
 #define KWB_GIVE_UP_NS (100 * KWB_MS_NS)      /* after an answer to a probe */
 
+/* Peers: a way round a cut path to the store */
+#define KWB_PATH_LOOK_NS (125 * KWB_MS_NS)    /* between looks at the path */
+#define KWB_PATH_QUIET_NS (500 * KWB_MS_NS)   /* heartbeats come each 100 ms */
+#define KWB_PATH_PROBE_NS (400 * KWB_MS_NS)   /* a slow store answers in it */
+#define KWB_PATH_SEEKS 2		      /* peers asked at a time */
+#define KWB_PATH_TRIES 6		      /* peers asked in one look */
+#define KWB_STORE_PEERS_MAX 16		      /* peers known to a node */
+#define KWB_PEERS_RETRY_NS (500 * KWB_MS_NS)  /* after a failed call */
+#define KWB_PEERS_FIRST_NS (4000 * KWB_MS_NS) /* machines start together */
+#define KWB_PEERS_NS (60000 * KWB_MS_NS)      /* between reads of rows */
+#define KWB_PEER_GONE_MS 600000		      /* a row not written since */
+#define KWB_RELAY_FRESH_NS (1000 * KWB_MS_NS) /* own path answered since */
+#define KWB_RELAY_PAIRS_MAX 128	   /* 10 connections of each of 12 peers */
+#define KWB_RELAY_HOLD_BYTES 65536 /* of a connection, each way */
+#define KWB_RELAY_IDLE_S 5	   /* longer than a feed waits */
+
 /* Upstreams of the shared platform */
 #define KWB_CONNECT_COST 0.15  /* of a new connection, in pieces of work */
 #define KWB_PACE_NOISE 1.6     /* plain work varies by so much */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -298,10 +298,14 @@
 
 struct kwb_store {
 	const struct kwb_store_ops *ops;
-	uint64_t answered_ns;	 /* last answer, kwb_clock_now_ns() */
-	uint64_t failed_ns;	 /* last call refused or without answer */
-	uint64_t returned_ns;	 /* first answer after it was away */
-	int64_t clock_offset_ms; /* store's clock less kwb_boot_now_ns() */
+	/* Calls go through it, a peer that passes them on; NULL for none. */
+	const struct kwb_address *relay;
+	uint64_t answered_ns;	    /* last answer, kwb_clock_now_ns() */
+	uint64_t own_answered_ns;   /* likewise, without a peer */
+	uint64_t relay_answered_ns; /* likewise, through a peer */
+	uint64_t failed_ns;	    /* last call refused or without answer */
+	uint64_t returned_ns;	    /* first answer after it was away */
+	int64_t clock_offset_ms;    /* store's clock less kwb_boot_now_ns() */
 	uint64_t calls_count;
 };
 
@@ -310,7 +314,8 @@
 void kwb_store_cancel(
     struct kwb_store *store, struct kwb_store_call *call); /* no callback */
 void kwb_store_note(struct kwb_store *store,
-    const struct kwb_store_answer *answer); /* for implementations */
+    const struct kwb_store_answer *answer,
+    bool is_relayed); /* for implementations */
 uint64_t kwb_store_now_ms(
     const struct kwb_store *store); /* the store's clock, 0 when unknown */
 void kwb_tx_expect(struct kwb_tx *tx, const char *table, const char *part,
@@ -417,6 +422,7 @@
 	struct kwb_address ready;   /* the balancer's question */
 	struct kwb_address store;   /* of the platform */
 	struct kwb_address metrics; /* port 0 for none */
+	struct kwb_address peers;   /* other nodes; port 0 for none */
 	uint32_t memory_mb;
 	uint32_t processor_milli; /* thousandths of a core */
 	uint32_t descriptors;
@@ -430,6 +436,111 @@
 void kwb_node_settings_init(
     struct kwb_node_settings *settings); /* the defaults */
 
+/* ---- Peers: a way round a cut path to the store -------------------------- */
+
+enum kwb_path {
+	KWB_PATH_OWN,	/* calls go to the store itself */
+	KWB_PATH_RELAY, /* through the peer that is in use */
+	KWB_PATH_SEEK	/* neither answers: a peer is looked for */
+};
+
+/* What the choice of a way looks at; see kwb_path_wanted(). */
+struct kwb_path_input {
+	uint64_t own_quiet_ns;	 /* since the last answer without a peer */
+	uint64_t relay_quiet_ns; /* since the last one through a peer */
+	bool is_relayed;	 /* a peer is in use */
+};
+
+enum kwb_path kwb_path_wanted(const struct kwb_path_input *input); /* pure */
+
+/* What decides whether a peer's connection is passed on. */
+struct kwb_relay_input {
+	uint64_t own_quiet_ns; /* since the store last answered this node */
+	bool is_relayed;       /* this node's calls go through a peer */
+	bool is_stopping;
+	uint32_t pairs;
+	uint32_t pairs_max;
+};
+
+bool kwb_relay_accepts(const struct kwb_relay_input *input); /* pure */
+
+struct kwb_relay_pair;
+TAILQ_HEAD(kwb_relay_pair_list, kwb_relay_pair);
+
+/* Passes connections of peers on to the store. */
+struct kwb_relay {
+	struct event_base *base;
+	const struct kwb_node_settings *settings;
+	const struct kwb_store *store;
+	struct evconnlistener *listener;
+	struct kwb_relay_pair_list pairs;
+	uint32_t pairs_count;
+	bool is_stopping;
+};
+
+int kwb_relay_init(struct kwb_relay *relay, struct event_base *base,
+    const struct kwb_node_settings *settings,
+    const struct kwb_store *store); /* listens, where settings name a port */
+void kwb_relay_stop(struct kwb_relay *relay);	/* accepts nothing new */
+void kwb_relay_finish(struct kwb_relay *relay); /* closes everything */
+
+struct kwb_peer {
+	char node[KWB_NAME_MAX_BYTES];
+	struct kwb_address address; /* its relay */
+};
+
+/* A bounded number of other nodes, from rows of the store. */
+struct kwb_peers {
+	const struct kwb_node_settings *settings;
+	struct kwb_store *store;
+	struct kwb_store_call write; /* own row */
+	struct kwb_store_call read;
+	struct kwb_store_call forget; /* removes rows of nodes long gone */
+	struct event *timer;
+	struct kwb_peer known[KWB_STORE_PEERS_MAX];
+	uint32_t known_count;
+	uint32_t next;				    /* asked next */
+	struct kwb_peer found[KWB_STORE_PEERS_MAX]; /* by a read in progress */
+	uint32_t found_count;
+	bool is_wrapped; /* that read goes on at the ring's begin */
+	bool is_written; /* the own row is there */
+};
+
+int kwb_peers_init(struct kwb_peers *peers, struct event_base *base,
+    const struct kwb_node_settings *settings,
+    struct kwb_store *store); /* begins to write and read rows */
+void kwb_peers_finish(struct kwb_peers *peers); /* ends it */
+const struct kwb_peer *kwb_peers_next(
+    struct kwb_peers *peers); /* by turns; NULL for none */
+
+struct kwb_detour;
+
+struct kwb_detour_probe {
+	struct kwb_store_call call;
+	struct kwb_detour *detour;
+	struct kwb_peer peer; /* asked through */
+	uint64_t begin_ns;
+};
+
+/* Chooses the way of calls to the store. */
+struct kwb_detour {
+	struct kwb_store *store;
+	struct kwb_peers *peers;
+	struct event *timer;
+	void (*on_change)(void *context); /* calls go through a peer now */
+	void *context;
+	struct kwb_peer peer;		 /* in use while store->relay is set */
+	struct kwb_detour_probe own;	 /* without a peer */
+	struct kwb_detour_probe through; /* the peer in use */
+	struct kwb_detour_probe seeks[KWB_PATH_SEEKS];
+	uint32_t tries; /* left in this look */
+};
+
+int kwb_detour_init(struct kwb_detour *detour, struct event_base *base,
+    struct kwb_store *store, struct kwb_peers *peers,
+    void (*on_change)(void *context), void *context); /* begins to watch */
+void kwb_detour_finish(struct kwb_detour *detour);    /* ends it */
+
 /* ---- Config: routes and services ----------------------------------------- */
 
 enum kwb_route_kind {
@@ -971,6 +1082,8 @@
     const struct kwb_batch_env *env);		      /* follows the heads */
 void kwb_batches_finish(struct kwb_batches *batches); /* drops everything */
 void kwb_batches_kick(struct kwb_batches *batches);   /* looks for places */
+void kwb_batches_beat(
+    struct kwb_batches *batches); /* tells at once that this node lives */
 void kwb_batches_reconsider(
     struct kwb_batches *batches); /* moves items off what got worse, too */
 void kwb_batches_leave(
@@ -1168,6 +1281,9 @@
 	struct kwb_batches batches;
 	struct kwb_mover mover;
 	struct kwb_store_watch store_watch;
+	struct kwb_relay relay;
+	struct kwb_peers peers;
+	struct kwb_detour detour;
 	struct kwb_follower operator_rows;
 	struct kwb_follower upstream_rows;
 	struct kwb_node_config *config; /* newest, NULL before the first */
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -339,6 +339,13 @@
 	kwb_timer_at(batches->minder, 0);
 }
 
+void
+kwb_batches_beat(struct kwb_batches *batches)
+{
+	batches->beat_ns = 0;
+	own_look(batches);
+}
+
 /* Reads again what could not be read, or says when. */
 static void
 load_again(struct kwb_batch *batch, uint64_t now_ns, uint64_t *next_ns)
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -22,6 +22,8 @@
     [KWB_METRIC_SWAP_FAILURES] = "kwb_weight_swap_failures_total",
     [KWB_METRIC_LINKS_LOST] = "kwb_links_lost_total",
     [KWB_METRIC_CONTROL_BYTES] = "kwb_control_bytes_total",
+    [KWB_METRIC_DETOURS] = "kwb_store_detours_total",
+    [KWB_METRIC_RELAYED_BYTES] = "kwb_relayed_bytes_total",
     [KWB_METRIC_LISTS_REVISION] = "kwb_lists_revision",
 };
 static _Atomic uint64_t values[KWB_METRIC_COUNT];
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -180,6 +180,15 @@
 	kwb_timer_at(node->timer, now_ns + KWB_NODE_TICK_NS);
 }
 
+/* A beat that the silent path has swallowed is due at once. */
+static void
+path_changed(void *context)
+{
+	struct kwb_node *node = context;
+
+	kwb_batches_beat(&node->batches);
+}
+
 static int
 node_listen(struct kwb_node *node)
 {
@@ -209,6 +218,15 @@
 	if (code == 0)
 		code = kwb_store_watch_init(
 		    &node->store_watch, node->base, node->store);
+	if (code == 0)
+		code = kwb_relay_init(
+		    &node->relay, node->base, node->settings, node->store);
+	if (code == 0)
+		code = kwb_peers_init(
+		    &node->peers, node->base, node->settings, node->store);
+	if (code == 0)
+		code = kwb_detour_init(&node->detour, node->base, node->store,
+		    &node->peers, path_changed, node);
 	if (code == 0)
 		code = kwb_follower_init(&node->operator_rows, node->base,
 		    node->store, node->documents->operator_table, operator_row,
@@ -283,6 +301,7 @@
 		KWB_MS_NS;
 	kwb_log(KWB_LOG_INFO, "node", "event=stopping busy=%u grace_ms=%u",
 	    node->callers_busy, node->settings->grace_ms);
+	kwb_relay_stop(&node->relay);
 	kwb_mover_leave(&node->mover);
 	kwb_batches_leave(&node->batches);
 }
@@ -296,6 +315,9 @@
 	evconnlistener_free(node->ready_listener);
 	if (node->metrics_listener != NULL)
 		evconnlistener_free(node->metrics_listener);
+	kwb_detour_finish(&node->detour);
+	kwb_peers_finish(&node->peers);
+	kwb_relay_finish(&node->relay);
 	kwb_store_watch_finish(&node->store_watch);
 	kwb_follower_finish(&node->operator_rows);
 	kwb_follower_finish(&node->upstream_rows);
--- /dev/null
+++ b/src/peer/relay.c
@@ -0,0 +1,205 @@
+/*
+ * The relay: passes a peer's connections on to the store, byte for byte, so
+ * that its calls keep their conditions and answers. It reads nothing of them.
+ * Bounded in connections, in bytes held for each and in idle time, and always
+ * over this node's own path, so relays never form a chain.
+ */
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "kwb_node.h"
+
+#define LISTEN_BACKLOG 128
+
+struct kwb_relay_pair {
+	struct kwb_relay *relay;
+	struct bufferevent *peer;
+	struct bufferevent *store;
+	bool ending; /* one side has closed; the rest is written first */
+	TAILQ_ENTRY(kwb_relay_pair) entry;
+};
+
+static struct bufferevent *
+other_side(const struct kwb_relay_pair *pair, const struct bufferevent *side)
+{
+	return side == pair->peer ? pair->store : pair->peer;
+}
+
+static void
+pair_free(struct kwb_relay_pair *pair)
+{
+	TAILQ_REMOVE(&pair->relay->pairs, pair, entry);
+	pair->relay->pairs_count--;
+	if (pair->peer != NULL)
+		bufferevent_free(pair->peer);
+	if (pair->store != NULL)
+		bufferevent_free(pair->store);
+	free(pair);
+}
+
+static void
+side_read(struct bufferevent *side, void *context)
+{
+	struct kwb_relay_pair *pair = context;
+	struct bufferevent *to = other_side(pair, side);
+	struct evbuffer *out = bufferevent_get_output(to);
+
+	kwb_metric_add(KWB_METRIC_RELAYED_BYTES,
+	    evbuffer_get_length(bufferevent_get_input(side)));
+	evbuffer_add_buffer(out, bufferevent_get_input(side));
+	/* A side that does not read must not make this node hold its bytes. */
+	if (evbuffer_get_length(out) >= KWB_RELAY_HOLD_BYTES)
+		bufferevent_disable(side, EV_READ);
+}
+
+static void
+side_written(struct bufferevent *side, void *context)
+{
+	struct kwb_relay_pair *pair = context;
+
+	if (evbuffer_get_length(bufferevent_get_output(side)) > 0)
+		return;
+	if (pair->ending)
+		pair_free(pair);
+	else
+		bufferevent_enable(other_side(pair, side), EV_READ);
+}
+
+static void
+side_event(struct bufferevent *side, short what, void *context)
+{
+	struct kwb_relay_pair *pair = context;
+	struct bufferevent *to = other_side(pair, side);
+
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	if ((what & BEV_EVENT_EOF) && !pair->ending &&
+	    evbuffer_get_length(bufferevent_get_output(to)) > 0) {
+		pair->ending = true;
+		bufferevent_disable(side, EV_READ | EV_WRITE);
+		return;
+	}
+	pair_free(pair);
+}
+
+static void
+side_open(struct bufferevent *side, struct kwb_relay_pair *pair)
+{
+	const struct timeval idle = {.tv_sec = KWB_RELAY_IDLE_S};
+
+	bufferevent_setcb(side, side_read, side_written, side_event, pair);
+	bufferevent_setwatermark(side, EV_READ, 0, KWB_RELAY_HOLD_BYTES);
+	bufferevent_set_timeouts(side, &idle, &idle);
+	bufferevent_enable(side, EV_READ | EV_WRITE);
+}
+
+static int
+store_connect(struct kwb_relay_pair *pair)
+{
+	const struct kwb_address *address = &pair->relay->settings->store;
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET, .sin_port = htons(address->port)};
+	int on = 1;
+
+	if (inet_pton(AF_INET, address->ip, &to.sin_addr) != 1 ||
+	    bufferevent_socket_connect(
+		pair->store, (struct sockaddr *)&to, sizeof(to)) != 0)
+		return KWB_ERR_NET_CONNECT;
+	setsockopt(bufferevent_getfd(pair->store), IPPROTO_TCP, TCP_NODELAY,
+	    &on, sizeof(on));
+	return 0;
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *from, int from_bytes, void *context)
+{
+	struct kwb_relay *relay = context;
+	struct kwb_relay_input input = {
+	    .own_quiet_ns = kwb_clock_now_ns() - relay->store->own_answered_ns,
+	    .is_relayed = relay->store->relay != NULL,
+	    .is_stopping = relay->is_stopping,
+	    .pairs = relay->pairs_count,
+	    .pairs_max = KWB_RELAY_PAIRS_MAX};
+	struct kwb_relay_pair *pair;
+	int on = 1;
+
+	(void)listener;
+	(void)from;
+	(void)from_bytes;
+	pair = kwb_relay_accepts(&input) ? calloc(1, sizeof(*pair)) : NULL;
+	if (pair == NULL) {
+		close(fd);
+		return;
+	}
+	pair->relay = relay;
+	TAILQ_INSERT_TAIL(&relay->pairs, pair, entry);
+	relay->pairs_count++;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	pair->peer =
+	    bufferevent_socket_new(relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	pair->store =
+	    bufferevent_socket_new(relay->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	if (pair->peer == NULL)
+		close(fd);
+	if (pair->peer == NULL || pair->store == NULL ||
+	    store_connect(pair) != 0) {
+		kwb_log(KWB_LOG_WARN, "relay", "event=not_opened pairs=%u",
+		    relay->pairs_count);
+		pair_free(pair);
+		return;
+	}
+	side_open(pair->peer, pair);
+	side_open(pair->store, pair);
+}
+
+int
+kwb_relay_init(struct kwb_relay *relay, struct event_base *base,
+    const struct kwb_node_settings *settings, const struct kwb_store *store)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_port = htons(settings->peers.port)};
+
+	memset(relay, 0, sizeof(*relay));
+	relay->base = base;
+	relay->settings = settings;
+	relay->store = store;
+	TAILQ_INIT(&relay->pairs);
+	if (settings->peers.port == 0)
+		return 0;
+	if (inet_pton(AF_INET, settings->peers.ip, &at.sin_addr) != 1)
+		return KWB_ERR_ARGUMENT;
+	relay->listener = evconnlistener_new_bind(base, on_accept, relay,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+	    LISTEN_BACKLOG, (struct sockaddr *)&at, sizeof(at));
+	if (relay->listener == NULL) {
+		kwb_log(KWB_LOG_ERROR, "relay",
+		    "event=listen_failed address=%s:%u", settings->peers.ip,
+		    settings->peers.port);
+		return KWB_ERR_SYSTEM;
+	}
+	return 0;
+}
+
+void
+kwb_relay_stop(struct kwb_relay *relay)
+{
+	relay->is_stopping = true;
+}
+
+void
+kwb_relay_finish(struct kwb_relay *relay)
+{
+	while (!TAILQ_EMPTY(&relay->pairs))
+		pair_free(TAILQ_FIRST(&relay->pairs));
+	if (relay->listener != NULL)
+		evconnlistener_free(relay->listener);
+}
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -14,7 +14,8 @@
 }
 
 void
-kwb_store_note(struct kwb_store *store, const struct kwb_store_answer *answer)
+kwb_store_note(struct kwb_store *store, const struct kwb_store_answer *answer,
+    bool is_relayed)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 	bool failed = answer->error == KWB_ERR_STORE_REFUSED ||
@@ -38,6 +39,10 @@
 		    (unsigned long long)((now_ns - store->answered_ns) /
 			KWB_MS_NS));
 	store->answered_ns = now_ns;
+	if (is_relayed)
+		store->relay_answered_ns = now_ns;
+	else
+		store->own_answered_ns = now_ns;
 	if (answer->now_ms != 0)
 		store->clock_offset_ms = (int64_t)answer->now_ms -
 		    (int64_t)(kwb_boot_now_ns() / KWB_MS_NS);
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -69,7 +69,7 @@
 	if (watch->probe.driver != NULL &&
 	    now_ns - watch->probe_ns >= most_ns) {
 		kwb_store_cancel(watch->store, &watch->probe);
-		kwb_store_note(watch->store, &none);
+		kwb_store_note(watch->store, &none, false);
 	}
 	if (quiet_ns >= KWB_STORE_SILENT_NS)
 		watch->silent = true;
--- a/tests/platform/proxy.h
+++ b/tests/platform/proxy.h
@@ -4,7 +4,9 @@
 #ifndef KWB_TESTS_PROXY_H
 #define KWB_TESTS_PROXY_H
 
-#include "stage.h"
+#include <event2/event.h>
+
+#include "kwb_node.h"
 
 enum proxy_mode {
 	PROXY_PASS,
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -59,6 +59,8 @@
 
 static const char *const store_faults[] = {
     "ok", "busy", "many", "reset", "silent", "lost", "late", "mute", NULL};
+static const char *const path_modes[] = {
+    "ok", "delay", "reset", "oneway", "silent", "cut", NULL};
 static const char *const server_faults[] = {"ok", "refuse", "error", "never",
     "reset", "silent", "other-id", "cut", "extra", "unframed", "garbage",
     "no-receipt", "skip", "misdirected", "stall", NULL};
@@ -498,6 +500,7 @@
 	struct stage_node *node = stage_node(&script->stage, script->words[1]);
 	uint64_t end_ns = kwb_clock_now_ns() + 1000 * KWB_MS_NS;
 
+	node->alone = number(script, "peers", 1) == 0;
 	stage_node_start(node);
 	node->settings.batch_keep_ms = number(script, "keep", 120000);
 	node->settings.row_max_bytes = number(script, "row", 65536);
@@ -814,6 +817,14 @@
 	    script->words_count > 2 ? (unsigned)atoi(script->words[2]) : 0;
 }
 
+/* What a node's path to the store does; other nodes' paths stay. */
+static void
+run_path(struct script *script)
+{
+	proxy_set(&stage_node(&script->stage, script->words[1])->path,
+	    (enum proxy_mode)index_of(path_modes, script->words[2]));
+}
+
 static void
 run_fault(struct script *script)
 {
@@ -865,7 +876,7 @@
 	    {"rows", run_rows}, {"objects", run_objects},
 	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
 	    {"resumed", run_resumed}, {"again", run_again},
-	    {"explain", run_explain}};
+	    {"explain", run_explain}, {"path", run_path}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
--- a/tests/platform/soak.c
+++ b/tests/platform/soak.c
@@ -19,7 +19,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "proxy.h"
+#include "stage.h"
 
 #define NODES 3
 #define PLAIN 2
--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -31,6 +31,9 @@
 	for (i = 0; i < stage->nodes_count; i++)
 		if (stage->nodes[i].running)
 			stage_node_kill(&stage->nodes[i]);
+	for (i = 0; i < stage->nodes_count; i++)
+		if (stage->nodes[i].has_path)
+			proxy_close(&stage->nodes[i].path);
 	for (i = 0; i < stage->servers_count; i++)
 		port_close(&stage->servers[i].port);
 	stage_store_close(&stage->store);
@@ -129,7 +132,14 @@
 	stage_free_address(&node->settings.listen);
 	stage_free_address(&node->settings.ready);
 	stage_free_address(&node->settings.metrics);
-	node->settings.store = node->stage->store.port.address;
+	if (!node->has_path &&
+	    proxy_open(&node->path, node->stage->base,
+		&node->stage->store.port.address) != 0)
+		abort();
+	node->has_path = true;
+	node->settings.store = node->path.address;
+	if (!node->alone)
+		stage_free_address(&node->settings.peers);
 	node->settings.orders_fenced = true;
 	node->settings.grace_ms = 8000;
 	if (platform_store_init(
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -10,6 +10,7 @@
 
 #include "../../platform/platform.h"
 #include "kwb_node.h"
+#include "proxy.h"
 
 #define STAGE_ROWS_MAX 4096
 #define STAGE_SERVERS_MAX 16
@@ -174,6 +175,9 @@
 	struct kwb_node_settings settings;
 	struct platform_store store;
 	struct kwb_node node;
+	struct proxy path; /* to the store; open while has_path */
+	bool has_path;
+	bool alone; /* has no peers */
 	struct stage *stage;
 };
 
