Items: an unmeasured upstream is taken to be as fast as usual ones

Now each upstream keeps a calm pace, that slowness hardly moves, and a place without a new measure counts as the lower median of these. Intervals under 1 ms, events that were held up on the way and came together, are no measure. Ruled out: rows or hints that carry paces, as the node's own memory is enough.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -78,6 +78,11 @@
 #define KWB_SUSPECT_NS (1000 * KWB_MS_NS)     /* first time it is avoided */
 #define KWB_SUSPECT_MAX_NS (8000 * KWB_MS_NS) /* longest, as it doubles */
 #define KWB_PACE_KEEP_NS (4000 * KWB_MS_NS)   /* a measured pace counts */
+#define KWB_PACE_USUAL_NS (60000 * KWB_MS_NS) /* likewise, while not slow */
+#define KWB_PACE_USUAL_MAX 32 /* upstreams looked at for the usual pace */
+#define KWB_PACE_CALM_PART                                                     \
+	1024 /* of a change, so that 10 s of slowness add little */
+#define KWB_PACE_MIN_NS (1 * KWB_MS_NS)	      /* shorter: held up on the way */
 #define KWB_PACE_MAX_NS (500 * KWB_MS_NS)     /* longer is a pause */
 #define KWB_REPORT_KEEP_NS (400 * KWB_MS_NS)  /* a reported load counts */
 #define KWB_REFUSED_NS (60 * KWB_MS_NS)	      /* left alone after it was full */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -638,6 +638,7 @@
 	bool probing;	  /* one request tries a suspect upstream */
 	uint64_t pace_ns; /* smoothed time a piece of work takes; 0 unknown */
 	uint64_t pace_at_ns;	   /* when it was last measured */
+	uint64_t calm_pace_ns;	   /* likewise, while it was not slow */
 	uint64_t refused_until_ns; /* answered that it is full or swapping */
 	char home_model[KWB_NAME_MAX_BYTES]; /* model it is kept current for */
 	uint64_t expected_version; /* of that model, ordered but not yet seen */
@@ -676,6 +677,9 @@
     uint64_t now_ns); /* a failure; after some it is suspected */
 void kwb_upstream_pace(struct kwb_upstream *upstream,
     uint64_t taken_ns); /* measured time of a piece of work */
+uint64_t kwb_registry_usual_pace(const struct kwb_registry *registry,
+    const char *service,
+    uint64_t now_ns); /* of an upstream that is not slow, 0 unknown */
 
 /* What a choice of upstream looks at; see kwb_upstream_pick(). */
 struct kwb_pick {
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -56,6 +56,10 @@
 
 	if (now_ns - place->pace_at_ns < KWB_PACE_KEEP_NS)
 		input.best_pace_ns = place->pace_ns;
+	else
+		input.best_pace_ns =
+		    kwb_registry_usual_pace(run_env(run)->forward->registry,
+			place->status.service, now_ns);
 	if (kwb_upstream_is_loading(
 		run->upstream, run->batch->spec.model, now_ns))
 		return input.best_pace_ns != 0 ? "weights_change" : NULL;
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -112,7 +112,9 @@
 	    now_ns - upstream->pace_at_ns < KWB_PACE_KEEP_NS;
 }
 
-/* The pace of an upstream that has not been measured: that of its fastest peer.
+/*
+ * The pace of an upstream that has not been measured: for generations the usual
+ * one, for plain work, which varies more, that of its fastest peer.
  */
 static double
 usual_pace(const struct kwb_registry *registry, const struct kwb_pick *pick)
@@ -120,6 +122,11 @@
 	uint64_t least = 0;
 	uint32_t i;
 
+	if (pick->model != NULL)
+		least = kwb_registry_usual_pace(
+		    registry, pick->service, pick->now_ns);
+	if (least != 0)
+		return (double)least;
 	for (i = 0; i < registry->count; i++) {
 		const struct kwb_upstream *upstream = registry->upstreams[i];
 
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -63,6 +63,7 @@
 	upstream->suspect_until_ns = 0;
 	upstream->refused_until_ns = 0;
 	upstream->pace_ns = 0;
+	upstream->calm_pace_ns = 0;
 }
 
 struct kwb_upstream *
@@ -203,12 +204,44 @@
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 
-	if (taken_ns > KWB_PACE_MAX_NS)
-		return; /* a pause, not a pace */
+	if (taken_ns > KWB_PACE_MAX_NS || taken_ns < KWB_PACE_MIN_NS)
+		return; /* a pause, or what came together after one */
 	if (upstream->pace_ns == 0 ||
 	    now_ns - upstream->pace_at_ns > KWB_PACE_KEEP_NS)
 		upstream->pace_ns = taken_ns;
 	else
 		upstream->pace_ns = (upstream->pace_ns * 7 + taken_ns) / 8;
 	upstream->pace_at_ns = now_ns;
+	if (upstream->calm_pace_ns == 0 ||
+	    upstream->pace_ns < upstream->calm_pace_ns)
+		upstream->calm_pace_ns = upstream->pace_ns;
+	else
+		upstream->calm_pace_ns +=
+		    (upstream->pace_ns - upstream->calm_pace_ns) /
+		    KWB_PACE_CALM_PART;
+}
+
+/* The lower median: neither a slow upstream nor a wrong measure moves it. */
+uint64_t
+kwb_registry_usual_pace(
+    const struct kwb_registry *registry, const char *service, uint64_t now_ns)
+{
+	uint64_t paces[KWB_PACE_USUAL_MAX];
+	const struct kwb_upstream *upstream;
+	uint32_t count = 0;
+	uint32_t at;
+	uint32_t i;
+
+	for (i = 0; i < registry->count && count < KWB_PACE_USUAL_MAX; i++) {
+		upstream = registry->upstreams[i];
+		if (upstream->calm_pace_ns == 0 ||
+		    now_ns - upstream->pace_at_ns >= KWB_PACE_USUAL_NS ||
+		    strcmp(upstream->status.service, service) != 0)
+			continue;
+		for (at = count++;
+		     at > 0 && paces[at - 1] > upstream->calm_pace_ns; at--)
+			paces[at] = paces[at - 1];
+		paces[at] = upstream->calm_pace_ns;
+	}
+	return count > 0 ? paces[(count - 1) / 2] : 0;
 }
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -106,6 +106,67 @@
 	}
 }
 
+/* ---- Peers: the way to the store ------------------------------------------
+ */
+
+static void
+test_path(void)
+{
+	const uint64_t quiet = KWB_PATH_QUIET_NS;
+	const struct {
+		const char *name;
+		struct kwb_path_input input;
+		enum kwb_path path;
+	} cases[] = {
+	    {"answers", {.own_quiet_ns = quiet - 1}, KWB_PATH_OWN},
+	    {"silent", {.own_quiet_ns = quiet}, KWB_PATH_SEEK},
+	    {"a peer answers",
+		{.own_quiet_ns = quiet,
+		    .relay_quiet_ns = quiet - 1,
+		    .is_relayed = true},
+		KWB_PATH_RELAY},
+	    {"answered by a peer before, not in use",
+		{.own_quiet_ns = quiet, .relay_quiet_ns = 0}, KWB_PATH_SEEK},
+	    {"the peer falls silent, too",
+		{.own_quiet_ns = quiet,
+		    .relay_quiet_ns = quiet,
+		    .is_relayed = true},
+		KWB_PATH_SEEK},
+	    {"answers again", {.own_quiet_ns = 0, .is_relayed = true},
+		KWB_PATH_OWN},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		if (kwb_path_wanted(&cases[i].input) != cases[i].path)
+			CU_FAIL(cases[i].name);
+}
+
+static void
+test_relay_accepts(void)
+{
+	const uint64_t fresh = KWB_RELAY_FRESH_NS;
+	const struct {
+		const char *name;
+		struct kwb_relay_input input;
+		bool accepts;
+	} cases[] = {
+	    {"sound", {.own_quiet_ns = fresh - 1, .pairs_max = 1}, true},
+	    {"cut itself", {.own_quiet_ns = fresh, .pairs_max = 1}, false},
+	    {"goes through a peer itself",
+		{.own_quiet_ns = 0, .is_relayed = true, .pairs_max = 1}, false},
+	    {"full", {.own_quiet_ns = 0, .pairs = 1, .pairs_max = 1}, false},
+	    {"stopping",
+		{.own_quiet_ns = 0, .is_stopping = true, .pairs_max = 1},
+		false},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		if (kwb_relay_accepts(&cases[i].input) != cases[i].accepts)
+			CU_FAIL(cases[i].name);
+}
+
 /* ---- Choice of an upstream --------------------------------------------------
  */
 
@@ -160,6 +221,37 @@
 	}
 }
 
+/* Slowness of some upstreams, and a pause on the way, leave it as it is. */
+static void
+test_usual_pace(void)
+{
+	struct upstream_case cases[3] = {{.id = "a"}, {.id = "b"}, {.id = "c"}};
+	struct kwb_registry registry;
+	uint64_t usual_ns;
+	unsigned i;
+
+	fill(&registry, cases, 3);
+	CU_ASSERT(
+	    kwb_registry_usual_pace(&registry, "s", kwb_clock_now_ns()) == 0);
+	for (i = 0; i < 60; i++)
+		kwb_upstream_pace(registry.upstreams[0], 40 * KWB_MS_NS);
+	for (i = 0; i < 60; i++)
+		kwb_upstream_pace(registry.upstreams[0], 130 * KWB_MS_NS);
+	usual_ns = kwb_registry_usual_pace(&registry, "s", kwb_clock_now_ns());
+	CU_ASSERT(usual_ns >= 40 * KWB_MS_NS && usual_ns < 48 * KWB_MS_NS);
+	CU_ASSERT(registry.upstreams[0]->pace_ns > 120 * KWB_MS_NS);
+	for (i = 0; i < 60; i++) {
+		kwb_upstream_pace(registry.upstreams[1], 40 * KWB_MS_NS);
+		kwb_upstream_pace(registry.upstreams[1], KWB_PACE_MIN_NS / 10);
+		kwb_upstream_pace(registry.upstreams[2], 130 * KWB_MS_NS);
+	}
+	usual_ns = kwb_registry_usual_pace(&registry, "s", kwb_clock_now_ns());
+	CU_ASSERT(usual_ns >= 40 * KWB_MS_NS && usual_ns < 48 * KWB_MS_NS);
+	CU_ASSERT(
+	    kwb_registry_usual_pace(&registry, "t", kwb_clock_now_ns()) == 0);
+	kwb_registry_finish(&registry);
+}
+
 static void
 test_pick(void)
 {
@@ -1240,8 +1332,10 @@
 		const char *name;
 		void (*run)(void);
 	} tests[] = {{"route", test_route}, {"parts", test_parts},
-	    {"pick", test_pick}, {"suspect", test_suspect},
-	    {"homes", test_homes}, {"load_wanted", test_load_wanted},
+	    {"path", test_path}, {"relay_accepts", test_relay_accepts},
+	    {"usual_pace", test_usual_pace}, {"pick", test_pick},
+	    {"suspect", test_suspect}, {"homes", test_homes},
+	    {"load_wanted", test_load_wanted},
 	    {"loads_leave_homes", test_loads_leave_homes}, {"rank", test_rank},
 	    {"order_of_items", test_order_of_items}, {"move", test_move},
 	    {"silence", test_silence}, {"pieces", test_pieces},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -837,6 +837,14 @@
 	    script->words_count > 3 ? (unsigned)atoi(script->words[3]) : 0;
 }
 
+/* What is running slows down, too. */
+static void
+run_pace(struct script *script)
+{
+	stage_server(&script->stage, script->words[1])->pace_ms =
+	    (unsigned)atoi(script->words[2]);
+}
+
 static void
 run_server_change(struct script *script)
 {
@@ -876,7 +884,7 @@
 	    {"rows", run_rows}, {"objects", run_objects},
 	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
 	    {"resumed", run_resumed}, {"again", run_again},
-	    {"explain", run_explain}, {"path", run_path}};
+	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
