Rewards leave a third of a service's slots to callers

Now a reward is asked for while some upstream has more than a third of its slots free, by this node's own count and what answers reported; it waits at most a second, and not at all in the last 1.5 s of its step.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -104,9 +104,12 @@
 #define KWB_MOVE_LEAST_NS (300 * KWB_MS_NS) /* before it is moved again */
 #define KWB_CHECKPOINT_NS (500 * KWB_MS_NS) /* between writes of texts */
 #define KWB_CHECKPOINT_LEAST 20		    /* events, a second of work */
-#define KWB_CHECKPOINT_EVENTS 8	     /* a text that has grown by so many */
-#define KWB_SCORE_TIMEOUT_MS 1500    /* when no route names one */
-#define KWB_PUMP_NS (20 * KWB_MS_NS) /* between looks for free places */
+#define KWB_CHECKPOINT_EVENTS 8 /* a text that has grown by so many */
+#define KWB_REWARD_SPARE_PART 3 /* a third of the slots is left to callers */
+#define KWB_REWARD_WAIT_NS (1000 * KWB_MS_NS)	/* for room, at most */
+#define KWB_REWARD_URGENT_NS (1500 * KWB_MS_NS) /* before its batch is due */
+#define KWB_SCORE_TIMEOUT_MS 1500		/* when no route names one */
+#define KWB_PUMP_NS (20 * KWB_MS_NS)	     /* between looks for free places */
 #define KWB_BATCH_RETRY_NS (100 * KWB_MS_NS) /* after a failed store call */
 #define KWB_TX_MAX_BYTES (400u << 10) /* of values; 1 MB as text at most */
 #define KWB_RESULTS_MAX 100	      /* results in one answer */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -691,6 +691,7 @@
 	uint32_t exclude_count;
 	const char *affinity; /* id of an upstream that read the prompt */
 	bool within_slots;    /* only where a slot is free */
+	uint32_t spare_part;  /* likewise: one slot in so many stays free; 0 */
 	const struct kwb_client *client; /* prefers kept connections, or NULL */
 	uint64_t now_ns;
 	uint64_t random;
@@ -995,6 +996,15 @@
 
 bool kwb_item_is_silent(const struct kwb_silence_input *input); /* pure */
 
+/* What decides whether a reward is asked for now; see kwb_reward_goes(). */
+struct kwb_reward_input {
+	bool has_place;	    /* an upstream has room beside that for callers */
+	uint64_t waited_ns; /* since its text was whole */
+	uint64_t left_ns;   /* until its batch is due */
+};
+
+bool kwb_reward_goes(const struct kwb_reward_input *input); /* pure */
+
 /* A part of an item's text in the store: events first to last. */
 struct kwb_piece {
 	uint64_t text;	     /* which one it belongs to, never 0 */
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -44,6 +44,7 @@
 	uint64_t versions[ITEM_VERSIONS_MAX];
 	uint64_t begin_ns; /* at this upstream */
 	uint64_t retry_ns; /* not before */
+	uint64_t whole_ns; /* when its text was */
 	struct kwb_forward score;
 	char *receipt; /* of the reward call */
 	uint32_t group;
@@ -121,6 +122,7 @@
 
 /* score.c: the reward */
 void run_score(struct item_run *run);
+bool run_score_waits(const struct item_run *run); /* for room */
 
 /* pump.c: places for items */
 bool batch_pump(struct kwb_batch *batch); /* true when items wait */
--- a/src/batch/item.c
+++ b/src/batch/item.c
@@ -56,6 +56,19 @@
 	return input->since_ns >= limit_ns;
 }
 
+/*
+ * Texts that end together ask for their rewards together, and these take
+ * places in the services that callers use, too. A caller waits for a fraction
+ * of a second, a trainer for its whole step: so rewards leave room, until their
+ * own step is near its end.
+ */
+bool
+kwb_reward_goes(const struct kwb_reward_input *input)
+{
+	return input->has_place || input->waited_ns >= KWB_REWARD_WAIT_NS ||
+	    input->left_ns <= KWB_REWARD_URGENT_NS;
+}
+
 /*
  * Two owners that write for a moment make two texts; events of one never go on
  * from events of the other, but where it was resumed.
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -254,6 +254,7 @@
 		}
 		run_log(run, "text_whole", "answered");
 		run_stop(run);
+		run->whole_ns = kwb_clock_now_ns();
 		run_score(run);
 		kwb_batches_kick(run->batch->batches);
 		return;
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -34,6 +34,45 @@
 	kwb_batches_kick(run->batch->batches);
 }
 
+static uint64_t
+due_in_ns(const struct item_run *run)
+{
+	const struct kwb_batch_env *env = run_env(run);
+	const struct kwb_batch_head *head = &run->batch->head;
+	const struct kwb_route_entry *route =
+	    kwb_node_config_route(*env->config, head->host, run->item->target);
+	uint64_t now_ms = kwb_store_now_ms(env->store);
+	uint64_t due_ms =
+	    head->accepted_ms + (route != NULL ? route->run_deadline_ms : 0);
+
+	return due_ms > now_ms ? (due_ms - now_ms) * KWB_MS_NS : 0;
+}
+
+bool
+run_score_waits(const struct item_run *run)
+{
+	const struct kwb_batch_env *env = run_env(run);
+	const struct kwb_route_entry *route = kwb_node_config_route(
+	    *env->config, run->item->score_host, run->item->score_target);
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct kwb_pick pick = {
+	    .failure_domain = env->forward->failure_domain,
+	    .within_slots = true,
+	    .spare_part = KWB_REWARD_SPARE_PART,
+	    .now_ns = now_ns,
+	    .random = (uint64_t)random(),
+	};
+	struct kwb_reward_input input = {
+	    .waited_ns = now_ns - run->whole_ns, .left_ns = due_in_ns(run)};
+
+	if (route == NULL)
+		return false;
+	pick.service = kwb_route_entry_service(route, pick.random);
+	input.has_place =
+	    kwb_upstream_pick(env->forward->registry, &pick) != NULL;
+	return !kwb_reward_goes(&input);
+}
+
 /* Asks for the reward; retried by the pump when it does not come. */
 void
 run_score(struct item_run *run)
@@ -61,6 +100,10 @@
 			run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
 		return;
 	}
+	if (run_score_waits(run)) {
+		run->retry_ns = now_ns + KWB_PUMP_NS;
+		return;
+	}
 	run->retry_ns = UINT64_MAX;
 	memset(score, 0, sizeof(*score));
 	score->on_done = score_done;
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -73,6 +73,8 @@
 static bool
 is_usable(const struct kwb_pick *pick, const struct kwb_upstream *upstream)
 {
+	uint32_t spare = 0;
+
 	if (!upstream->listed || upstream->status.draining ||
 	    strcmp(upstream->status.service, pick->service) != 0)
 		return false;
@@ -84,8 +86,11 @@
 		return false;
 	if (pick->model != NULL && !is_open_to(pick, upstream))
 		return false;
-	return !pick->within_slots ||
-	    load_of(upstream, pick->now_ns) < upstream->status.slots;
+	if (!pick->within_slots)
+		return true;
+	if (pick->spare_part != 0)
+		spare = upstream->status.slots / pick->spare_part;
+	return load_of(upstream, pick->now_ns) + spare < upstream->status.slots;
 }
 
 /* How much an upstream's failures count. */
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1004,6 +1004,135 @@
 	}
 }
 
+/*
+ * Rewards and callers at the same services, in virtual time: four upstreams of
+ * six slots, bursts of 100 rewards of 200 ms that are ready at once, and calls
+ * of 25 ms. What callers get, and when the last reward is there.
+ */
+#define PLAY_UPSTREAMS 4
+#define PLAY_SLOTS 6
+#define PLAY_BURST 100
+#define PLAY_BURST_MS 4000
+#define PLAY_CALL_MS 15 /* between calls */
+#define PLAY_LENGTH_MS 12000
+#define PLAY_LATE_MS 150
+
+struct play_work {
+	uint32_t ready_ms;
+	uint32_t left_ms;
+	bool is_call;
+	bool is_placed;
+	uint32_t upstream;
+};
+
+struct play_result {
+	uint32_t calls;
+	uint32_t calls_late;
+	uint32_t rewards_last_ms; /* after their burst */
+};
+
+/* Runs what is placed for a millisecond, first come first served. */
+static void
+play_run(struct kwb_registry *registry, struct play_work *work, unsigned count,
+    uint32_t now_ms, struct play_result *result)
+{
+	uint32_t running[PLAY_UPSTREAMS] = {0};
+	uint32_t taken_ms;
+	unsigned i;
+
+	for (i = 0; i < count; i++) {
+		if (!work[i].is_placed || work[i].left_ms == 0 ||
+		    running[work[i].upstream]++ >= PLAY_SLOTS)
+			continue;
+		if (--work[i].left_ms > 0)
+			continue;
+		registry->upstreams[work[i].upstream]->in_flight--;
+		taken_ms = now_ms + 1 - work[i].ready_ms;
+		if (work[i].is_call)
+			result->calls_late += taken_ms > PLAY_LATE_MS;
+		else if (taken_ms > result->rewards_last_ms)
+			result->rewards_last_ms = taken_ms;
+	}
+}
+
+static void
+play_place(struct kwb_registry *registry, struct play_work *work,
+    uint32_t now_ms, bool leaves_room)
+{
+	struct kwb_pick pick = {
+	    .service = "s", .now_ns = NOW_NS, .random = now_ms};
+	struct kwb_pick room = pick;
+	struct kwb_reward_input input = {
+	    .waited_ns = (now_ms - work->ready_ms) * KWB_MS_NS,
+	    .left_ns = 7500 * KWB_MS_NS};
+	struct kwb_upstream *upstream;
+	unsigned i;
+
+	room.within_slots = true;
+	room.spare_part = KWB_REWARD_SPARE_PART;
+	input.has_place = kwb_upstream_pick(registry, &room) != NULL;
+	if (!work->is_call && leaves_room && !kwb_reward_goes(&input))
+		return;
+	upstream = kwb_upstream_pick(registry, &pick);
+	upstream->in_flight++;
+	work->is_placed = true;
+	for (i = 0; i < PLAY_UPSTREAMS; i++)
+		if (registry->upstreams[i] == upstream)
+			work->upstream = i;
+}
+
+static void
+play_rewards(bool leaves_room, struct play_result *result)
+{
+	static struct play_work work[2000];
+	struct upstream_case cases[PLAY_UPSTREAMS] = {
+	    {.id = "a"}, {.id = "b"}, {.id = "c"}, {.id = "d"}};
+	struct kwb_registry registry;
+	unsigned count = 0;
+	uint32_t now_ms;
+	unsigned i;
+
+	memset(result, 0, sizeof(*result));
+	fill(&registry, cases, PLAY_UPSTREAMS);
+	for (i = 0; i < PLAY_UPSTREAMS; i++)
+		registry.upstreams[i]->status.slots = PLAY_SLOTS;
+	for (now_ms = 0; now_ms < PLAY_LENGTH_MS; now_ms++) {
+		for (i = 0; now_ms % PLAY_BURST_MS == 0 && i < PLAY_BURST; i++)
+			work[count++] = (struct play_work){
+			    .ready_ms = now_ms, .left_ms = 200};
+		if (now_ms % PLAY_CALL_MS == 0) {
+			work[count++] = (struct play_work){
+			    .ready_ms = now_ms, .left_ms = 25, .is_call = true};
+			result->calls++;
+		}
+		for (i = 0; i < count; i++)
+			if (!work[i].is_placed)
+				play_place(
+				    &registry, &work[i], now_ms, leaves_room);
+		play_run(&registry, work, count, now_ms, result);
+	}
+	kwb_registry_finish(&registry);
+}
+
+static void
+test_rewards_leave_room(void)
+{
+	struct play_result before;
+	struct play_result after;
+
+	play_rewards(false, &before);
+	play_rewards(true, &after);
+	/* What is asked: under 3 in 100 late, and no step later by much. */
+	CU_ASSERT(before.calls_late * 100 > before.calls * 10);
+	CU_ASSERT(after.calls_late * 100 < after.calls * 3);
+	CU_ASSERT(after.rewards_last_ms < before.rewards_last_ms + 500);
+	if (getenv("KWB_PLAY") != NULL)
+		printf("rewards: calls late %u of %u, last reward %u ms; "
+		       "leaving room %u, %u ms\n",
+		    before.calls_late, before.calls, before.rewards_last_ms,
+		    after.calls_late, after.rewards_last_ms);
+}
+
 static void
 test_settings(void)
 {
@@ -1341,6 +1470,7 @@
 	    {"silence", test_silence}, {"pieces", test_pieces},
 	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
 	    {"owner_size", test_owner_size}, {"events", test_events},
+	    {"rewards_leave_room", test_rewards_leave_room},
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
 	    {"documents", test_documents},
