--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -101,7 +101,7 @@
 		return;
 	}
 	if (run_score_waits(run)) {
-		run->retry_ns = now_ns + KWB_PUMP_NS;
+		run->retry_ns = now_ns; /* looked at as soon as one ends */
 		return;
 	}
 	run->retry_ns = UINT64_MAX;
