Answers without end are bounded: in bytes of one, of all together, and of an event

Cause (users' list of faults at similar systems, read in the code): an upstream's answer had no limit on this side. A body without length or end was kept until the request's time was up, a stream's line until the item was given up; 100 such answers took more than 512 MB, and a node of 160 MB would have been killed. Bytes on an idle connection were kept, too. Now an answer ends at 9 MB (the largest object of the store and more), all of a client's together at 16 MB, an event at 1 MB, and an idle connection with its first answer's head; an item past its time ends although its stream goes on. What was cut so counts as a failure: a request that may be repeated is tried elsewhere. Ruled out: heads, chunk lengths and trailers, which the parser limits to 80 KB; a trickle of bytes without an event, since silence is counted from the last event. The stand-in kept a timer of an older answer on a kept connection and crashed; mended with it.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -59,6 +59,12 @@
 
 struct kwb_conn;
 
+/* Bytes of bodies that several connections hold together. */
+struct kwb_hold {
+	uint64_t bytes;
+	uint64_t max_bytes;
+};
+
 struct kwb_conn_ops {
 	void (*on_head)(struct kwb_conn *conn); /* may set conn->streaming */
 	void (*on_data)(struct kwb_conn *conn); /* more in message.body */
@@ -75,9 +81,11 @@
 	uint32_t head_bytes;
 	uint32_t head_max_bytes;
 	uint64_t body_max_bytes;
-	bool server;	/* parses requests */
-	bool streaming; /* on_data tells of body bytes as they arrive */
-	bool no_body;	/* answer to HEAD */
+	struct kwb_hold *hold; /* counts bodies with those of others, or NULL */
+	uint64_t held_bytes;   /* of this one */
+	bool server;	       /* parses requests */
+	bool streaming;	       /* on_data tells of body bytes as they arrive */
+	bool no_body;	       /* answer to HEAD */
 	bool value_open;
 	bool head_done;
 	bool body_over; /* announced longer than allowed */
@@ -110,6 +118,8 @@
 	struct event *sweep;
 	uint32_t idle_count;
 	uint64_t opened_count;
+	uint64_t answer_max_bytes; /* a longer body is an error */
+	struct kwb_hold hold;	   /* of all answers that are being read */
 };
 
 struct kwb_exchange;
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -74,6 +74,10 @@
 	const struct kwb_route_entry *route;
 	const char *reason;
 
+	if (run_is_past_ttl(run)) {
+		run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
+		return;
+	}
 	if (is_silent(run, now_ns)) {
 		/* While others go on there, this one waits in its queue. */
 		if (now_ns - run->upstream->pace_at_ns >= KWB_EVENT_SILENCE_NS)
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -237,6 +237,10 @@
 		forward->on_data(forward, body);
 		return;
 	}
+	if (forward->held.used_bytes + body->used_bytes > KWB_EVENT_MAX_BYTES) {
+		forward_end(forward, KWB_FORWARD_UNKNOWN, "event_too_long");
+		return;
+	}
 	if (kwb_buf_add(&forward->held, body->data, body->used_bytes) != 0) {
 		forward_end(forward, KWB_FORWARD_UNKNOWN, "out_of_memory");
 		return;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -93,8 +93,10 @@
 	struct kwb_line *line = conn->context;
 	struct kwb_exchange *exchange = line->exchange;
 
-	if (exchange == NULL)
+	if (exchange == NULL) {
+		line_free(line); /* an answer to nothing, maybe without end */
 		return;
+	}
 	if (exchange->silence_ns != 0)
 		exchange->silent_deadline_ns =
 		    kwb_clock_now_ns() + exchange->silence_ns;
@@ -218,6 +220,8 @@
 		free(line);
 		return NULL;
 	}
+	line->conn.body_max_bytes = client->answer_max_bytes;
+	line->conn.hold = &client->hold;
 	client->opened_count++;
 	return line;
 }
@@ -300,6 +304,8 @@
 	memset(client, 0, sizeof(*client));
 	client->base = base;
 	TAILQ_INIT(&client->idle);
+	client->answer_max_bytes = KWB_ANSWER_MAX_BYTES;
+	client->hold.max_bytes = KWB_HOLD_MAX_BYTES;
 	client->sweep = kwb_timer_new(base, client_sweep, client);
 	if (client->sweep == NULL)
 		return KWB_ERR_MEMORY;
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -113,7 +113,7 @@
 		return -1; /* no other protocol is spoken here */
 	if (!conn->server && message->status / 100 == 1)
 		return 0;
-	conn->body_over = conn->body_max_bytes != 0 &&
+	conn->body_over = conn->body_max_bytes != 0 && !conn->no_body &&
 	    parser->content_length != UINT64_MAX &&
 	    parser->content_length > conn->body_max_bytes;
 	if (conn->body_over)
@@ -122,6 +122,30 @@
 	return conn->no_body ? 1 : 0;
 }
 
+/* Its body has been passed on, or is dropped. */
+static void
+hold_release(struct kwb_conn *conn)
+{
+	if (conn->hold != NULL)
+		conn->hold->bytes -= conn->held_bytes;
+	conn->held_bytes = 0;
+}
+
+/* False when connections hold too much already: this one has to end. */
+static bool
+hold_add(struct kwb_conn *conn, size_t length)
+{
+	if (conn->hold == NULL)
+		return true;
+	if (conn->hold->bytes + length > conn->hold->max_bytes) {
+		conn->body_over = true;
+		return false;
+	}
+	conn->hold->bytes += length;
+	conn->held_bytes += length;
+	return true;
+}
+
 static int
 on_body(http_parser *parser, const char *at, size_t length)
 {
@@ -131,6 +155,8 @@
 	if (conn->body_max_bytes != 0 &&
 	    body->used_bytes + length > conn->body_max_bytes)
 		return KWB_ERR_NET_BODY_SIZE;
+	if (!hold_add(conn, length))
+		return KWB_ERR_NET_BODY_SIZE;
 	return kwb_buf_add(body, at, length);
 }
 
@@ -171,6 +197,7 @@
 		conn->ops->on_data(conn);
 		if (*gone)
 			return false;
+		hold_release(conn);
 	}
 	if (conn->complete && conn->head_done) {
 		conn->head_done = false;
@@ -363,6 +390,7 @@
 {
 	if (conn->gone != NULL)
 		*conn->gone = true;
+	hold_release(conn);
 	if (conn->bev != NULL)
 		bufferevent_free(conn->bev);
 	conn->bev = NULL;
@@ -390,6 +418,7 @@
 	conn->streaming = false;
 	conn->head_bytes = 0;
 	http_parser_pause(&conn->parser, 0);
+	hold_release(conn);
 	kwb_message_clear(&conn->message);
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
 		bufferevent_trigger(
--- a/src/net/events.c
+++ b/src/net/events.c
@@ -94,6 +94,10 @@
 
 	while (at < end) {
 		newline = memchr(at, '\n', (size_t)(end - at));
+		if (events->line.used_bytes + events->event.data.used_bytes +
+			(size_t)((newline ? newline : end) - at) >
+		    KWB_EVENT_MAX_BYTES)
+			return KWB_ERR_NET_BODY_SIZE;
 		if (kwb_buf_add(&events->line, at,
 			(size_t)((newline ? newline : end) - at)) != 0)
 			return KWB_ERR_MEMORY;
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -63,7 +63,8 @@
     "ok", "delay", "reset", "oneway", "silent", "cut", NULL};
 static const char *const server_faults[] = {"ok", "refuse", "error", "never",
     "reset", "silent", "other-id", "cut", "extra", "unframed", "garbage",
-    "no-receipt", "skip", "misdirected", "stall", NULL};
+    "no-receipt", "skip", "misdirected", "stall", "pour-head", "pour-body",
+    "pour-chunk", "pour-line", "trickle", NULL};
 
 static int
 index_of(const char *const *names, const char *name)
@@ -212,6 +213,82 @@
 	kwb_buf_finish(&headers);
 }
 
+/* Of the process: the most since the last reset, which begins at the present.
+ */
+static uint64_t
+most_resident_bytes(bool reset)
+{
+	char line[256];
+	unsigned long long kilobytes = 0;
+	FILE *file;
+
+	if (reset) {
+		file = fopen("/proc/self/clear_refs", "w");
+		if (file == NULL || fputs("5", file) < 0 || fclose(file) != 0)
+			abort();
+	}
+	file = fopen("/proc/self/status", "r");
+	if (file == NULL)
+		abort();
+	while (fgets(line, sizeof(line), file) != NULL)
+		sscanf(line, "VmHWM: %llu kB", &kilobytes);
+	fclose(file);
+	return kilobytes * 1024;
+}
+
+#define CROWD_MAX 200
+
+/* Many calls at once: how they end, and what the process grows by meanwhile. */
+static void
+run_crowd(struct script *script)
+{
+	static struct call calls[CROWD_MAX];
+	struct stage_node *node = stage_node(&script->stage, script->words[1]);
+	unsigned count = number(script, "calls", 100);
+	uint64_t end_ns = kwb_clock_now_ns() + CALL_TIMEOUT_MS * KWB_MS_NS;
+	uint64_t before = most_resident_bytes(true);
+	uint64_t most;
+	unsigned whole = 0;
+	unsigned done = 0;
+	char headers[128];
+	unsigned i;
+
+	memset(calls, 0, sizeof(calls));
+	for (i = 0; i < count && i < CROWD_MAX; i++) {
+		struct evbuffer *request;
+
+		snprintf(headers, sizeof(headers),
+		    "Host: " HOST "\r\nAttempt-Id: crowd%u\r\n", i);
+		request =
+		    request_new("POST", script->words[2], headers, "x", 1);
+		calls[i].exchange.ops = &call_ops;
+		calls[i].exchange.context = &calls[i];
+		calls[i].exchange.fresh = true;
+		if (kwb_exchange_start(&calls[i].exchange,
+			&script->stage.client, &node->settings.listen,
+			request) != 0)
+			calls[i].done = true;
+		evbuffer_free(request);
+	}
+	while (done < count && kwb_clock_now_ns() < end_ns) {
+		stage_wait(&script->stage, 2);
+		for (i = 0, done = 0; i < count; i++)
+			done += calls[i].done;
+	}
+	most = most_resident_bytes(false);
+	for (i = 0; i < count; i++) {
+		whole += calls[i].done &&
+		    kwb_exchange_message(&calls[i].exchange)->status == 200;
+		kwb_exchange_finish(&calls[i].exchange);
+	}
+	kwb_buf_printf(&script->out, "%u ended, %u with 200, %s %u MB\n", done,
+	    whole,
+	    most - before < number(script, "mb", 64) * 1048576ull
+		? "grew by less than"
+		: "grew by more than",
+	    number(script, "mb", 64));
+}
+
 static void
 simple_call(struct script *script, struct call *call, const char *node,
     const char *method, const char *target, const char *more, const char *body)
@@ -884,7 +961,8 @@
 	    {"rows", run_rows}, {"objects", run_objects},
 	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
 	    {"resumed", run_resumed}, {"again", run_again},
-	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace}};
+	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace},
+	    {"crowd", run_crowd}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -159,6 +159,70 @@
 	return true;
 }
 
+/* ---- Bytes without end -----------------------------------------------------
+ */
+
+#define POUR_BYTES 32768 /* at a time, while the other side reads */
+
+/* A kept connection may have had another answer in pieces before. */
+static void
+peer_timer(struct stage_peer *peer,
+    void (*on_time)(int fd, short what, void *context), uint64_t deadline_ns)
+{
+	if (peer->timer != NULL)
+		event_free(peer->timer);
+	peer->timer = kwb_timer_new(peer->port->base, on_time, peer);
+	kwb_timer_at(peer->timer, deadline_ns);
+}
+
+#define TRICKLE_MS 100
+
+static void
+trickle_time(int fd, short what, void *context)
+{
+	struct stage_peer *peer = context;
+
+	(void)fd;
+	(void)what;
+	evbuffer_add_printf(kwb_conn_output(&peer->conn), ":\n");
+	kwb_timer_at(peer->timer, kwb_clock_now_ns() + TRICKLE_MS * KWB_MS_NS);
+}
+
+static void
+pour_time(int fd, short what, void *context)
+{
+	static char bytes[POUR_BYTES];
+	struct stage_peer *peer = context;
+	struct evbuffer *out = kwb_conn_output(&peer->conn);
+
+	(void)fd;
+	(void)what;
+	memset(bytes, '1', sizeof(bytes));
+	if (evbuffer_get_length(out) < sizeof(bytes))
+		evbuffer_add(out, bytes, sizeof(bytes));
+	kwb_timer_at(peer->timer, kwb_clock_now_ns() + KWB_MS_NS);
+}
+
+static bool
+pours(struct stage_peer *peer, enum server_fault fault)
+{
+	struct evbuffer *out = kwb_conn_output(&peer->conn);
+	char headers[512];
+
+	if (fault < SERVER_POUR_HEAD)
+		return false;
+	common_headers(headers, sizeof(headers), peer, true);
+	evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n%s%s", headers,
+	    fault == SERVER_POUR_HEAD	    ? "X-Long: "
+		: fault == SERVER_POUR_BODY ? "\r\n"
+		: fault == SERVER_POUR_CHUNK
+		? "Transfer-Encoding: chunked\r\n\r\n1;"
+		: "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+		  "\r\nid: 1\ndata: ");
+	peer_timer(peer, fault == SERVER_TRICKLE ? trickle_time : pour_time, 0);
+	return true;
+}
+
 /* ---- Streams ----------------------------------------------------------------
  */
 
@@ -230,11 +294,8 @@
 	    "Content-Type: text/event-stream\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n",
 	    headers, (unsigned long long)server->version);
-	if (peer->timer == NULL)
-		peer->timer =
-		    kwb_timer_new(peer->port->base, stream_time, peer);
-	kwb_timer_at(
-	    peer->timer, kwb_clock_now_ns() + server->pace_ms * KWB_MS_NS);
+	peer_timer(peer, stream_time,
+	    kwb_clock_now_ns() + server->pace_ms * KWB_MS_NS);
 }
 
 static void
@@ -343,6 +404,8 @@
 		return;
 	}
 	note_run(server, peer, 0);
+	if (pours(peer, fault))
+		return;
 	if (answer_fault(peer, fault))
 		return;
 	common_headers(headers, sizeof(headers), peer, true);
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -121,7 +121,12 @@
 	SERVER_NO_RECEIPT,  /* 200 without receipt */
 	SERVER_SKIP,	    /* a stream lacks an event */
 	SERVER_MISDIRECTED, /* 421: another server has the address */
-	SERVER_STALL	    /* sends nothing more on what is open */
+	SERVER_STALL,	    /* sends nothing more on what is open */
+	SERVER_POUR_HEAD,   /* a header line without end */
+	SERVER_POUR_BODY,   /* a body without end */
+	SERVER_POUR_CHUNK,  /* a chunk's length without end */
+	SERVER_POUR_LINE,   /* a stream's line without end */
+	SERVER_TRICKLE	    /* a stream's comment each 100 ms, no event */
 };
 
 struct stage_run {
