Items that wait in an upstream's queue go where a slot is free

The owner counts what it placed itself and what answers reported within 0.4 s. Now an item without a first event after 0.25 s (one comes within 0.1) goes to another place if one is free, and the full upstream is left alone for 0.6 s. Without a free place it keeps its turn in the queue, as before.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1005,6 +1005,8 @@
 };
 
 bool kwb_item_is_silent(const struct kwb_silence_input *input); /* pure */
+bool kwb_item_is_queued(
+    const struct kwb_silence_input *input); /* it waits for a slot; pure */
 
 /* What decides whether a reward is asked for now; see kwb_reward_goes(). */
 struct kwb_reward_input {
--- a/src/batch/item.c
+++ b/src/batch/item.c
@@ -56,6 +56,23 @@
 	return input->since_ns >= limit_ns;
 }
 
+/*
+ * The first event comes within a few pauses, as a prompt is read in some
+ * milliseconds. Later than that, others hold the slots: other nodes, whose
+ * items this one has not heard of. An item that waits there has lost nothing
+ * yet.
+ */
+bool
+kwb_item_is_queued(const struct kwb_silence_input *input)
+{
+	uint64_t limit_ns = input->pace_ns * KWB_QUEUED_PACES;
+
+	if (input->is_loading || input->has_begun)
+		return false;
+	return input->since_ns >=
+	    (limit_ns > KWB_QUEUED_NS ? limit_ns : KWB_QUEUED_NS);
+}
+
 /*
  * Texts that end together ask for their rewards together, and these take
  * places in the services that callers use, too. A caller waits for a fraction
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -32,17 +32,15 @@
 	return kwb_upstream_pick(run_env(run)->forward->registry, &pick);
 }
 
-static bool
-is_silent(const struct item_run *run, uint64_t now_ns)
+static struct kwb_silence_input
+silence_of(const struct item_run *run, uint64_t now_ns)
 {
-	struct kwb_silence_input input = {.since_ns = now_ns -
+	return (struct kwb_silence_input){.since_ns = now_ns -
 		(run->event_ns ? run->event_ns : run->begin_ns),
 	    .pace_ns = run->upstream->pace_ns,
 	    .has_begun = run->event_ns != 0,
 	    .is_loading = kwb_upstream_is_loading(
 		run->upstream, run->batch->spec.model, now_ns)};
-
-	return kwb_item_is_silent(&input);
 }
 
 /* Why a running item goes on at that place, NULL to stay. */
@@ -66,37 +64,55 @@
 	return kwb_move_wanted(&input) ? "slow_upstream" : NULL;
 }
 
+/* Goes on at that place, where it is pumped at once. */
+static void
+move_to(struct item_run *run, struct kwb_upstream *place, const char *reason)
+{
+	const struct kwb_route_entry *route = kwb_node_config_route(
+	    *run_env(run)->config, run->batch->head.host, run->item->target);
+
+	if (route == NULL)
+		return;
+	run_retry(run, 0, reason);
+	if (run->state == ITEM_WAITING)
+		run_start(run, place, route);
+}
+
 static void
 move_look(struct item_run *run)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
+	struct kwb_silence_input silence = silence_of(run, now_ns);
 	struct kwb_upstream *place;
-	const struct kwb_route_entry *route;
 	const char *reason;
 
 	if (run_is_past_ttl(run)) {
 		run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
 		return;
 	}
-	if (is_silent(run, now_ns)) {
+	if (kwb_item_is_silent(&silence)) {
 		/* While others go on there, this one waits in its queue. */
 		if (now_ns - run->upstream->pace_at_ns >= KWB_EVENT_SILENCE_NS)
 			kwb_upstream_failed(run->upstream, now_ns);
 		run_retry(run, 0, "silent");
 		return;
 	}
-	if (run->last_event == 0)
+	if (kwb_item_is_queued(&silence))
+		run->upstream->refused_until_ns = now_ns + KWB_QUEUED_KEEP_NS;
+	else if (run->last_event == 0)
 		return;
 	place = run_pick(run, run->upstream->status.service);
-	reason = place != NULL ? move_reason(run, place, now_ns) : NULL;
-	route = kwb_node_config_route(
-	    *run_env(run)->config, run->batch->head.host, run->item->target);
-	if (reason == NULL || route == NULL)
+	if (place == NULL)
+		return;
+	if (kwb_item_is_queued(&silence)) {
+		move_to(run, place, "queued");
+		return;
+	}
+	reason = move_reason(run, place, now_ns);
+	if (reason == NULL)
 		return;
 	run->moves += strcmp(reason, "slow_upstream") == 0;
-	run_retry(run, 0, reason);
-	if (run->state == ITEM_WAITING)
-		run_start(run, place, route);
+	move_to(run, place, reason);
 }
 
 void
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1007,6 +1007,31 @@
 	}
 }
 
+static void
+test_queued(void)
+{
+	const struct {
+		const char *name;
+		struct kwb_silence_input input;
+		bool queued;
+	} cases[] = {
+	    {"just sent", {.since_ns = KWB_QUEUED_NS - 1}, false},
+	    {"no event yet", {.since_ns = KWB_QUEUED_NS}, true},
+	    {"events have come", {.since_ns = KWB_QUEUED_NS, .has_begun = true},
+		false},
+	    {"weights change there",
+		{.since_ns = KWB_QUEUED_NS, .is_loading = true}, false},
+	    {"a slow upstream",
+		{.since_ns = KWB_QUEUED_NS, .pace_ns = KWB_QUEUED_NS / 3},
+		false},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		if (kwb_item_is_queued(&cases[i].input) != cases[i].queued)
+			CU_FAIL(cases[i].name);
+}
+
 /*
  * Rewards and callers at the same services, in virtual time: four upstreams of
  * six slots, bursts of 100 rewards of 200 ms that are ready at once, and calls
@@ -1473,6 +1498,7 @@
 	    {"silence", test_silence}, {"pieces", test_pieces},
 	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
 	    {"owner_size", test_owner_size}, {"events", test_events},
+	    {"queued", test_queued},
 	    {"rewards_leave_room", test_rewards_leave_room},
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
