Items that have begun go first in upstreams' queues

Now a request says its place: callers' streams 1, items that have begun 3, new ones 5, those of groups that the trainer likely does without 7. Weighed: hints between nodes on free slots; the upstream decides with what it knows at the time, for no message more.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -101,10 +101,16 @@
 #define KWB_ITEM_SILENCE_NS (1500 * KWB_MS_NS) /* 40 times a usual pause */
 #define KWB_EVENT_SILENCE_NS (600 * KWB_MS_NS) /* below a load's 900 */
 #define KWB_FIRST_EVENT_NS (1000 * KWB_MS_NS)  /* with the prompt's read */
-#define KWB_QUEUED_NS (250 * KWB_MS_NS)	       /* a first event comes in 100 */
+/* Order in an upstream's queue, 0 first; requests that name none have 5. */
+#define KWB_PRIORITY_CALLER 1
+#define KWB_PRIORITY_BEGUN 3
+#define KWB_PRIORITY_NEW 5
+#define KWB_PRIORITY_SPARE 7
+#define KWB_QUEUED_NS (250 * KWB_MS_NS) /* a first event comes in 100 */
 #define KWB_QUEUED_PACES 4 /* so many usual pauses, where that is more */
-#define KWB_QUEUED_KEEP_NS (600 * KWB_MS_NS) /* left alone after it was full   \
-					      */
+#define KWB_QUEUED_KEEP_NS                                                     \
+	(600 * KWB_MS_NS)    /* left alone after it was full                   \
+			      */
 #define KWB_SILENCE_PACES 10 /* so many usual pauses, where that is more */
 #define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS)  /* between looks for slow items */
 #define KWB_MOVES_MAX 4			    /* of one item */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -985,6 +985,9 @@
 int kwb_item_rank_compare(const struct kwb_item_rank *a,
     const struct kwb_item_rank *b); /* below 0 when a starts first; pure */
 
+int32_t kwb_item_priority(const struct kwb_item_rank *rank); /* of its request
+    at an upstream, 0 first; pure */
+
 /* What decides whether a generation goes on elsewhere; see kwb_move_wanted().
  */
 struct kwb_move_input {
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -125,6 +125,7 @@
 bool run_score_waits(const struct item_run *run); /* for room */
 
 /* pump.c: places for items */
+void run_rank(const struct item_run *run, struct kwb_item_rank *rank);
 bool batch_pump(struct kwb_batch *batch); /* true when items wait */
 void batch_move(struct kwb_batch *batch); /* items to better places */
 
--- a/src/batch/item.c
+++ b/src/batch/item.c
@@ -24,6 +24,20 @@
 	return 0;
 }
 
+/*
+ * Slots are shared with other nodes' items, of which this node knows nothing;
+ * the upstream orders them all. An item that has begun is moved because it is
+ * long or was held up, so its step waits for it: it goes before new ones. What
+ * the trainer likely does without goes last, and callers before all.
+ */
+int32_t
+kwb_item_priority(const struct kwb_item_rank *rank)
+{
+	if (!rank->wanted)
+		return KWB_PRIORITY_SPARE;
+	return rank->made > 0 ? KWB_PRIORITY_BEGUN : KWB_PRIORITY_NEW;
+}
+
 /*
  * Moving costs a read of the prompt and of the text so far, some milliseconds,
  * so it pays wherever another place is clearly faster: a trainer waits for the
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -125,8 +125,8 @@
 			move_look(&batch->runs[i]);
 }
 
-static void
-rank_of(const struct item_run *run, struct kwb_item_rank *rank)
+void
+run_rank(const struct item_run *run, struct kwb_item_rank *rank)
 {
 	rank->group_index = run->group;
 	rank->wanted = !run->batch->groups[run->group].spare;
@@ -140,8 +140,8 @@
 	struct kwb_item_rank left;
 	struct kwb_item_rank right;
 
-	rank_of(*(struct item_run *const *)a, &left);
-	rank_of(*(struct item_run *const *)b, &right);
+	run_rank(*(struct item_run *const *)a, &left);
+	run_rank(*(struct item_run *const *)b, &right);
 	return kwb_item_rank_compare(&left, &right);
 }
 
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -270,6 +270,15 @@
     .on_done = exchange_done,
 };
 
+static int32_t
+run_priority(const struct item_run *run)
+{
+	struct kwb_item_rank rank;
+
+	run_rank(run, &rank);
+	return kwb_item_priority(&rank);
+}
+
 void
 run_start(struct item_run *run, struct kwb_upstream *upstream,
     const struct kwb_route_entry *route)
@@ -288,7 +297,7 @@
 	    .expect_incarnation = upstream->status.id,
 	    .deadline_ns = kwb_clock_now_ns() + left_ms * KWB_MS_NS,
 	    .resume_after = run->last_event,
-	    .priority = -1};
+	    .priority = run_priority(run)};
 	struct evbuffer *out = evbuffer_new();
 	int code;
 
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -84,16 +84,17 @@
 	forward->context = caller;
 	forward->env = &caller->node->forward;
 	forward->deadline_ns = deadline_of(caller, route);
-	forward->request =
-	    (struct kwb_upstream_request){.method = message->method,
-		.target = kwb_message_target(message),
-		.host = caller->call.host,
-		.id = caller->call.id,
-		.headers = message,
-		.body = message->body.data,
-		.body_bytes = message->body.used_bytes,
-		.deadline_ns = forward->deadline_ns,
-		.priority = -1};
+	forward->request = (struct kwb_upstream_request){
+	    .method = message->method,
+	    .target = kwb_message_target(message),
+	    .host = caller->call.host,
+	    .id = caller->call.id,
+	    .headers = message,
+	    .body = message->body.data,
+	    .body_bytes = message->body.used_bytes,
+	    .deadline_ns = forward->deadline_ns,
+	    .priority =
+		route->kind == KWB_ROUTE_STREAMING ? KWB_PRIORITY_CALLER : -1};
 	kwb_text_copy(forward->service, sizeof(forward->service),
 	    kwb_route_entry_service(route, (uint64_t)random()));
 	forward->repeatable = route->kind == KWB_ROUTE_IDEMPOTENT ||
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -675,6 +675,19 @@
 			CU_FAIL(cases[i].name);
 }
 
+static void
+test_priority(void)
+{
+	const struct kwb_item_rank begun = {.wanted = true, .made = 1};
+	const struct kwb_item_rank fresh = {.wanted = true};
+	const struct kwb_item_rank spare = {.made = 1};
+
+	CU_ASSERT(KWB_PRIORITY_CALLER < kwb_item_priority(&begun));
+	CU_ASSERT(kwb_item_priority(&begun) < kwb_item_priority(&fresh));
+	CU_ASSERT(kwb_item_priority(&fresh) < kwb_item_priority(&spare));
+	CU_ASSERT(kwb_item_priority(&spare) <= 9);
+}
+
 static int
 by_rank(const void *a, const void *b)
 {
@@ -1494,6 +1507,7 @@
 	    {"suspect", test_suspect}, {"homes", test_homes},
 	    {"load_wanted", test_load_wanted},
 	    {"loads_leave_homes", test_loads_leave_homes}, {"rank", test_rank},
+	    {"priority", test_priority},
 	    {"order_of_items", test_order_of_items}, {"move", test_move},
 	    {"silence", test_silence}, {"pieces", test_pieces},
 	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -763,6 +763,22 @@
 		fclose(file);
 }
 
+/* With which priority each run of a request came. */
+static void
+run_priority(struct script *script)
+{
+	const struct stage *stage = &script->stage;
+	unsigned i;
+
+	for (i = 0; i < stage->runs_count; i++)
+		if (strcmp(stage->runs[i].id, script->words[1]) == 0)
+			kwb_buf_printf(&script->out, "from %u priority %s\n",
+			    stage->runs[i].from,
+			    stage->runs[i].priority[0] != '\0'
+				? stage->runs[i].priority
+				: "none");
+}
+
 static void
 run_until_some(struct script *script)
 {
@@ -962,7 +978,7 @@
 	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
 	    {"resumed", run_resumed}, {"again", run_again},
 	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace},
-	    {"crowd", run_crowd}};
+	    {"crowd", run_crowd}, {"priority", run_priority}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -42,6 +42,8 @@
 	kwb_text_copy(run->id, sizeof(run->id), header(peer, "Attempt-Id"));
 	kwb_text_copy(
 	    run->prompt, sizeof(run->prompt), header(peer, "Prompt-Prefix"));
+	kwb_text_copy(run->priority, sizeof(run->priority),
+	    header(peer, "Priority-Class"));
 	kwb_text_copy(run->server, sizeof(run->server), server->name);
 	run->from = from;
 }
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -133,8 +133,9 @@
 	char id[64];
 	char server[32];
 	char prompt[64]; /* its parts */
-	unsigned from;	 /* first event */
-	unsigned sent;	 /* last event */
+	char priority[4];
+	unsigned from; /* first event */
+	unsigned sent; /* last event */
 };
 
 /* An order as it arrived, taken or not. */
