Peers: a quiet node asks the store before it takes its path for cut

Now it asks on its own path after 0.4 s and looks for a peer when that is not answered in 0.15 s. The soak's nodes have peers now, too.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -60,7 +60,8 @@
 
 /* Peers: a way round a cut path to the store */
 #define KWB_PATH_LOOK_NS (125 * KWB_MS_NS)    /* between looks at the path */
-#define KWB_PATH_QUIET_NS (500 * KWB_MS_NS)   /* heartbeats come each 100 ms */
+#define KWB_PATH_QUIET_NS (400 * KWB_MS_NS)   /* then the store is asked */
+#define KWB_PATH_ASKED_NS (150 * KWB_MS_NS)   /* it answers in 4 ms */
 #define KWB_PATH_PROBE_NS (400 * KWB_MS_NS)   /* a slow store answers in it */
 #define KWB_PATH_SEEKS 2		      /* peers asked at a time */
 #define KWB_PATH_TRIES 6		      /* peers asked in one look */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -450,6 +450,7 @@
 
 enum kwb_path {
 	KWB_PATH_OWN,	/* calls go to the store itself */
+	KWB_PATH_ASK,	/* likewise; nothing was answered lately: it is asked */
 	KWB_PATH_RELAY, /* through the peer that is in use */
 	KWB_PATH_SEEK	/* neither answers: a peer is looked for */
 };
@@ -457,6 +458,7 @@
 /* What the choice of a way looks at; see kwb_path_wanted(). */
 struct kwb_path_input {
 	uint64_t own_quiet_ns;	 /* since the last answer without a peer */
+	uint64_t own_asked_ns;	 /* for so long a question is unanswered, 0 */
 	uint64_t relay_quiet_ns; /* since the last one through a peer */
 	bool is_relayed;	 /* a peer is in use */
 };
@@ -543,7 +545,8 @@
 	struct kwb_detour_probe own;	 /* without a peer */
 	struct kwb_detour_probe through; /* the peer in use */
 	struct kwb_detour_probe seeks[KWB_PATH_SEEKS];
-	uint32_t tries; /* left in this look */
+	uint32_t tries;	   /* left in this look */
+	uint64_t asked_ns; /* first unanswered question, 0 */
 };
 
 int kwb_detour_init(struct kwb_detour *detour, struct event_base *base,
--- a/src/peer/detour.c
+++ b/src/peer/detour.c
@@ -147,13 +147,18 @@
 	struct kwb_detour *detour = context;
 	struct kwb_store *store = detour->store;
 	uint64_t now_ns = kwb_clock_now_ns();
-	struct kwb_path_input input = {
-	    .own_quiet_ns = now_ns - store->own_answered_ns,
-	    .relay_quiet_ns = now_ns - store->relay_answered_ns,
-	    .is_relayed = store->relay != NULL};
+	struct kwb_path_input input;
 
 	(void)fd;
 	(void)what;
+	if (store->own_answered_ns >= detour->asked_ns)
+		detour->asked_ns = 0;
+	input = (struct kwb_path_input){
+	    .own_quiet_ns = now_ns - store->own_answered_ns,
+	    .own_asked_ns =
+		detour->asked_ns != 0 ? now_ns - detour->asked_ns : 0,
+	    .relay_quiet_ns = now_ns - store->relay_answered_ns,
+	    .is_relayed = store->relay != NULL};
 	kwb_timer_at(detour->timer, now_ns + KWB_PATH_LOOK_NS);
 	if (store->own_answered_ns == 0 && store->relay == NULL &&
 	    detour->peers->known_count == 0)
@@ -162,6 +167,12 @@
 	case KWB_PATH_OWN:
 		set_relay(detour, NULL);
 		break;
+	case KWB_PATH_ASK:
+		if (detour->asked_ns == 0)
+			detour->asked_ns = now_ns;
+		set_relay(detour, NULL);
+		probe_begin(detour, &detour->own, NULL, own_answer);
+		break;
 	case KWB_PATH_RELAY:
 		probe_begin(detour, &detour->own, NULL, own_answer);
 		if (input.relay_quiet_ns >= KWB_PATH_QUIET_NS / 2)
--- a/src/peer/path.c
+++ b/src/peer/path.c
@@ -12,6 +12,9 @@
 		return KWB_PATH_OWN;
 	if (input->is_relayed && input->relay_quiet_ns < KWB_PATH_QUIET_NS)
 		return KWB_PATH_RELAY;
+	/* A node with little to do may just not have asked. */
+	if (input->own_asked_ns < KWB_PATH_ASKED_NS)
+		return KWB_PATH_ASK;
 	return KWB_PATH_SEEK;
 }
 
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -779,6 +779,15 @@
 				: "none");
 }
 
+/* How often nodes have gone to the store through a peer, since last asked. */
+static void
+run_detours(struct script *script)
+{
+	kwb_buf_printf(&script->out, "%llu\n",
+	    (unsigned long long)kwb_metric_get(KWB_METRIC_DETOURS));
+	kwb_metric_set(KWB_METRIC_DETOURS, 0);
+}
+
 static void
 run_until_some(struct script *script)
 {
@@ -978,7 +987,8 @@
 	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
 	    {"resumed", run_resumed}, {"again", run_again},
 	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace},
-	    {"crowd", run_crowd}, {"priority", run_priority}};
+	    {"crowd", run_crowd}, {"priority", run_priority},
+	    {"detours", run_detours}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
--- a/tests/platform/soak.c
+++ b/tests/platform/soak.c
@@ -42,6 +42,7 @@
 	char path[160];
 	struct kwb_address front;
 	struct kwb_address ready;
+	struct kwb_address peers;
 	struct proxy proxy; /* to the store */
 	pid_t pid;	    /* 0 while it does not run */
 	bool stopped;	    /* SIGSTOP */
@@ -138,10 +139,10 @@
 	    "node-name=%s\nzone=z1\nlisten.front=127.0.0.1:%u\n"
 	    "listen.ready=127.0.0.1:%u\nplatform.addr=127.0.0.1:%u\n"
 	    "bounds.grace-s=8\nbounds.fencing-enforced=%s\n"
-	    "bounds.lease-ms=%u\n",
+	    "bounds.lease-ms=%u\nip=127.0.0.1\nport-range=%u,%u\n",
 	    node->name, node->front.port, node->ready.port,
-	    node->proxy.address.port, soak->fenced ? "true" : "false",
-	    LEASE_MS);
+	    node->proxy.address.port, soak->fenced ? "true" : "false", LEASE_MS,
+	    node->peers.port, node->peers.port);
 	fclose(file);
 }
 
@@ -780,6 +781,7 @@
 		snprintf(node->name, sizeof(node->name), "n%u", i);
 		stage_free_address(&node->front);
 		stage_free_address(&node->ready);
+		stage_free_address(&node->peers);
 		if (proxy_open(&node->proxy, soak->stage.base,
 			&soak->stage.store.port.address) != 0)
 			abort();
