Claims are spread by the size of the fleet; places on the ring of nodes are even

Cause (CAPACITY, reckoned): at 410 nodes some 250 would claim a silent owner's batch before they have heard of the first claim, in a part that takes 200 writes a second. The wait before a claim now grows with the number of nodes, as each reckons it from how close its peers lie on the ring; the first claim comes as soon, as it is the earliest of more. Found by the test of that: places on the ring were hashes of names that differ in their last characters, and not even; a node's peers were much alike in name, so in failure domain, too. They are mixed now.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -142,6 +142,7 @@
 /* Claims of a whole core are spread over so long, of a tenth ten times that. */
 #define KWB_CLAIM_SPREAD_NS (50 * KWB_MS_NS)
 #define KWB_CLAIM_SPREAD_MAX_NS (600 * KWB_MS_NS)
+#define KWB_CLAIM_NODES 48	    /* nodes for which that spread is enough */
 #define KWB_OWNER_PROCESSOR_TIMES 2 /* so much larger nodes get the batches */
 #define KWB_CLAIMS_MAX 32 /* conditional writes of heads in progress */
 
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -523,7 +523,10 @@
     struct kwb_store *store); /* begins to write and read rows */
 void kwb_peers_finish(struct kwb_peers *peers); /* ends it */
 const struct kwb_peer *kwb_peers_next(
-    struct kwb_peers *peers); /* by turns; NULL for none */
+    struct kwb_peers *peers);		   /* by turns; NULL for none */
+uint64_t kwb_peer_place(const char *node); /* on the ring of nodes */
+uint32_t kwb_peers_fleet(const struct kwb_peers
+	*peers); /* nodes in all, reckoned from how close the peers are */
 
 struct kwb_detour;
 
@@ -1067,7 +1070,7 @@
     uint64_t now_ns); /* for so long that its batches are taken over */
 void kwb_beat_given(struct kwb_node_beat *beat,
     uint64_t now_ns); /* the node has been given a batch */
-uint64_t kwb_claim_wait_ns(uint32_t processor_milli,
+uint64_t kwb_claim_wait_ns(uint32_t processor_milli, uint32_t nodes,
     uint64_t random); /* before a node claims a batch without owner */
 bool kwb_owner_stays(uint32_t owner_milli,
     uint32_t other_milli); /* the next batch goes to the last one's owner */
@@ -1101,6 +1104,7 @@
 	uint64_t beat_ns;	     /* last own heartbeat */
 	uint64_t owned_ns;	     /* when this node last ran a batch */
 	uint64_t changed_ns;	     /* when a head last changed */
+	uint32_t nodes;		     /* in the fleet, about; 0 unknown */
 	struct kwb_store_call sweep; /* removes one old batch at a time */
 	enum kwb_sweep_step sweep_step;
 	struct kwb_batch_head sweep_head;
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -289,7 +289,7 @@
 	if (head->claim_ns == 0)
 		head->claim_ns = kwb_clock_now_ns() +
 		    kwb_claim_wait_ns(batches->env->settings->processor_milli,
-			(uint64_t)random());
+			batches->nodes, (uint64_t)random());
 	return head->claim_ns;
 }
 
--- a/src/batch/owner.c
+++ b/src/batch/owner.c
@@ -33,15 +33,21 @@
 	beat->reads = 0;
 }
 
-/* Spread evenly, over a time that grows as the node is smaller. */
+/*
+ * Spread evenly, over a time that grows as the node is smaller, and with the
+ * fleet: the first claim comes as soon, and as few nodes claim before they have
+ * heard of it.
+ */
 uint64_t
-kwb_claim_wait_ns(uint32_t processor_milli, uint64_t random)
+kwb_claim_wait_ns(uint32_t processor_milli, uint32_t nodes, uint64_t random)
 {
 	uint64_t spread_ns = KWB_CLAIM_SPREAD_NS * 1000 /
 	    (processor_milli > 0 ? processor_milli : 1);
 
 	if (spread_ns > KWB_CLAIM_SPREAD_MAX_NS)
 		spread_ns = KWB_CLAIM_SPREAD_MAX_NS;
+	if (nodes > KWB_CLAIM_NODES)
+		spread_ns = spread_ns * nodes / KWB_CLAIM_NODES;
 	return random % spread_ns;
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -168,6 +168,7 @@
 	(void)fd;
 	(void)what;
 	sweep_gone(node);
+	node->batches.nodes = kwb_peers_fleet(&node->peers);
 	if (node->stop_deadline_ns != 0 && may_end(node, now_ns)) {
 		kwb_log(KWB_LOG_INFO, "node",
 		    "event=stopped after_ms=%llu busy=%u",
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -14,11 +14,22 @@
 #define KEY_BYTES 24
 #define VALUE_BYTES 192
 
+/* Names differ in their last characters only; their places must not. */
+uint64_t
+kwb_peer_place(const char *node)
+{
+	uint64_t hash = kwb_text_hash(node, 0);
+
+	hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdull;
+	hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53ull;
+	return hash ^ (hash >> 33);
+}
+
 static void
 ring_key(char *key, const char *node)
 {
 	snprintf(key, KEY_BYTES, "%016llx",
-	    (unsigned long long)kwb_text_hash(node, 0));
+	    (unsigned long long)kwb_peer_place(node));
 }
 
 static bool
@@ -198,6 +209,20 @@
 	return &peers->known[peers->next++ % peers->known_count];
 }
 
+uint32_t
+kwb_peers_fleet(const struct kwb_peers *peers)
+{
+	uint64_t own = kwb_peer_place(peers->settings->node);
+	uint64_t span;
+	double fleet;
+
+	if (peers->known_count < KWB_STORE_PEERS_MAX)
+		return peers->known_count + 1;
+	span = kwb_peer_place(peers->known[peers->known_count - 1].node) - own;
+	fleet = (double)UINT64_MAX / (double)span * peers->known_count;
+	return (uint32_t)fleet;
+}
+
 int
 kwb_peers_init(struct kwb_peers *peers, struct event_base *base,
     const struct kwb_node_settings *settings, struct kwb_store *store)
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -177,6 +177,50 @@
 			CU_FAIL(cases[i].name);
 }
 
+/* The peers that a node finds on the ring tell how many nodes there are. */
+static void
+test_fleet(void)
+{
+	static const uint32_t sizes[] = {3, 16, 17, 88, 410, 1000};
+	static struct kwb_peers peers;
+	static struct kwb_node_settings settings;
+	char name[KWB_NAME_MAX_BYTES];
+	uint64_t own;
+	uint64_t at;
+	uint64_t farthest;
+	uint32_t fleet;
+	unsigned i;
+	unsigned k;
+	unsigned n;
+
+	kwb_text_copy(settings.node, sizeof(settings.node), "node-0");
+	own = kwb_peer_place(settings.node);
+	for (i = 0; i < COUNT(sizes); i++) {
+		memset(&peers, 0, sizeof(peers));
+		peers.settings = &settings;
+		/* The nearest behind the own place, in order. */
+		farthest = 0;
+		for (k = 0; k < KWB_STORE_PEERS_MAX && k + 1 < sizes[i]; k++) {
+			uint64_t best = UINT64_MAX;
+
+			for (n = 1; n < sizes[i]; n++) {
+				snprintf(name, sizeof(name), "node-%u", n);
+				at = kwb_peer_place(name) - own;
+				if (at > farthest && at < best) {
+					best = at;
+					kwb_text_copy(peers.known[k].node,
+					    sizeof(peers.known[k].node), name);
+				}
+			}
+			farthest = best;
+			peers.known_count++;
+		}
+		fleet = kwb_peers_fleet(&peers);
+		CU_ASSERT(fleet * 2 >= sizes[i]);
+		CU_ASSERT(fleet <= sizes[i] * 2);
+	}
+}
+
 /* ---- Choice of an upstream --------------------------------------------------
  */
 
@@ -917,6 +961,7 @@
 }
 
 #define CLAIM_NODES 40
+#define CLAIM_NODES_MAX 410
 #define CLAIM_LARGE 21
 #define CLAIM_PLAYS 200
 #define FEED_NS (30 * KWB_MS_NS) /* until all know of a claim */
@@ -925,8 +970,9 @@
  * A batch loses its owner; 21 nodes of half a core and 19 of 0.09 see it. It is
  * claimed soon, by few, and mostly by a large one.
  */
+/* Large nodes and small ones, and how many claims a silent owner brings. */
 static void
-test_claims(void)
+play_claims(uint32_t large, uint32_t nodes)
 {
 	uint64_t state = 88172645463325252ull;
 	uint64_t sum_ns = 0;
@@ -936,22 +982,22 @@
 	unsigned i;
 
 	for (play = 0; play < CLAIM_PLAYS; play++) {
-		uint64_t wait_ns[CLAIM_NODES];
+		uint64_t wait_ns[CLAIM_NODES_MAX];
 		uint64_t first_ns = UINT64_MAX;
 		bool is_small = false;
 
-		for (i = 0; i < CLAIM_NODES; i++) {
+		for (i = 0; i < nodes; i++) {
 			state ^= state << 13;
 			state ^= state >> 7;
 			state ^= state << 17;
 			wait_ns[i] = kwb_claim_wait_ns(
-			    i < CLAIM_LARGE ? 500 : 90, state >> 16);
+			    i < large ? 500 : 90, nodes, state >> 16);
 			if (wait_ns[i] < first_ns) {
 				first_ns = wait_ns[i];
-				is_small = i >= CLAIM_LARGE;
+				is_small = i >= large;
 			}
 		}
-		for (i = 0; i < CLAIM_NODES; i++)
+		for (i = 0; i < nodes; i++)
 			claims += wait_ns[i] < first_ns + FEED_NS;
 		sum_ns += first_ns;
 		small_first += is_small;
@@ -961,6 +1007,14 @@
 	CU_ASSERT_TRUE(small_first * 4 < CLAIM_PLAYS);
 }
 
+static void
+test_claims(void)
+{
+	play_claims(CLAIM_LARGE, CLAIM_NODES);
+	/* At the coming size, too. */
+	play_claims(CLAIM_LARGE * 11, CLAIM_NODES_MAX);
+}
+
 static void
 test_owner_size(void)
 {
@@ -1513,9 +1567,9 @@
 		void (*run)(void);
 	} tests[] = {{"route", test_route}, {"parts", test_parts},
 	    {"path", test_path}, {"relay_accepts", test_relay_accepts},
-	    {"usual_pace", test_usual_pace}, {"pick", test_pick},
-	    {"suspect", test_suspect}, {"homes", test_homes},
-	    {"load_wanted", test_load_wanted},
+	    {"fleet", test_fleet}, {"usual_pace", test_usual_pace},
+	    {"pick", test_pick}, {"suspect", test_suspect},
+	    {"homes", test_homes}, {"load_wanted", test_load_wanted},
 	    {"loads_leave_homes", test_loads_leave_homes}, {"rank", test_rank},
 	    {"priority", test_priority},
 	    {"order_of_items", test_order_of_items}, {"move", test_move},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -779,13 +779,12 @@
 				: "none");
 }
 
-/* How often nodes have gone to the store through a peer, since last asked. */
+/* How often nodes have gone to the store through a peer in this script. */
 static void
 run_detours(struct script *script)
 {
 	kwb_buf_printf(&script->out, "%llu\n",
 	    (unsigned long long)kwb_metric_get(KWB_METRIC_DETOURS));
-	kwb_metric_set(KWB_METRIC_DETOURS, 0);
 }
 
 static void
@@ -1081,6 +1080,7 @@
 		return false;
 	}
 	memset(&script, 0, sizeof(script));
+	kwb_metric_set(KWB_METRIC_DETOURS, 0);
 	if (ftruncate(STDERR_FILENO, 0) == 0)
 		lseek(STDERR_FILENO, 0, SEEK_SET);
 	kwb_buf_init(&played);
