--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1238,6 +1238,29 @@
 		    after.calls_late, after.rewards_last_ms);
 }
 
+/* A line without end is an error before it is kept whole. */
+static void
+test_long_event(void)
+{
+	static char text[KWB_EVENT_MAX_BYTES / 4];
+	struct kwb_events events;
+	struct kwb_buf bytes;
+	int code = 0;
+	unsigned i;
+
+	memset(text, 'x', sizeof(text));
+	kwb_events_init(&events, "v");
+	kwb_buf_init(&bytes);
+	for (i = 0; i < 5 && code == 0; i++) {
+		CU_ASSERT_EQUAL(kwb_buf_add(&bytes, text, sizeof(text)), 0);
+		code = kwb_events_feed(&events, &bytes, NULL, NULL);
+	}
+	CU_ASSERT_EQUAL(i, 5);
+	CU_ASSERT_EQUAL(code, KWB_ERR_NET_BODY_SIZE);
+	kwb_events_finish(&events);
+	kwb_buf_finish(&bytes);
+}
+
 static void
 test_settings(void)
 {
@@ -1576,7 +1599,7 @@
 	    {"silence", test_silence}, {"pieces", test_pieces},
 	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
 	    {"owner_size", test_owner_size}, {"events", test_events},
-	    {"queued", test_queued},
+	    {"long_event", test_long_event}, {"queued", test_queued},
 	    {"rewards_leave_room", test_rewards_leave_room},
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
