Fuzzing: five targets, a corpus in the tree, numbers out of range

make fuzz builds each target with a fuzzing engine under the sanitizers and plays it for FUZZ_S seconds; make check plays the corpus. Found within a second: a number like 1.7e201 in a document was cast to an integer of 64 bits, which is undefined (platform/documents.c), and large integers lost their last digits on the way through a double; a setting of nan passed its range check. Not targets yet: the inner protocol of the own interface, the store's answers. Lint: a loop in the relay's end that the analyzer could not follow.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,8 @@
 TESTS = $(B)/tests/unit $(B)/tests/contract $(B)/tests/golden \
 	$(B)/tests/faults $(B)/tests/platform/decisions \
 	$(B)/tests/platform/script $(B)/tests/platform/soak
+FUZZ = request answer stream document settings
+TESTS += $(FUZZ:%=$(B)/tests/fuzz/%)
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
 
 all: node $(DAEMONS) $(FAKES) $(EXAMPLES)
@@ -103,11 +105,23 @@
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
+NODE_PARTS = $(filter-out $(B)/platform/main.o,$(NODE_OBJ))
+
+$(B)/tests/fuzz/corpus.o $(B)/tests/fuzz/%.o: CFLAGS += -Wno-missing-prototypes
+
+$(FUZZ:%=$(B)/tests/fuzz/%): %: %.o $(B)/tests/fuzz/corpus.o $(NODE_PARTS)
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
+
+# A target with a fuzzing engine; its objects are built for one, too.
+$(FUZZ:%=$(B)/fuzz-%): $(B)/fuzz-%: $(B)/tests/fuzz/%.o $(NODE_PARTS)
+	$(CC) -fsanitize=fuzzer,address,undefined -o $@ $^ $(NODE_LIBS)
+
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 SOURCES = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard include/*.h src/*/*.[ch] \
 	daemons/*.[ch] cli/*.[ch] fakes/*.[ch] tests/*.[ch] tests/platform/*.[ch] \
+	tests/fuzz/*.[ch] \
 	platform/*.[ch] bench/*.[ch] \
 	examples/*.c))
 LINT_SRC = $(filter-out %.pb-c.c,$(LIB_SRC)) $(NODE_SRC) $(wildcard daemons/*.c cli/*.c)
@@ -133,6 +147,22 @@
 mutants:
 	tests/mutants.sh
 
+# Each target for FUZZ_S seconds; what crashes one is kept in its corpus.
+FUZZ_S ?= 60
+fuzz:
+	DEBIAN_FRONTEND=noninteractive apt-get install -y -qq clang \
+		libclang-rt-14-dev >/dev/null
+	$(MAKE) -s B=build/fuzzed CC=clang OPT=-O1 \
+		SANITIZE="-fsanitize=fuzzer-no-link,address,undefined" \
+		$(FUZZ:%=build/fuzzed/fuzz-%)
+	for target in $(FUZZ); do \
+		mkdir -p build/fuzzed/corpus/$$target && \
+		build/fuzzed/fuzz-$$target -max_total_time=$(FUZZ_S) -timeout=5 \
+			-verbosity=0 -artifact_prefix=tests/fuzz/corpus/$$target/ \
+			build/fuzzed/corpus/$$target \
+			tests/fuzz/corpus/$$target || exit 1; \
+	done
+
 format:
 	clang-format -i $(SOURCES)
 
@@ -169,5 +199,5 @@
 clean:
 	rm -rf $(B)
 
-.PHONY: all check demo bench slopes soak mutants format format-check lint \
+.PHONY: fuzz all check demo bench slopes soak mutants format format-check lint \
 	sanitize packages clean
--- a/src/peer/relay.c
+++ b/src/peer/relay.c
@@ -198,8 +198,13 @@
 void
 kwb_relay_finish(struct kwb_relay *relay)
 {
-	while (!TAILQ_EMPTY(&relay->pairs))
-		pair_free(TAILQ_FIRST(&relay->pairs));
+	struct kwb_relay_pair *pair = TAILQ_FIRST(&relay->pairs);
+	struct kwb_relay_pair *next;
+
+	for (; pair != NULL; pair = next) {
+		next = TAILQ_NEXT(pair, entry);
+		pair_free(pair);
+	}
 	if (relay->listener != NULL)
 		evconnlistener_free(relay->listener);
 }
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -7,10 +7,12 @@
 scripts=$(mktemp)
 "$KWB_BUILD/tests/platform/script" >"$scripts" 2>&1 &
 scripts_pid=$!
-for name in unit contract golden faults platform/decisions platform/script platform/soak; do
+for name in unit contract golden faults platform/decisions platform/script platform/soak \
+	fuzz/request fuzz/answer fuzz/stream fuzz/document fuzz/settings; do
 	arguments=
 	# Seeds that failed once (causes in docs/PROOFS.md), and two others.
 	[ "$name" = platform/soak ] && arguments='1 2 144 506'
+	[ "${name#fuzz/}" != "$name" ] && arguments=$(echo tests/"${name/fuzz/fuzz/corpus}"/*)
 	if [ "$name" = platform/script ]; then
 		wait "$scripts_pid"
 		code=$?
--- /dev/null
+++ b/tests/fuzz/answer.c
@@ -0,0 +1,23 @@
+/*
+ * Fuzz target: answers of upstreams, and their reports.
+ */
+#include "exchange.h"
+
+static void
+on_answer(const struct kwb_message *message)
+{
+	struct kwb_upstream_answer answer;
+	struct kwb_upstream_report report;
+
+	platform_dialect.read_answer(message, &answer);
+	if (platform_dialect.read_report(message, &report) == 0 &&
+	    report.models_count > KWB_MODELS_MAX)
+		abort();
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t length_bytes)
+{
+	fuzz_feed(data, length_bytes, false, on_answer);
+	return 0;
+}
--- /dev/null
+++ b/tests/fuzz/document.c
@@ -0,0 +1,62 @@
+/*
+ * Fuzz target: documents that others write to the store. The first byte says
+ * which.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../platform/platform.h"
+#include "fuzz.h"
+
+static void
+read_one(uint8_t which, const char *text, size_t length_bytes)
+{
+	struct kwb_node_config config;
+	struct kwb_upstream_status status;
+	struct kwb_batch_head head;
+	struct kwb_faults faults = {0};
+	struct kwb_row row = {.key = (char *)"k",
+	    .value = (char *)text,
+	    .value_bytes = length_bytes};
+	char model[KWB_NAME_MAX_BYTES];
+	uint64_t version;
+
+	memset(&config, 0, sizeof(config));
+	switch (which % 4) {
+	case 0:
+		if (platform_documents.read_config(
+			&config, text, length_bytes, &faults) == 0)
+			kwb_node_config_finish(&config);
+		break;
+	case 1:
+		platform_documents.read_upstream(
+		    &status, "i", text, length_bytes);
+		break;
+	case 2:
+		platform_documents.read_version(
+		    text, length_bytes, model, sizeof(model), &version);
+		break;
+	default:
+		kwb_batch_head_parse(&head, &row);
+		break;
+	}
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t length_bytes)
+{
+	char *text;
+
+	if (length_bytes < 1)
+		return 0;
+	kwb_log_init("fuzz", KWB_LOG_ERROR + 1);
+	text = malloc(length_bytes);
+	if (text == NULL)
+		abort();
+	/* Rows end with a NUL behind their value. */
+	memcpy(text, data + 1, length_bytes - 1);
+	text[length_bytes - 1] = '\0';
+	read_one(data[0], text, length_bytes - 1);
+	free(text);
+	return 0;
+}
--- /dev/null
+++ b/tests/fuzz/exchange.h
@@ -0,0 +1,92 @@
+/*
+ * Feeds bytes to a connection, in pieces, as a peer would send them.
+ */
+#ifndef KWB_TESTS_FUZZ_EXCHANGE_H
+#define KWB_TESTS_FUZZ_EXCHANGE_H
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../../platform/platform.h"
+#include "fuzz.h"
+#include "kwb_node.h"
+
+#define PIECE_MAX_BYTES 4096
+#define LOOPS_MAX 64 /* of the event loop, until all has been read */
+
+struct fuzz_conn {
+	struct kwb_conn conn;
+	void (*on_message)(const struct kwb_message *message);
+	bool closed;
+};
+
+static void
+fuzz_message(struct kwb_conn *conn)
+{
+	struct fuzz_conn *fuzz = conn->context;
+
+	fuzz->on_message(&conn->message);
+	kwb_conn_next(conn);
+}
+
+static void
+fuzz_close(struct kwb_conn *conn, int error)
+{
+	struct fuzz_conn *fuzz = conn->context;
+
+	(void)error;
+	fuzz->closed = true;
+}
+
+static const struct kwb_conn_ops fuzz_ops = {
+    .on_message = fuzz_message, .on_close = fuzz_close};
+
+/* The first byte says in pieces of which length the others come. */
+static void
+fuzz_feed(const uint8_t *data, size_t length_bytes, bool server,
+    void (*on_message)(const struct kwb_message *message))
+{
+	static struct event_base *base;
+	struct fuzz_conn fuzz = {.on_message = on_message};
+	size_t piece;
+	size_t at = 1;
+	int ends[2];
+	unsigned i;
+
+	if (base == NULL) {
+		kwb_log_init("fuzz", KWB_LOG_ERROR + 1);
+		base = event_base_new();
+	}
+	if (length_bytes < 2 ||
+	    socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) != 0)
+		return;
+	if (kwb_conn_accept(&fuzz.conn, base, ends[0], &fuzz_ops, &fuzz) != 0)
+		abort();
+	fuzz.conn.head_max_bytes = 8192;
+	fuzz.conn.body_max_bytes = 65536;
+	if (!server) {
+		fuzz.conn.server = false;
+		http_parser_init(&fuzz.conn.parser, HTTP_RESPONSE);
+		fuzz.conn.parser.data = &fuzz.conn;
+	}
+	piece = data[0] == 0 ? PIECE_MAX_BYTES : data[0];
+	for (i = 0; i < LOOPS_MAX && at < length_bytes && !fuzz.closed; i++) {
+		size_t left = length_bytes - at;
+		ssize_t sent =
+		    write(ends[1], data + at, left < piece ? left : piece);
+
+		if (sent > 0)
+			at += (size_t)sent;
+		event_base_loop(base, EVLOOP_NONBLOCK);
+	}
+	close(ends[1]);
+	if (!fuzz.closed)
+		event_base_loop(base, EVLOOP_NONBLOCK);
+	kwb_conn_finish(&fuzz.conn);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+}
+
+#endif
--- /dev/null
+++ b/tests/fuzz/request.c
@@ -0,0 +1,23 @@
+/*
+ * Fuzz target: requests of callers and trainers, and submissions.
+ */
+#include "exchange.h"
+
+static void
+on_request(const struct kwb_message *message)
+{
+	struct kwb_call_head call;
+	struct kwb_batch_spec spec;
+
+	platform_dialect.read_call(message, &call);
+	if (platform_dialect.read_batch(kwb_buf_text(&message->body),
+		message->body.used_bytes, &spec) == 0)
+		kwb_batch_spec_finish(&spec);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t length_bytes)
+{
+	fuzz_feed(data, length_bytes, true, on_request);
+	return 0;
+}
--- /dev/null
+++ b/tests/fuzz/stream.c
@@ -0,0 +1,74 @@
+/*
+ * Fuzz target: streams of events, split at any point. What is told must not
+ * depend on where.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fuzz.h"
+#include "kwb_node.h"
+
+struct told {
+	uint64_t count;
+	uint64_t hash;
+};
+
+static void
+on_event(void *context, const struct kwb_event *event)
+{
+	struct told *told = context;
+	size_t i;
+
+	told->count++;
+	told->hash = told->hash * 31 + event->id + event->version;
+	for (i = 0; i < event->data.used_bytes; i++)
+		told->hash = told->hash * 31 + (uint8_t)event->data.data[i];
+}
+
+static int
+feed(const uint8_t *data, size_t length_bytes, size_t piece, struct told *told)
+{
+	struct kwb_events events;
+	struct kwb_buf bytes;
+	size_t at;
+	int code = 0;
+
+	memset(told, 0, sizeof(*told));
+	kwb_events_init(&events, "weight-versions");
+	kwb_buf_init(&bytes);
+	for (at = 0; at < length_bytes && code == 0; at += piece) {
+		size_t left = length_bytes - at;
+
+		if (kwb_buf_add(
+			&bytes, data + at, left < piece ? left : piece) != 0)
+			abort();
+		code = kwb_events_feed(&events, &bytes, on_event, told);
+	}
+	kwb_events_finish(&events);
+	kwb_buf_finish(&bytes);
+	return code;
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t length_bytes)
+{
+	struct kwb_buf bytes;
+	struct told whole;
+	struct told split;
+	uint64_t last = 0;
+	int code;
+
+	if (length_bytes < 2)
+		return 0;
+	code = feed(data + 1, length_bytes - 1, length_bytes, &whole);
+	if (feed(data + 1, length_bytes - 1, data[0] % 16 + 1, &split) !=
+		code ||
+	    whole.count != split.count || whole.hash != split.hash)
+		abort();
+	kwb_buf_init(&bytes);
+	if (kwb_buf_add(&bytes, data, length_bytes) != 0 ||
+	    kwb_events_whole(&bytes, &last) > length_bytes)
+		abort();
+	kwb_buf_finish(&bytes);
+	return 0;
+}
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1278,6 +1278,9 @@
 	    {"zone=z\n", "node-name is missing"},
 	    {"node-name\n", ":1: no '='"},
 	    {"bounds.fencing-enforced=maybe\n", ":1: bounds.fencing"},
+	    {"bounds.grace-s=nan\n", ":1: bounds.grace-s"},
+	    {"ip=10.0.0.1\nport-range=nan,2\n", ":2: port-range"},
+	    {"port-range=70000,70001\n", ":1: port-range"},
 	};
 	struct kwb_node_settings settings;
 	struct kwb_faults faults;
