--- a/tests/sanitize.sh
+++ b/tests/sanitize.sh
@@ -6,15 +6,21 @@
 export UBSAN_OPTIONS=log_path=$PWD/$1/report,print_stacktrace=1
 rm -f "$1"/report.*
 code=0
+# The scripts wait most of their time, so they run beside the others.
+scripts=$(mktemp)
+"$1/tests/platform/script" >"$scripts" 2>&1 &
+scripts_pid=$!
 "$1/tests/unit" | tail -1 || code=1
 "$1/tests/contract" || code=1
 "$1/tests/platform/decisions" | tail -1 || code=1
-"$1/tests/platform/script" || code=1
 "$1/tests/platform/soak" 1 || code=1
 for session in "stop_entry 30" "stop_llm 31" "silent_shop 16" "kill_shop 3"; do
 	# shellcheck disable=SC2086
 	"$1/tests/faults" $session || code=1
 done
+wait "$scripts_pid" || code=1
+cat "$scripts"
+rm -f "$scripts"
 if ls "$1"/report.* >/dev/null 2>&1; then
 	cat "$1"/report.* | head -60
 	code=1
