--- a/tests/sanitize.sh
+++ b/tests/sanitize.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs tests of a sanitizer build; a report of any process fails.
-set -u
+set -u -o pipefail
 export KWB_BUILD=$1
 export ASAN_OPTIONS=log_path=$PWD/$1/report,detect_leaks=1
 export UBSAN_OPTIONS=log_path=$PWD/$1/report,print_stacktrace=1
