--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -83,9 +83,8 @@
 #define KWB_SUSPECT_MAX_NS (8000 * KWB_MS_NS) /* longest, as it doubles */
 #define KWB_PACE_KEEP_NS (4000 * KWB_MS_NS)   /* a measured pace counts */
 #define KWB_PACE_USUAL_NS (60000 * KWB_MS_NS) /* likewise, while not slow */
-#define KWB_PACE_USUAL_MAX 32 /* upstreams looked at for the usual pace */
-#define KWB_PACE_CALM_PART                                                     \
-	1024 /* of a change, so that 10 s of slowness add little */
+#define KWB_PACE_USUAL_MAX 32	/* upstreams looked at for the usual pace */
+#define KWB_PACE_CALM_PART 1024 /* of a change: slow to follow */
 #define KWB_PACE_MIN_NS (1 * KWB_MS_NS)	      /* shorter: held up on the way */
 #define KWB_PACE_MAX_NS (500 * KWB_MS_NS)     /* longer is a pause */
 #define KWB_REPORT_KEEP_NS (400 * KWB_MS_NS)  /* a reported load counts */
@@ -109,9 +108,7 @@
 #define KWB_PRIORITY_SPARE 7
 #define KWB_QUEUED_NS (250 * KWB_MS_NS) /* a first event comes in 100 */
 #define KWB_QUEUED_PACES 4 /* so many usual pauses, where that is more */
-#define KWB_QUEUED_KEEP_NS                                                     \
-	(600 * KWB_MS_NS)    /* left alone after it was full                   \
-			      */
+#define KWB_QUEUED_KEEP_NS (600 * KWB_MS_NS) /* left alone after that */
 #define KWB_SILENCE_PACES 10 /* so many usual pauses, where that is more */
 #define KWB_MOVE_LOOK_NS (200 * KWB_MS_NS)  /* between looks for slow items */
 #define KWB_MOVES_MAX 4			    /* of one item */
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -122,7 +122,6 @@
 
 /* score.c: the reward */
 void run_score(struct item_run *run);
-bool run_score_waits(const struct item_run *run); /* for room */
 
 /* pump.c: places for items */
 void run_rank(const struct item_run *run, struct kwb_item_rank *rank);
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -64,7 +64,7 @@
 	return kwb_move_wanted(&input) ? "slow_upstream" : NULL;
 }
 
-/* Goes on at that place, where it is pumped at once. */
+/* Goes on there at once, without a turn among waiting items. */
 static void
 move_to(struct item_run *run, struct kwb_upstream *place, const char *reason)
 {
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -34,6 +34,7 @@
 	kwb_batches_kick(run->batch->batches);
 }
 
+/* Time that the trainer has left for this step. */
 static uint64_t
 due_in_ns(const struct item_run *run)
 {
@@ -48,8 +49,9 @@
 	return due_ms > now_ms ? (due_ms - now_ms) * KWB_MS_NS : 0;
 }
 
-bool
-run_score_waits(const struct item_run *run)
+/* Whether callers would miss the place that this reward takes. */
+static bool
+score_waits(const struct item_run *run)
 {
 	const struct kwb_batch_env *env = run_env(run);
 	const struct kwb_route_entry *route = kwb_node_config_route(
@@ -100,7 +102,7 @@
 			run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
 		return;
 	}
-	if (run_score_waits(run)) {
+	if (score_waits(run)) {
 		run->retry_ns = now_ns; /* looked at as soon as one ends */
 		return;
 	}
