One copy of what sockets and the store's probes share; a choice asks for the usual pace once

Read of the whole change: listening, connecting and no delay stood in conn, caller and relay, the relay's without a look at the result; the probe of the store and what counts as an answer stood in watch and detour, and detour gave calls up without a log line. Now src/net/socket.c and src/store/store.c. A reward looked for room at one draw of its route's services and was sent to another; with one service a route, as on all sites, nothing changes. Behaviour is the same but for that, the log line and the relay's backlog (1,024 for 128).

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -19,6 +19,18 @@
 struct evconnlistener;
 struct event;
 struct event_base;
+struct sockaddr;
+
+/* ---- Net: sockets ----------------------------------------------------- */
+
+void kwb_socket_no_delay(int fd); /* small writes go out at once */
+int kwb_socket_listen(struct event_base *base,
+    const struct kwb_address *address,
+    void (*on_accept)(struct evconnlistener *listener, int fd,
+	struct sockaddr *from, int from_bytes, void *context),
+    void *context, struct evconnlistener **listener); /* begins to accept */
+int kwb_socket_connect(struct bufferevent *socket,
+    const struct kwb_address *address); /* begins a connection, no delay */
 
 /* ---- Net: HTTP/1.1 messages ------------------------------------------- */
 
@@ -323,6 +335,12 @@
 
 void kwb_store_cancel(
     struct kwb_store *store, struct kwb_store_call *call); /* no callback */
+int kwb_store_probe(struct kwb_store *store,
+    struct kwb_store_call *call); /* a small read, to see if it answers */
+bool kwb_store_is_answer(
+    const struct kwb_store_answer *answer); /* of the store, not a failure */
+void kwb_store_give_up(struct kwb_store *store,
+    uint64_t before_ns); /* ends calls begun before then as unknown */
 void kwb_store_note(struct kwb_store *store,
     const struct kwb_store_answer *answer,
     bool is_relayed); /* for implementations */
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -85,6 +85,7 @@
 	struct kwb_silence_input silence = silence_of(run, now_ns);
 	struct kwb_upstream *place;
 	const char *reason;
+	bool queued;
 
 	if (run_is_past_ttl(run)) {
 		run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
@@ -97,14 +98,15 @@
 		run_retry(run, 0, "silent");
 		return;
 	}
-	if (kwb_item_is_queued(&silence))
+	queued = kwb_item_is_queued(&silence);
+	if (queued)
 		run->upstream->refused_until_ns = now_ns + KWB_QUEUED_KEEP_NS;
 	else if (run->last_event == 0)
 		return;
 	place = run_pick(run, run->upstream->status.service);
 	if (place == NULL)
 		return;
-	if (kwb_item_is_queued(&silence)) {
+	if (queued) {
 		move_to(run, place, "queued");
 		return;
 	}
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -51,13 +51,12 @@
 
 /* Whether callers would miss the place that this reward takes. */
 static bool
-score_waits(const struct item_run *run)
+score_waits(const struct item_run *run, const char *service)
 {
 	const struct kwb_batch_env *env = run_env(run);
-	const struct kwb_route_entry *route = kwb_node_config_route(
-	    *env->config, run->item->score_host, run->item->score_target);
 	uint64_t now_ns = kwb_clock_now_ns();
 	struct kwb_pick pick = {
+	    .service = service,
 	    .failure_domain = env->forward->failure_domain,
 	    .within_slots = true,
 	    .spare_part = KWB_REWARD_SPARE_PART,
@@ -67,9 +66,6 @@
 	struct kwb_reward_input input = {
 	    .waited_ns = now_ns - run->whole_ns, .left_ns = due_in_ns(run)};
 
-	if (route == NULL)
-		return false;
-	pick.service = kwb_route_entry_service(route, pick.random);
 	input.has_place =
 	    kwb_upstream_pick(env->forward->registry, &pick) != NULL;
 	return !kwb_reward_goes(&input);
@@ -82,6 +78,7 @@
 	const struct kwb_batch_env *env = run_env(run);
 	const struct kwb_batch_item *item = run->item;
 	const struct kwb_route_entry *route;
+	const char *service;
 	struct kwb_forward *score = &run->score;
 	uint64_t now_ns = kwb_clock_now_ns();
 
@@ -102,7 +99,8 @@
 			run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
 		return;
 	}
-	if (score_waits(run)) {
+	service = kwb_route_entry_service(route, (uint64_t)random());
+	if (score_waits(run, service)) {
 		run->retry_ns = now_ns; /* looked at as soon as one ends */
 		return;
 	}
@@ -118,8 +116,7 @@
 	    .body = item->score_body,
 	    .body_bytes = item->score_body_bytes,
 	    .priority = -1};
-	kwb_text_copy(score->service, sizeof(score->service),
-	    kwb_route_entry_service(route, (uint64_t)random()));
+	kwb_text_copy(score->service, sizeof(score->service), service);
 	score->repeatable = true;
 	score->passes_errors = true;
 	score->max_attempts = route->max_attempts;
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -5,9 +5,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -336,16 +333,6 @@
 	return 0;
 }
 
-static void
-set_no_delay(int fd)
-{
-	int on = 1;
-
-	if (setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)) != 0)
-		kwb_log(
-		    KWB_LOG_WARN, "conn", "event=no_delay_failed fd=%d", fd);
-}
-
 int
 kwb_conn_accept(struct kwb_conn *conn, struct event_base *base, int fd,
     const struct kwb_conn_ops *ops, void *context)
@@ -355,7 +342,7 @@
 	if (code != 0)
 		return code;
 	conn->connected = true;
-	set_no_delay(fd);
+	kwb_socket_no_delay(fd);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	return 0;
 }
@@ -365,22 +352,16 @@
     const struct kwb_address *address, const struct kwb_conn_ops *ops,
     void *context)
 {
-	struct sockaddr_in to = {
-	    .sin_family = AF_INET, .sin_port = htons(address->port)};
-	int code;
+	int code = conn_init(conn, base, -1, ops, context, false);
 
-	if (inet_pton(AF_INET, address->ip, &to.sin_addr) != 1)
-		return KWB_ERR_ARGUMENT;
-	code = conn_init(conn, base, -1, ops, context, false);
-	if (code != 0)
-		return code;
-	if (bufferevent_socket_connect(
-		conn->bev, (struct sockaddr *)&to, sizeof(to)) != 0) {
-		bufferevent_free(conn->bev);
+	if (code == 0)
+		code = kwb_socket_connect(conn->bev, address);
+	if (code != 0) {
+		if (conn->bev != NULL)
+			bufferevent_free(conn->bev);
 		conn->bev = NULL;
-		return KWB_ERR_NET_CONNECT;
+		return code;
 	}
-	set_no_delay(bufferevent_getfd(conn->bev));
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	return 0;
 }
--- /dev/null
+++ b/src/net/socket.c
@@ -0,0 +1,71 @@
+/*
+ * Sockets as all connections of a node use them: listening, connecting, and no
+ * delay for small writes.
+ */
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "kwb_node.h"
+
+#define LISTEN_BACKLOG 1024
+
+static int
+address_to(const struct kwb_address *address, struct sockaddr_in *to)
+{
+	*to = (struct sockaddr_in){
+	    .sin_family = AF_INET, .sin_port = htons(address->port)};
+	return inet_pton(AF_INET, address->ip, &to->sin_addr) == 1
+	    ? 0
+	    : KWB_ERR_ARGUMENT;
+}
+
+void
+kwb_socket_no_delay(int fd)
+{
+	int on = 1;
+
+	if (setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)) != 0)
+		kwb_log(
+		    KWB_LOG_WARN, "socket", "event=no_delay_failed fd=%d", fd);
+}
+
+int
+kwb_socket_listen(struct event_base *base, const struct kwb_address *address,
+    void (*on_accept)(struct evconnlistener *listener, int fd,
+	struct sockaddr *from, int from_bytes, void *context),
+    void *context, struct evconnlistener **listener)
+{
+	struct sockaddr_in at;
+	int code = address_to(address, &at);
+
+	if (code != 0)
+		return code;
+	*listener = evconnlistener_new_bind(base, on_accept, context,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+	    LISTEN_BACKLOG, (struct sockaddr *)&at, sizeof(at));
+	if (*listener != NULL)
+		return 0;
+	kwb_log(KWB_LOG_ERROR, "socket", "event=listen_failed address=%s:%u",
+	    address->ip, address->port);
+	return KWB_ERR_SYSTEM;
+}
+
+int
+kwb_socket_connect(
+    struct bufferevent *socket, const struct kwb_address *address)
+{
+	struct sockaddr_in to;
+	int code = address_to(address, &to);
+
+	if (code != 0)
+		return code;
+	if (bufferevent_socket_connect(
+		socket, (struct sockaddr *)&to, sizeof(to)) != 0)
+		return KWB_ERR_NET_CONNECT;
+	kwb_socket_no_delay(bufferevent_getfd(socket));
+	return 0;
+}
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -2,7 +2,6 @@
  * Connections of callers: they are kept as long as the operator's idle time
  * says, and a caller that leaves ends its request.
  */
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -13,8 +12,6 @@
 
 #include "caller.h"
 
-#define LISTEN_BACKLOG 1024
-
 static void
 request_free(struct kwb_caller *caller)
 {
@@ -250,22 +247,10 @@
 caller_listen(struct kwb_node *node, const struct kwb_address *address,
     enum caller_port port, struct evconnlistener **listener)
 {
-	struct sockaddr_in at = {
-	    .sin_family = AF_INET, .sin_port = htons(address->port)};
 	evconnlistener_cb on_accept = port == CALLER_FRONT ? on_front
 	    : port == CALLER_READY			   ? on_ready
 							   : on_metrics;
 
-	if (inet_pton(AF_INET, address->ip, &at.sin_addr) != 1)
-		return KWB_ERR_ARGUMENT;
-	*listener = evconnlistener_new_bind(node->base, on_accept, node,
-	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-	    LISTEN_BACKLOG, (struct sockaddr *)&at, sizeof(at));
-	if (*listener == NULL) {
-		kwb_log(KWB_LOG_ERROR, "caller",
-		    "event=listen_failed address=%s:%u", address->ip,
-		    address->port);
-		return KWB_ERR_SYSTEM;
-	}
-	return 0;
+	return kwb_socket_listen(
+	    node->base, address, on_accept, node, listener);
 }
--- a/src/peer/detour.c
+++ b/src/peer/detour.c
@@ -9,8 +9,6 @@
 
 #include "kwb_node.h"
 
-#define PROBE_TABLE "leases" /* small, and always there */
-
 static void seek_next(
     struct kwb_detour *detour, struct kwb_detour_probe *probe);
 
@@ -18,14 +16,13 @@
 probe_send(struct kwb_detour *detour, struct kwb_detour_probe *probe,
     const struct kwb_address *through)
 {
-	struct kwb_range range = {.table = PROBE_TABLE, .part = "", .limit = 1};
 	struct kwb_store *store = detour->store;
 	const struct kwb_address *before = store->relay;
 	int code;
 
 	probe->begin_ns = kwb_clock_now_ns();
 	store->relay = through;
-	code = store->ops->range(store, &range, &probe->call);
+	code = kwb_store_probe(store, &probe->call);
 	store->relay = before;
 	return code;
 }
@@ -58,8 +55,7 @@
 	struct kwb_store *store = detour->store;
 	uint64_t now_ns = kwb_clock_now_ns();
 
-	if (answer->error == KWB_ERR_STORE_REFUSED ||
-	    answer->error == KWB_ERR_STORE_UNKNOWN) {
+	if (!kwb_store_is_answer(answer)) {
 		seek_next(detour, probe);
 		return;
 	}
@@ -67,7 +63,7 @@
 	    now_ns - store->own_answered_ns < KWB_PATH_QUIET_NS)
 		return; /* another way was found first */
 	set_relay(detour, &probe->peer);
-	store->ops->give_up(store, probe->begin_ns);
+	kwb_store_give_up(store, probe->begin_ns);
 	detour->on_change(detour->context);
 }
 
@@ -94,10 +90,8 @@
 	struct kwb_detour_probe *probe = call->context;
 	struct kwb_detour *detour = probe->detour;
 
-	if (answer->error == KWB_ERR_STORE_REFUSED ||
-	    answer->error == KWB_ERR_STORE_UNKNOWN)
-		return;
-	set_relay(detour, NULL);
+	if (kwb_store_is_answer(answer))
+		set_relay(detour, NULL);
 }
 
 /* Its time of arrival is noted with each answer of the store. */
--- a/src/peer/relay.c
+++ b/src/peer/relay.c
@@ -4,21 +4,16 @@
  * Bounded in connections, in bytes held for each and in idle time, and always
  * over this node's own path, so relays never form a chain.
  */
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "kwb_node.h"
 
-#define LISTEN_BACKLOG 128
-
 struct kwb_relay_pair {
 	struct kwb_relay *relay;
 	struct bufferevent *peer;
@@ -101,23 +96,6 @@
 	bufferevent_enable(side, EV_READ | EV_WRITE);
 }
 
-static int
-store_connect(struct kwb_relay_pair *pair)
-{
-	const struct kwb_address *address = &pair->relay->settings->store;
-	struct sockaddr_in to = {
-	    .sin_family = AF_INET, .sin_port = htons(address->port)};
-	int on = 1;
-
-	if (inet_pton(AF_INET, address->ip, &to.sin_addr) != 1 ||
-	    bufferevent_socket_connect(
-		pair->store, (struct sockaddr *)&to, sizeof(to)) != 0)
-		return KWB_ERR_NET_CONNECT;
-	setsockopt(bufferevent_getfd(pair->store), IPPROTO_TCP, TCP_NODELAY,
-	    &on, sizeof(on));
-	return 0;
-}
-
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
     struct sockaddr *from, int from_bytes, void *context)
@@ -130,7 +108,6 @@
 	    .pairs = relay->pairs_count,
 	    .pairs_max = KWB_RELAY_PAIRS_MAX};
 	struct kwb_relay_pair *pair;
-	int on = 1;
 
 	(void)listener;
 	(void)from;
@@ -143,7 +120,7 @@
 	pair->relay = relay;
 	TAILQ_INSERT_TAIL(&relay->pairs, pair, entry);
 	relay->pairs_count++;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	kwb_socket_no_delay(fd);
 	pair->peer =
 	    bufferevent_socket_new(relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	pair->store =
@@ -151,7 +128,7 @@
 	if (pair->peer == NULL)
 		close(fd);
 	if (pair->peer == NULL || pair->store == NULL ||
-	    store_connect(pair) != 0) {
+	    kwb_socket_connect(pair->store, &relay->settings->store) != 0) {
 		kwb_log(KWB_LOG_WARN, "relay", "event=not_opened pairs=%u",
 		    relay->pairs_count);
 		pair_free(pair);
@@ -165,9 +142,6 @@
 kwb_relay_init(struct kwb_relay *relay, struct event_base *base,
     const struct kwb_node_settings *settings, const struct kwb_store *store)
 {
-	struct sockaddr_in at = {
-	    .sin_family = AF_INET, .sin_port = htons(settings->peers.port)};
-
 	memset(relay, 0, sizeof(*relay));
 	relay->base = base;
 	relay->settings = settings;
@@ -175,18 +149,8 @@
 	TAILQ_INIT(&relay->pairs);
 	if (settings->peers.port == 0)
 		return 0;
-	if (inet_pton(AF_INET, settings->peers.ip, &at.sin_addr) != 1)
-		return KWB_ERR_ARGUMENT;
-	relay->listener = evconnlistener_new_bind(base, on_accept, relay,
-	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-	    LISTEN_BACKLOG, (struct sockaddr *)&at, sizeof(at));
-	if (relay->listener == NULL) {
-		kwb_log(KWB_LOG_ERROR, "relay",
-		    "event=listen_failed address=%s:%u", settings->peers.ip,
-		    settings->peers.port);
-		return KWB_ERR_SYSTEM;
-	}
-	return 0;
+	return kwb_socket_listen(
+	    base, &settings->peers, on_accept, relay, &relay->listener);
 }
 
 void
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -6,6 +6,8 @@
 
 #include "kwb_node.h"
 
+#define PROBE_TABLE "leases" /* small, and always there */
+
 void
 kwb_store_cancel(struct kwb_store *store, struct kwb_store_call *call)
 {
@@ -13,16 +15,39 @@
 		store->ops->cancel(store, call);
 }
 
+int
+kwb_store_probe(struct kwb_store *store, struct kwb_store_call *call)
+{
+	struct kwb_range range = {.table = PROBE_TABLE, .part = "", .limit = 1};
+
+	return store->ops->range(store, &range, call);
+}
+
+bool
+kwb_store_is_answer(const struct kwb_store_answer *answer)
+{
+	return answer->error != KWB_ERR_STORE_REFUSED &&
+	    answer->error != KWB_ERR_STORE_UNKNOWN;
+}
+
+void
+kwb_store_give_up(struct kwb_store *store, uint64_t before_ns)
+{
+	uint32_t count = store->ops->give_up(store, before_ns);
+
+	kwb_log(KWB_LOG_INFO, "store",
+	    "event=calls_given_up count=%u age_ms=%llu", count,
+	    (unsigned long long)((kwb_clock_now_ns() - before_ns) / KWB_MS_NS));
+}
+
 void
 kwb_store_note(struct kwb_store *store, const struct kwb_store_answer *answer,
     bool is_relayed)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
-	bool failed = answer->error == KWB_ERR_STORE_REFUSED ||
-	    answer->error == KWB_ERR_STORE_UNKNOWN;
 
 	store->calls_count++;
-	if (failed) {
+	if (!kwb_store_is_answer(answer)) {
 		if (store->failed_ns <= store->answered_ns)
 			kwb_log(KWB_LOG_WARN, "store",
 			    "event=dependency_lost error=%s",
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -10,8 +10,6 @@
 
 #include "kwb_node.h"
 
-#define PROBE_TABLE "leases" /* small, and always there */
-
 static void
 probe_answer(struct kwb_store_call *call, const struct kwb_store_answer *answer)
 {
@@ -24,29 +22,13 @@
 	kwb_timer_at(watch->timer, kwb_clock_now_ns() + KWB_GIVE_UP_NS);
 }
 
-/* Ends what the silence has swallowed. */
-static void
-give_up(struct kwb_store_watch *watch)
-{
-	struct kwb_store *store = watch->store;
-	uint32_t count = store->ops->give_up(store, watch->back_ns);
-
-	kwb_log(KWB_LOG_INFO, "store",
-	    "event=calls_given_up count=%u age_ms=%llu", count,
-	    (unsigned long long)((kwb_clock_now_ns() - watch->back_ns) /
-		KWB_MS_NS));
-	watch->back_ns = 0;
-}
-
 static void
 probe_start(struct kwb_store_watch *watch)
 {
-	struct kwb_range range = {.table = PROBE_TABLE, .part = "", .limit = 1};
-
 	watch->probe_ns = kwb_clock_now_ns();
 	watch->probe.on_done = probe_answer;
 	watch->probe.context = watch;
-	if (watch->store->ops->range(watch->store, &range, &watch->probe) != 0)
+	if (kwb_store_probe(watch->store, &watch->probe) != 0)
 		kwb_log(KWB_LOG_WARN, "store", "event=probe_not_sent");
 }
 
@@ -65,7 +47,8 @@
 	(void)fd;
 	(void)what;
 	if (watch->back_ns != 0)
-		give_up(watch);
+		kwb_store_give_up(watch->store, watch->back_ns);
+	watch->back_ns = 0;
 	if (watch->probe.driver != NULL &&
 	    now_ns - watch->probe_ns >= most_ns) {
 		kwb_store_cancel(watch->store, &watch->probe);
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -173,10 +173,9 @@
 /* Cheapest upstream of one sort: homes of the model, or any. */
 static struct kwb_upstream *
 pick_among(const struct kwb_registry *registry, const struct kwb_pick *pick,
-    bool homes, enum trust trust)
+    double usual, bool homes, enum trust trust)
 {
 	struct kwb_upstream *best = NULL;
-	double usual = usual_pace(registry, pick);
 	double best_cost = 0;
 	double cost;
 	uint32_t i;
@@ -204,16 +203,17 @@
 kwb_upstream_pick(
     const struct kwb_registry *registry, const struct kwb_pick *pick)
 {
+	double usual = usual_pace(registry, pick);
 	struct kwb_upstream *found = NULL;
 
 	/* A generation that finds a home dead has lost a second. */
 	if (pick->model != NULL)
-		found = pick_among(registry, pick, true, TRUST_SOUND);
+		found = pick_among(registry, pick, usual, true, TRUST_SOUND);
 	if (found == NULL && pick->model != NULL)
-		found = pick_among(registry, pick, true, TRUST_PROBED);
+		found = pick_among(registry, pick, usual, true, TRUST_PROBED);
 	if (found == NULL)
-		found = pick_among(registry, pick, false, TRUST_PROBED);
+		found = pick_among(registry, pick, usual, false, TRUST_PROBED);
 	if (found == NULL && !pick->within_slots)
-		found = pick_among(registry, pick, false, TRUST_ANY);
+		found = pick_among(registry, pick, usual, false, TRUST_ANY);
 	return found;
 }
