--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -20,6 +20,7 @@
  *   $ ran ID                      how often, and from which events on
  *   $ prompt ID                   its parts, as the upstream was told
  *   $ orders SERVER, $ version SERVER, $ wait MS, $ until-version SERVER V
+ *   $ rows TABLE, $ until-rows TABLE N    rows of the store
  *   $ raw NODE TEXT               bytes on a connection; the status line
  */
 /* clang-format on */
@@ -894,17 +895,35 @@
 	kwb_buf_printf(&script->out, "%zu bytes\n", bytes);
 }
 
-static void
-run_rows(struct script *script)
+static unsigned
+count_rows(const struct stage_store *store, const char *table)
 {
-	const struct stage_store *store = &script->stage.store;
 	unsigned count = 0;
 	unsigned i;
 
 	for (i = 0; i < store->rows_count; i++)
 		count += store->rows[i].value != NULL &&
-		    strcmp(store->rows[i].table, script->words[1]) == 0;
-	kwb_buf_printf(&script->out, "%u\n", count);
+		    strcmp(store->rows[i].table, table) == 0;
+	return count;
+}
+
+static void
+run_rows(struct script *script)
+{
+	kwb_buf_printf(&script->out, "%u\n",
+	    count_rows(&script->stage.store, script->words[1]));
+}
+
+static void
+run_until_rows(struct script *script)
+{
+	uint64_t end_ns = kwb_clock_now_ns() + CALL_TIMEOUT_MS * KWB_MS_NS;
+	unsigned wanted = (unsigned)strtoul(script->words[2], NULL, 10);
+
+	while (count_rows(&script->stage.store, script->words[1]) != wanted &&
+	    kwb_clock_now_ns() < end_ns)
+		stage_wait(&script->stage, 10);
+	run_rows(script);
 }
 
 static void
@@ -982,12 +1001,12 @@
 	    {"garble", run_server_change}, {"beat", run_server_change},
 	    {"metrics", run_metrics}, {"ran", run_ran}, {"prompt", run_prompt},
 	    {"until-some", run_until_some}, {"orders", run_sum},
-	    {"rows", run_rows}, {"objects", run_objects},
-	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
-	    {"resumed", run_resumed}, {"again", run_again},
-	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace},
-	    {"crowd", run_crowd}, {"priority", run_priority},
-	    {"detours", run_detours}};
+	    {"rows", run_rows}, {"until-rows", run_until_rows},
+	    {"objects", run_objects}, {"lengths", run_lengths},
+	    {"running", run_sum}, {"ctl", run_ctl}, {"resumed", run_resumed},
+	    {"again", run_again}, {"explain", run_explain}, {"path", run_path},
+	    {"pace", run_pace}, {"crowd", run_crowd},
+	    {"priority", run_priority}, {"detours", run_detours}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
@@ -1052,15 +1071,19 @@
 static void
 show_difference(const char *played, const char *expected)
 {
+	unsigned line = 1;
+
 	while (*played != '\0' || *expected != '\0') {
 		size_t left = strcspn(played, "\n");
 		size_t right = strcspn(expected, "\n");
 
 		if (left != right || strncmp(played, expected, left) != 0) {
-			printf("  expected: %.*s\n  printed:  %.*s\n",
-			    (int)right, expected, (int)left, played);
+			printf("  line %u\n  expected: %.*s\n"
+			       "  printed:  %.*s\n",
+			    line, (int)right, expected, (int)left, played);
 			return;
 		}
+		line++;
 		played += left + (played[left] != '\0');
 		expected += right + (expected[right] != '\0');
 	}
