Calls to the store that wait are sent a second time

Reads are sent again after 0.5 s, on a new connection, while the first stays open; writes after 1.25 s, only those whose first condition they end, so that both copies never come into force. What a copy is told may be the other's doing: a conflict is then unknown and read back as lost answers are. The decision is src/store/again.c, tested without network.

Ruled out: a limit by what answers take (given up twice: a node with few calls learns it wrong, a write may queue a second). Copies while the whole store is silent: the probe does that.

On reading for it: an exchange could end within its own start if the process was paused between two lines, and its owner's memory was then freed under it. Now it ends from the loop; "paused_start" failed first.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -316,6 +316,8 @@
 	void (*cancel)(struct kwb_store *store, struct kwb_store_call *call);
 	/* Ends calls begun before then as unknown; their number. */
 	uint32_t (*give_up)(struct kwb_store *store, uint64_t before_ns);
+	/* Sends again what waits too long; kwb_again_is_due() says what. */
+	void (*send_again)(struct kwb_store *store);
 };
 
 struct kwb_store {
@@ -354,6 +356,28 @@
 void kwb_tx_remove(struct kwb_tx *tx, const char *table, const char *part,
     const char *key); /* adds a row to remove */
 
+/*
+ * Second copies of calls, for connections or parts of the store that fall
+ * silent while others are answered.
+ */
+enum kwb_again {
+	KWB_AGAIN_NEVER,
+	KWB_AGAIN_READ, /* changes nothing */
+	KWB_AGAIN_WRITE /* comes into force once, however often it is sent */
+};
+
+enum kwb_again kwb_tx_again(
+    const struct kwb_tx *tx); /* a write if its first condition ends with it */
+bool kwb_again_is_due(
+    enum kwb_again again, uint64_t sent_ns, uint64_t now_ns); /* of last copy */
+
+/*
+ * Whether an answer to one copy ends the call. error: 0 or KWB_ERR_STORE_*;
+ * changed to what the caller is told. others: copies still without answer.
+ */
+bool kwb_again_ends(
+    enum kwb_again again, uint32_t copies, uint32_t others, int *error);
+
 /* Notices a silent store's return and gives up what it will not answer. */
 struct kwb_store_watch {
 	struct kwb_store *store;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -162,31 +162,42 @@
 };
 
 /* Ends exchanges whose time is up; a moved deadline only arms it again. */
-static void
-exchange_time(int fd, short what, void *context)
+static uint64_t
+exchange_next_deadline(const struct kwb_exchange *exchange)
 {
-	struct kwb_exchange *exchange = context;
-	uint64_t now_ns = kwb_clock_now_ns();
 	uint64_t next_ns = UINT64_MAX;
-	bool connected = exchange->line->conn.connected;
 
-	(void)fd;
-	(void)what;
-	if (!connected)
+	if (!exchange->line->conn.connected)
 		next_ns = exchange->connect_deadline_ns;
 	else if (exchange->silent_deadline_ns != 0)
 		next_ns = exchange->silent_deadline_ns;
 	if (exchange->deadline_ns != 0 && exchange->deadline_ns < next_ns)
 		next_ns = exchange->deadline_ns;
-	if (now_ns < next_ns) {
-		kwb_timer_at(exchange->timer,
-		    next_ns < now_ns + KWB_EXCHANGE_CHECK_NS
-			? next_ns
-			: now_ns + KWB_EXCHANGE_CHECK_NS);
-		return;
-	}
-	exchange_end(
-	    exchange, connected ? KWB_ERR_NET_TIMEOUT : KWB_ERR_NET_CONNECT);
+	return next_ns;
+}
+
+static void
+exchange_arm(struct kwb_exchange *exchange)
+{
+	uint64_t next_ns = exchange_next_deadline(exchange);
+	uint64_t check_ns = kwb_clock_now_ns() + KWB_EXCHANGE_CHECK_NS;
+
+	kwb_timer_at(exchange->timer, next_ns < check_ns ? next_ns : check_ns);
+}
+
+static void
+exchange_time(int fd, short what, void *context)
+{
+	struct kwb_exchange *exchange = context;
+
+	(void)fd;
+	(void)what;
+	if (kwb_clock_now_ns() < exchange_next_deadline(exchange))
+		exchange_arm(exchange);
+	else
+		exchange_end(exchange,
+		    exchange->line->conn.connected ? KWB_ERR_NET_TIMEOUT
+						   : KWB_ERR_NET_CONNECT);
 }
 
 static struct kwb_line *
@@ -255,7 +266,7 @@
 	if (exchange->silence_ns != 0)
 		exchange->silent_deadline_ns =
 		    kwb_clock_now_ns() + exchange->silence_ns;
-	exchange_time(-1, 0, exchange);
+	exchange_arm(exchange); /* ends later, even if paused until now */
 	return 0;
 }
 
--- /dev/null
+++ b/src/store/again.c
@@ -0,0 +1,64 @@
+/*
+ * Second copies of calls to the store. A connection, or a part of the store,
+ * may fall silent while others are answered; a call sent into that silence
+ * would wait for its timeout long after it is over.
+ */
+#include <string.h>
+
+#include "kwb_node.h"
+
+static bool
+is_same_row(const struct kwb_tx_row *one, const struct kwb_tx_row *other)
+{
+	return strcmp(one->table, other->table) == 0 &&
+	    strcmp(one->part, other->part) == 0 &&
+	    strcmp(one->key, other->key) == 0;
+}
+
+enum kwb_again
+kwb_tx_again(const struct kwb_tx *tx)
+{
+	uint32_t i;
+
+	if (tx->expect_count == 0)
+		return KWB_AGAIN_NEVER;
+	for (i = 0; i < tx->put_count; i++)
+		if (is_same_row(&tx->expect[0], &tx->put[i]))
+			return KWB_AGAIN_WRITE;
+	/* A removal of what isn't there leaves the condition as it was. */
+	for (i = 0; i < tx->remove_count && tx->expect[0].revision != 0; i++)
+		if (is_same_row(&tx->expect[0], &tx->remove[i]))
+			return KWB_AGAIN_WRITE;
+	return KWB_AGAIN_NEVER;
+}
+
+bool
+kwb_again_is_due(enum kwb_again again, uint64_t sent_ns, uint64_t now_ns)
+{
+	switch (again) {
+	case KWB_AGAIN_READ:
+		return now_ns >= sent_ns + KWB_READ_AGAIN_NS;
+	case KWB_AGAIN_WRITE:
+		return now_ns >= sent_ns + KWB_WRITE_AGAIN_NS;
+	case KWB_AGAIN_NEVER:
+		break;
+	}
+	return false;
+}
+
+bool
+kwb_again_ends(
+    enum kwb_again again, uint32_t copies, uint32_t others, int *error)
+{
+	bool is_answer =
+	    *error != KWB_ERR_STORE_REFUSED && *error != KWB_ERR_STORE_UNKNOWN;
+
+	if (*error == 0 || copies < 2)
+		return true;
+	if (!is_answer && others > 0)
+		return false;
+	/* What one copy is told may be another's doing. */
+	if (again == KWB_AGAIN_WRITE)
+		*error = KWB_ERR_STORE_UNKNOWN;
+	return true;
+}
--- a/src/store/watch.c
+++ b/src/store/watch.c
@@ -3,7 +3,8 @@
  * answered. Without this, calls sent during the silence wait for their own
  * timeouts long after the store is back. A probe finds its return, and what was
  * sent before that probe and is not answered soon after it is given up, to be
- * read back or sent again.
+ * read back or sent again. While others are answered, calls that wait too long
+ * are sent a second time.
  */
 #include <event2/event.h>
 #include <string.h>
@@ -58,6 +59,8 @@
 		watch->silent = true;
 	if (watch->silent && watch->probe.driver == NULL)
 		probe_start(watch);
+	if (!watch->silent)
+		watch->store->ops->send_again(watch->store);
 	kwb_timer_at(watch->timer, now_ns + KWB_STORE_WATCH_NS);
 }
 
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1109,6 +1109,112 @@
 			CU_FAIL(cases[i].name);
 }
 
+/* What may be sent to the store twice, and what the answers then mean. */
+static void
+test_again(void)
+{
+	const struct {
+		const char *name;
+		uint64_t expects_revision;
+		const char *expects, *puts, *removes; /* keys; NULL for none */
+		enum kwb_again again;
+	} writes[] = {
+	    {"new row", 0, "a", "a", NULL, KWB_AGAIN_WRITE},
+	    {"changed row", 7, "a", "a", NULL, KWB_AGAIN_WRITE},
+	    {"removed row", 7, "a", NULL, "a", KWB_AGAIN_WRITE},
+	    {"removed when missing", 0, "a", NULL, "a", KWB_AGAIN_NEVER},
+	    {"condition on another row", 7, "a", "b", "c", KWB_AGAIN_NEVER},
+	    {"without condition", 0, NULL, "a", NULL, KWB_AGAIN_NEVER},
+	};
+	const struct {
+		const char *name;
+		enum kwb_again again;
+		uint32_t copies, others;
+		int error;
+		bool ends;
+		int told;
+	} ends[] = {
+	    {"one read fails", KWB_AGAIN_READ, 1, 0, KWB_ERR_STORE_UNKNOWN,
+		true, KWB_ERR_STORE_UNKNOWN},
+	    {"one write conflicts", KWB_AGAIN_WRITE, 1, 0,
+		KWB_ERR_STORE_CONFLICT, true, KWB_ERR_STORE_CONFLICT},
+	    {"done", KWB_AGAIN_WRITE, 2, 1, 0, true, 0},
+	    {"a copy conflicts", KWB_AGAIN_WRITE, 2, 1, KWB_ERR_STORE_CONFLICT,
+		true, KWB_ERR_STORE_UNKNOWN},
+	    {"a copy is refused", KWB_AGAIN_WRITE, 2, 1, KWB_ERR_STORE_REFUSED,
+		false, KWB_ERR_STORE_REFUSED},
+	    {"the last is refused", KWB_AGAIN_WRITE, 2, 0,
+		KWB_ERR_STORE_REFUSED, true, KWB_ERR_STORE_UNKNOWN},
+	    {"nothing to read", KWB_AGAIN_READ, 2, 1, KWB_ERR_STORE_MISSING,
+		true, KWB_ERR_STORE_MISSING},
+	    {"a read is cut off", KWB_AGAIN_READ, 2, 1, KWB_ERR_STORE_UNKNOWN,
+		false, KWB_ERR_STORE_UNKNOWN},
+	};
+	unsigned i;
+
+	for (i = 0; i < COUNT(writes); i++) {
+		struct kwb_tx tx = {0};
+
+		if (writes[i].expects != NULL)
+			kwb_tx_expect(&tx, "t", "p", writes[i].expects,
+			    writes[i].expects_revision);
+		if (writes[i].puts != NULL)
+			kwb_tx_put(&tx, "t", "p", writes[i].puts, "v", 1);
+		if (writes[i].removes != NULL)
+			kwb_tx_remove(&tx, "t", "p", writes[i].removes);
+		if (kwb_tx_again(&tx) != writes[i].again)
+			CU_FAIL(writes[i].name);
+	}
+	for (i = 0; i < COUNT(ends); i++) {
+		int error = ends[i].error;
+
+		if (kwb_again_ends(ends[i].again, ends[i].copies,
+			ends[i].others, &error) != ends[i].ends ||
+		    error != ends[i].told)
+			CU_FAIL(ends[i].name);
+	}
+	CU_ASSERT_FALSE(kwb_again_is_due(KWB_AGAIN_READ, 1, KWB_READ_AGAIN_NS));
+	CU_ASSERT(kwb_again_is_due(KWB_AGAIN_READ, 1, 1 + KWB_READ_AGAIN_NS));
+	CU_ASSERT_FALSE(
+	    kwb_again_is_due(KWB_AGAIN_WRITE, 1, KWB_WRITE_AGAIN_NS));
+	CU_ASSERT(kwb_again_is_due(KWB_AGAIN_WRITE, 1, 1 + KWB_WRITE_AGAIN_NS));
+	CU_ASSERT_FALSE(
+	    kwb_again_is_due(KWB_AGAIN_NEVER, 1, 1 + KWB_WRITE_AGAIN_NS));
+}
+
+static void
+ended_done(struct kwb_exchange *exchange, int error)
+{
+	*(int *)exchange->context = error;
+}
+
+/* A process paused past a deadline is told of it after the start, not in it. */
+static void
+test_paused_start(void)
+{
+	static const struct kwb_exchange_ops ops = {.on_done = ended_done};
+	int error = 0;
+	struct kwb_exchange exchange = {
+	    .ops = &ops, .context = &error, .deadline_ns = 1};
+	struct event_base *base = event_base_new();
+	struct evbuffer *request = evbuffer_new();
+	struct kwb_address address;
+	struct kwb_client client;
+
+	CU_ASSERT_EQUAL(kwb_address_parse(&address, "127.0.0.1:9"), 0);
+	CU_ASSERT_EQUAL(kwb_client_init(&client, base), 0);
+	CU_ASSERT_EQUAL(
+	    kwb_exchange_start(&exchange, &client, &address, request), 0);
+	CU_ASSERT_EQUAL(error, 0);
+	while (error == 0)
+		event_base_loop(base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(error, KWB_ERR_NET_CONNECT);
+	kwb_exchange_finish(&exchange);
+	evbuffer_free(request);
+	kwb_client_finish(&client);
+	event_base_free(base);
+}
+
 /*
  * Rewards and callers at the same services, in virtual time: four upstreams of
  * six slots, bursts of 100 rewards of 200 ms that are ready at once, and calls
@@ -1603,6 +1709,7 @@
 	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
 	    {"owner_size", test_owner_size}, {"events", test_events},
 	    {"long_event", test_long_event}, {"queued", test_queued},
+	    {"again", test_again}, {"paused_start", test_paused_start},
 	    {"rewards_leave_room", test_rewards_leave_room},
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -14,6 +14,7 @@
  *   $ submit NODE BATCH [items=N] [size=N] [events=N] [min=V] [target=N]
  *   $ results NODE BATCH          all results, by item
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
+ *   $ silent-part [PART]          the store answers no calls about it
  *   $ store FAULT [N], $ fault SERVER FAULT [N], $ forget
  *   $ drain SERVER, $ remove SERVER, $ garble SERVER, $ name VERSION
  *   $ metrics NODE                their kinds
@@ -937,6 +938,14 @@
 	    script->words_count > 2 ? (unsigned)atoi(script->words[2]) : 0;
 }
 
+static void
+run_silent_part(struct script *script)
+{
+	kwb_text_copy(script->stage.store.silent_part,
+	    sizeof(script->stage.store.silent_part),
+	    script->words_count > 1 ? script->words[1] : "");
+}
+
 /* What a node's path to the store does; other nodes' paths stay. */
 static void
 run_path(struct script *script)
@@ -1001,12 +1010,13 @@
 	    {"garble", run_server_change}, {"beat", run_server_change},
 	    {"metrics", run_metrics}, {"ran", run_ran}, {"prompt", run_prompt},
 	    {"until-some", run_until_some}, {"orders", run_sum},
-	    {"rows", run_rows}, {"until-rows", run_until_rows},
-	    {"objects", run_objects}, {"lengths", run_lengths},
-	    {"running", run_sum}, {"ctl", run_ctl}, {"resumed", run_resumed},
-	    {"again", run_again}, {"explain", run_explain}, {"path", run_path},
-	    {"pace", run_pace}, {"crowd", run_crowd},
-	    {"priority", run_priority}, {"detours", run_detours}};
+	    {"rows", run_rows}, {"silent-part", run_silent_part},
+	    {"until-rows", run_until_rows}, {"objects", run_objects},
+	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
+	    {"resumed", run_resumed}, {"again", run_again},
+	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace},
+	    {"crowd", run_crowd}, {"priority", run_priority},
+	    {"detours", run_detours}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -89,7 +89,8 @@
 	uint64_t revision;
 	uint64_t history_from; /* feeds from before this get 410 */
 	enum store_fault fault;
-	unsigned fault_left; /* writes that it hits; 0 for all */
+	unsigned fault_left;  /* writes that it hits; 0 for all */
+	char silent_part[64]; /* calls about it are not answered; "" for none */
 	uint64_t begin_ns;
 	struct late_write_list late;
 };
--- a/tests/platform/store.c
+++ b/tests/platform/store.c
@@ -366,9 +366,26 @@
 	}
 }
 
+/* Of a read by its query, of a transaction by its rows. */
+static bool
+is_about(const struct kwb_message *message, const char *part)
+{
+	const char *target = kwb_message_target(message);
+	char text[96];
+
+	if (strncmp(target, "/rows-get", 9) == 0) {
+		snprintf(text, sizeof(text), "&part=%s", part);
+		return strstr(target, text) != NULL;
+	}
+	snprintf(text, sizeof(text), "\"part\":\"%s\"", part);
+	return strncmp(target, "/rows-tx", 8) == 0 &&
+	    strstr(kwb_buf_text(&message->body), text) != NULL;
+}
+
 static void
 on_request(struct stage_peer *peer)
 {
+	const struct stage_store *store = peer->port->context;
 	const struct kwb_message *message = &peer->conn.message;
 	const char *target = kwb_message_target(message);
 	const char *query = strchr(target, '?');
@@ -377,6 +394,9 @@
 
 	if (hit_by_fault(peer))
 		return;
+	if (store->silent_part[0] != '\0' &&
+	    is_about(message, store->silent_part))
+		return;
 	if (strncmp(target, "/rows-tx", 8) == 0) {
 		body = json_loadb(
 		    message->body.data, message->body.used_bytes, 0, NULL);
