kwb-nodectl trace: where a late step's time went, from the nodes' logs

Items' lines name their group, so that the item which made whole the last group waited for is found.

--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,10 @@
 	$(addprefix src/core/,base64.c buf.c clock.c completion.c error.c faults.c index.c log.c \
 	metrics.c timer.c address.c)
 NODE_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/ctl.c,$(NODE_SRC)))
+TRACE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/trace/*.c))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
-	src/batch/% src/node/% src/peer/% src/route/node_config.c src/weights/homes.c \
+	src/batch/% src/node/% src/peer/% src/trace/% src/route/node_config.c src/weights/homes.c \
 	src/weights/mover.c src/weights/mover_look.c src/weights/mover_order.c src/core/base64.c src/core/timer.c src/core/index.c, \
 	$(wildcard src/*/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
@@ -56,7 +57,8 @@
 $(B)/kwb-node: $(NODE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
-$(B)/kwb-nodectl: $(B)/platform/ctl.o $(filter-out $(B)/platform/main.o,$(NODE_OBJ))
+$(B)/kwb-nodectl: $(B)/platform/ctl.o $(TRACE_OBJ) \
+		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
 $(B)/kwb-%: $(B)/daemons/kwb-%.o $(B)/daemons/daemon.o $(B)/libkwb.a
@@ -101,7 +103,7 @@
 $(B)/tests/platform/soak: $(B)/tests/platform/soak.o $(STAGE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
-$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
+$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -58,8 +58,7 @@
 #define KWB_PROBE_MOST_NS (1000 * KWB_MS_NS)  /* while others are answered */
 #define KWB_GIVE_UP_NS (100 * KWB_MS_NS)      /* after an answer to a probe */
 #define KWB_READ_AGAIN_NS (500 * KWB_MS_NS)   /* a busy store reads in 0.2 s */
-#define KWB_WRITE_AGAIN_NS (1250 * KWB_MS_NS) /* a part queues 1 s of writes   \
-					       */
+#define KWB_WRITE_AGAIN_NS (1250 * KWB_MS_NS) /* they queue for 1 s */
 
 /* Peers: a way round a cut path to the store */
 #define KWB_PATH_LOOK_NS (125 * KWB_MS_NS)    /* between looks at the path */
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -20,9 +20,10 @@
 run_log(const struct item_run *run, const char *event, const char *reason)
 {
 	kwb_log(KWB_LOG_INFO, "item",
-	    "event=%s id=%s batch=%s upstream=%s events=%llu version=%llu "
-	    "hint=%llu reason=%s",
+	    "event=%s id=%s batch=%s group=%s upstream=%s events=%llu "
+	    "version=%llu hint=%llu reason=%s",
 	    event, run->item->id, run->batch->head.id,
+	    run->item->group ? run->item->group : "-",
 	    run->upstream ? run->upstream->status.id : "-",
 	    (unsigned long long)run->last_event,
 	    (unsigned long long)run->version,
--- /dev/null
+++ b/src/trace/trace.c
@@ -0,0 +1,409 @@
+/*
+ * The critical path of a step: the item that the trainer waited for last, from
+ * the batch's acceptance to the end of its listing, in spans that follow one
+ * another.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kwb_trace.h"
+
+#define ROOM_LEAST 256
+#define MODULE_ITEM "item: time_ms="
+#define MODULE_NODE "node: time_ms="
+#define EVENT_RESTARTED "restarted" /* our name for a node's start */
+#define EVENT_LOST "dependency_lost"
+#define EVENT_REGAINED "dependency_regained"
+
+int
+kwb_trace_init(struct kwb_trace *trace, const char *batch, const char *item)
+{
+	memset(trace, 0, sizeof(*trace));
+	if (strlen(batch) >= sizeof(trace->batch) ||
+	    (item != NULL && strlen(item) >= sizeof(trace->item)))
+		return KWB_ERR_ARGUMENT;
+	kwb_text_copy(trace->batch, sizeof(trace->batch), batch);
+	if (item != NULL)
+		kwb_text_copy(trace->item, sizeof(trace->item), item);
+	return 0;
+}
+
+void
+kwb_trace_finish(struct kwb_trace *trace)
+{
+	free(trace->events);
+	free(trace->spans);
+	memset(trace, 0, sizeof(*trace));
+}
+
+const char *
+kwb_trace_kind_name(enum kwb_trace_kind kind)
+{
+	switch (kind) {
+	case KWB_TRACE_WAITING:
+		return "waiting";
+	case KWB_TRACE_RUNNING:
+		return "running";
+	case KWB_TRACE_OWNER_GONE:
+		return "owner_gone";
+	case KWB_TRACE_TAKE_OVER:
+		return "take_over";
+	case KWB_TRACE_REWARD:
+		return "reward";
+	case KWB_TRACE_LISTING:
+		return "listing";
+	case KWB_TRACE_KINDS:
+		break;
+	}
+	return "-";
+}
+
+/* ---- Lines ----------------------------------------------------------------
+ */
+
+/* The value of " name=" up to the next space; "" for none. */
+static void
+field(const char *line, const char *name, char *value, size_t room_bytes)
+{
+	const char *found = strstr(line, name);
+	size_t length;
+
+	value[0] = '\0';
+	if (found == NULL)
+		return;
+	found += strlen(name);
+	length = strcspn(found, " \r\n");
+	if (length >= room_bytes)
+		length = room_bytes - 1;
+	memcpy(value, found, length);
+	value[length] = '\0';
+}
+
+static uint64_t
+number(const char *line, const char *name)
+{
+	char text[32];
+
+	field(line, name, text, sizeof(text));
+	return strtoull(text, NULL, 10);
+}
+
+static bool
+is_of_store(const char *name)
+{
+	return strcmp(name, EVENT_LOST) == 0 ||
+	    strcmp(name, EVENT_REGAINED) == 0;
+}
+
+static bool
+is_node_start(const char *line, const char *name)
+{
+	return strcmp(name, "start") == 0 && strstr(line, MODULE_NODE) != NULL;
+}
+
+int
+kwb_trace_add(struct kwb_trace *trace, const char *line)
+{
+	uint32_t room = trace->events_room;
+	struct kwb_trace_event *event;
+	struct kwb_trace_event *events;
+	char batch[KWB_TRACE_NAME_BYTES];
+	char name[KWB_TRACE_NAME_BYTES];
+
+	field(line, " event=", name, sizeof(name));
+	field(line, " batch=", batch, sizeof(batch));
+	if (name[0] == '\0' ||
+	    (strcmp(batch, trace->batch) != 0 && !is_of_store(name) &&
+		!is_node_start(line, name)))
+		return 0;
+	if (trace->events_count == room) {
+		room = room == 0 ? ROOM_LEAST : 2 * room;
+		events = realloc(trace->events, room * sizeof(*events));
+		if (events == NULL)
+			return KWB_ERR_MEMORY;
+		trace->events = events;
+		trace->events_room = room;
+	}
+	event = &trace->events[trace->events_count];
+	memset(event, 0, sizeof(*event));
+	event->time_ms = number(line, " time_ms=");
+	event->order = trace->events_count++;
+	event->events = number(line, " events=");
+	event->targets = number(line, " target_groups=");
+	kwb_text_copy(event->name, sizeof(event->name),
+	    is_node_start(line, name) ? EVENT_RESTARTED : name);
+	field(line, " process=", event->node, sizeof(event->node));
+	if (strstr(line, MODULE_ITEM) != NULL) {
+		field(line, " id=", event->item, sizeof(event->item));
+		field(line, " group=", event->group, sizeof(event->group));
+	}
+	field(line, " upstream=", event->upstream, sizeof(event->upstream));
+	field(line, " reason=", event->reason, sizeof(event->reason));
+	return 0;
+}
+
+/* ---- Spans ----------------------------------------------------------------
+ */
+
+static int
+compare_events(const void *left, const void *right)
+{
+	const struct kwb_trace_event *one = left;
+	const struct kwb_trace_event *other = right;
+
+	if (one->time_ms != other->time_ms)
+		return one->time_ms < other->time_ms ? -1 : 1;
+	return one->order < other->order ? -1 : one->order > other->order;
+}
+
+static bool
+is_named(const struct kwb_trace_event *event, const char *name)
+{
+	return strcmp(event->name, name) == 0;
+}
+
+/* What the walk over the events knows; the next span begins at begin_ms. */
+struct walk {
+	struct kwb_trace *trace;
+	enum kwb_trace_kind kind;
+	uint64_t begin_ms;
+	uint64_t events; /* at begin_ms */
+	const char *node;
+	const char *upstream;
+};
+
+static int
+span_end(struct walk *walk, const struct kwb_trace_event *event,
+    const char *reason, enum kwb_trace_kind next)
+{
+	struct kwb_trace *trace = walk->trace;
+	uint32_t room = trace->spans_room;
+	struct kwb_trace_span *spans;
+
+	if (event->time_ms > walk->begin_ms) {
+		if (trace->spans_count == room) {
+			room = room == 0 ? ROOM_LEAST : 2 * room;
+			spans = realloc(trace->spans, room * sizeof(*spans));
+			if (spans == NULL)
+				return KWB_ERR_MEMORY;
+			trace->spans = spans;
+			trace->spans_room = room;
+		}
+		trace->spans[trace->spans_count++] =
+		    (struct kwb_trace_span){.kind = walk->kind,
+			.begin_ms = walk->begin_ms,
+			.end_ms = event->time_ms,
+			.node = walk->node,
+			.upstream = walk->upstream,
+			.reason = reason[0] != '\0' ? reason : event->name,
+			.events = walk->kind == KWB_TRACE_RUNNING &&
+				event->events > walk->events
+			    ? event->events - walk->events
+			    : 0};
+	}
+	walk->kind = next;
+	walk->begin_ms = event->time_ms;
+	walk->node = event->node;
+	walk->upstream = "-";
+	return 0;
+}
+
+/* An owner that is gone didn't log how far the text was; the next start does.
+ */
+static void
+note_events(struct walk *walk, uint64_t events)
+{
+	struct kwb_trace *trace = walk->trace;
+	uint32_t i = trace->spans_count;
+
+	while (trace->is_cut && i-- > 0)
+		if (trace->spans[i].kind == KWB_TRACE_RUNNING) {
+			trace->spans[i].events =
+			    events > walk->events ? events - walk->events : 0;
+			trace->is_cut = false;
+		}
+}
+
+/* The owner of a running item is another, or another life of the same node. */
+static int
+cut(struct walk *walk, const struct kwb_trace_event *event, const char *reason,
+    enum kwb_trace_kind next)
+{
+	if (walk->kind == KWB_TRACE_RUNNING)
+		walk->trace->is_cut = true;
+	return span_end(walk, event, reason, next);
+}
+
+static int
+walk_item(struct walk *walk, const struct kwb_trace_event *event)
+{
+	const char *reason = event->reason;
+	int code;
+
+	if (is_named(event, "start")) {
+		code = span_end(walk, event, reason, KWB_TRACE_RUNNING);
+		note_events(walk, event->events);
+		walk->events = event->events;
+		walk->upstream = event->upstream;
+		return code;
+	}
+	if (is_named(event, "retry"))
+		return span_end(walk, event, reason, KWB_TRACE_WAITING);
+	if (is_named(event, "text_whole"))
+		return span_end(walk, event, "text_whole", KWB_TRACE_REWARD);
+	if (is_named(event, "completed") || is_named(event, "errored"))
+		return span_end(walk, event, reason, KWB_TRACE_LISTING);
+	return 0;
+}
+
+/* A hand-over ends what the item did; the claim tells when it was noticed. */
+static int
+walk_batch(struct walk *walk, const struct kwb_trace_event *event)
+{
+	bool is_owner = strcmp(event->node, walk->node) == 0;
+
+	if (is_named(event, "released"))
+		return cut(walk, event, "released", KWB_TRACE_OWNER_GONE);
+	if (is_named(event, "claimed") && !is_owner)
+		return cut(walk, event, "claimed", KWB_TRACE_TAKE_OVER);
+	if (is_named(event, EVENT_RESTARTED) && is_owner)
+		return cut(walk, event, "owner_restarted", KWB_TRACE_TAKE_OVER);
+	if (is_named(event, "loaded"))
+		return cut(walk, event, "loaded", KWB_TRACE_WAITING);
+	return 0;
+}
+
+/* How long the owner of a span was without the store. */
+static uint64_t
+away_ms(const struct kwb_trace *trace, const struct kwb_trace_span *span)
+{
+	uint64_t lost_ms = 0;
+	uint64_t sum_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < trace->events_count; i++) {
+		const struct kwb_trace_event *event = &trace->events[i];
+
+		if (!is_of_store(event->name) ||
+		    strcmp(event->node, span->node) != 0)
+			continue;
+		if (is_named(event, EVENT_LOST)) {
+			lost_ms = event->time_ms;
+		} else if (lost_ms != 0) {
+			uint64_t from_ms =
+			    lost_ms > span->begin_ms ? lost_ms : span->begin_ms;
+			uint64_t to_ms = event->time_ms < span->end_ms
+			    ? event->time_ms
+			    : span->end_ms;
+
+			sum_ms += to_ms > from_ms ? to_ms - from_ms : 0;
+			lost_ms = 0;
+		}
+	}
+	return sum_ms;
+}
+
+static bool
+is_ready(const struct kwb_trace_event *event)
+{
+	return is_named(event, "completed") || is_named(event, "errored");
+}
+
+/* True when no item of the event's group becomes ready after it. */
+static bool
+is_group_whole(
+    const struct kwb_trace *trace, const struct kwb_trace_event *event)
+{
+	const struct kwb_trace_event *end = trace->events + trace->events_count;
+
+	const struct kwb_trace_event *later;
+
+	for (later = event + 1; later < end; later++)
+		if (is_ready(later) && strcmp(later->group, event->group) == 0)
+			return false;
+	return true;
+}
+
+/* The item that makes the last group whole for which the trainer waits. */
+static const char *
+deciding_item(const struct kwb_trace *trace, uint64_t targets)
+{
+	const char *item = NULL;
+	uint64_t whole = 0;
+	uint32_t i;
+
+	for (i = 0; i < trace->events_count; i++) {
+		if (!is_ready(&trace->events[i]))
+			continue;
+		item = trace->events[i].item;
+		whole += is_group_whole(trace, &trace->events[i]);
+		if (whole == targets && targets > 0)
+			break;
+	}
+	return item;
+}
+
+static const struct kwb_trace_event *
+first_named(const struct kwb_trace *trace, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < trace->events_count; i++)
+		if (is_named(&trace->events[i], name))
+			return &trace->events[i];
+	return NULL;
+}
+
+/* All is listed, or the trainer has read on or ended the batch. */
+static bool
+ends_listing(const struct kwb_trace_event *event)
+{
+	return is_named(event, "all_listed") || is_named(event, "answered") ||
+	    is_named(event, "ended");
+}
+
+int
+kwb_trace_explain(struct kwb_trace *trace)
+{
+	const struct kwb_trace_event *taken;
+	const char *last;
+	struct walk walk = {.trace = trace,
+	    .kind = KWB_TRACE_WAITING,
+	    .node = "-",
+	    .upstream = "-"};
+	int code = 0;
+	uint32_t i;
+
+	if (trace->events_count > 0)
+		qsort(trace->events, trace->events_count,
+		    sizeof(trace->events[0]), compare_events);
+	taken = first_named(trace, "taken");
+	if (taken == NULL)
+		return KWB_ERR_STORE_MISSING;
+	last = trace->item[0] != '\0' ? trace->item
+				      : deciding_item(trace, taken->targets);
+	if (last == NULL)
+		return KWB_ERR_STORE_MISSING;
+	kwb_text_copy(trace->item, sizeof(trace->item), last);
+	walk.begin_ms = taken->time_ms;
+	walk.node = taken->node;
+	for (i = 0; i < trace->events_count && code == 0; i++) {
+		const struct kwb_trace_event *event = &trace->events[i];
+
+		if (event->time_ms < taken->time_ms || is_of_store(event->name))
+			continue;
+		if (walk.kind == KWB_TRACE_LISTING && ends_listing(event)) {
+			code = span_end(
+			    &walk, event, event->name, KWB_TRACE_LISTING);
+			break;
+		}
+		if (strcmp(event->item, trace->item) == 0)
+			code = walk_item(&walk, event);
+		else if (event->item[0] == '\0')
+			code = walk_batch(&walk, event);
+	}
+	for (i = 0; i < trace->spans_count; i++)
+		trace->store_away_ms += away_ms(trace, &trace->spans[i]);
+	return code;
+}
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -17,6 +17,7 @@
 
 #include "../../platform/platform.h"
 #include "kwb_node.h"
+#include "kwb_trace.h"
 
 #define COUNT(table) (sizeof(table) / sizeof((table)[0]))
 #define MUTATIONS 3000
@@ -1215,6 +1216,85 @@
 	event_base_free(base);
 }
 
+/* A step of two nodes, its lines as a collector may hand them over. */
+static const char *const traced_lines[] = {
+    "host-9 own: time_ms=4000 level=info process=n2 event=claimed batch=b",
+    "item: time_ms=1050 level=info process=n1 event=start id=i1 batch=b "
+    "group=g1 upstream=u1 events=0 reason=new",
+    "item: time_ms=1050 level=info process=n1 event=start id=i2 batch=b "
+    "group=g2 upstream=u2 events=0 reason=new",
+    "accept: time_ms=1000 level=info process=n0 event=taken batch=b "
+    "target_groups=1 reason=written",
+    "item: time_ms=1500 level=info process=n1 event=start id=i9 batch=other "
+    "group=g1 upstream=u1 events=0 reason=new",
+    "item: time_ms=2000 level=info process=n1 event=retry id=i1 batch=b "
+    "group=g1 upstream=u1 events=20 reason=silent",
+    "item: time_ms=2300 level=info process=n1 event=start id=i1 batch=b "
+    "group=g1 upstream=u3 events=20 reason=resume",
+    "batch: time_ms=4200 level=info process=n2 event=loaded batch=b",
+    "item: time_ms=4200 level=info process=n2 event=start id=i1 batch=b "
+    "group=g1 upstream=u3 events=30 reason=resume",
+    "store: time_ms=4300 level=warn process=n2 event=dependency_lost",
+    "store: time_ms=4800 level=info process=n2 event=dependency_regained",
+    "item: time_ms=5000 level=info process=n2 event=text_whole id=i1 batch=b "
+    "group=g1 upstream=u3 events=60 reason=answered",
+    "item: time_ms=5100 level=info process=n2 event=completed id=i1 batch=b "
+    "group=g1 upstream=- events=60 reason=scored",
+    "caller: time_ms=5150 level=info process=n4 event=answered batch=b",
+    "item: time_ms=9000 level=info process=n2 event=completed id=i2 batch=b "
+    "group=g2 upstream=- events=60 reason=scored",
+    "batch: time_ms=9020 level=info process=n2 event=all_listed batch=b",
+    "no line of ours",
+};
+
+static void
+test_trace(void)
+{
+	const struct {
+		enum kwb_trace_kind kind;
+		uint64_t length_ms;
+		const char *node, *upstream, *reason;
+		uint64_t events;
+	} spans[] = {
+	    {KWB_TRACE_WAITING, 50, "n0", "-", "new", 0},
+	    {KWB_TRACE_RUNNING, 950, "n1", "u1", "silent", 20},
+	    {KWB_TRACE_WAITING, 300, "n1", "-", "resume", 0},
+	    {KWB_TRACE_RUNNING, 1700, "n1", "u3", "claimed", 10},
+	    {KWB_TRACE_TAKE_OVER, 200, "n2", "-", "loaded", 0},
+	    {KWB_TRACE_RUNNING, 800, "n2", "u3", "text_whole", 30},
+	    {KWB_TRACE_REWARD, 100, "n2", "-", "scored", 0},
+	    {KWB_TRACE_LISTING, 50, "n2", "-", "answered", 0},
+	};
+	struct kwb_trace trace;
+	unsigned i;
+
+	CU_ASSERT_EQUAL(kwb_trace_init(&trace, "b", NULL), 0);
+	for (i = 0; i < COUNT(traced_lines); i++)
+		CU_ASSERT_EQUAL(kwb_trace_add(&trace, traced_lines[i]), 0);
+	CU_ASSERT_EQUAL(kwb_trace_explain(&trace), 0);
+	CU_ASSERT_STRING_EQUAL(trace.item, "i1");
+	CU_ASSERT_EQUAL(trace.store_away_ms, 500);
+	CU_ASSERT_EQUAL_FATAL(trace.spans_count, COUNT(spans));
+	for (i = 0; i < COUNT(spans); i++) {
+		const struct kwb_trace_span *span = &trace.spans[i];
+
+		CU_ASSERT_EQUAL(span->kind, spans[i].kind);
+		CU_ASSERT_EQUAL(
+		    span->end_ms - span->begin_ms, spans[i].length_ms);
+		CU_ASSERT_STRING_EQUAL(span->node, spans[i].node);
+		CU_ASSERT_STRING_EQUAL(span->upstream, spans[i].upstream);
+		CU_ASSERT_STRING_EQUAL(span->reason, spans[i].reason);
+		CU_ASSERT_EQUAL(span->events, spans[i].events);
+	}
+	kwb_trace_finish(&trace);
+
+	/* What the logs don't hold is not guessed. */
+	CU_ASSERT_EQUAL(kwb_trace_init(&trace, "b", NULL), 0);
+	CU_ASSERT_EQUAL(kwb_trace_add(&trace, traced_lines[1]), 0);
+	CU_ASSERT_EQUAL(kwb_trace_explain(&trace), KWB_ERR_STORE_MISSING);
+	kwb_trace_finish(&trace);
+}
+
 /*
  * Rewards and callers at the same services, in virtual time: four upstreams of
  * six slots, bursts of 100 rewards of 200 ms that are ready at once, and calls
@@ -1709,7 +1789,8 @@
 	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
 	    {"owner_size", test_owner_size}, {"events", test_events},
 	    {"long_event", test_long_event}, {"queued", test_queued},
-	    {"again", test_again}, {"paused_start", test_paused_start},
+	    {"again", test_again}, {"trace", test_trace},
+	    {"paused_start", test_paused_start},
 	    {"rewards_leave_room", test_rewards_leave_room},
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -22,6 +22,7 @@
  *   $ prompt ID                   its parts, as the upstream was told
  *   $ orders SERVER, $ version SERVER, $ wait MS, $ until-version SERVER V
  *   $ rows TABLE, $ until-rows TABLE N    rows of the store
+ *   $ ctl WORDS, $ trace trace BATCH LOG   kwb-nodectl; the latter's spans
  *   $ raw NODE TEXT               bytes on a connection; the status line
  */
 /* clang-format on */
@@ -824,9 +825,12 @@
 	kwb_buf_printf(&script->out, "%u\n", count);
 }
 
-/* Runs kwb-nodectl against the stage's store; its output and exit code. */
-static void
-run_ctl(struct script *script)
+/*
+ * Runs kwb-nodectl with the command's words against the stage's store; "LOG"
+ * stands for the log file. Returns what it printed.
+ */
+static FILE *
+ctl_run(struct script *script, int *status)
 {
 	const struct kwb_address *store = &script->stage.store.port.address;
 	const char *build = getenv("KWB_BUILD");
@@ -834,10 +838,7 @@
 	char *arguments[WORDS_MAX + 4];
 	char program[256];
 	char address[KWB_NAME_MAX_BYTES + 8];
-	char line[512];
-	char *revision;
 	int fd = mkstemp(output);
-	int status = 0;
 	unsigned i;
 	FILE *file;
 	pid_t pid;
@@ -849,7 +850,9 @@
 	arguments[1] = (char *)"--store";
 	arguments[2] = address;
 	for (i = 1; i < script->words_count; i++)
-		arguments[i + 2] = script->words[i];
+		arguments[i + 2] = strcmp(script->words[i], "LOG") == 0
+		    ? log_path
+		    : script->words[i];
 	arguments[script->words_count + 2] = NULL;
 	pid = fork();
 	if (pid == 0) {
@@ -858,9 +861,22 @@
 		execv(program, arguments);
 		_exit(127);
 	}
-	while (waitpid(pid, &status, WNOHANG) == 0)
+	while (waitpid(pid, status, WNOHANG) == 0)
 		stage_wait(&script->stage, 2);
+	close(fd);
 	file = fopen(output, "r");
+	unlink(output);
+	return file;
+}
+
+static void
+run_ctl(struct script *script)
+{
+	char line[512];
+	char *revision;
+	int status = 0;
+	FILE *file = ctl_run(script, &status);
+
 	while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
 		revision = strstr(line, REVISION_FIELD);
 		/* A lease is renewed as time passes. */
@@ -872,8 +888,34 @@
 	if (file != NULL)
 		fclose(file);
 	kwb_buf_printf(&script->out, "exit %d\n", WEXITSTATUS(status));
-	close(fd);
-	unlink(output);
+}
+
+/* Spans of a trace that take half a second or more, in whole seconds. */
+static void
+run_trace(struct script *script)
+{
+	char what[32];
+	char node[64];
+	char upstream[64];
+	char reason[64];
+	char line[512];
+	double from_s;
+	double length_s;
+	unsigned events;
+	int status = 0;
+	FILE *file = ctl_run(script, &status);
+
+	while (file != NULL && fgets(line, sizeof(line), file) != NULL)
+		if (sscanf(line, "%lf %lf %31s %63s %63s %u %63s", &from_s,
+			&length_s, what, node, upstream, &events,
+			reason) == 7 &&
+		    length_s >= 0.5)
+			kwb_buf_printf(&script->out,
+			    "%.0f s %s %s %s %u events, %s\n", length_s, what,
+			    node, upstream, events, reason);
+	if (file != NULL)
+		fclose(file);
+	kwb_buf_printf(&script->out, "exit %d\n", WEXITSTATUS(status));
 }
 
 static void
@@ -1013,10 +1055,10 @@
 	    {"rows", run_rows}, {"silent-part", run_silent_part},
 	    {"until-rows", run_until_rows}, {"objects", run_objects},
 	    {"lengths", run_lengths}, {"running", run_sum}, {"ctl", run_ctl},
-	    {"resumed", run_resumed}, {"again", run_again},
-	    {"explain", run_explain}, {"path", run_path}, {"pace", run_pace},
-	    {"crowd", run_crowd}, {"priority", run_priority},
-	    {"detours", run_detours}};
+	    {"trace", run_trace}, {"resumed", run_resumed},
+	    {"again", run_again}, {"explain", run_explain}, {"path", run_path},
+	    {"pace", run_pace}, {"crowd", run_crowd},
+	    {"priority", run_priority}, {"detours", run_detours}};
 	struct stage *stage = &script->stage;
 	size_t i;
 
