A second try that finds no room looks again

Now it looks each 50 ms until the first answers; then only where a third of the slots is free, so that requests that come first are not held up by seconds of others. Room is the reported load's, too, not only what this node has there.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -96,6 +96,8 @@
 #define KWB_FORWARD_LEAST_MS 15 /* no new try with less time left */
 #define KWB_FORWARD_MARGIN_NS (50 * KWB_MS_NS) /* its own deadline is first */
 #define KWB_FORWARD_RETRY_NS (15 * KWB_MS_NS)  /* between looks for a place */
+#define KWB_HEDGE_RETRY_NS (50 * KWB_MS_NS)    /* likewise, for a second try */
+#define KWB_HEDGE_SPARE_PART 3 /* a third of the slots is left to others */
 
 /* Batches */
 #define KWB_ITEM_TTL_MS 30000		       /* when no route names one */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -942,7 +942,8 @@
 	bool resumes;	    /* a stream that breaks off goes on elsewhere */
 	uint32_t max_attempts;
 	uint64_t deadline_ns;
-	uint64_t hedge_ns; /* when a second upstream is tried; 0 for never */
+	uint64_t hedge_ns;  /* when a second upstream is tried; 0 for never */
+	bool is_hedge_late; /* it found no room when it was due */
 	/* state */
 	struct event *timer;
 	struct kwb_forward_attempt attempts[2];
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -299,10 +299,11 @@
 	}
 }
 
-static struct kwb_upstream *
-forward_pick(const struct kwb_forward *forward, bool again)
+/* Any but those tried, or any at all. */
+static struct kwb_pick
+pick_for(const struct kwb_forward *forward, bool again)
 {
-	struct kwb_pick pick = {
+	return (struct kwb_pick){
 	    .service = forward->service,
 	    .failure_domain = forward->env->failure_domain,
 	    .client = forward->env->client,
@@ -311,6 +312,12 @@
 	    .now_ns = kwb_clock_now_ns(),
 	    .random = (uint64_t)random(),
 	};
+}
+
+static struct kwb_upstream *
+forward_pick(const struct kwb_forward *forward, bool again)
+{
+	struct kwb_pick pick = pick_for(forward, again);
 
 	if (forward->prompt != NULL)
 		pick.affinity = kwb_parts_find(
@@ -367,18 +374,30 @@
 	forward_arm(forward);
 }
 
-/* The first upstream is late: another one may be quicker. */
+/*
+ * The first upstream is late: another one may be quicker. Where none has room
+ * it is looked for again; requests that come first keep a part of the slots.
+ */
 static void
 forward_hedge(struct kwb_forward *forward)
 {
+	struct kwb_pick pick = pick_for(forward, false);
 	struct kwb_upstream *upstream;
 
-	forward->hedge_ns = 0;
-	if (!may_repeat(forward) || forward->attempts[0].upstream == NULL)
+	if (!may_repeat(forward) || forward->attempts[0].upstream == NULL) {
+		forward->hedge_ns = 0;
 		return;
-	upstream = forward_pick(forward, false);
-	if (upstream == NULL || upstream->in_flight >= upstream->status.slots)
+	}
+	pick.within_slots = true;
+	if (forward->is_hedge_late)
+		pick.spare_part = KWB_HEDGE_SPARE_PART;
+	upstream = kwb_upstream_pick(forward->env->registry, &pick);
+	if (upstream == NULL) {
+		forward->is_hedge_late = true;
+		forward->hedge_ns = pick.now_ns + KWB_HEDGE_RETRY_NS;
 		return;
+	}
+	forward->hedge_ns = 0;
 	kwb_metric_add(KWB_METRIC_HEDGES, 1);
 	forward_log(forward, "hedged", upstream, "late");
 	attempt_start(&forward->attempts[1], upstream);
