--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -11,6 +11,7 @@
 #include "kwb_node.h"
 
 static void forward_try(struct kwb_forward *forward);
+static void forward_arm(struct kwb_forward *forward);
 
 static void
 forward_log(const struct kwb_forward *forward, const char *event,
@@ -86,6 +87,15 @@
 	    kwb_clock_left_ms(forward->deadline_ns) > KWB_FORWARD_LEAST_MS;
 }
 
+/* Looks for a second upstream again; the first one is still at it. */
+static void
+hedge_later(struct kwb_forward *forward)
+{
+	forward->is_hedge_late = true;
+	forward->hedge_ns = kwb_clock_now_ns() + KWB_HEDGE_RETRY_NS;
+	forward_arm(forward);
+}
+
 /* Ends an attempt that brought no answer to give to the caller. */
 static void
 attempt_failed(
@@ -98,8 +108,11 @@
 	if (not_run)
 		forward->sent_count--;
 	attempt_end(attempt);
-	if (has_attempt(forward))
+	if (has_attempt(forward)) {
+		if (not_run)
+			hedge_later(forward);
 		return;
+	}
 	if (not_run || may_repeat(forward)) {
 		kwb_metric_add(KWB_METRIC_RETRIES, 1);
 		forward_try(forward);
@@ -381,10 +394,11 @@
 static void
 forward_hedge(struct kwb_forward *forward)
 {
+	const struct kwb_upstream *first = forward->attempts[0].upstream;
 	struct kwb_pick pick = pick_for(forward, false);
 	struct kwb_upstream *upstream;
 
-	if (!may_repeat(forward) || forward->attempts[0].upstream == NULL) {
+	if (!may_repeat(forward) || first == NULL) {
 		forward->hedge_ns = 0;
 		return;
 	}
@@ -393,8 +407,13 @@
 		pick.spare_part = KWB_HEDGE_SPARE_PART;
 	upstream = kwb_upstream_pick(forward->env->registry, &pick);
 	if (upstream == NULL) {
-		forward->is_hedge_late = true;
-		forward->hedge_ns = pick.now_ns + KWB_HEDGE_RETRY_NS;
+		/* One that refused may have room by now. */
+		pick.exclude = &first;
+		pick.exclude_count = 1;
+		upstream = kwb_upstream_pick(forward->env->registry, &pick);
+	}
+	if (upstream == NULL) {
+		hedge_later(forward);
 		return;
 	}
 	forward->hedge_ns = 0;
