One rule for what is an answer of the store; comments where they belong

Read of the diff as a newcomer: kwb_again_ends had its own copy of kwb_store_is_answer, and the comment on an exchange's time stood above its deadline.

--- a/include/kwb_trace.h
+++ b/include/kwb_trace.h
@@ -48,8 +48,7 @@
 
 struct kwb_trace {
 	char batch[KWB_TRACE_NAME_BYTES];
-	char
-	    item[KWB_TRACE_NAME_BYTES]; /* the one that decided, or asked for */
+	char item[KWB_TRACE_NAME_BYTES]; /* which decided, or was asked for */
 	struct kwb_trace_event *events;
 	uint32_t events_count;
 	uint32_t events_room;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -161,7 +161,6 @@
     .on_close = line_close,
 };
 
-/* Ends exchanges whose time is up; a moved deadline only arms it again. */
 static uint64_t
 exchange_next_deadline(const struct kwb_exchange *exchange)
 {
@@ -185,6 +184,7 @@
 	kwb_timer_at(exchange->timer, next_ns < check_ns ? next_ns : check_ns);
 }
 
+/* Ends an exchange whose time is up; a moved deadline only arms it again. */
 static void
 exchange_time(int fd, short what, void *context)
 {
--- a/src/store/again.c
+++ b/src/store/again.c
@@ -50,12 +50,11 @@
 kwb_again_ends(
     enum kwb_again again, uint32_t copies, uint32_t others, int *error)
 {
-	bool is_answer =
-	    *error != KWB_ERR_STORE_REFUSED && *error != KWB_ERR_STORE_UNKNOWN;
+	const struct kwb_store_answer answer = {.error = *error};
 
 	if (*error == 0 || copies < 2)
 		return true;
-	if (!is_answer && others > 0)
+	if (!kwb_store_is_answer(&answer) && others > 0)
 		return false;
 	/* What one copy is told may be another's doing. */
 	if (again == KWB_AGAIN_WRITE)
