--- a/src/trace/trace.c
+++ b/src/trace/trace.c
@@ -62,6 +62,23 @@
 /* ---- Lines ----------------------------------------------------------------
  */
 
+/* Makes room for one item more. */
+static int
+grow(void **items, uint32_t count, uint32_t *room, size_t item_bytes)
+{
+	uint32_t wanted = *room == 0 ? ROOM_LEAST : 2 * *room;
+	void *grown;
+
+	if (count < *room)
+		return 0;
+	grown = realloc(*items, wanted * item_bytes);
+	if (grown == NULL)
+		return KWB_ERR_MEMORY;
+	*items = grown;
+	*room = wanted;
+	return 0;
+}
+
 /* The value of " name=" up to the next space; "" for none. */
 static void
 field(const char *line, const char *name, char *value, size_t room_bytes)
@@ -105,11 +122,10 @@
 int
 kwb_trace_add(struct kwb_trace *trace, const char *line)
 {
-	uint32_t room = trace->events_room;
 	struct kwb_trace_event *event;
-	struct kwb_trace_event *events;
 	char batch[KWB_TRACE_NAME_BYTES];
 	char name[KWB_TRACE_NAME_BYTES];
+	int code;
 
 	field(line, " event=", name, sizeof(name));
 	field(line, " batch=", batch, sizeof(batch));
@@ -117,14 +133,10 @@
 	    (strcmp(batch, trace->batch) != 0 && !is_of_store(name) &&
 		!is_node_start(line, name)))
 		return 0;
-	if (trace->events_count == room) {
-		room = room == 0 ? ROOM_LEAST : 2 * room;
-		events = realloc(trace->events, room * sizeof(*events));
-		if (events == NULL)
-			return KWB_ERR_MEMORY;
-		trace->events = events;
-		trace->events_room = room;
-	}
+	code = grow((void **)&trace->events, trace->events_count,
+	    &trace->events_room, sizeof(trace->events[0]));
+	if (code != 0)
+		return code;
 	event = &trace->events[trace->events_count];
 	memset(event, 0, sizeof(*event));
 	event->time_ms = number(line, " time_ms=");
@@ -178,18 +190,13 @@
     const char *reason, enum kwb_trace_kind next)
 {
 	struct kwb_trace *trace = walk->trace;
-	uint32_t room = trace->spans_room;
-	struct kwb_trace_span *spans;
+	int code;
 
 	if (event->time_ms > walk->begin_ms) {
-		if (trace->spans_count == room) {
-			room = room == 0 ? ROOM_LEAST : 2 * room;
-			spans = realloc(trace->spans, room * sizeof(*spans));
-			if (spans == NULL)
-				return KWB_ERR_MEMORY;
-			trace->spans = spans;
-			trace->spans_room = room;
-		}
+		code = grow((void **)&trace->spans, trace->spans_count,
+		    &trace->spans_room, sizeof(trace->spans[0]));
+		if (code != 0)
+			return code;
 		trace->spans[trace->spans_count++] =
 		    (struct kwb_trace_span){.kind = walk->kind,
 			.begin_ms = walk->begin_ms,
