--- a/Makefile
+++ b/Makefile
@@ -131,7 +131,8 @@
 	tests/fuzz/*.[ch] \
 	platform/*.[ch] bench/*.[ch] \
 	examples/*.c))
-LINT_SRC = $(filter-out %.pb-c.c,$(LIB_SRC)) $(NODE_SRC) $(wildcard daemons/*.c cli/*.c)
+LINT_SRC = $(filter-out %.pb-c.c,$(LIB_SRC)) $(NODE_SRC) \
+	$(wildcard src/trace/*.c daemons/*.c cli/*.c)
 
 # Builds everything and runs all tests; the last line counts them.
 check: all $(TESTS)
