--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -1183,6 +1184,62 @@
 	    kwb_again_is_due(KWB_AGAIN_NEVER, 1, 1 + KWB_WRITE_AGAIN_NS));
 }
 
+static void
+ignore_answer(
+    struct kwb_store_call *call, const struct kwb_store_answer *answer)
+{
+	(void)answer;
+	call->context = NULL;
+}
+
+/*
+ * A probe through a peer says something of that way only, so its second copy
+ * goes there, too, whichever way calls take by then.
+ */
+static void
+test_again_same_way(void)
+{
+	struct timeval later = {.tv_usec = KWB_READ_AGAIN_NS / 1000 + 50000};
+	struct timeval soon = {.tv_usec = 100000};
+	struct event_base *base = event_base_new();
+	struct kwb_store_call call = {.on_done = ignore_answer};
+	int silent = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	struct sockaddr_in bound = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t bound_bytes = sizeof(bound);
+	struct platform_store store;
+	struct kwb_address own;
+	struct kwb_address peer;
+	unsigned connections = 0;
+	char text[32];
+	int fd;
+
+	/* Takes connections into its queue and never answers. */
+	CU_ASSERT_EQUAL(
+	    bind(silent, (struct sockaddr *)&bound, bound_bytes), 0);
+	CU_ASSERT_EQUAL(listen(silent, 8), 0);
+	getsockname(silent, (struct sockaddr *)&bound, &bound_bytes);
+	snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(bound.sin_port));
+	CU_ASSERT_EQUAL(kwb_address_parse(&peer, text), 0);
+	CU_ASSERT_EQUAL(kwb_address_parse(&own, "127.0.0.1:9"), 0);
+	CU_ASSERT_EQUAL(platform_store_init(&store, base, &own), 0);
+	store.store.relay = &peer;
+	CU_ASSERT_EQUAL(kwb_store_probe(&store.store, &call), 0);
+	store.store.relay = NULL;
+	event_base_loopexit(base, &later);
+	event_base_dispatch(base);
+	store.store.ops->send_again(&store.store);
+	event_base_loopexit(base, &soon);
+	event_base_dispatch(base);
+	for (; (fd = accept(silent, NULL, NULL)) >= 0; connections++)
+		close(fd);
+	CU_ASSERT_EQUAL(connections, 2);
+	kwb_store_cancel(&store.store, &call);
+	platform_store_finish(&store);
+	event_base_free(base);
+	close(silent);
+}
+
 static void
 ended_done(struct kwb_exchange *exchange, int error)
 {
@@ -1789,8 +1846,8 @@
 	    {"owner_silence", test_owner_silence}, {"claims", test_claims},
 	    {"owner_size", test_owner_size}, {"events", test_events},
 	    {"long_event", test_long_event}, {"queued", test_queued},
-	    {"again", test_again}, {"trace", test_trace},
-	    {"paused_start", test_paused_start},
+	    {"again", test_again}, {"again_same_way", test_again_same_way},
+	    {"trace", test_trace}, {"paused_start", test_paused_start},
 	    {"rewards_leave_room", test_rewards_leave_room},
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
