--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -776,8 +776,9 @@
 }
 
 static bool
-serve_feed(struct conn *conn, const struct msg *msg)
+serve_feed(struct conn *conn, const struct msg *msg, const struct gate *gate)
 {
+	uint64_t begun_ms = now_ms();
 	char table[256], text[64];
 	const struct row **found;
 	struct timespec until;
@@ -823,6 +824,14 @@
 	free(found);
 	pthread_mutex_unlock(&store_lock);
 	sleep_ms(4);
+	if (gate != NULL && gate->silent_ms >= begun_ms &&
+	    strcmp(gate->silent_table, table) == 0) {
+		record("store: the channel of a feed of %s is silent", table);
+		json_decref(answer);
+		while (!conn_is_closed(conn))
+			sleep_ms(20);
+		return false;
+	}
 	return answer_json(conn, 200, answer);
 }
 
@@ -877,19 +886,27 @@
 static bool
 store_handle(struct conn *conn, struct msg *msg, void *context)
 {
-	(void)context;
 	if (strncmp(msg->target, "/rows-tx", 8) == 0)
 		return serve_transaction(conn, msg);
 	if (strncmp(msg->target, "/rows-get", 9) == 0)
 		return serve_range(conn, msg);
 	if (strncmp(msg->target, "/rows-feed", 10) == 0)
-		return serve_feed(conn, msg);
+		return serve_feed(conn, msg, context);
 	if (strncmp(msg->target, "/blob-", 6) == 0)
 		return serve_object(conn, msg);
 	return conn_printf(
 	    conn, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n");
 }
 
+int
+store_open_gate(struct gate *gate)
+{
+	char ip[48];
+
+	snprintf(ip, sizeof(ip), "%s.7", net_prefix);
+	return http_listen(ip, 0, store_handle, gate);
+}
+
 void
 store_start(void)
 {
@@ -989,7 +1006,7 @@
 	    conn_send(conn, body, bytes);
 }
 
-static bool
+bool
 serve_report(struct server *server, struct conn *conn)
 {
 	char body[512];
@@ -1128,8 +1145,11 @@
 
 	if (server->gone)
 		return false;
-	if (strcmp(msg->target, "/report") == 0)
+	if (strcmp(msg->target, "/report") == 0) {
+		if (server->report_hook != NULL)
+			server->report_hook(server, conn);
 		return serve_report(server, conn);
+	}
 	if (strcmp(msg->target, "/order") == 0)
 		return serve_order(server, conn, msg);
 	snprintf(run.id, sizeof(run.id), "%s", id != NULL ? id : "");
@@ -1452,6 +1472,12 @@
 	    "\"route-kind\":\"non_idempotent\",\"timeout-ms\":%u,"
 	    "\"target-latency-ms\":150,\"priority\":2,"
 	    "\"service\":\"" PLAIN_SERVICE "\",\"max-attempts\":2},"
+	    "{\"name\":\"r-e\",\"hostname\":\"" HOST
+	    "\",\"path-prefix\":\"" STREAM_PATH "\","
+	    "\"route-kind\":\"streaming\",\"resumable\":true,"
+	    "\"timeout-ms\":10000,\"target-latency-ms\":500,"
+	    "\"priority\":0,\"service\":\"" MODEL_SERVICE
+	    "\",\"max-attempts\":3},"
 	    "{\"name\":\"r-c\",\"hostname\":\"" HOST
 	    "\",\"path-prefix\":\"" BATCH_PATH "\","
 	    "\"route-kind\":\"rollout\",\"timeout-ms\":10000,"
@@ -1486,7 +1512,7 @@
 }
 
 void
-batch_submit(const char *ip, const char *id, unsigned step,
+batch_submit(const char *ip, const char *path, const char *id, unsigned step,
     unsigned min_version, unsigned target_groups, json_t *items)
 {
 	json_t *document = json_pack("{s:i, s:s, s:i, s:i, s:o}", "step",
@@ -1499,7 +1525,7 @@
 	int status = 0;
 	unsigned tries;
 
-	snprintf(target, sizeof(target), BATCH_PATH "%s", id);
+	snprintf(target, sizeof(target), "%s%s", path, id);
 	snprintf(headers, sizeof(headers),
 	    "Host: " HOST "\r\nAttempt-Id: %s\r\n"
 	    "Content-Type: application/json\r\n",
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -74,6 +74,17 @@
 /* ---- The platform's store --------------------------------------------------- */
 
 void store_start(void);
+/*
+ * A way of one node to the store, on a port of its own. Calls about that table
+ * that wait on it at silent_ms or before are never answered, as on a channel
+ * that has gone silent; later ones are.
+ */
+struct gate {
+	const char *silent_table;
+	uint64_t silent_ms; /* 0: never */
+};
+
+int store_open_gate(struct gate *gate); /* returns the port */
 /* As the operator, a trainer or a server writes it. */
 void store_put(const char *table, const char *key, const char *json);
 void store_remove(const char *table, const char *key);
@@ -112,9 +123,13 @@
 	bool busy;
 	unsigned running;
 	bool gone; /* closes everything and takes no connections */
-	bool sends_copies; /* for the hook: late second copies of answers */
+	/* For hooks: the connection whose last answer may come again. */
+	struct conn *marked_conn;
+	char marked_id[96];
 	uint64_t born;
 	pthread_mutex_t lock;
+	/* Called before a read of the state is answered; as hook below. */
+	int (*report_hook)(struct server *server, struct conn *conn);
 	/*
 	 * Called first for each request that would run; returns 0 to go on, 1
 	 * when it has answered, -1 to close the connection.
@@ -133,6 +148,8 @@
 pid_t server_fork(struct server *server);
 /* Sends the stream of a run from event run->first; false when cut off. */
 bool run_stream(struct run *run, unsigned last_event);
+/* Answers a read of the server's state. */
+bool serve_report(struct server *server, struct conn *conn);
 /* Head of a stream; framed: in chunks, else it ends with the connection. */
 void run_stream_head(struct run *run, bool framed);
 /* Data of event n of the item with that id. */
@@ -186,8 +203,9 @@
 #define BATCH_PATH "/pule252/" /* of the route for batches */
 #define PLAIN_PATH "/pufi791/" /* of the idempotent route */
 #define ONCE_PATH "/lohu930/"  /* of the non-idempotent route */
+#define STREAM_PATH "/sumi440/" /* of the resumable streaming route */
 
-/* Writes the config: these three routes and two services. */
+/* Writes the config: these four routes and two services. */
 void config_put(unsigned version, bool single_version, unsigned timeout_ms);
 /* Names a version of the model, as its trainer does. */
 void version_put(unsigned version);
@@ -200,9 +218,10 @@
     const char *model, const char *body, unsigned length_hint,
     const char *score_id, const char *score_host, const char *score_path);
 
-/* Submits at that node until it is accepted; items is consumed. */
-void batch_submit(const char *ip, const char *id, unsigned step,
-    unsigned min_version, unsigned target_groups, json_t *items);
+/* Submits under that path until it is accepted; items is consumed. */
+void batch_submit(const char *ip, const char *path, const char *id,
+    unsigned step, unsigned min_version, unsigned target_groups,
+    json_t *items);
 /*
  * Reads the list of results from its start; NULL when that fails. The caller
  * frees the document.
