--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -389,6 +389,7 @@
 struct listener {
 	int fd;
 	bool (*handle)(struct conn *conn, struct msg *msg, void *context);
+	void (*on_accept)(int fd, void *context); /* in place of handle */
 	void *context;
 };
 
@@ -439,6 +440,10 @@
 
 	while ((fd = accept4(listener->fd, NULL, NULL, SOCK_CLOEXEC)) >= 0) {
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		if (listener->on_accept != NULL) {
+			listener->on_accept(fd, listener->context);
+			continue;
+		}
 		accepted = malloc(sizeof(*accepted));
 		accepted->listener = listener;
 		accepted->fd = fd;
@@ -447,12 +452,9 @@
 	return NULL;
 }
 
-int
-http_listen(const char *ip, int port,
-    bool (*handle)(struct conn *conn, struct msg *msg, void *context),
-    void *context)
+static int
+listener_open(struct listener *listener, const char *ip, int port)
 {
-	struct listener *listener = calloc(1, sizeof(*listener));
 	struct sockaddr_in address = {
 	    .sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
 	socklen_t bytes = sizeof(address);
@@ -465,12 +467,33 @@
 	    listen(listener->fd, 512) != 0 ||
 	    getsockname(listener->fd, (struct sockaddr *)&address, &bytes) != 0)
 		stand_fail("cannot listen on %s:%d", ip, port);
-	listener->handle = handle;
-	listener->context = context;
 	thread_start(listen_thread, listener);
 	return ntohs(address.sin_port);
 }
 
+int
+http_listen(const char *ip, int port,
+    bool (*handle)(struct conn *conn, struct msg *msg, void *context),
+    void *context)
+{
+	struct listener *listener = calloc(1, sizeof(*listener));
+
+	listener->handle = handle;
+	listener->context = context;
+	return listener_open(listener, ip, port);
+}
+
+int
+tcp_listen(
+    const char *ip, void (*on_accept)(int fd, void *context), void *context)
+{
+	struct listener *listener = calloc(1, sizeof(*listener));
+
+	listener->on_accept = on_accept;
+	listener->context = context;
+	return listener_open(listener, ip, 0);
+}
+
 /* ---- The platform's store --------------------------------------------------- */
 
 struct row {
@@ -1213,7 +1236,9 @@
 	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
 	    "\"cold-left-ms\":0,\"stage\":\"both\"%s,\"seq\":%u,"
 	    "\"born\":%llu}",
-	    server->service, server->ip, server->port, server->slots, models,
+	    server->service, server->ip,
+	    server->advertised_port ? server->advertised_port : server->port,
+	    server->slots, models,
 	    server->seq, (unsigned long long)server->born);
 	store_put("servers", server->id, json);
 }
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -73,6 +73,10 @@
     bool (*handle)(struct conn *conn, struct msg *msg, void *context),
     void *context);
 
+/* Calls on_accept for each connection, in a thread; returns the port. */
+int tcp_listen(
+    const char *ip, void (*on_accept)(int fd, void *context), void *context);
+
 /* ---- The platform's store --------------------------------------------------- */
 
 void store_start(void);
@@ -116,6 +120,7 @@
 	char service[64];
 	char ip[48];
 	int port;
+	int advertised_port; /* in its row; 0: its own */
 	bool is_model;
 	unsigned slots;
 	const char *model; /* name of its model; NULL for a plain server */
