--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,9 +1,9 @@
 /*
  * Half of one node's channels are reset, once. Its model servers are suspected
- * for a second or two; then one item at a time tries each of them again. At that
- * moment the servers are full with another trainer's work and refuse. When they
- * are idle later, the node must go on with its batch: no item may stay at no
- * server until its step has run out of time.
+ * for a second or two; then one item at a time tries each of them again. At
+ * that moment the servers are full with another trainer's work and refuse. When
+ * they are idle later, the node must go on with its batch: no item may stay at
+ * no server until its step has run out of time.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,7 +11,7 @@
 
 #include "../stand/stand.h"
 
-#define BATCH "7c41e09b52d6a301"	/* at node-1 */
+#define BATCH "7c41e09b52d6a301"       /* at node-1 */
 #define OTHER_BATCH "7c41e09b52d6a302" /* at node-2, of another trainer */
 #define NODES 10
 #define SERVERS 3
@@ -40,8 +40,8 @@
 static int
 on_run(struct run *run)
 {
-	if (strncmp(run->id, "e5b2907c14da", 12) != 0 ||
-	    run->number >= SLOTS || run->number % 2 != 0)
+	if (strncmp(run->id, "e5b2907c14da", 12) != 0 || run->number >= SLOTS ||
+	    run->number % 2 != 0)
 		return 0;
 	pthread_mutex_lock(&lock);
 	chosen[chosen_count++] = run->conn;
@@ -50,8 +50,8 @@
 }
 
 static json_t *
-make_items(const char *prefix, unsigned count, const char *model,
-    unsigned events)
+make_items(
+    const char *prefix, unsigned count, const char *model, unsigned events)
 {
 	json_t *items = json_array();
 	char id[32], group[32], body[64];
@@ -118,8 +118,9 @@
 	    make_items("f6c3018d25eb", OTHER_ITEMS, OTHER_MODEL, 80));
 	sleep_ms(700);
 	if (trouble) {
-		record("network: %u channels between node-1 and the servers are "
-		       "reset, half of them",
+		record(
+		    "network: %u channels between node-1 and the servers are "
+		    "reset, half of them",
 		    chosen_count);
 		for (i = 0; i < chosen_count; i++)
 			conn_reset(chosen[i]);
@@ -150,11 +151,12 @@
 	}
 	record("trainer: %zu of %d items are listed",
 	    json_array_size(json_object_get(document, "results")), ITEMS);
-	record("check: LOST: items at no server for 5 s when the step ran out of "
-	       "time: %u",
+	record(
+	    "check: LOST: items at no server for 5 s when the step ran out of "
+	    "time: %u",
 	    stuck);
-	if (!trouble && json_array_size(json_object_get(document, "results")) <
-		ITEMS)
+	if (!trouble &&
+	    json_array_size(json_object_get(document, "results")) < ITEMS)
 		stand_fail("items are missing without the disruption");
 	stand_end(stuck > 0 ? 1 : 0);
 }
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,8 +1,8 @@
 /*
- * One channel of a node to the store goes silent: the one on which it follows the
- * operator's table. The operator adds a route, and a trainer submits its next
- * batch on it, at another node, which hands the batch to the first one. No item
- * may be given up because the route is not known there yet.
+ * One channel of a node to the store goes silent: the one on which it follows
+ * the operator's table. The operator adds a route, and a trainer submits its
+ * next batch on it, at another node, which hands the batch to the first one. No
+ * item may be given up because the route is not known there yet.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -67,8 +67,7 @@
 {
 	static struct server servers[SERVERS];
 	static struct gate gate = {.silent_table = "op"};
-	static struct node nodes[2] = {
-	    {.name = "node-1", .fencing = true},
+	static struct node nodes[2] = {{.name = "node-1", .fencing = true},
 	    {.name = "node-2", .fencing = true}};
 	json_t *document;
 	json_t *result;
@@ -80,12 +79,10 @@
 	store_start();
 	config_put(1, false, false);
 	for (i = 0; i < SERVERS; i++) {
-		servers[i] = (struct server){.is_model = true,
-		    .slots = 8,
-		    .model = MODEL,
-		    .version = 1};
-		snprintf(servers[i].id, sizeof(servers[i].id), "i-model%zu",
-		    i + 1);
+		servers[i] = (struct server){
+		    .is_model = true, .slots = 8, .model = MODEL, .version = 1};
+		snprintf(
+		    servers[i].id, sizeof(servers[i].id), "i-model%zu", i + 1);
 		strcpy(servers[i].service, MODEL_SERVICE);
 		server_start(&servers[i]);
 	}
@@ -96,8 +93,8 @@
 	}
 
 	/* The first step, at node-1. */
-	batch_submit(nodes[0].ip, BATCH_PATH, FIRST_BATCH, MODEL, 1, 1, ITEMS / 4,
-	    make_items(BATCH_PATH, 0));
+	batch_submit(nodes[0].ip, BATCH_PATH, FIRST_BATCH, MODEL, 1, 1,
+	    ITEMS / 4, make_items(BATCH_PATH, 0));
 	document = batch_wait(nodes[0].ip, FIRST_BATCH, ITEMS, 10000);
 	if (json_array_size(json_object_get(document, "results")) < ITEMS)
 		stand_fail("the first step has no results");
@@ -111,8 +108,8 @@
 	}
 	config_add_route();
 	sleep_ms(400);
-	batch_submit(nodes[1].ip, NEW_PATH, SECOND_BATCH, MODEL, 2, 1, ITEMS / 4,
-	    make_items(NEW_PATH, 0x100));
+	batch_submit(nodes[1].ip, NEW_PATH, SECOND_BATCH, MODEL, 2, 1,
+	    ITEMS / 4, make_items(NEW_PATH, 0x100));
 	document = batch_wait(nodes[1].ip, SECOND_BATCH, ITEMS, 15000);
 	json_array_foreach (json_object_get(document, "results"), i, result)
 		if (strcmp(json_text(result, "state"), "errored") == 0) {
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -87,8 +87,8 @@
 		    .model = MODEL,
 		    .version = 1,
 		    .hook = i == 0 ? on_run : NULL};
-		snprintf(servers[i].id, sizeof(servers[i].id), "i-model%zu",
-		    i + 1);
+		snprintf(
+		    servers[i].id, sizeof(servers[i].id), "i-model%zu", i + 1);
 		strcpy(servers[i].service, MODEL_SERVICE);
 	}
 	first = server_fork(&servers[0]);
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -39,7 +39,8 @@
 static pid_t children[CHILDREN_MAX]; /* servers as processes */
 static unsigned children_count;
 
-/* ---- Set-up, record, end -------------------------------------------------- */
+/* ---- Set-up, record, end --------------------------------------------------
+ */
 
 static uint64_t
 steady_ms(void)
@@ -160,7 +161,8 @@
 	stand_end(2);
 }
 
-/* ---- HTTP/1.1 -------------------------------------------------------------- */
+/* ---- HTTP/1.1 --------------------------------------------------------------
+ */
 
 /* Reads more bytes; 0 at the end, -1 on an error or a timeout. */
 static ssize_t
@@ -494,7 +496,8 @@
 	return listener_open(listener, ip, 0);
 }
 
-/* ---- The platform's store --------------------------------------------------- */
+/* ---- The platform's store ---------------------------------------------------
+ */
 
 struct row {
 	char *table;
@@ -567,7 +570,8 @@
 		group |= i + 2 < bytes ? in[i + 2] : 0;
 		out[at++] = base64_digits[group >> 18];
 		out[at++] = base64_digits[group >> 12 & 63];
-		out[at++] = i + 1 < bytes ? base64_digits[group >> 6 & 63] : '=';
+		out[at++] =
+		    i + 1 < bytes ? base64_digits[group >> 6 & 63] : '=';
 		out[at++] = i + 2 < bytes ? base64_digits[group & 63] : '=';
 	}
 	out[at] = '\0';
@@ -639,9 +643,9 @@
 static json_t *
 row_json(const struct row *row)
 {
-	json_t *json = json_pack("{s:s, s:s, s:s, s:I}", "table", row->table,
-	    "part", row->part, "key", row->key, "ver",
-	    (json_int_t)row->revision);
+	json_t *json =
+	    json_pack("{s:s, s:s, s:s, s:I}", "table", row->table, "part",
+		row->part, "key", row->key, "ver", (json_int_t)row->revision);
 
 	if (row->value != NULL)
 		json_object_set_new(json, "value", json_string(row->value));
@@ -659,8 +663,8 @@
 	if (json_object_get(body, "ver") == NULL)
 		json_object_set_new(
 		    body, "ver", json_integer((json_int_t)revision));
-	json_object_set_new(body, "now-ms",
-	    json_integer((json_int_t)(500000 + now_ms())));
+	json_object_set_new(
+	    body, "now-ms", json_integer((json_int_t)(500000 + now_ms())));
 	text = json_dumps(body, JSON_COMPACT);
 	ok = conn_printf(conn,
 	    "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -695,8 +699,7 @@
 	json_array_foreach (json_object_get(body, "expected-rev"), i, entry) {
 		row = row_find(field(entry, "table"), field(entry, "part"),
 		    field(entry, "key"));
-		actual =
-		    row != NULL && row->value != NULL ? row->revision : 0;
+		actual = row != NULL && row->value != NULL ? row->revision : 0;
 		if (actual !=
 		    (uint64_t)json_integer_value(json_object_get(entry, "ver")))
 			json_array_append_new(conflicts,
@@ -715,8 +718,7 @@
 	answer = json_array_size(conflicts) > 0
 	    ? json_pack("{s:O}", "rows", conflicts)
 	    : json_object();
-	json_object_set_new(
-	    answer, "ver", json_integer((json_int_t)revision));
+	json_object_set_new(answer, "ver", json_integer((json_int_t)revision));
 	pthread_mutex_unlock(&store_lock);
 	i = json_array_size(conflicts);
 	json_decref(conflicts);
@@ -734,8 +736,9 @@
 	char hex[3] = "";
 
 	to[0] = '\0';
-	while (at != NULL && (strncmp(at + 1, name, name_bytes) != 0 ||
-		   at[1 + name_bytes] != '='))
+	while (at != NULL &&
+	    (strncmp(at + 1, name, name_bytes) != 0 ||
+		at[1 + name_bytes] != '='))
 		at = strchr(at + 1, '&');
 	if (at == NULL)
 		return;
@@ -791,7 +794,8 @@
 	pthread_mutex_lock(&store_lock);
 	found = calloc(rows_count + 1, sizeof(*found));
 	for (i = 0; i < rows_count; i++)
-		if (rows[i].value != NULL && strcmp(rows[i].table, table) == 0 &&
+		if (rows[i].value != NULL &&
+		    strcmp(rows[i].table, table) == 0 &&
 		    strcmp(rows[i].part, part) == 0 &&
 		    strcmp(rows[i].key, from) >= 0 &&
 		    (to[0] == '\0' || strcmp(rows[i].key, to) < 0))
@@ -844,14 +848,14 @@
 		if (count > 0 || waited != 0)
 			break;
 		free(found);
-		waited = pthread_cond_timedwait(
-		    &store_changed, &store_lock, &until);
+		waited =
+		    pthread_cond_timedwait(&store_changed, &store_lock, &until);
 	}
 	qsort(found, count, sizeof(*found), compare_revisions);
 	for (i = 0; i < count; i++)
 		json_array_append_new(list, row_json(found[i]));
-	answer = json_pack(
-	    "{s:o, s:I}", "rows", list, "ver", (json_int_t)revision);
+	answer =
+	    json_pack("{s:o, s:I}", "rows", list, "ver", (json_int_t)revision);
 	free(found);
 	pthread_mutex_unlock(&store_lock);
 	sleep_ms(4);
@@ -925,8 +929,7 @@
 		return serve_feed(conn, msg, context);
 	if (strncmp(msg->target, "/blob-", 6) == 0)
 		return serve_object(conn, msg);
-	return conn_printf(
-	    conn, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n");
+	return conn_printf(conn, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n");
 }
 
 int
@@ -951,7 +954,8 @@
 	http_listen(ip, STORE_PORT, store_handle, NULL);
 }
 
-/* ---- Servers ------------------------------------------------------------------ */
+/* ---- Servers
+ * ------------------------------------------------------------------ */
 
 void
 event_data(char *to, size_t capacity, const char *id, unsigned event)
@@ -1076,8 +1080,8 @@
 	load.server->busy = false;
 	pthread_mutex_unlock(&load.server->lock);
 	if (!load.server->gone) {
-		record("server %s: has version %u", load.server->id,
-		    load.version);
+		record(
+		    "server %s: has version %u", load.server->id, load.version);
 		server_publish(load.server);
 	}
 	return NULL;
@@ -1088,8 +1092,8 @@
 {
 	json_t *body = json_loadb(msg->body, msg->body_bytes, 0, NULL);
 	const json_t *expected = json_object_get(body, "expected-rev");
-	unsigned version = (unsigned)json_integer_value(
-	    json_object_get(body, "version"));
+	unsigned version =
+	    (unsigned)json_integer_value(json_object_get(body, "version"));
 	uint64_t fence =
 	    (uint64_t)json_integer_value(json_object_get(body, "fence"));
 	const char *instance = msg_header(msg, "Expect-Instance");
@@ -1153,11 +1157,11 @@
 	if (!server->is_model) {
 		sleep_ms(run->pace_ms);
 		record("server %s: %s run -> 200", server->id, run->id);
-		return answer_plain(run->conn, run, 200, stamp,
-		    run->msg->body, run->msg->body_bytes);
+		return answer_plain(run->conn, run, 200, stamp, run->msg->body,
+		    run->msg->body_bytes);
 	}
-	record("server %s: %s runs from event %u of %u, version %u",
-	    server->id, run->id, run->first, run->events, server->version);
+	record("server %s: %s runs from event %u of %u, version %u", server->id,
+	    run->id, run->first, run->events, server->version);
 	ok = run_stream(run, run->events);
 	if (ok)
 		record("server %s: %s whole", server->id, run->id);
@@ -1238,8 +1242,8 @@
 	    "\"born\":%llu}",
 	    server->service, server->ip,
 	    server->advertised_port ? server->advertised_port : server->port,
-	    server->slots, models,
-	    server->seq, (unsigned long long)server->born);
+	    server->slots, models, server->seq,
+	    (unsigned long long)server->born);
 	store_put("servers", server->id, json);
 }
 
@@ -1249,8 +1253,8 @@
 	static unsigned count;
 
 	count++;
-	snprintf(server->ip, sizeof(server->ip), "%s.%u", net_prefix,
-	    100 + count);
+	snprintf(
+	    server->ip, sizeof(server->ip), "%s.%u", net_prefix, 100 + count);
 	server->port = SERVER_PORT;
 	pthread_mutex_init(&server->lock, NULL);
 	server->born = 1764900000000ull + count;
@@ -1285,7 +1289,8 @@
 	return pid;
 }
 
-/* ---- Nodes --------------------------------------------------------------------- */
+/* ---- Nodes
+ * --------------------------------------------------------------------- */
 
 void
 node_start(struct node *node, unsigned index)
@@ -1296,8 +1301,8 @@
 	int fd;
 
 	snprintf(node->ip, sizeof(node->ip), "%s.%u", net_prefix, 10 + index);
-	snprintf(config, sizeof(config), "%s/%s.conf", temporary_folder,
-	    node->name);
+	snprintf(
+	    config, sizeof(config), "%s/%s.conf", temporary_folder, node->name);
 	snprintf(log, sizeof(log), "%s/%s.log", temporary_folder, node->name);
 	file = fopen(config, "w");
 	if (file == NULL)
@@ -1344,8 +1349,8 @@
 		dup2(fd, STDERR_FILENO);
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		setenv("KNAPWEEDBARROW_NODE_FILE", config, 1);
-		execl("target/kwb-node", "target/kwb-node", "--metrics",
-		    "9464", (char *)NULL);
+		execl("target/kwb-node", "target/kwb-node", "--metrics", "9464",
+		    (char *)NULL);
 		_exit(127);
 	}
 	for (fd = 0; fd < (int)nodes_count; fd++)
@@ -1407,7 +1412,8 @@
 	record("node %s: ready", node->name);
 }
 
-/* ---- Clients --------------------------------------------------------------------- */
+/* ---- Clients
+ * --------------------------------------------------------------------- */
 
 int
 client_connect(const char *ip, int port, bool small_buffers)
@@ -1423,10 +1429,9 @@
 	inet_pton(AF_INET, ip, &address.sin_addr);
 	if (small_buffers) {
 		/* Segments as of a network, not of loopback. */
-		setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment,
-		    sizeof(segment));
 		setsockopt(
-		    fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+		    fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
 	}
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -1451,8 +1456,8 @@
 		return answer;
 	}
 	setsockopt(conn.fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-	if (conn_printf(&conn, "%s %s HTTP/1.1\r\n%s", method, target,
-		headers) &&
+	if (conn_printf(
+		&conn, "%s %s HTTP/1.1\r\n%s", method, target, headers) &&
 	    (body == NULL ||
 		conn_printf(&conn, "Content-Length: %zu\r\n", bytes)) &&
 	    conn_send(&conn, "\r\n", 2) &&
@@ -1462,7 +1467,8 @@
 	return answer;
 }
 
-/* ---- Batches ---------------------------------------------------------------------- */
+/* ---- Batches
+ * ---------------------------------------------------------------------- */
 
 json_t *
 item_json(const char *id, const char *path, const char *group,
@@ -1547,8 +1553,8 @@
 {
 	char json[128];
 
-	snprintf(json, sizeof(json),
-	    "{\"model\":\"" MODEL "\",\"version\":%u}", version);
+	snprintf(json, sizeof(json), "{\"model\":\"" MODEL "\",\"version\":%u}",
+	    version);
 	store_put("op", "version/" MODEL, json);
 	record("trainer: names version %u", version);
 }
@@ -1574,8 +1580,7 @@
 	    "Content-Type: application/json\r\n",
 	    id);
 	for (tries = 0; tries < 5 && status != 202; tries++) {
-		answer = client_call(
-		    ip, "POST", target, headers, body, 3000);
+		answer = client_call(ip, "POST", target, headers, body, 3000);
 		status = answer.result == 1 ? answer.msg.status : 0;
 		record("trainer: batch %s of %zu items at %s -> %d", id,
 		    json_array_size(items), ip, status);
@@ -1601,8 +1606,8 @@
 	for (;;) {
 		snprintf(
 		    target, sizeof(target), "/lots/%s?after=%u", id, after);
-		answer = client_call(ip, "GET", target,
-		    "Host: " HOST "\r\n", NULL, 3000);
+		answer = client_call(
+		    ip, "GET", target, "Host: " HOST "\r\n", NULL, 3000);
 		page = answer.result == 1 && answer.msg.status == 200
 		    ? json_loadb(
 			  answer.msg.body, answer.msg.body_bytes, 0, NULL)
@@ -1612,8 +1617,8 @@
 			json_decref(document);
 			return NULL;
 		}
-		after = (unsigned)json_integer_value(
-		    json_object_get(page, "next"));
+		after =
+		    (unsigned)json_integer_value(json_object_get(page, "next"));
 		if (json_array_size(json_object_get(page, "results")) == 0 &&
 		    document != NULL) {
 			json_decref(page);
@@ -1621,8 +1626,8 @@
 		}
 		if (document == NULL) {
 			document = page;
-			if (json_array_size(
-				json_object_get(page, "results")) == 0)
+			if (json_array_size(json_object_get(page, "results")) ==
+			    0)
 				return document;
 			continue;
 		}
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -13,7 +13,8 @@
 #include <stddef.h>
 #include <sys/types.h>
 
-/* ---- Set-up, record, end -------------------------------------------------- */
+/* ---- Set-up, record, end --------------------------------------------------
+ */
 
 /* True unless TROUBLE=0 is set: the case plays its disruption. */
 extern bool trouble;
@@ -31,7 +32,8 @@
 uint64_t now_ms(void); /* since the start */
 void sleep_ms(unsigned ms);
 
-/* ---- HTTP/1.1 -------------------------------------------------------------- */
+/* ---- HTTP/1.1 --------------------------------------------------------------
+ */
 
 struct conn {
 	int fd;
@@ -77,7 +79,8 @@
 int tcp_listen(
     const char *ip, void (*on_accept)(int fd, void *context), void *context);
 
-/* ---- The platform's store --------------------------------------------------- */
+/* ---- The platform's store ---------------------------------------------------
+ */
 
 void store_start(void);
 /*
@@ -98,7 +101,8 @@
 bool store_get(const char *table, const char *part, const char *key,
     char *value, size_t capacity);
 
-/* ---- Servers ------------------------------------------------------------------ */
+/* ---- Servers
+ * ------------------------------------------------------------------ */
 
 struct server;
 
@@ -110,8 +114,8 @@
 	char id[96];
 	unsigned events; /* of the whole text, from the body: "events=N" */
 	unsigned pace_ms;
-	unsigned first; /* event to begin with */
-	bool is_dead;	/* the body says "dead": it can never be done */
+	unsigned first;	 /* event to begin with */
+	bool is_dead;	 /* the body says "dead": it can never be done */
 	unsigned number; /* of the run at its server */
 };
 
@@ -124,7 +128,8 @@
 	bool is_model;
 	unsigned slots;
 	const char *model; /* name of its model; NULL for a plain server */
-	const char *other_model; /* a second one, at the same version; or NULL */
+	const char
+	    *other_model; /* a second one, at the same version; or NULL */
 	unsigned version;
 	unsigned load_ms; /* how long a change of version takes */
 	unsigned seq;
@@ -132,7 +137,7 @@
 	bool busy;
 	unsigned running;
 	unsigned begun; /* runs so far */
-	bool gone; /* closes everything and takes no connections */
+	bool gone;	/* closes everything and takes no connections */
 	/* For hooks: the connection whose last answer may come again. */
 	struct conn *marked_conn;
 	char marked_id[96];
@@ -169,7 +174,8 @@
 /* Whole text of an item: the data of all events, joined by line feeds. */
 char *whole_text(const char *id, unsigned events);
 
-/* ---- Nodes --------------------------------------------------------------------- */
+/* ---- Nodes
+ * --------------------------------------------------------------------- */
 
 struct node {
 	char name[64];
@@ -192,7 +198,8 @@
 /* Whether the process has ended; sets exit_status. */
 bool node_has_exited(struct node *node);
 
-/* ---- Clients --------------------------------------------------------------------- */
+/* ---- Clients
+ * --------------------------------------------------------------------- */
 
 struct answer {
 	int result; /* of msg_read() */
@@ -206,16 +213,17 @@
     const char *target, const char *headers, const char *body,
     unsigned timeout_ms);
 
-/* ---- The deployment of the cases ------------------------------------------- */
+/* ---- The deployment of the cases -------------------------------------------
+ */
 
 #define HOST "ficu95.example"
 #define MODEL "daka510000"
 #define OTHER_MODEL "rada7437b5"
 #define MODEL_SERVICE "huvo11a"
 #define PLAIN_SERVICE "wuno96b"
-#define BATCH_PATH "/pule252/" /* of the route for batches */
-#define PLAIN_PATH "/pufi791/" /* of the idempotent route */
-#define ONCE_PATH "/lohu930/"  /* of the non-idempotent route */
+#define BATCH_PATH "/pule252/"	/* of the route for batches */
+#define PLAIN_PATH "/pufi791/"	/* of the idempotent route */
+#define ONCE_PATH "/lohu930/"	/* of the non-idempotent route */
 #define STREAM_PATH "/sumi440/" /* of the resumable streaming route */
 
 /* Writes the config: these four routes, two services, one or two models. */
@@ -223,7 +231,8 @@
 /* Names a version of the model, as its trainer does. */
 void version_put(unsigned version);
 
-/* ---- Batches ---------------------------------------------------------------------- */
+/* ---- Batches
+ * ---------------------------------------------------------------------- */
 
 char *base64(const void *data, size_t bytes);
 /* Body of an item: {"id":..,"path":..,...}. */
@@ -233,8 +242,8 @@
 
 /* Submits under that path until it is accepted; items is consumed. */
 void batch_submit(const char *ip, const char *path, const char *id,
-    const char *model, unsigned step, unsigned min_version, unsigned target_groups,
-    json_t *items);
+    const char *model, unsigned step, unsigned min_version,
+    unsigned target_groups, json_t *items);
 /*
  * Reads the list of results from its start; NULL when that fails. The caller
  * frees the document.
