--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -24,6 +24,7 @@
 
 #define STORE_PORT 8142
 #define SERVER_PORT 8080
+#define QUEUE_DEFAULT 4 /* "queues a few more" */
 #define NODES_MAX 16
 #define CHILDREN_MAX 16
 
@@ -985,9 +986,9 @@
 	conn_printf(run->conn,
 	    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 	    "Attempt-Id: %s\r\nServer-Stamp: stamp-%s-%s\r\n"
-	    "Weight-Versions: %u\r\nServer-Load: %u,0,%u\r\n%s\r\n",
+	    "Weight-Versions: %u\r\nServer-Load: %u,%u,%u\r\n%s\r\n",
 	    run->id, run->server->id, run->id, run->server->version,
-	    run->server->running, run->server->slots,
+	    run->server->running, run->server->waiting, run->server->slots,
 	    framed ? "Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n"
 		   : "Connection: close\r\n");
 }
@@ -1036,10 +1037,10 @@
 {
 	return conn_printf(conn,
 		   "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%s"
-		   "Keep-Alive: timeout=5\r\nServer-Load: %u,0,%u\r\n"
+		   "Keep-Alive: timeout=5\r\nServer-Load: %u,%u,%u\r\n"
 		   "Content-Length: %zu\r\n\r\n",
 		   status, run->id, headers, run->server->running,
-		   run->server->slots, bytes) &&
+		   run->server->waiting, run->server->slots, bytes) &&
 	    conn_send(conn, body, bytes);
 }
 
@@ -1168,6 +1169,78 @@
 	return ok;
 }
 
+/* A request that waits for a slot; the most urgent and oldest is first. */
+struct waiter {
+	unsigned priority;
+	uint64_t arrival;
+	struct waiter *next;
+};
+
+enum slot_result {
+	SLOT_TAKEN,
+	SLOT_FULL, /* nothing has run */
+	SLOT_LEFT  /* the caller has closed the connection */
+};
+
+static bool
+is_first(const struct server *server, const struct waiter *waiter)
+{
+	const struct waiter *other;
+
+	for (other = server->waiters; other != NULL; other = other->next)
+		if (other->priority < waiter->priority ||
+		    (other->priority == waiter->priority &&
+			other->arrival < waiter->arrival))
+			return false;
+	return true;
+}
+
+/* Takes a slot, or waits for one in the queue. */
+static enum slot_result
+slot_take(struct server *server, const struct conn *conn, unsigned priority,
+    unsigned *number)
+{
+	struct waiter waiter = {.priority = priority};
+	enum slot_result result = SLOT_FULL;
+	struct waiter **at;
+
+	pthread_mutex_lock(&server->lock);
+	waiter.arrival = server->arrivals++;
+	if (server->busy ||
+	    (server->running >= server->slots &&
+		server->waiting >= server->queue)) {
+		pthread_mutex_unlock(&server->lock);
+		return SLOT_FULL;
+	}
+	waiter.next = server->waiters;
+	server->waiters = &waiter;
+	server->waiting++;
+	for (;;) {
+		if (server->busy)
+			break;
+		if (server->running < server->slots &&
+		    is_first(server, &waiter)) {
+			result = SLOT_TAKEN;
+			*number = server->begun++;
+			server->running++;
+			break;
+		}
+		pthread_mutex_unlock(&server->lock);
+		sleep_ms(2);
+		pthread_mutex_lock(&server->lock);
+		if (server->gone || conn_is_closed(conn)) {
+			result = SLOT_LEFT;
+			break;
+		}
+	}
+	for (at = &server->waiters; *at != &waiter; at = &(*at)->next)
+		;
+	*at = waiter.next;
+	server->waiting--;
+	pthread_mutex_unlock(&server->lock);
+	return result;
+}
+
 static bool
 server_handle(struct conn *conn, struct msg *msg, void *context)
 {
@@ -1177,7 +1250,9 @@
 	const char *instance = msg_header(msg, "Expect-Instance");
 	const char *version = msg_header(msg, "Expect-Version");
 	const char *resume = msg_header(msg, "Last-Event-Id");
-	bool full;
+	enum slot_result result;
+	const char *text;
+	unsigned priority;
 	bool ok;
 
 	if (server->gone)
@@ -1203,15 +1278,21 @@
 	run.pace_ms = body_number(msg, "pace=", 30);
 	run.is_dead = strstr(msg->body, "dead") != NULL;
 	run.first = (resume != NULL ? (unsigned)atoi(resume) : 0) + 1;
-	pthread_mutex_lock(&server->lock);
-	full = server->running >= server->slots || server->busy;
-	server->running += !full;
-	run.number = server->begun;
-	server->begun += !full;
-	pthread_mutex_unlock(&server->lock);
-	if (full)
+	text = msg_header(msg, "Priority-Class");
+	priority = text != NULL ? (unsigned)atoi(text) : 5;
+	result = slot_take(server, conn, priority, &run.number);
+	if (server->queue_hook != NULL && result != SLOT_FULL)
+		server->queue_hook(&run);
+	switch (result) {
+	case SLOT_TAKEN:
+		break;
+	case SLOT_FULL:
 		return answer_plain(
 		    conn, &run, 503, "Not-Executed: 1\r\n", "", 0);
+	case SLOT_LEFT:
+		record("server %s: %s leaves the queue", server->id, run.id);
+		return false;
+	}
 	ok = serve_run(&run);
 	pthread_mutex_lock(&server->lock);
 	server->running--;
@@ -1260,6 +1341,8 @@
 	server->born = 1764900000000ull + count;
 	if (server->load_ms == 0)
 		server->load_ms = 900;
+	if (server->queue == 0)
+		server->queue = QUEUE_DEFAULT;
 }
 
 void
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -127,6 +127,7 @@
 	int advertised_port; /* in its row; 0: its own */
 	bool is_model;
 	unsigned slots;
+	unsigned queue;	   /* requests that may wait for a slot */
 	const char *model; /* name of its model; NULL for a plain server */
 	const char
 	    *other_model; /* a second one, at the same version; or NULL */
@@ -136,8 +137,11 @@
 	uint64_t fence;
 	bool busy;
 	unsigned running;
-	unsigned begun; /* runs so far */
-	bool gone;	/* closes everything and takes no connections */
+	unsigned begun;		/* runs so far */
+	struct waiter *waiters; /* for a slot */
+	unsigned waiting;
+	uint64_t arrivals;
+	bool gone; /* closes everything and takes no connections */
 	/* For hooks: the connection whose last answer may come again. */
 	struct conn *marked_conn;
 	char marked_id[96];
@@ -150,6 +154,8 @@
 	 * when it has answered, -1 to close the connection.
 	 */
 	int (*hook)(struct run *run);
+	/* Called when a request leaves the queue; may be NULL. */
+	void (*queue_hook)(const struct run *run);
 	/* Called before each event of a stream; may be NULL. */
 	void (*event_hook)(const struct run *run);
 };
