--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,9 +1,9 @@
 /*
  * Half of one node's channels are reset, once. Its model servers are suspected
  * for a second; then one item at a time tries each of them again. At that
- * moment the servers are full with another trainer's work, and the tries wait in
- * their queues. When the servers are idle later, the node must go on with its
- * batch: no item may stay at no server until its step has run out of time.
+ * moment the servers are full with another trainer's work, and the tries wait
+ * in their queues. When the servers are idle later, the node must go on with
+ * its batch: no item may stay at no server until its step has run out of time.
  */
 #include <stdio.h>
 #include <stdlib.h>
