--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,6 +1,6 @@
 /*
  * Half of one node's channels are reset, once. Its model servers are suspected
- * for a second; then one item at a time tries each of them again. At that
+ * for some seconds; then one item at a time tries each of them again. At that
  * moment the servers are full with another trainer's work, and the tries wait
  * in their queues. When the servers are idle later, the node must go on with
  * its batch: no item may stay at no server until its step has run out of time.
@@ -15,10 +15,10 @@
 #define OTHER_BATCH "7c41e09b52d6a302" /* at node-2, of another trainer */
 #define NODES 10
 #define SERVERS 4
-#define SLOTS 4
-#define LONG_ITEMS 16 /* 6 s each; as many as slots */
-#define ITEMS 20
-#define OTHER_ITEMS 8 /* 5 s each */
+#define SLOTS 8
+#define LONG_ITEMS 32 /* 6.5 s each; as many as slots */
+#define ITEMS 36
+#define OTHER_ITEMS 16 /* 5.5 s each; as many as slots get free */
 #define RUN_DEADLINE_MS 12000
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -120,11 +120,11 @@
 
 	submitted_ms = now_ms();
 	batch_submit(nodes[0].ip, BATCH_PATH, BATCH, MODEL, 1, 1, ITEMS / 4,
-	    make_items("e5b2907c14da", ITEMS, MODEL, 200));
+	    make_items("e5b2907c14da", ITEMS, MODEL, 217));
 	sleep_ms(300);
 	batch_submit(nodes[1].ip, BATCH_PATH, OTHER_BATCH, OTHER_MODEL, 1, 1,
 	    OTHER_ITEMS / 4,
-	    make_items("f6c3018d25eb", OTHER_ITEMS, OTHER_MODEL, 165));
+	    make_items("f6c3018d25eb", OTHER_ITEMS, OTHER_MODEL, 183));
 	sleep_ms(700);
 	if (trouble) {
 		record(
