--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -22,15 +22,18 @@
 #include <time.h>
 #include <unistd.h>
 
-#define STORE_PORT 8142
-#define SERVER_PORT 8080
 #define QUEUE_DEFAULT 4 /* "queues a few more" */
 #define NODES_MAX 16
 #define CHILDREN_MAX 16
 
 bool trouble = true;
 char net_prefix[32];
+int front_port;
+int ready_port;
 
+static int store_port;
+static int server_port;
+static int inner_port;
 static FILE *record_file;
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 static char temporary_folder[64];
@@ -82,6 +85,26 @@
 	pthread_mutex_unlock(&record_lock);
 }
 
+/* A port that is free now on this run's addresses. */
+static int
+port_pick(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t bytes = sizeof(address);
+	char ip[48];
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	snprintf(ip, sizeof(ip), "%s.1", net_prefix);
+	inet_pton(AF_INET, ip, &address.sin_addr);
+	if (bind(fd, (struct sockaddr *)&address, bytes) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &bytes) != 0) {
+		perror("no free port");
+		exit(2);
+	}
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
 void
 stand_begin(const char *case_folder)
 {
@@ -100,6 +123,14 @@
 	start_ms = steady_ms();
 	snprintf(net_prefix, sizeof(net_prefix), "127.%u.%u",
 	    100 + pid / 200 % 100, 20 + pid % 200);
+	do {
+		front_port = port_pick();
+		ready_port = port_pick();
+		inner_port = port_pick();
+	} while (front_port == ready_port || front_port == inner_port ||
+	    ready_port == inner_port);
+	store_port = port_pick();
+	server_port = port_pick();
 	strcpy(temporary_folder, "/tmp/review-XXXXXX");
 	if (mkdtemp(temporary_folder) == NULL) {
 		perror("mkdtemp");
@@ -952,7 +983,7 @@
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&store_changed, &attr);
 	snprintf(ip, sizeof(ip), "%s.7", net_prefix);
-	http_listen(ip, STORE_PORT, store_handle, NULL);
+	http_listen(ip, store_port, store_handle, NULL);
 }
 
 /* ---- Servers
@@ -1336,7 +1367,7 @@
 	count++;
 	snprintf(
 	    server->ip, sizeof(server->ip), "%s.%u", net_prefix, 100 + count);
-	server->port = SERVER_PORT;
+	server->port = server_port;
 	pthread_mutex_init(&server->lock, NULL);
 	server->born = 1764900000000ull + count;
 	if (server->load_ms == 0)
@@ -1394,7 +1425,7 @@
 	    "node-name=%s\nrole=node\nmachine-class=frontend\n"
 	    "serves=frontend\nip=%s\nzone=zone-a\nregion=region\n"
 	    "zones.zone-a=region\nlisten.front=%s:%d\nlisten.ready=%s:%d\n"
-	    "port-range=7380,7395\nbootstrap=true\nin-fault-budget=false\n"
+	    "port-range=%d,%d\nbootstrap=true\nin-fault-budget=false\n"
 	    "limits.cpu-share=0.5\nlimits.cores=1\nlimits.memory-mb=280\n"
 	    "limits.max-fds=8200\nlimits.link-mbps=1000.0\n"
 	    "limits.disk-mb=0\ndiscovery=platform\nentry=vip\n"
@@ -1418,9 +1449,9 @@
 	    "platform.row-bytes=65536\nplatform.across=false\n"
 	    "platform.history-s=20\nplatform.blob-bytes=8388608\n"
 	    "platform.blob-ms=25.0\nplatform.blob-mb-s=80.0\n",
-	    node->name, node->ip, node->ip, FRONT_PORT, node->ip, READY_PORT,
-	    node->fencing ? "true" : "false", net_prefix,
-	    node->store_port != 0 ? node->store_port : STORE_PORT);
+	    node->name, node->ip, node->ip, front_port, node->ip, ready_port,
+	    inner_port, inner_port, node->fencing ? "true" : "false",
+	    net_prefix, node->store_port != 0 ? node->store_port : store_port);
 	fclose(file);
 	node->exited = false;
 	node->pid = fork();
@@ -1480,7 +1511,7 @@
 	while (!ready) {
 		if (now_ms() > deadline || node_has_exited(node))
 			stand_fail("node %s is not ready", node->name);
-		conn.fd = client_connect(node->ip, READY_PORT, false);
+		conn.fd = client_connect(node->ip, ready_port, false);
 		if (conn.fd >= 0 &&
 		    conn_printf(
 			&conn, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n") &&
@@ -1531,7 +1562,7 @@
 	struct answer answer = {0};
 	struct timeval limit = {.tv_sec = timeout_ms / 1000,
 	    .tv_usec = (suseconds_t)(timeout_ms % 1000) * 1000};
-	struct conn conn = {.fd = client_connect(ip, FRONT_PORT, false)};
+	struct conn conn = {.fd = client_connect(ip, front_port, false)};
 	size_t bytes = body != NULL ? strlen(body) : 0;
 
 	if (conn.fd < 0) {
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -193,8 +193,9 @@
 	int exit_status;
 };
 
-#define FRONT_PORT 8149
-#define READY_PORT 8141
+/* Free ports, the same on all machines of a run; chosen by stand_begin(). */
+extern int front_port;
+extern int ready_port;
 
 /* Starts target/kwb-node --metrics 9464 on 127.A.B.(10 + index). */
 void node_start(struct node *node, unsigned index);
