--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -888,7 +888,7 @@
 	uint64_t reported_ns;	      /* when it was reported; 0 for never */
 	uint32_t failures;	      /* in a row */
 	uint64_t suspect_until_ns;    /* avoided until then, after failures */
-	bool probing;		   /* a request tries it while it is suspect */
+	const void *prober;	   /* request that probes it; NULL for none */
 	uint64_t pace_ns;	   /* smoothed; 0 when not measured */
 	uint64_t pace_updated_ns;  /* when it was last measured */
 	uint64_t baseline_pace_ns; /* pace without slow phases; 0 likewise */
@@ -916,9 +916,15 @@
     const char *id); /* takes it off the list; freed when not referred to */
 struct kwb_upstream *kwb_registry_find(const struct kwb_registry *registry,
     const char *id); /* a listed one, NULL for none */
-void kwb_upstream_ref(struct kwb_upstream *upstream); /* adds a reference */
-void kwb_upstream_unref(struct kwb_registry *registry,
-    struct kwb_upstream *upstream); /* ends a reference */
+/*
+ * Counts a request that starts there, and refers to the upstream. While the
+ * upstream is suspect, the request is its probe: no other one starts there
+ * until this one has succeeded, failed or ended. request identifies it.
+ */
+void kwb_upstream_begin(struct kwb_upstream *upstream, const void *request);
+/* The request has ended, for whatever reason. */
+void kwb_upstream_end(struct kwb_registry *registry,
+    struct kwb_upstream *upstream, const void *request);
 uint64_t kwb_upstream_version(const struct kwb_upstream *upstream,
     const char *model); /* of its weights, 0 when it lacks the model */
 void kwb_upstream_set_version(struct kwb_upstream *upstream, const char *model,
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -36,9 +36,8 @@
 	if (run->upstream != NULL) {
 		kwb_exchange_finish(&run->exchange);
 		kwb_sse_parser_finish(&run->events);
-		run->upstream->in_flight--;
-		kwb_upstream_unref(
-		    run_env(run)->forward->registry, run->upstream);
+		kwb_upstream_end(
+		    run_env(run)->forward->registry, run->upstream, run);
 		run->upstream = NULL;
 	}
 	if (run->score_active)
@@ -324,9 +323,7 @@
 	run->last_event_ns = 0;
 	run->started_ns = kwb_clock_now_ns();
 	kwb_sse_parser_init(&run->events, env->codec->version_field);
-	kwb_upstream_ref(upstream);
-	upstream->in_flight++;
-	upstream->probing = upstream->failures >= KWB_SUSPECT_FAILURES;
+	kwb_upstream_begin(upstream, run);
 	kwb_text_copy(batch->groups[run->group].upstream_id, KWB_NAME_MAX_BYTES,
 	    upstream->status.id);
 	env->codec->write_request(&request, out);
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -33,8 +33,7 @@
 	if (attempt->upstream == NULL)
 		return;
 	kwb_exchange_finish(&attempt->exchange);
-	attempt->upstream->in_flight--;
-	kwb_upstream_unref(registry, attempt->upstream);
+	kwb_upstream_end(registry, attempt->upstream, attempt);
 	attempt->upstream = NULL;
 }
 
@@ -301,9 +300,7 @@
 	    strcmp(forward->request.method, "HEAD") == 0;
 	attempt->started_ns = kwb_clock_now_ns();
 	attempt->upstream = upstream;
-	kwb_upstream_ref(upstream);
-	upstream->in_flight++;
-	upstream->probing = upstream->failures >= KWB_SUSPECT_FAILURES;
+	kwb_upstream_begin(upstream, attempt);
 	forward->request.expect_upstream_id = upstream->status.id;
 	forward->env->codec->write_request(&forward->request, out);
 	forward->sent_count++;
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -113,7 +113,7 @@
 	if (health == HEALTH_ANY || upstream->failures < KWB_SUSPECT_FAILURES)
 		return true;
 	return health == HEALTH_PROBE && upstream->suspect_until_ns <= now_ns &&
-	    !upstream->probing;
+	    upstream->prober == NULL;
 }
 
 static bool
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -61,6 +61,7 @@
 	upstream->reported_ns = 0;
 	upstream->failures = 0;
 	upstream->suspect_until_ns = 0;
+	upstream->prober = NULL;
 	upstream->backoff_until_ns = 0;
 	upstream->pace_ns = 0;
 	upstream->baseline_pace_ns = 0;
@@ -120,16 +121,35 @@
 	free_if_unreferenced(registry, upstream);
 }
 
+static void
+upstream_log(const struct kwb_upstream *upstream, const char *event)
+{
+	kwb_log(KWB_LOG_INFO, "upstream",
+	    "event=%s upstream=%s failures=%u in_flight=%u probed=%u", event,
+	    upstream->status.id, upstream->failures, upstream->in_flight,
+	    upstream->prober != NULL);
+}
+
 void
-kwb_upstream_ref(struct kwb_upstream *upstream)
+kwb_upstream_begin(struct kwb_upstream *upstream, const void *request)
 {
 	upstream->ref_count++;
+	upstream->in_flight++;
+	if (upstream->failures < KWB_SUSPECT_FAILURES)
+		return;
+	upstream->prober = request;
+	upstream_log(upstream, "probe");
 }
 
 void
-kwb_upstream_unref(struct kwb_registry *registry, struct kwb_upstream *upstream)
+kwb_upstream_end(struct kwb_registry *registry, struct kwb_upstream *upstream,
+    const void *request)
 {
 	upstream->ref_count--;
+	upstream->in_flight--;
+	/* A probe that was withdrawn or refused must not keep others off. */
+	if (upstream->prober == request)
+		upstream->prober = NULL;
 	free_if_unreferenced(registry, upstream);
 }
 
@@ -180,9 +200,11 @@
 void
 kwb_upstream_record_success(struct kwb_upstream *upstream)
 {
+	if (upstream->failures >= KWB_SUSPECT_FAILURES)
+		upstream_log(upstream, "sound");
 	upstream->failures = 0;
 	upstream->suspect_until_ns = 0;
-	upstream->probing = false;
+	upstream->prober = NULL;
 }
 
 void
@@ -191,13 +213,15 @@
 	uint64_t wait_ns = KWB_SUSPECT_NS;
 	uint32_t i;
 
-	upstream->probing = false;
+	upstream->prober = NULL;
 	upstream->failures++;
 	for (i = KWB_SUSPECT_FAILURES; i < upstream->failures; i++)
 		if (wait_ns < KWB_SUSPECT_MAX_NS)
 			wait_ns *= 2;
-	if (upstream->failures >= KWB_SUSPECT_FAILURES)
+	if (upstream->failures >= KWB_SUSPECT_FAILURES) {
 		upstream->suspect_until_ns = now_ns + wait_ns;
+		upstream_log(upstream, "suspect");
+	}
 }
 
 void
