--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -163,9 +163,10 @@
 #define KWB_CHECKPOINT_MIN_EVENTS 20	    /* a second of work */
 #define KWB_CHECKPOINT_EVENTS 8	  /* new events that make a text due again */
 #define KWB_SCORE_SPARE_DIVISOR 3 /* leaves a third of slots to callers */
-#define KWB_SCORE_WAIT_NS (1000 * KWB_MS_NS)   /* longest wait for room */
-#define KWB_SCORE_URGENT_NS (1500 * KWB_MS_NS) /* before its batch is due */
-#define KWB_SCORE_TIMEOUT_MS 1500	       /* when no route names one */
+#define KWB_SCORE_WAIT_NS (1000 * KWB_MS_NS)	/* longest wait for room */
+#define KWB_SCORE_URGENT_NS (1500 * KWB_MS_NS)	/* before its batch is due */
+#define KWB_SCORE_TIMEOUT_MS 1500		/* when no route names one */
+#define KWB_CONFIG_REFRESH_NS (500 * KWB_MS_NS) /* while known to be old */
 #define KWB_DISPATCH_NS (20 * KWB_MS_NS)     /* between checks for free slots */
 #define KWB_BATCH_RETRY_NS (100 * KWB_MS_NS) /* after a failed store call */
 #define KWB_TX_MAX_BYTES (400u << 10)	   /* of values; 1 MB encoded as text */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -571,6 +571,12 @@
 bool kwb_follower_is_current(
     const struct kwb_follower *follower, uint64_t age_ns);
 
+/*
+ * Asks again if the call in progress has waited for min_wait_ns, for an owner
+ * that knows of changes it was not told of: a connection may have gone silent.
+ */
+void kwb_follower_refresh(struct kwb_follower *follower, uint64_t min_wait_ns);
+
 /*
  * A lease for a job that one node at a time does. Each time it changes hands
  * its fencing token grows, so that receivers can refuse late orders of an
@@ -1276,17 +1282,18 @@
 	char host[KWB_KEY_MAX_BYTES];	/* of the submission */
 	char target[KWB_URL_MAX_BYTES]; /* path of the submission */
 	char model[KWB_NAME_MAX_BYTES];
-	uint64_t min_version;	/* oldest weights allowed */
-	uint64_t accepted_ms;	/* the store's clock */
-	uint64_t step;		/* training step */
-	uint32_t target_groups; /* groups the trainer waits for; 0 for all */
-	uint64_t tokens;	/* sum over its items */
-	uint32_t total;		/* items */
-	bool ended;		/* the trainer wants no more of it */
-	bool listed;		/* all items have a result */
-	bool fresh;		/* nobody has run it yet */
-	uint64_t revision;	/* of the row */
-	uint64_t claim_ns;	/* this node may claim it then; 0 undecided */
+	uint64_t min_version;	 /* oldest weights allowed */
+	uint64_t config_version; /* under which it was accepted; 0 unknown */
+	uint64_t accepted_ms;	 /* the store's clock */
+	uint64_t step;		 /* training step */
+	uint32_t target_groups;	 /* groups the trainer waits for; 0 for all */
+	uint64_t tokens;	 /* sum over its items */
+	uint32_t total;		 /* items */
+	bool ended;		 /* the trainer wants no more of it */
+	bool listed;		 /* all items have a result */
+	bool fresh;		 /* nobody has run it yet */
+	uint64_t revision;	 /* of the row */
+	uint64_t claim_ns;	 /* this node may claim it then; 0 undecided */
 };
 
 int kwb_batch_record_parse(struct kwb_batch_record *record,
@@ -1363,6 +1370,7 @@
 	struct kwb_store *store;
 	const struct kwb_forward_env *forward;
 	const struct kwb_node_config *const *config; /* newest, may be NULL */
+	struct kwb_follower *config_follower;	     /* that reads it */
 	const struct kwb_node_settings *settings;
 	uint64_t incarnation; /* of this process */
 };
@@ -1418,6 +1426,7 @@
 	struct kwb_batch_record **records;
 	uint32_t records_count;
 	uint32_t records_capacity;
+	uint64_t config_version; /* newest that a record names */
 	struct kwb_batch_list running;
 	struct kwb_batch_read_list reads; /* waiting for results */
 	struct event *dispatch_timer;	  /* starts items */
@@ -1458,6 +1467,8 @@
     struct kwb_batches *batches); /* releases all to other nodes, for good */
 bool kwb_batches_is_idle(
     const struct kwb_batches *batches); /* no batch is left in memory */
+bool kwb_batches_is_config_behind(
+    const struct kwb_batches *batches); /* another node has a newer one */
 struct kwb_batch_record *kwb_batches_find_record(
     const struct kwb_batches *batches, const char *id); /* or NULL */
 const struct kwb_batch_record *kwb_batches_newest_record(
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -170,6 +170,7 @@
 	record->fresh = true;
 	kwb_text_copy(record->model, sizeof(record->model), accept->spec.model);
 	record->min_version = accept->spec.min_version;
+	record->config_version = (*accept->batches->env->config)->version;
 	record->step = accept->spec.step;
 	record->target_groups = accept->spec.target_groups;
 	record->total = accept->spec.items_count;
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -89,6 +89,7 @@
 	bool listing;		/* a transaction that lists is in progress */
 	bool in_doubt;		/* listed items have to be read before more */
 	bool handing_over;	/* nothing runs any more */
+	bool config_behind;	/* it waited for the config of its acceptor */
 	bool closing;		/* is complete or released, and will be freed */
 	uint32_t listed;	/* items with a result: the next position */
 	uint32_t hand_over_next; /* next run whose text is written */
--- a/src/batch/head.c
+++ b/src/batch/head.c
@@ -63,6 +63,7 @@
 	copy_string(record->model, sizeof(record->model), value, "model");
 	record->owner_incarnation = get_number(value, "incarnation");
 	record->min_version = get_number(value, "min_version");
+	record->config_version = get_number(value, "config");
 	record->accepted_ms = get_number(value, "accepted_ms");
 	record->step = get_number(value, "step");
 	record->target_groups = (uint32_t)get_number(value, "target_groups");
@@ -80,11 +81,12 @@
     const struct kwb_batch_record *record, struct kwb_buf *out)
 {
 	json_t *value = json_pack(
-	    "{s:s, s:I, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:b}",
+	    "{s:s, s:I, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:b}",
 	    "owner", record->owner, "incarnation",
 	    (json_int_t)record->owner_incarnation, "host", record->host, "path",
 	    record->target, "model", record->model, "min_version",
-	    (json_int_t)record->min_version, "accepted_ms",
+	    (json_int_t)record->min_version, "config",
+	    (json_int_t)record->config_version, "accepted_ms",
 	    (json_int_t)record->accepted_ms, "tokens",
 	    (json_int_t)record->tokens, "step", (json_int_t)record->step,
 	    "target_groups", (json_int_t)record->target_groups, "total",
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -63,6 +63,8 @@
 		batches->records[batches->records_count++] = existing;
 	}
 	*existing = *record;
+	if (record->config_version > batches->config_version)
+		batches->config_version = record->config_version;
 	batches->changed_ns = kwb_clock_now_ns();
 	owner_check_soon(batches);
 }
@@ -199,6 +201,14 @@
 		batch_hand_over(batch);
 }
 
+bool
+kwb_batches_is_config_behind(const struct kwb_batches *batches)
+{
+	const struct kwb_node_config *config = *batches->env->config;
+
+	return config == NULL || config->version < batches->config_version;
+}
+
 bool
 kwb_batches_is_idle(const struct kwb_batches *batches)
 {
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -174,6 +174,28 @@
 	return true;
 }
 
+/*
+ * Whether this node's config is older than the one that the batch was accepted
+ * under: it may lack the batch's route, which then has not been removed.
+ */
+static bool
+is_config_behind(struct kwb_batch *batch)
+{
+	const struct kwb_batch_env *env = batch->batches->env;
+	uint64_t version = (*env->config)->version;
+
+	if (version >= batch->record.config_version)
+		return false;
+	if (!batch->config_behind)
+		kwb_log(KWB_LOG_WARN, "batch",
+		    "event=config_behind batch=%s config=%llu accepted=%llu",
+		    batch->record.id, (unsigned long long)version,
+		    (unsigned long long)batch->record.config_version);
+	batch->config_behind = true;
+	kwb_follower_refresh(env->config_follower, KWB_CONFIG_REFRESH_NS);
+	return true;
+}
+
 bool
 batch_dispatch(struct kwb_batch *batch)
 {
@@ -186,6 +208,8 @@
 	if (!batch->loaded || batch->closing || batch->handing_over ||
 	    *batch->batches->env->config == NULL)
 		return false;
+	if (is_config_behind(batch))
+		return true;
 	waiting = calloc(batch->spec.items_count, sizeof(struct item_run *));
 	if (waiting == NULL)
 		return true;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -280,6 +280,7 @@
 	    .store = store,
 	    .forward = &node->forward,
 	    .config = (const struct kwb_node_config *const *)&node->config,
+	    .config_follower = &node->operator_follower,
 	    .settings = settings,
 	    .incarnation = node->incarnation};
 	node->timer = kwb_timer_new(base, node_on_timer, node);
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -261,6 +261,11 @@
 	}
 	route = kwb_node_config_find_route(caller->node->config,
 	    caller->call.host, kwb_message_target(message));
+	if (route == NULL &&
+	    kwb_batches_is_config_behind(&caller->node->batches)) {
+		answer_error(caller, 503, "config_behind");
+		return;
+	}
 	if (route == NULL) {
 		answer_error(caller, 404, "no_route");
 		return;
--- a/src/store/follow.c
+++ b/src/store/follow.c
@@ -262,6 +262,21 @@
 	free(follower->next_key);
 }
 
+void
+kwb_follower_refresh(struct kwb_follower *follower, uint64_t min_wait_ns)
+{
+	uint64_t waited_ns = kwb_clock_now_ns() - follower->started_ns;
+
+	if (follower->call.pending == NULL || waited_ns < min_wait_ns)
+		return;
+	kwb_log(KWB_LOG_INFO, "follow",
+	    "event=refreshed table=%s revision=%llu waited_ms=%llu",
+	    follower->table, (unsigned long long)follower->revision,
+	    (unsigned long long)(waited_ns / KWB_MS_NS));
+	kwb_store_cancel(follower->store, &follower->call);
+	follower_fetch(follower);
+}
+
 bool
 kwb_follower_is_current(const struct kwb_follower *follower, uint64_t age_ns)
 {
--- a/tests/platform/proxy.c
+++ b/tests/platform/proxy.c
@@ -2,6 +2,7 @@
  * Loopback TCP proxy that simulates network faults.
  */
 #include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <stdlib.h>
@@ -11,6 +12,7 @@
 #include "proxy.h"
 
 #define DELAY_MS 150
+#define REQUEST_BYTES 128
 
 struct proxy_pair {
 	struct proxy *proxy;
@@ -18,6 +20,7 @@
 	struct bufferevent *target_side; /* connection to the target */
 	struct event *timer;		 /* forwards delayed bytes */
 	bool is_frozen;			 /* forwards nothing any more */
+	char request[REQUEST_BYTES];	 /* begin of the newest one */
 	TAILQ_ENTRY(proxy_pair) entry;
 };
 
@@ -49,6 +52,10 @@
 
 	if (pair->is_frozen || mode == PROXY_BLACKHOLE)
 		return;
+	if (evbuffer_get_length(bufferevent_get_input(pair->client_side)) > 0)
+		memset(pair->request, 0, sizeof(pair->request));
+	evbuffer_copyout(bufferevent_get_input(pair->client_side),
+	    pair->request, sizeof(pair->request) - 1);
 	forward_bytes(pair->client_side, pair->target_side);
 	if (mode != PROXY_DROP_REPLIES)
 		forward_bytes(pair->target_side, pair->client_side);
@@ -167,6 +174,20 @@
 	}
 }
 
+unsigned
+proxy_freeze_matching(struct proxy *proxy, const char *text)
+{
+	struct proxy_pair *pair;
+	unsigned count = 0;
+
+	TAILQ_FOREACH (pair, &proxy->pairs, entry)
+		if (strstr(pair->request, text) != NULL) {
+			pair->is_frozen = true;
+			count++;
+		}
+	return count;
+}
+
 void
 proxy_close(struct proxy *proxy)
 {
--- a/tests/platform/proxy.h
+++ b/tests/platform/proxy.h
@@ -41,6 +41,11 @@
  * PROXY_FORWARD, except on frozen connections: these stay frozen.
  */
 void proxy_set_mode(struct proxy *proxy, enum proxy_mode mode);
+/*
+ * Freezes the open connections whose newest request contains the text in its
+ * first bytes; returns their number. All others go on.
+ */
+unsigned proxy_freeze_matching(struct proxy *proxy, const char *text);
 /* Resets all connections and stops listening. */
 void proxy_close(struct proxy *proxy);
 
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -40,6 +40,7 @@
  *   $ raw NODE TEXT               sends TEXT, with _ for a space and \n for a
  *       line end; prints as "call" does
  *   $ submit NODE BATCH [items=N] [size=N] [events=N] [min=V] [target=N]
+ *       [path=PATH]
  *   $ results NODE BATCH          all results, by item
  *   $ results-size NODE BATCH     their number and length only
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
@@ -58,6 +59,8 @@
  *   $ silent-part [PART]          it answers no calls about this part
  *   $ trim-history                feeds from before now get 410
  *   $ proxy NODE MODE             path from a node to it; see proxy_mode_names
+ *   $ freeze NODE TEXT            the path's connections whose newest request
+ *       contains TEXT go silent; how many they are
  *   $ rows TABLE, $ objects       how many there are
  *   $ wait-rows TABLE N           until there are N; how many there are
  *   $ detours                     how often a node took the path through a peer
@@ -87,6 +90,7 @@
 #define ROUTES_MAX 16
 #define CALL_TIMEOUT_MS 8000
 #define HOST "front.example"
+#define SUBMIT_PATH "/gen/x"
 
 static char log_path[] = "/tmp/kwb-tests-XXXXXX";
 
@@ -395,6 +399,7 @@
 {
 	unsigned items = option_number(script, "items", 4);
 	unsigned size = option_number(script, "size", 2);
+	const char *path = option(script, "path", SUBMIT_PATH);
 	json_t *requests = json_array();
 	struct kwb_buf body;
 	char text[64];
@@ -416,10 +421,10 @@
 		json_array_append_new(requests,
 		    json_pack("{s:s, s:s, s:{s:s}, s:s, s:i, s:s, s:{s:s, s:s, "
 			      "s:s, s:s}}",
-			"id", id, "path", "/gen/x", "headers", "Model", "m",
-			"body", body.data, "tokens", 100, "group", group,
-			"scorer", "id", score, "hostname", HOST, "path",
-			"/score/x", "body", "c2NvcmU="));
+			"id", id, "path", path, "headers", "Model", "m", "body",
+			body.data, "tokens", 100, "group", group, "scorer",
+			"id", score, "hostname", HOST, "path", "/score/x",
+			"body", "c2NvcmU="));
 		kwb_buf_finish(&body);
 	}
 	document =
@@ -442,8 +447,8 @@
 
 	snprintf(
 	    extra_headers, sizeof(extra_headers), "Attempt-Id: %s\r\n", batch);
-	call_node(script, &call, script->words[1], "POST", "/gen/x",
-	    extra_headers, body);
+	call_node(script, &call, script->words[1], "POST",
+	    option(script, "path", SUBMIT_PATH), extra_headers, body);
 	print_answer(script, &call);
 	kwb_exchange_finish(&call.exchange);
 	free(body);
@@ -1071,6 +1076,16 @@
 	    (enum proxy_mode)name_index(proxy_mode_names, script->words[2]));
 }
 
+/* Silences single connections between one node and the store. */
+static void
+run_freeze(struct script *script)
+{
+	kwb_buf_printf(&script->out, "%u\n",
+	    proxy_freeze_matching(
+		&testbed_node(&script->testbed, script->words[1])->store_proxy,
+		script->words[2]));
+}
+
 static void
 run_fault(struct script *script)
 {
@@ -1134,7 +1149,7 @@
 	    {"results-size", run_results_size}, {"running", run_totals},
 	    {"ctl", run_ctl}, {"trace", run_trace}, {"resumed", run_resumed},
 	    {"repeated-events", run_repeated_events}, {"explain", run_explain},
-	    {"proxy", run_proxy}, {"pace", run_pace},
+	    {"proxy", run_proxy}, {"freeze", run_freeze}, {"pace", run_pace},
 	    {"concurrent-calls", run_concurrent_calls},
 	    {"priority", run_priority}, {"detours", run_detours}};
 	struct testbed *testbed = &script->testbed;
