--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -31,6 +31,11 @@
 
 /* Sends small writes at once (TCP_NODELAY); logs a failure. */
 void kwb_socket_set_no_delay(int fd);
+/*
+ * Makes the close a TCP reset: the kernel sends none of the bytes that it still
+ * holds. Does nothing for an fd below 0; logs a failure.
+ */
+void kwb_socket_set_reset_on_close(int fd);
 /*
  * Starts to accept connections. Logs and returns KWB_ERR_SYSTEM if the address
  * can't be bound. The caller frees *listener with evconnlistener_free().
@@ -158,7 +163,7 @@
     void *context);
 /* Closes at once; no callback follows. */
 void kwb_conn_finish(struct kwb_conn *conn);
-/* Like kwb_conn_finish(), with a TCP reset. */
+/* Like kwb_conn_finish(), with a TCP reset that drops what is not sent yet. */
 void kwb_conn_reset(struct kwb_conn *conn);
 /* Drops the whole message and reads the next one. */
 void kwb_conn_read_next(struct kwb_conn *conn);
@@ -244,7 +249,11 @@
     const struct kwb_address *address, struct evbuffer *request);
 /* Whether the exchange is in progress on an established connection. */
 bool kwb_exchange_is_connected(const struct kwb_exchange *exchange);
-/* Cancels the exchange if it is in progress; frees the answer. */
+/*
+ * Cancels the exchange if it is in progress, with a TCP reset, so that bytes of
+ * the request that a cut path holds up are not delivered later. Frees the
+ * answer.
+ */
 void kwb_exchange_finish(struct kwb_exchange *exchange);
 /* The answer, as far as it has been read. */
 struct kwb_message *kwb_exchange_answer(struct kwb_exchange *exchange);
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -57,22 +57,42 @@
 	return (limit_ms - KWB_IDLE_MARGIN_MS) * KWB_MS_NS;
 }
 
-/*
- * Takes the connection from the exchange and keeps it idle for up to idle_ns;
- * 0: closes it. Frees the timer, too.
- */
-static void
-exchange_release_conn(struct kwb_exchange *exchange, uint64_t idle_ns)
+/* Takes the connection from the exchange, and frees the timer. */
+static struct kwb_pooled_conn *
+exchange_detach_conn(struct kwb_exchange *exchange)
 {
 	struct kwb_pooled_conn *pooled = exchange->pooled;
-	struct kwb_client *client = exchange->client;
 
 	exchange->pooled = NULL;
 	if (exchange->timer != NULL)
 		event_free(exchange->timer);
 	exchange->timer = NULL;
+	return pooled;
+}
+
+/*
+ * Gives the exchange up before its answer is whole. After an ordinary close the
+ * kernel would go on sending what the path still holds up, and the request
+ * would run at a time at which nobody wants it any more.
+ */
+static void
+exchange_abort(struct kwb_exchange *exchange)
+{
+	struct kwb_pooled_conn *pooled = exchange_detach_conn(exchange);
+
 	if (pooled == NULL)
 		return;
+	kwb_conn_reset(&pooled->conn);
+	free(pooled);
+}
+
+/* After a whole answer: keeps the connection for up to idle_ns; 0: closes. */
+static void
+exchange_release_conn(struct kwb_exchange *exchange, uint64_t idle_ns)
+{
+	struct kwb_pooled_conn *pooled = exchange_detach_conn(exchange);
+	struct kwb_client *client = exchange->client;
+
 	if (idle_ns == 0 || client->idle_count >= KWB_IDLE_CONNS_MAX ||
 	    evbuffer_get_length(bufferevent_get_input(pooled->conn.bev)) > 0) {
 		kwb_conn_finish(&pooled->conn);
@@ -89,8 +109,7 @@
 static void
 exchange_end(struct kwb_exchange *exchange, int error)
 {
-	if (error != 0)
-		exchange_release_conn(exchange, 0);
+	exchange_abort(exchange);
 	exchange->ops->on_done(exchange, error);
 }
 
@@ -292,8 +311,7 @@
 void
 kwb_exchange_finish(struct kwb_exchange *exchange)
 {
-	if (exchange->pooled != NULL)
-		exchange_release_conn(exchange, 0);
+	exchange_abort(exchange);
 	kwb_message_finish(&exchange->answer);
 }
 
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -7,8 +7,6 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "kwb_node.h"
 
@@ -385,13 +383,8 @@
 void
 kwb_conn_reset(struct kwb_conn *conn)
 {
-	struct linger reset_on_close = {.l_onoff = 1, .l_linger = 0};
-	int fd = conn->bev ? bufferevent_getfd(conn->bev) : -1;
-
-	if (fd >= 0 &&
-	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
-		sizeof(reset_on_close)) != 0)
-		kwb_log(KWB_LOG_WARN, "conn", "event=linger_failed fd=%d", fd);
+	if (conn->bev != NULL)
+		kwb_socket_set_reset_on_close(bufferevent_getfd(conn->bev));
 	kwb_conn_finish(conn);
 }
 
--- a/src/net/socket.c
+++ b/src/net/socket.c
@@ -32,6 +32,18 @@
 		    KWB_LOG_WARN, "socket", "event=no_delay_failed fd=%d", fd);
 }
 
+void
+kwb_socket_set_reset_on_close(int fd)
+{
+	struct linger reset_on_close = {.l_onoff = 1, .l_linger = 0};
+
+	if (fd >= 0 &&
+	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
+		sizeof(reset_on_close)) != 0)
+		kwb_log(
+		    KWB_LOG_WARN, "socket", "event=linger_failed fd=%d", fd);
+}
+
 int
 kwb_socket_listen(struct event_base *base, const struct kwb_address *address,
     void (*on_accept)(struct evconnlistener *listener, int fd,
--- a/src/peer/relay.c
+++ b/src/peer/relay.c
@@ -42,6 +42,15 @@
 	free(pair);
 }
 
+/* After an error or a timeout: the call that was relayed has been given up. */
+static void
+pair_reset(struct kwb_relay_pair *pair)
+{
+	kwb_socket_set_reset_on_close(bufferevent_getfd(pair->peer));
+	kwb_socket_set_reset_on_close(bufferevent_getfd(pair->store));
+	pair_free(pair);
+}
+
 static void
 side_on_readable(struct bufferevent *side, void *context)
 {
@@ -78,7 +87,11 @@
 
 	if (what & BEV_EVENT_CONNECTED)
 		return;
-	if ((what & BEV_EVENT_EOF) && !pair->is_closing &&
+	if (!(what & BEV_EVENT_EOF)) {
+		pair_reset(pair);
+		return;
+	}
+	if (!pair->is_closing &&
 	    evbuffer_get_length(bufferevent_get_output(to)) > 0) {
 		pair->is_closing = true;
 		bufferevent_disable(side, EV_READ | EV_WRITE);
--- a/tests/platform/proxy.c
+++ b/tests/platform/proxy.c
@@ -89,6 +89,11 @@
 
 	if (what & BEV_EVENT_CONNECTED)
 		return;
+	/* A reset takes back what the path holds up. */
+	if (pair->proxy->mode == PROXY_BLACKHOLE && (what & BEV_EVENT_ERROR)) {
+		pair_free(pair, true);
+		return;
+	}
 	if (pair->is_frozen || pair->proxy->mode == PROXY_BLACKHOLE)
 		return;
 	/* Forward what has arrived before closing. */
--- a/tests/platform/proxy.h
+++ b/tests/platform/proxy.h
@@ -16,7 +16,8 @@
 	PROXY_RESET,	    /* resets open connections and each new one */
 	PROXY_DROP_REPLIES, /* forwards nothing from the target */
 	PROXY_FREEZE_OPEN,  /* freezes open connections; new ones work */
-	PROXY_BLACKHOLE,    /* accepts, but forwards nothing */
+	/* Accepts, but forwards nothing; drops what its sender has reset. */
+	PROXY_BLACKHOLE,
 	PROXY_MODE_COUNT
 };
 
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -12,7 +12,9 @@
  *
  * Servers, routes and nodes:
  *   $ server NAME service=S [engine=1] [slots=N] [pace=MS] [version=V]
- *       [load=MS]
+ *       [load=MS] [path=1]
+ *   $ path SERVER MODE            path from all nodes to a server with path=1;
+ *       see proxy_mode_names
  *   $ pace SERVER MS              time between two events of its streams
  *   $ fault SERVER FAULT [N]      see server_fault_names; for N requests only
  *   $ heartbeat SERVER, $ drain SERVER, $ remove SERVER    its row
@@ -576,6 +578,7 @@
 	server->pace_ms = option_number(script, "pace", 10);
 	server->load_duration_ms = option_number(script, "load", 900);
 	server->version = option_number(script, "version", 1);
+	server->has_path = option_number(script, "path", 0) != 0;
 	testbed_server_open(server, &script->testbed);
 }
 
@@ -1076,6 +1079,15 @@
 	    (enum proxy_mode)name_index(proxy_mode_names, script->words[2]));
 }
 
+/* Sets the mode of the proxy between all nodes and one server. */
+static void
+run_path(struct script *script)
+{
+	proxy_set_mode(
+	    &testbed_server(&script->testbed, script->words[1])->path,
+	    (enum proxy_mode)name_index(proxy_mode_names, script->words[2]));
+}
+
 /* Silences single connections between one node and the store. */
 static void
 run_freeze(struct script *script)
@@ -1149,8 +1161,8 @@
 	    {"results-size", run_results_size}, {"running", run_totals},
 	    {"ctl", run_ctl}, {"trace", run_trace}, {"resumed", run_resumed},
 	    {"repeated-events", run_repeated_events}, {"explain", run_explain},
-	    {"proxy", run_proxy}, {"freeze", run_freeze}, {"pace", run_pace},
-	    {"concurrent-calls", run_concurrent_calls},
+	    {"proxy", run_proxy}, {"freeze", run_freeze}, {"path", run_path},
+	    {"pace", run_pace}, {"concurrent-calls", run_concurrent_calls},
 	    {"priority", run_priority}, {"detours", run_detours}};
 	struct testbed *testbed = &script->testbed;
 	size_t i;
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -460,5 +460,11 @@
 	if (http_listener_open(&server->port, testbed->base, server_on_request,
 		server_on_close, server) != 0)
 		abort();
+	if (server->has_path) {
+		if (proxy_open(&server->path, testbed->base,
+			&server->port.address) != 0)
+			abort();
+		server->advertised = server->path.address;
+	}
 	testbed_server_publish(server);
 }
--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -34,6 +34,9 @@
 	for (i = 0; i < testbed->nodes_count; i++)
 		if (testbed->nodes[i].has_store_proxy)
 			proxy_close(&testbed->nodes[i].store_proxy);
+	for (i = 0; i < testbed->servers_count; i++)
+		if (testbed->servers[i].has_path)
+			proxy_close(&testbed->servers[i].path);
 	for (i = 0; i < testbed->servers_count; i++)
 		http_listener_close(&testbed->servers[i].port);
 	testbed_store_close(&testbed->store);
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -189,9 +189,11 @@
 	char name[32];
 	char service[32];
 	struct kwb_address advertised; /* in its row; port 0: its own */
-	bool is_model_server;	       /* else a plain one */
-	bool ignores_fences;	       /* accepts orders with old tokens */
-	bool is_published;	       /* its row was written */
+	struct proxy path;	       /* in front of it, if has_path */
+	bool has_path;
+	bool is_model_server; /* else a plain one */
+	bool ignores_fences;  /* accepts orders with old tokens */
+	bool is_published;    /* its row was written */
 	bool is_draining;
 	unsigned slots;		   /* streams at a time that it reports */
 	unsigned streams_open;	   /* now */
