--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -38,6 +38,7 @@
 static int link_flush(struct kwb_loop *loop, struct kwb_link *link);
 static void link_watch_writable(
     struct kwb_loop *loop, struct kwb_link *link, bool writable);
+static void link_discard_unsent(struct kwb_link *link);
 static void link_drop(struct kwb_loop *loop, uint64_t link_id);
 static int socket_set_options(int fd);
 static uint64_t link_silence_max_ns(const struct kwb_link *link);
@@ -272,6 +273,8 @@
 		link_id = link->id;
 		tag = link->tag;
 		is_silent = link_id != 0 && now_ns >= link->silence_deadline_ns;
+		if (is_silent && link->silence_deadline_ns != 0)
+			link_discard_unsent(link);
 		is_heartbeat_due = link_id != 0 && !link->is_connecting &&
 		    now_ns >= link->next_heartbeat_ns;
 		if (is_heartbeat_due)
@@ -285,6 +288,21 @@
 	}
 }
 
+/*
+ * A cut path may hold frames up. Once the link is given up they must not be
+ * delivered any more, so its close becomes a reset.
+ */
+static void
+link_discard_unsent(struct kwb_link *link)
+{
+	struct linger reset_on_close = {.l_onoff = 1, .l_linger = 0};
+
+	if (setsockopt(link->fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
+		sizeof(reset_on_close)) != 0)
+		kwb_log(KWB_LOG_WARN, "link", "event=linger_failed fd=%d",
+		    link->fd);
+}
+
 /* Returns the link, locked, or NULL if it is closed. */
 static struct kwb_link *
 link_lock(struct kwb_loop *loop, uint64_t link_id)
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -5,6 +5,7 @@
  * counts its calls. Each case of a table sends one frame and checks the answer.
  */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -30,7 +31,8 @@
 
 /* A connection to an agent, and what the agent's hello said. */
 struct client {
-	int fd; /* -1 once the agent has closed it */
+	int fd;	       /* -1 once the agent has closed it */
+	bool is_reset; /* by a TCP reset */
 	struct kwb_buf in;
 	uint64_t incarnation;
 	uint64_t revision;     /* of the agent's lists */
@@ -399,6 +401,9 @@
 		client_wait_frame(
 		    &client, KWB__WIRE__FRAME__BODY_DONE, 1, cases[i].after_ms);
 		check((client.fd >= 0) == cases[i].is_open, cases[i].name, "");
+		/* Frames that a cut path holds up must not come later. */
+		check(client.is_reset != cases[i].is_open,
+		    "a silent link is reset", cases[i].name);
 		client_close(&client);
 	}
 }
@@ -591,6 +596,7 @@
 		got = recv(client->fd, chunk, sizeof(chunk), 0);
 		if (got > 0)
 			kwb_buf_add(&client->in, chunk, (size_t)got);
+		client->is_reset |= got < 0 && errno == ECONNRESET;
 		if (got == 0) {
 			close(client->fd);
 			client->fd = -1;
