--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -280,6 +280,8 @@
     struct kwb_sse_parser *parser, const char *version_field);
 /* Frees what is buffered. */
 void kwb_sse_parser_finish(struct kwb_sse_parser *parser);
+/* Whether a stream that ends here ends whole, not inside an event or a line. */
+bool kwb_sse_parser_is_between_events(const struct kwb_sse_parser *parser);
 /*
  * Length of the whole events at the front of bytes. *last_id becomes the id of
  * the last of them that has one; it stays if none has.
@@ -1222,6 +1224,8 @@
 	bool done;
 	bool streaming; /* not used */
 	bool head_sent; /* the caller has the head of a streamed answer */
+	struct kwb_sse_parser events; /* of the streamed answer */
+	bool is_event_stream;	      /* the parser reads it */
 	struct kwb_buf partial_event; /* bytes of an event that is not whole */
 	uint64_t last_event; /* id of the last event passed to the caller */
 	/* Outcome. */
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -246,6 +246,10 @@
 	struct item_run *run = exchange->context;
 	struct kwb_upstream_answer answer;
 
+	/* The end of an answer without a length may be a broken connection. */
+	if (error == 0 && exchange->is_streaming &&
+	    !kwb_sse_parser_is_between_events(&run->events))
+		error = KWB_ERR_NET_CLOSED;
 	if (error != 0) {
 		if (error != KWB_ERR_NET_STALE)
 			kwb_upstream_record_failure(
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -7,9 +7,12 @@
 #include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "kwb_node.h"
 
+#define EVENT_STREAM_TYPE "text/event-stream"
+
 static void forward_dispatch(struct kwb_forward *forward);
 static void forward_arm_timer(struct kwb_forward *forward);
 
@@ -145,6 +148,15 @@
 	    answer->status == 421 ? "other_incarnation" : "upstream_full");
 }
 
+/* Passes on what follows the last event: comments, as the stream is whole. */
+static void
+stream_flush(struct kwb_forward *forward)
+{
+	if (forward->partial_event.used_bytes > 0)
+		forward->on_data(forward, &forward->partial_event);
+	forward->partial_event.used_bytes = 0;
+}
+
 static void
 attempt_answered(struct kwb_forward_attempt *attempt)
 {
@@ -187,15 +199,31 @@
 		forward->answer = *message;
 		kwb_message_init(message);
 	}
+	stream_flush(forward);
 	forward_end(forward, KWB_FORWARD_ANSWERED, "answered");
 }
 
+/*
+ * Whether a stream ends inside an event. The end of an answer without a length
+ * may be a broken connection.
+ */
+static bool
+is_cut_in_event(const struct kwb_forward_attempt *attempt)
+{
+	const struct kwb_forward *forward = attempt->forward;
+
+	return attempt->exchange.is_streaming && forward->is_event_stream &&
+	    !kwb_sse_parser_is_between_events(&forward->events);
+}
+
 static void
 exchange_on_done(struct kwb_exchange *exchange, int error)
 {
 	struct kwb_forward_attempt *attempt = exchange->context;
 	struct kwb_forward *forward = attempt->forward;
 
+	if (error == 0 && is_cut_in_event(attempt))
+		error = KWB_ERR_NET_CLOSED;
 	if (error == 0) {
 		attempt_answered(attempt);
 		return;
@@ -213,6 +241,39 @@
 	    attempt, error == KWB_ERR_NET_CONNECT, kwb_error_name(error));
 }
 
+static void
+ignore_event(void *context, const struct kwb_sse_event *event)
+{
+	(void)context;
+	(void)event;
+}
+
+/* Starts to parse the stream of one upstream. */
+static void
+events_begin(struct kwb_forward *forward, const struct kwb_message *head)
+{
+	const char *type = kwb_message_header(head, "Content-Type");
+
+	kwb_sse_parser_finish(&forward->events);
+	kwb_sse_parser_init(
+	    &forward->events, forward->env->codec->version_field);
+	forward->is_event_stream = type == NULL ||
+	    strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE)) ==
+		0;
+}
+
+/* Follows where events begin and end; leaves the bytes where they are. */
+static void
+events_follow(struct kwb_forward *forward, const struct kwb_buf *bytes)
+{
+	struct kwb_buf view = *bytes;
+
+	if (forward->is_event_stream &&
+	    kwb_sse_parser_feed(&forward->events, &view, ignore_event, NULL) !=
+		0)
+		forward->is_event_stream = false; /* no event is so long */
+}
+
 static void
 exchange_on_head(struct kwb_exchange *exchange)
 {
@@ -229,6 +290,7 @@
 		return;
 	kwb_upstream_record_success(attempt->upstream);
 	exchange->is_streaming = true;
+	events_begin(forward, message);
 	if (forward->head_sent)
 		return; /* goes on under the head of the first upstream */
 	forward->head_sent = true;
@@ -248,6 +310,7 @@
 	struct kwb_buf events = {0};
 	size_t length;
 
+	events_follow(forward, body);
 	if (!forward->resumes) {
 		forward->on_data(forward, body);
 		return;
@@ -491,4 +554,5 @@
 	forward->timer = NULL;
 	kwb_message_finish(&forward->answer);
 	kwb_buf_finish(&forward->partial_event);
+	kwb_sse_parser_finish(&forward->events);
 }
--- a/src/net/events.c
+++ b/src/net/events.c
@@ -112,6 +112,12 @@
 	return 0;
 }
 
+bool
+kwb_sse_parser_is_between_events(const struct kwb_sse_parser *parser)
+{
+	return parser->line.used_bytes == 0 && !parser->has_field;
+}
+
 /* An event ends with an empty line. */
 size_t
 kwb_sse_whole_bytes(const struct kwb_buf *bytes, uint64_t *last_id)
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -118,8 +118,8 @@
 static const char *const server_fault_names[] = {"ok", "refuse", "500", "422",
     "reset", "silent", "wrong-id", "truncate", "extra-answer", "no-length",
     "not-http", "no-receipt", "skip-event", "misdirected", "stall",
-    "endless-head", "endless-body", "endless-chunk-size", "endless-line",
-    "comments-only", NULL};
+    "stream-no-length", "cut-no-length", "endless-head", "endless-body",
+    "endless-chunk-size", "endless-line", "comments-only", NULL};
 
 /* Returns the index of a name in a list; exits if it isn't there. */
 static int
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -19,8 +19,9 @@
 	struct recorded_run *run;
 	unsigned next_event; /* to send, from 1 */
 	unsigned event_count;
-	bool skips_event;  /* event 3 is left out */
-	bool is_truncated; /* ends in the middle of event 3 */
+	bool skips_event;   /* event 3 is left out */
+	bool is_truncated;  /* ends in the middle of event 3 */
+	bool has_no_length; /* ends with the connection */
 };
 
 static const char *
@@ -240,9 +241,13 @@
  */
 
 static void
-write_chunk(struct evbuffer *out, const char *text)
+stream_write(
+    const struct stream *stream, struct evbuffer *out, const char *text)
 {
-	evbuffer_add_printf(out, "%zx\r\n%s\r\n", strlen(text), text);
+	if (stream->has_no_length)
+		evbuffer_add_printf(out, "%s", text);
+	else
+		evbuffer_add_printf(out, "%zx\r\n%s\r\n", strlen(text), text);
 }
 
 static void
@@ -263,7 +268,13 @@
 	if (stream->skips_event && stream->next_event == 3)
 		stream->next_event++;
 	if (stream->is_truncated && stream->next_event == 3) {
-		write_chunk(out, "id: 3\nda"); /* in the middle of an event */
+		stream_write(
+		    stream, out, "id: 3\nda"); /* in the middle of an event */
+		kwb_conn_close_when_written(&session->conn);
+		return;
+	}
+	if (stream->next_event > stream->event_count && stream->has_no_length) {
+		session->listener->on_close(session);
 		kwb_conn_close_when_written(&session->conn);
 		return;
 	}
@@ -275,7 +286,7 @@
 	}
 	snprintf(text, sizeof(text), "id: %u\ndata: word%u\n\n",
 	    stream->next_event, stream->next_event);
-	write_chunk(out, text);
+	stream_write(stream, out, text);
 	stream->run->last_event = stream->next_event;
 	stream->next_event++;
 	kwb_timer_arm(session->timer,
@@ -294,7 +305,10 @@
 	stream->next_event = (unsigned)atoi(last_event_id) + 1;
 	stream->event_count = 4;
 	stream->skips_event = fault == SERVER_FAULT_SKIP_EVENT;
-	stream->is_truncated = fault == SERVER_FAULT_TRUNCATE;
+	stream->is_truncated = fault == SERVER_FAULT_TRUNCATE ||
+	    fault == SERVER_FAULT_CUT_NO_LENGTH;
+	stream->has_no_length = fault == SERVER_FAULT_STREAM_NO_LENGTH ||
+	    fault == SERVER_FAULT_CUT_NO_LENGTH;
 	sscanf(kwb_buf_text(&session->conn.message.body), "events=%u",
 	    &stream->event_count);
 	record_run(server, session, stream->next_event);
@@ -304,9 +318,9 @@
 	format_common_headers(headers, sizeof(headers), session, true);
 	evbuffer_add_printf(kwb_conn_output(&session->conn),
 	    "HTTP/1.1 200 OK\r\n%sWeight-Versions: %llu\r\n"
-	    "Content-Type: text/event-stream\r\n"
-	    "Transfer-Encoding: chunked\r\n\r\n",
-	    headers, (unsigned long long)server->version);
+	    "Content-Type: text/event-stream\r\n%s\r\n",
+	    headers, (unsigned long long)server->version,
+	    stream->has_no_length ? "" : "Transfer-Encoding: chunked\r\n");
 	session_start_timer(session, stream_on_timer,
 	    kwb_clock_now_ns() + server->pace_ms * KWB_MS_NS);
 }
@@ -414,6 +428,8 @@
 	if (server->is_model_server &&
 	    (fault == SERVER_FAULT_NONE || fault == SERVER_FAULT_SKIP_EVENT ||
 		fault == SERVER_FAULT_TRUNCATE ||
+		fault == SERVER_FAULT_STREAM_NO_LENGTH ||
+		fault == SERVER_FAULT_CUT_NO_LENGTH ||
 		fault == SERVER_FAULT_STALL)) {
 		stream_start(session, fault);
 		return;
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -158,8 +158,10 @@
 	SERVER_FAULT_SKIP_EVENT,   /* leaves the third event of a stream out */
 	SERVER_FAULT_MISDIRECTED,  /* 421: another server has the address */
 	SERVER_FAULT_STALL,	   /* streams send nothing while it lasts */
-	SERVER_FAULT_ENDLESS_HEAD, /* a header line that never ends */
-	SERVER_FAULT_ENDLESS_BODY, /* a body that never ends */
+	SERVER_FAULT_STREAM_NO_LENGTH, /* the stream ends with the connection */
+	SERVER_FAULT_CUT_NO_LENGTH,    /* likewise, in the third event */
+	SERVER_FAULT_ENDLESS_HEAD,     /* a header line that never ends */
+	SERVER_FAULT_ENDLESS_BODY,     /* a body that never ends */
 	SERVER_FAULT_ENDLESS_CHUNK_SIZE, /* a chunk size line that never ends */
 	SERVER_FAULT_ENDLESS_LINE,	 /* a stream's line that never ends */
 	SERVER_FAULT_COMMENTS_ONLY /* a stream of comments, one each 100 ms */
