--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -242,8 +242,10 @@
     struct kwb_client *client, const struct kwb_address *address);
 /*
  * Sends the bytes of request and empties it. After a return of 0, on_done is
- * called once, later, unless the exchange is finished before. Returns
- * KWB_ERR_MEMORY or KWB_ERR_NET_CONNECT on failure, without a callback.
+ * called once, on a later turn of the loop, unless the exchange is finished
+ * before: also when no connection can be opened, so that an owner that starts
+ * the next exchange then leaves the loop its turns. Returns KWB_ERR_MEMORY on
+ * failure, without a callback.
  */
 int kwb_exchange_start(struct kwb_exchange *exchange, struct kwb_client *client,
     const struct kwb_address *address, struct evbuffer *request);
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -13,7 +13,7 @@
 
 #define EVENT_STREAM_TYPE "text/event-stream"
 
-static void forward_dispatch(struct kwb_forward *forward);
+static void forward_retry(struct kwb_forward *forward);
 static void forward_arm_timer(struct kwb_forward *forward);
 
 static void
@@ -118,7 +118,7 @@
 	}
 	if (not_run || can_retry(forward)) {
 		kwb_metric_add(KWB_METRIC_RETRIES, 1);
-		forward_dispatch(forward);
+		forward_retry(forward);
 		return;
 	}
 	forward_end(forward, KWB_FORWARD_UNKNOWN, reason);
@@ -433,19 +433,37 @@
 	return true;
 }
 
+/* Starts at an upstream; false if there is none. */
+static bool
+forward_try(struct kwb_forward *forward, struct kwb_upstream *upstream)
+{
+	if (upstream == NULL)
+		return false;
+	forward->retry_ns = 0;
+	forward_arm_timer(forward);
+	attempt_start(&forward->attempts[0], upstream);
+	return true;
+}
+
+/*
+ * After a failure: another upstream is tried at once, one that was tried before
+ * only after a pause, as it may fail as quickly again.
+ */
 static void
-forward_dispatch(struct kwb_forward *forward)
+forward_retry(struct kwb_forward *forward)
 {
-	struct kwb_upstream *upstream = forward_pick_upstream(forward, false);
+	if (forward_try(forward, forward_pick_upstream(forward, false)))
+		return;
+	forward->retry_ns = kwb_clock_now_ns() + KWB_FORWARD_RETRY_NS;
+	forward_arm_timer(forward);
+}
 
-	forward->retry_ns = 0;
-	if (upstream == NULL)
-		upstream = forward_pick_upstream(forward, true);
-	if (upstream != NULL) {
-		forward_arm_timer(forward);
-		attempt_start(&forward->attempts[0], upstream);
+static void
+forward_dispatch(struct kwb_forward *forward)
+{
+	if (forward_try(forward, forward_pick_upstream(forward, false)) ||
+	    forward_try(forward, forward_pick_upstream(forward, true)))
 		return;
-	}
 	if (forward->sent_count == 0 && is_service_empty(forward)) {
 		forward_end(forward, KWB_FORWARD_NOT_RUN, "no_upstream");
 		return;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -197,6 +197,8 @@
 {
 	uint64_t next_ns = UINT64_MAX;
 
+	if (exchange->pooled == NULL)
+		return 0; /* no connection could be opened */
 	if (!exchange->pooled->conn.is_connected)
 		next_ns = exchange->connect_deadline_ns;
 	else if (exchange->silence_deadline_ns != 0)
@@ -227,7 +229,7 @@
 		exchange_arm_timer(exchange);
 	else
 		exchange_end(exchange,
-		    exchange->pooled->conn.is_connected ? KWB_ERR_NET_TIMEOUT
+		    kwb_exchange_is_connected(exchange) ? KWB_ERR_NET_TIMEOUT
 							: KWB_ERR_NET_CONNECT);
 }
 
@@ -285,9 +287,9 @@
 	if (pooled == NULL)
 		pooled = pooled_new(client, address);
 	if (pooled == NULL) {
-		event_free(exchange->timer);
-		exchange->timer = NULL;
-		return KWB_ERR_NET_CONNECT;
+		evbuffer_drain(request, evbuffer_get_length(request));
+		exchange_arm_timer(exchange);
+		return 0;
 	}
 	exchange->pooled = pooled;
 	pooled->exchange = exchange;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -109,8 +109,9 @@
 	}
 	if (node->schema->parse_upstream(
 		&status, row->key, row->value, row->value_bytes) != 0) {
-		kwb_log(KWB_LOG_WARN, "node", "event=upstream_unreadable id=%s",
-		    row->key);
+		kwb_log(KWB_LOG_WARN, "node",
+		    "event=upstream_unreadable id=%s bytes=%zu", row->key,
+		    row->value_bytes);
 		kwb_registry_remove(&node->registry, row->key);
 		return;
 	}
