--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -277,6 +277,8 @@
 	bool has_field; /* a field of the current event has been read */
 };
 
+/* Whether an answer's head says that events follow, or nothing of its type. */
+bool kwb_sse_may_be_events(const struct kwb_message *head);
 /* Makes a parser for a new stream; version_field must outlive it. */
 void kwb_sse_parser_init(
     struct kwb_sse_parser *parser, const char *version_field);
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -167,6 +167,7 @@
 		run->upstream->reported_ns = kwb_clock_now_ns();
 	}
 	if (answer.status != 200 ||
+	    !kwb_sse_may_be_events(kwb_exchange_answer(exchange)) ||
 	    (answer.id != NULL && strcmp(answer.id, run->item->id) != 0))
 		return;
 	kwb_upstream_record_success(run->upstream);
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -7,12 +7,9 @@
 #include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "kwb_node.h"
 
-#define EVENT_STREAM_TYPE "text/event-stream"
-
 static void forward_retry(struct kwb_forward *forward);
 static void forward_arm_timer(struct kwb_forward *forward);
 
@@ -252,14 +249,10 @@
 static void
 events_begin(struct kwb_forward *forward, const struct kwb_message *head)
 {
-	const char *type = kwb_message_header(head, "Content-Type");
-
 	kwb_sse_parser_finish(&forward->events);
 	kwb_sse_parser_init(
 	    &forward->events, forward->env->codec->version_field);
-	forward->is_event_stream = type == NULL ||
-	    strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE)) ==
-		0;
+	forward->is_event_stream = kwb_sse_may_be_events(head);
 }
 
 /* Follows where events begin and end; leaves the bytes where they are. */
@@ -285,9 +278,11 @@
 	if (forward->on_data == NULL)
 		return;
 	forward->env->codec->parse_answer(message, &answer);
-	if (answer.not_run || answer.status >= 300 ||
+	if (answer.not_run || answer.status >= 300 || answer.receipt == NULL ||
 	    !is_answer_to_request(forward, &answer))
 		return;
+	if (forward->head_sent && !kwb_sse_may_be_events(message))
+		return; /* nothing that could go on with the stream */
 	kwb_upstream_record_success(attempt->upstream);
 	exchange->is_streaming = true;
 	events_begin(forward, message);
--- a/src/net/events.c
+++ b/src/net/events.c
@@ -4,9 +4,12 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "kwb_node.h"
 
+#define EVENT_STREAM_TYPE "text/event-stream"
+
 void
 kwb_sse_parser_init(struct kwb_sse_parser *parser, const char *version_field)
 {
@@ -21,6 +24,16 @@
 	kwb_buf_finish(&parser->event.data);
 }
 
+bool
+kwb_sse_may_be_events(const struct kwb_message *head)
+{
+	const char *type = kwb_message_header(head, "Content-Type");
+
+	return type == NULL ||
+	    strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE)) ==
+	    0;
+}
+
 static void
 parser_clear_event(struct kwb_sse_parser *parser)
 {
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1325,6 +1325,8 @@
  * An exchange whose deadline has passed before it starts, as in a process that
  * was paused, must report its error after kwb_exchange_start(), not within it.
  */
+#define LOOP_TURNS_MAX 1000
+
 /* Starts an exchange that fails at once; its end must come on a later turn. */
 static void
 check_end_comes_later(const char *to, uint64_t deadline_ns)
@@ -1338,6 +1340,7 @@
 	struct evbuffer *request = evbuffer_new();
 	struct kwb_address address;
 	struct kwb_client client;
+	unsigned turns;
 
 	evbuffer_add(request, "x", 1);
 	CU_ASSERT_EQUAL(kwb_address_parse(&address, to), 0);
@@ -1346,7 +1349,7 @@
 	    kwb_exchange_start(&exchange, &client, &address, request), 0);
 	CU_ASSERT_EQUAL(error, 0);
 	CU_ASSERT_EQUAL(evbuffer_get_length(request), 0);
-	while (error == 0)
+	for (turns = 0; error == 0 && turns < LOOP_TURNS_MAX; turns++)
 		event_base_loop(base, EVLOOP_ONCE);
 	CU_ASSERT_EQUAL(error, KWB_ERR_NET_CONNECT);
 	kwb_exchange_finish(&exchange);
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -16,7 +16,8 @@
  *   $ path SERVER MODE            path from all nodes to a server with path=1;
  *       see proxy_mode_names
  *   $ pace SERVER MS              time between two events of its streams
- *   $ fault SERVER FAULT [N]      see server_fault_names; for N requests only
+ *   $ fault SERVER FAULT [N [FAULT]]   see server_fault_names; for N requests
+ *       only, and then for one
  *   $ heartbeat SERVER, $ drain SERVER, $ remove SERVER    its row
  *   $ corrupt SERVER              makes its row unreadable
  *   $ entry NAME FIELD VALUE [FIELD VALUE]   writes a row like a server's in
@@ -36,9 +37,10 @@
  *
  * Requests to a node:
  *   $ call NODE METHOD PATH [id=ID] [deadline=MS] [body=TEXT] [host=H] [from=N]
- *       [disconnect=MS] [prompt=PARTS]
+ *       [disconnect=MS] [prompt=PARTS] [stream=1]
  *       status, whether the receipt is for this id, Retry-After if any, body;
- *       or the name of the error; or "disconnected" if there is no answer
+ *       or the name of the error, with stream=1 and what came before it; or
+ *       "disconnected" if there is no answer
  *       within disconnect=, which is 8000 if not given
  *   $ concurrent-calls NODE PATH [calls=N] [mb=N]  how many end, and whether
  *       the memory of the process grows by less than mb=
@@ -113,6 +115,8 @@
 	struct kwb_exchange exchange;
 	bool done;
 	int error;
+	bool is_streaming;
+	struct kwb_buf received; /* of a streamed answer */
 };
 
 static const char *const store_fault_names[] = {"ok", "503", "429", "reset",
@@ -122,7 +126,8 @@
 static const char *const server_fault_names[] = {"ok", "refuse", "500", "422",
     "reset", "silent", "wrong-id", "truncate", "extra-answer", "no-length",
     "not-http", "no-receipt", "skip-event", "misdirected", "stall",
-    "stream-no-length", "cut-no-length", "endless-head", "endless-body",
+    "stream-no-length", "cut-no-length", "error-text", "error-page",
+    "restart-stream", "cut-head", "cut-status", "endless-head", "endless-body",
     "endless-chunk-size", "endless-line", "comments-only", NULL};
 
 /* Returns the index of a name in a list; exits if it isn't there. */
@@ -150,7 +155,18 @@
 	call->error = error;
 }
 
+static void
+call_on_data(struct kwb_exchange *exchange)
+{
+	struct call *call = exchange->context;
+	struct kwb_buf *body = &kwb_exchange_answer(exchange)->body;
+
+	kwb_buf_add(&call->received, body->data, body->used_bytes);
+	body->used_bytes = 0;
+}
+
 static const struct kwb_exchange_ops call_ops = {
+    .on_data = call_on_data,
     .on_done = call_on_done,
 };
 
@@ -167,10 +183,13 @@
 	uint64_t disconnect_ns = kwb_clock_now_ns() +
 	    (disconnect_ms ? disconnect_ms : CALL_TIMEOUT_MS) * KWB_MS_NS;
 
-	memset(call, 0, sizeof(*call));
+	memset(&call->exchange, 0, sizeof(call->exchange));
+	call->done = false;
+	call->error = 0;
 	call->exchange.ops = &call_ops;
 	call->exchange.context = call;
 	call->exchange.wants_new_conn = true;
+	call->exchange.is_streaming = call->is_streaming;
 	if (kwb_exchange_start(
 		&call->exchange, &testbed->client, to, request) != 0) {
 		call->done = true;
@@ -217,21 +236,34 @@
 	return out;
 }
 
+/* Replaces line ends, so that the text fits a line of output. */
+static void
+text_join_lines(struct kwb_buf *text)
+{
+	size_t i;
+
+	for (i = 0; i < text->used_bytes; i++)
+		if (text->data[i] == '\n')
+			text->data[i] = ' ';
+}
+
 static void
 print_answer(struct script *script, struct call *call)
 {
 	struct kwb_message *answer = kwb_exchange_answer(&call->exchange);
 	const char *retry_after = kwb_message_header(answer, "Retry-After");
 	const char *receipt = kwb_message_header(answer, "Server-Stamp");
-	size_t i;
 
 	if (!call->done) {
 		kwb_buf_printf(&script->out, "disconnected\n");
 		return;
 	}
+	text_join_lines(&call->received);
 	if (call->error != 0) {
-		kwb_buf_printf(
-		    &script->out, "%s\n", kwb_error_name(call->error));
+		kwb_buf_printf(&script->out, "%s%s%s\n",
+		    kwb_error_name(call->error),
+		    call->received.used_bytes > 0 ? " after " : "",
+		    kwb_buf_text(&call->received));
 		return;
 	}
 	kwb_buf_printf(&script->out, "%u", answer->status);
@@ -242,12 +274,12 @@
 			: "WRONG RECEIPT");
 	if (retry_after != NULL)
 		kwb_buf_printf(&script->out, " after %s s", retry_after);
-	for (i = 0; i < answer->body.used_bytes; i++)
-		if (answer->body.data[i] == '\n')
-			answer->body.data[i] = ' ';
-	if (answer->body.used_bytes > 0)
-		kwb_buf_printf(
-		    &script->out, " %s", kwb_buf_text(&answer->body));
+	text_join_lines(&answer->body);
+	if (answer->body.used_bytes + call->received.used_bytes > 0)
+		kwb_buf_printf(&script->out, " %s",
+		    kwb_buf_text(call->received.used_bytes > 0
+			    ? &call->received
+			    : &answer->body));
 	kwb_buf_printf(&script->out, "\n");
 }
 
@@ -261,7 +293,7 @@
 	const char *deadline = option(script, "deadline", NULL);
 	const char *prompt = option(script, "prompt", NULL);
 	struct kwb_buf headers;
-	struct call call;
+	struct call call = {0};
 
 	kwb_buf_init(&headers);
 	kwb_buf_printf(&headers, "Host: %s\r\nAttempt-Id: %s\r\n",
@@ -272,12 +304,14 @@
 		kwb_buf_printf(&headers, "Prompt-Prefix: %s\r\n", prompt);
 	if (from != NULL)
 		kwb_buf_printf(&headers, "Last-Event-Id: %s\r\n", from);
+	call.is_streaming = option_number(script, "stream", 0) != 0;
 	call_run(&script->testbed, &call, &node->settings.listen,
 	    request_new(script->words[2], script->words[3], headers.data, body,
 		strlen(body)),
 	    option_number(script, "disconnect", 0));
 	print_answer(script, &call);
 	kwb_exchange_finish(&call.exchange);
+	kwb_buf_finish(&call.received);
 	kwb_buf_finish(&headers);
 }
 
@@ -381,7 +415,7 @@
 	struct testbed_node *node =
 	    testbed_node(&script->testbed, script->words[1]);
 	struct evbuffer *out = evbuffer_new();
-	struct call call;
+	struct call call = {0};
 	const char *at;
 
 	for (at = script->words[2]; *at != '\0'; at++)
@@ -449,7 +483,7 @@
 	const char *batch = script->words[2];
 	char *body = batch_body(script, batch);
 	char extra_headers[96];
-	struct call call;
+	struct call call = {0};
 
 	snprintf(
 	    extra_headers, sizeof(extra_headers), "Attempt-Id: %s\r\n", batch);
@@ -505,7 +539,7 @@
 	unsigned next = 0;
 	unsigned status = 0;
 	char target[128];
-	struct call call;
+	struct call call = {0};
 	json_t *document;
 	unsigned i;
 
@@ -545,7 +579,7 @@
 run_end(struct script *script)
 {
 	char target[128];
-	struct call call;
+	struct call call = {0};
 
 	snprintf(target, sizeof(target), "/lots/%s", script->words[2]);
 	call_node(script, &call, script->words[1], "DELETE", target, "", "");
@@ -557,7 +591,7 @@
 run_item(struct script *script)
 {
 	char target[192];
-	struct call call;
+	struct call call = {0};
 
 	snprintf(target, sizeof(target), "/items/%s?id=%s", script->words[2],
 	    script->words[3]);
@@ -691,7 +725,7 @@
 {
 	struct testbed_node *node =
 	    testbed_node(&script->testbed, script->words[1]);
-	struct call call;
+	struct call call = {0};
 
 	call_run(&script->testbed, &call, &node->settings.ready,
 	    request_new("GET", "/readyz", "Host: x\r\n", "", 0), 0);
@@ -707,7 +741,7 @@
 	struct testbed_node *node =
 	    testbed_node(&script->testbed, script->words[1]);
 	char name[96];
-	struct call call;
+	struct call call = {0};
 	const char *text;
 	const char *at;
 	int length;
@@ -1125,6 +1159,10 @@
 	    (enum server_fault)name_index(server_fault_names, script->words[2]);
 	server->fault_remaining =
 	    script->words_count > 3 ? (unsigned)atoi(script->words[3]) : 0;
+	server->fault_then = SERVER_FAULT_NONE;
+	if (script->words_count > 4)
+		server->fault_then = (enum server_fault)name_index(
+		    server_fault_names, script->words[4]);
 }
 
 /* Affects streams that are open, too. */
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -57,8 +57,11 @@
 {
 	enum server_fault fault = server->fault;
 
-	if (server->fault_remaining > 0 && --server->fault_remaining == 0)
-		server->fault = SERVER_FAULT_NONE;
+	if (server->fault_remaining > 0 && --server->fault_remaining == 0) {
+		server->fault = server->fault_then;
+		server->fault_then = SERVER_FAULT_NONE;
+		server->fault_remaining = server->fault != SERVER_FAULT_NONE;
+	}
 	return fault;
 }
 
@@ -129,6 +132,23 @@
 		evbuffer_add_printf(out, "this is no HTTP\r\n\r\n");
 		kwb_conn_close_when_written(&session->conn);
 		return true;
+	case SERVER_FAULT_ERROR_TEXT:
+		http_session_answer(session, 500, headers,
+		    "id: 9\ndata: error\n\n", strlen("id: 9\ndata: error\n\n"));
+		return true;
+	case SERVER_FAULT_ERROR_PAGE:
+		http_session_answer(session, 200, "Content-Type: text/html\r\n",
+		    "an\n\nerror\n\n", strlen("an\n\nerror\n\n"));
+		return true;
+	case SERVER_FAULT_CUT_HEAD:
+		evbuffer_add_printf(
+		    out, "HTTP/1.1 200 OK\r\n%sContent-Ty", headers);
+		kwb_conn_close_when_written(&session->conn);
+		return true;
+	case SERVER_FAULT_CUT_STATUS:
+		evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n");
+		kwb_conn_close_when_written(&session->conn);
+		return true;
 	case SERVER_FAULT_NO_RECEIPT:
 		http_session_answer(session, 200, "", "none", 4);
 		return true;
@@ -302,7 +322,9 @@
 	char headers[512];
 
 	stream->server = server;
-	stream->next_event = (unsigned)atoi(last_event_id) + 1;
+	stream->next_event = fault == SERVER_FAULT_RESTART_STREAM
+	    ? 1
+	    : (unsigned)atoi(last_event_id) + 1;
 	stream->event_count = 4;
 	stream->skips_event = fault == SERVER_FAULT_SKIP_EVENT;
 	stream->is_truncated = fault == SERVER_FAULT_TRUNCATE ||
@@ -430,6 +452,7 @@
 		fault == SERVER_FAULT_TRUNCATE ||
 		fault == SERVER_FAULT_STREAM_NO_LENGTH ||
 		fault == SERVER_FAULT_CUT_NO_LENGTH ||
+		fault == SERVER_FAULT_RESTART_STREAM ||
 		fault == SERVER_FAULT_STALL)) {
 		stream_start(session, fault);
 		return;
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -160,6 +160,11 @@
 	SERVER_FAULT_STALL,	   /* streams send nothing while it lasts */
 	SERVER_FAULT_STREAM_NO_LENGTH, /* the stream ends with the connection */
 	SERVER_FAULT_CUT_NO_LENGTH,    /* likewise, in the third event */
+	SERVER_FAULT_ERROR_TEXT,       /* 500 with a text */
+	SERVER_FAULT_ERROR_PAGE,       /* 200 with a text, no receipt, no id */
+	SERVER_FAULT_RESTART_STREAM,   /* ignores Last-Event-Id */
+	SERVER_FAULT_CUT_HEAD,	       /* closes in the middle of the head */
+	SERVER_FAULT_CUT_STATUS,       /* closes after the status line */
 	SERVER_FAULT_ENDLESS_HEAD,     /* a header line that never ends */
 	SERVER_FAULT_ENDLESS_BODY,     /* a body that never ends */
 	SERVER_FAULT_ENDLESS_CHUNK_SIZE, /* a chunk size line that never ends */
@@ -206,8 +211,9 @@
 	unsigned load_duration_ms; /* how long a load of weights takes */
 	uint64_t loading_until_ns;
 	enum server_fault fault;
-	unsigned fault_remaining; /* requests still affected; 0: all */
-	unsigned orders_accepted; /* so far */
+	unsigned fault_remaining;     /* requests still affected; 0: all */
+	enum server_fault fault_then; /* of one request after these */
+	unsigned orders_accepted;     /* so far */
 };
 
 /* Starts a server whose fields are set and publishes it. */
