--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1230,6 +1230,8 @@
 	bool head_sent; /* the caller has the head of a streamed answer */
 	struct kwb_sse_parser events; /* of the streamed answer */
 	bool is_event_stream;	      /* the parser reads it */
+	bool is_out_of_order;	      /* an event's id does not rise */
+	uint64_t newest_event;	      /* id of the last event parsed */
 	struct kwb_buf partial_event; /* bytes of an event that is not whole */
 	uint64_t last_event; /* id of the last event passed to the caller */
 	/* Outcome. */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -238,11 +238,17 @@
 	    attempt, error == KWB_ERR_NET_CONNECT, kwb_error_name(error));
 }
 
+/* An upstream that resumes a stream must not repeat what the caller has. */
 static void
-ignore_event(void *context, const struct kwb_sse_event *event)
+check_event(void *context, const struct kwb_sse_event *event)
 {
-	(void)context;
-	(void)event;
+	struct kwb_forward *forward = context;
+
+	if (!event->has_id)
+		return;
+	if (event->id <= forward->newest_event)
+		forward->is_out_of_order = true;
+	forward->newest_event = event->id;
 }
 
 /* Starts to parse the stream of one upstream. */
@@ -253,6 +259,8 @@
 	kwb_sse_parser_init(
 	    &forward->events, forward->env->codec->version_field);
 	forward->is_event_stream = kwb_sse_may_be_events(head);
+	forward->is_out_of_order = false;
+	forward->newest_event = forward->last_event;
 }
 
 /* Follows where events begin and end; leaves the bytes where they are. */
@@ -262,8 +270,8 @@
 	struct kwb_buf view = *bytes;
 
 	if (forward->is_event_stream &&
-	    kwb_sse_parser_feed(&forward->events, &view, ignore_event, NULL) !=
-		0)
+	    kwb_sse_parser_feed(
+		&forward->events, &view, check_event, forward) != 0)
 		forward->is_event_stream = false; /* no event is so long */
 }
 
@@ -306,6 +314,11 @@
 	size_t length;
 
 	events_follow(forward, body);
+	if (forward->resumes && forward->is_out_of_order) {
+		forward->partial_event.used_bytes = 0;
+		attempt_failed(attempt, false, "events_out_of_order");
+		return;
+	}
 	if (!forward->resumes) {
 		forward->on_data(forward, body);
 		return;
