--- a/include/kwb.h
+++ b/include/kwb.h
@@ -477,7 +477,8 @@
 /*
  * Sends a request and waits for the answer, which must be finished also after
  * an error. Returns 0 for an answer of any status, KWB_ERR_PLATFORM_UNREACHABLE
- * for none, a timeout, an abort or a body over KWB_HTTP_BODY_MAX_BYTES, or
+ * for none, one cut off in its head or by its length, a timeout, an abort or a
+ * body over KWB_HTTP_BODY_MAX_BYTES, or
  * KWB_ERR_MEMORY.
  */
 int kwb_http_do(
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -19,6 +19,7 @@
 struct exchange {
 	const struct kwb_http_request *request;
 	struct kwb_http_answer *answer;
+	bool has_head; /* the empty line that ends it has come */
 };
 
 static pthread_key_t handle_key;
@@ -59,7 +60,7 @@
 kwb_http_do(
     const struct kwb_http_request *request, struct kwb_http_answer *answer)
 {
-	struct exchange exchange = {request, answer};
+	struct exchange exchange = {.request = request, .answer = answer};
 	struct curl_slist *headers;
 	CURL *curl = handle_of_thread();
 	CURLcode code;
@@ -71,6 +72,13 @@
 	headers = headers_create(request);
 	handle_prepare(curl, &exchange, headers);
 	code = curl_easy_perform(curl);
+	/* libcurl takes a head that ends with its connection for a whole one.
+	 */
+	if (code == CURLE_OK && !exchange.has_head) {
+		kwb_log(KWB_LOG_WARN, "http", "event=head_cut_off url=%s",
+		    request->url);
+		code = CURLE_GOT_NOTHING;
+	}
 	answer->sent = code != CURLE_COULDNT_CONNECT &&
 	    code != CURLE_COULDNT_RESOLVE_HOST && code != CURLE_URL_MALFORMAT;
 	if (code == CURLE_OK)
@@ -228,6 +236,10 @@
 	memcpy(line, data, length);
 	line[length] = '\0';
 	line[strcspn(line, "\r\n")] = '\0';
+	if (line[0] == '\0')
+		exchange->has_head = true;
+	else if (strncmp(line, "HTTP/", 5) == 0)
+		exchange->has_head = false; /* a next head, behind a 100 */
 	if (strncasecmp(line, "ETag: ", 6) == 0)
 		answer->revision = strtoull(line + 6, NULL, 10);
 	if (strncasecmp(line, "Content-Type: ", 14) == 0)
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -6,6 +6,7 @@
  */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -52,6 +53,7 @@
 static void check_stream_across_swap(void);
 static void check_attempt_fencing(void);
 static void check_silent_links(void);
+static void check_cut_answers(void);
 static void check_share_in_outage(struct cluster *cluster);
 static uint32_t units_held(const Kwb__Wire__Status *status, const char *plan);
 static void check_malformed_frames(void);
@@ -82,6 +84,7 @@
 	check_silent_links();
 	check_share_in_outage(&world);
 	check_malformed_frames();
+	check_cut_answers();
 	cluster_stop(&world);
 	printf("contract tests: %u passed, %u failed\n", passed, failed);
 	return failed > 0;
@@ -408,6 +411,82 @@
 	}
 }
 
+struct cut_answer {
+	int listen_fd;
+	const char *bytes;
+};
+
+/* Thread: answers one request with the bytes, and closes. */
+static void *
+cut_answer_run(void *argument)
+{
+	const struct cut_answer *answer = argument;
+	char request[4096];
+	int fd = accept(answer->listen_fd, NULL, NULL);
+
+	if (recv(fd, request, sizeof(request), 0) > 0 &&
+	    send(fd, answer->bytes, strlen(answer->bytes), MSG_NOSIGNAL) < 0)
+		perror("send");
+	close(fd);
+	return NULL;
+}
+
+/* Guards against an answer cut off in its head that is taken for a whole one.
+ */
+static void
+check_cut_answers(void)
+{
+	static const struct {
+		const char *name;
+		const char *bytes;
+		bool is_whole;
+	} cases[] = {
+	    {"cut in a header's name", "HTTP/1.1 200 OK\r\nContent-Ty", false},
+	    {"cut behind the status line", "HTTP/1.1 200 OK\r\n", false},
+	    {"cut behind a header", "HTTP/1.1 200 OK\r\nETag: 1\r\n", false},
+	    {"cut in the length", "HTTP/1.1 200 OK\r\nContent-Length: 1",
+		false},
+	    {"cut behind a 100", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200",
+		false},
+	    {"cut in the body",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false},
+	    {"whole", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true},
+	    {"whole without a length", "HTTP/1.1 200 OK\r\n\r\nabc", true},
+	};
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t address_bytes = sizeof(address);
+	struct cut_answer answer;
+	char url[64];
+	size_t i;
+
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	answer.listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (bind(answer.listen_fd, (struct sockaddr *)&address,
+		sizeof(address)) != 0 ||
+	    listen(answer.listen_fd, 1) != 0 ||
+	    getsockname(answer.listen_fd, (struct sockaddr *)&address,
+		&address_bytes) != 0)
+		perror("listen");
+	snprintf(
+	    url, sizeof(url), "http://127.0.0.1:%u/", ntohs(address.sin_port));
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct kwb_http_request request = {
+		    .method = "GET", .url = url, .needs_new_connection = true};
+		struct kwb_http_answer got;
+		pthread_t thread;
+		int error;
+
+		answer.bytes = cases[i].bytes;
+		pthread_create(&thread, NULL, cut_answer_run, &answer);
+		error = kwb_http_do(&request, &got);
+		pthread_join(thread, NULL);
+		check((error == 0) == cases[i].is_whole && got.sent,
+		    "an answer that is", cases[i].name);
+		kwb_http_answer_finish(&got);
+	}
+	close(answer.listen_fd);
+}
+
 /*
  * While the table is down, a raised allowance gives an agent no more units:
  * other agents might take the same ones. Once it is back, the agent takes them.
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -127,8 +127,9 @@
     "reset", "silent", "wrong-id", "truncate", "extra-answer", "no-length",
     "not-http", "no-receipt", "skip-event", "misdirected", "stall",
     "stream-no-length", "cut-no-length", "error-text", "error-page",
-    "restart-stream", "cut-head", "cut-status", "endless-head", "endless-body",
-    "endless-chunk-size", "endless-line", "comments-only", NULL};
+    "restart-stream", "cut-head", "cut-status", "cut-anywhere", "endless-head",
+    "endless-body", "endless-chunk-size", "endless-line", "comments-only",
+    NULL};
 
 /* Returns the index of a name in a list; exits if it isn't there. */
 static int
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -85,7 +85,10 @@
 static bool
 try_answer_with_fault(struct http_session *session, enum server_fault fault)
 {
+	struct testbed_server *server = session->listener->context;
 	char headers[512];
+	char text[640];
+	int length;
 	const struct kwb_buf *body = &session->conn.message.body;
 	struct evbuffer *out = kwb_conn_output(&session->conn);
 
@@ -145,6 +148,13 @@
 		    out, "HTTP/1.1 200 OK\r\n%sContent-Ty", headers);
 		kwb_conn_close_when_written(&session->conn);
 		return true;
+	case SERVER_FAULT_CUT_ANYWHERE:
+		length = snprintf(text, sizeof(text),
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: 1\r\n\r\n", headers);
+		evbuffer_add(
+		    out, text, server->cut_count++ % ((size_t)length - 1) + 1);
+		kwb_conn_close_when_written(&session->conn);
+		return true;
 	case SERVER_FAULT_CUT_STATUS:
 		evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n");
 		kwb_conn_close_when_written(&session->conn);
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -165,8 +165,10 @@
 	SERVER_FAULT_RESTART_STREAM,   /* ignores Last-Event-Id */
 	SERVER_FAULT_CUT_HEAD,	       /* closes in the middle of the head */
 	SERVER_FAULT_CUT_STATUS,       /* closes after the status line */
-	SERVER_FAULT_ENDLESS_HEAD,     /* a header line that never ends */
-	SERVER_FAULT_ENDLESS_BODY,     /* a body that never ends */
+	SERVER_FAULT_CUT_ANYWHERE, /* closes in the head, each time a byte later
+				    */
+	SERVER_FAULT_ENDLESS_HEAD, /* a header line that never ends */
+	SERVER_FAULT_ENDLESS_BODY, /* a body that never ends */
 	SERVER_FAULT_ENDLESS_CHUNK_SIZE, /* a chunk size line that never ends */
 	SERVER_FAULT_ENDLESS_LINE,	 /* a stream's line that never ends */
 	SERVER_FAULT_COMMENTS_ONLY /* a stream of comments, one each 100 ms */
@@ -212,6 +214,7 @@
 	uint64_t loading_until_ns;
 	enum server_fault fault;
 	unsigned fault_remaining;     /* requests still affected; 0: all */
+	unsigned cut_count;	      /* answers that were cut anywhere */
 	enum server_fault fault_then; /* of one request after these */
 	unsigned orders_accepted;     /* so far */
 };
