Nothing new goes to a server that said in an answer that it leaves (DRAIN)

The node knew of it from the store's report alone, so with the store away or slow it went on sending until the server was gone (leaving.txt: 5 requests to it for 2 allowed).

Refusals and errors count. The mark goes with the registry's entry or the next life; no report of "ready" takes it back. kwb_upstream_takes_requests() is what the choice of an upstream, the check for an empty service, homes, loads and orders ask now; loads counted servers that drain as replicas before. When all servers leave, a request is refused at once.

One log line, with the store's last word and its age, and a counter.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -901,6 +901,8 @@
 struct kwb_upstream {
 	struct kwb_upstream_status status;
 	bool listed;		      /* still on the platform's list */
+	bool is_leaving;	      /* said so in an answer of this life */
+	uint64_t stored_ns;	      /* when the store last reported it */
 	uint64_t removal_ns;	      /* when it is or was removed; 0 for not */
 	uint32_t in_flight;	      /* requests of this node there */
 	uint32_t ref_count;	      /* requests that refer to this memory */
@@ -946,6 +948,18 @@
 /* The request has ended, for whatever reason. */
 void kwb_upstream_end(struct kwb_registry *registry,
     struct kwb_upstream *upstream, const void *request);
+/* Whether new requests may start there: neither store nor answers say no. */
+bool kwb_upstream_takes_requests(const struct kwb_upstream *upstream);
+struct kwb_upstream_answer;
+/*
+ * Notes from the head of an answer that the upstream is leaving. Only an answer
+ * that is proved to be its own counts: by the id of the request, or by its own
+ * id where the answer has no other or the request was refused as misdirected.
+ * incarnation_ms: that of the upstream when the request was sent.
+ */
+void kwb_upstream_note_answer(struct kwb_upstream *upstream,
+    uint64_t incarnation_ms, const char *request_id,
+    const struct kwb_upstream_answer *answer);
 uint64_t kwb_upstream_version(const struct kwb_upstream *upstream,
     const char *model); /* of its weights, 0 when it lacks the model */
 void kwb_upstream_set_version(struct kwb_upstream *upstream, const char *model,
@@ -1057,13 +1071,15 @@
 	uint16_t status;
 	const char *id;	     /* of the request it answers, NULL when absent */
 	const char *receipt; /* proves that the request ran, NULL when absent */
-	bool not_run;	     /* the upstream says that it did not run it */
-	bool has_load;	     /* the next three are known */
-	uint32_t running;    /* requests there */
-	uint32_t waiting;    /* requests there */
-	uint32_t slots;	     /* requests that it runs at a time */
-	uint64_t version;    /* of the weights, 0 when absent */
-	uint64_t keep_alive_ms; /* unused */
+	const char *upstream_id; /* of the one that answers, NULL when absent */
+	bool not_run;		 /* the upstream says that it did not run it */
+	bool leaving;		 /* the upstream says that it will stop soon */
+	bool has_load;		 /* the next three are known */
+	uint32_t running;	 /* requests there */
+	uint32_t waiting;	 /* requests there */
+	uint32_t slots;		 /* requests that it runs at a time */
+	uint64_t version;	 /* of the weights, 0 when absent */
+	uint64_t keep_alive_ms;	 /* unused */
 };
 
 enum kwb_item_state { KWB_ITEM_COMPLETED, KWB_ITEM_ERRORED };
@@ -1194,6 +1210,7 @@
 	struct kwb_exchange exchange;
 	struct kwb_forward *forward;
 	struct kwb_upstream *upstream; /* NULL when not in use */
+	uint64_t incarnation_ms;       /* of the upstream, at the start */
 	uint64_t started_ns;
 };
 
@@ -1626,8 +1643,9 @@
 	bool load_pending; /* an accepted order, not yet seen to be done */
 	bool row_changed;  /* its row has to be written */
 	struct kwb_exchange exchange;
-	bool report_pending; /* the exchange reads the upstream's state */
-	bool order_pending;  /* the exchange carries an order */
+	uint64_t incarnation_ms; /* of the upstream, at the exchange's start */
+	bool report_pending;	 /* the exchange reads the upstream's state */
+	bool order_pending;	 /* the exchange carries an order */
 	struct kwb_weight_updater *updater;
 	TAILQ_ENTRY(kwb_replica) entry;
 };
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -36,6 +36,7 @@
 	struct kwb_exchange exchange;  /* with the upstream */
 	struct kwb_sse_parser events;  /* decoder of the stream */
 	struct kwb_upstream *upstream; /* while running, else NULL */
+	uint64_t incarnation_ms;       /* of the upstream, at the start */
 	struct kwb_buf text; /* data of all events, joined by line feeds */
 	uint64_t last_event; /* number of events in the text */
 	struct kwb_text_chunk saved_chunk; /* last one stored or restored */
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -161,6 +161,8 @@
 
 	run_env(run)->forward->codec->parse_answer(
 	    kwb_exchange_answer(exchange), &answer);
+	kwb_upstream_note_answer(
+	    run->upstream, run->incarnation_ms, run->item->id, &answer);
 	if (answer.has_load) {
 		run->upstream->reported_load = answer.running + answer.waiting;
 		run->upstream->in_flight_at_report = run->upstream->in_flight;
@@ -323,6 +325,7 @@
 	run->exchange.context = run;
 	run->exchange.max_silence_ns = KWB_STREAM_IDLE_NS;
 	run->upstream = upstream;
+	run->incarnation_ms = upstream->status.incarnation_ms;
 	run->state = ITEM_RUNNING;
 	run->stream_broken = false;
 	run->last_event_ns = 0;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -283,9 +283,11 @@
 	struct kwb_message *message = kwb_exchange_answer(exchange);
 	struct kwb_upstream_answer answer;
 
+	forward->env->codec->parse_answer(message, &answer);
+	kwb_upstream_note_answer(attempt->upstream, attempt->incarnation_ms,
+	    forward->request.id, &answer);
 	if (forward->on_data == NULL)
 		return;
-	forward->env->codec->parse_answer(message, &answer);
 	if (answer.not_run || answer.status >= 300 || answer.receipt == NULL ||
 	    !is_answer_to_request(forward, &answer))
 		return;
@@ -371,6 +373,7 @@
 	    strcmp(forward->request.method, "HEAD") == 0;
 	attempt->started_ns = kwb_clock_now_ns();
 	attempt->upstream = upstream;
+	attempt->incarnation_ms = upstream->status.incarnation_ms;
 	kwb_upstream_begin(upstream, attempt);
 	forward->request.expect_upstream_id = upstream->status.id;
 	forward->env->codec->write_request(&forward->request, out);
@@ -433,8 +436,7 @@
 	uint32_t i;
 
 	for (i = 0; i < registry->count; i++)
-		if (registry->upstreams[i]->listed &&
-		    !registry->upstreams[i]->status.draining &&
+		if (kwb_upstream_takes_requests(registry->upstreams[i]) &&
 		    strcmp(registry->upstreams[i]->status.service,
 			forward->service) == 0)
 			return false;
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -79,7 +79,7 @@
 {
 	uint32_t spare = 0;
 
-	if (!upstream->listed || upstream->status.draining ||
+	if (!kwb_upstream_takes_requests(upstream) ||
 	    strcmp(upstream->status.service, criteria->service) != 0)
 		return false;
 	if (is_excluded(criteria, upstream) ||
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -65,6 +65,7 @@
 	upstream->backoff_until_ns = 0;
 	upstream->pace_ns = 0;
 	upstream->baseline_pace_ns = 0;
+	upstream->is_leaving = false;
 }
 
 struct kwb_upstream *
@@ -82,6 +83,7 @@
 	}
 	upstream->status = *status;
 	upstream->listed = true;
+	upstream->stored_ns = kwb_clock_now_ns();
 	upstream->removal_ns = 0;
 	if (kwb_index_put(&registry->index, upstream->status.id, upstream) !=
 	    0) {
@@ -153,6 +155,48 @@
 	free_if_unreferenced(registry, upstream);
 }
 
+bool
+kwb_upstream_takes_requests(const struct kwb_upstream *upstream)
+{
+	return upstream->listed && !upstream->status.draining &&
+	    !upstream->is_leaving;
+}
+
+/* Whether an answer is certainly one of this upstream to that request. */
+static bool
+is_own_answer(const struct kwb_upstream *upstream, const char *request_id,
+    const struct kwb_upstream_answer *answer)
+{
+	if (answer->id != NULL && strcmp(answer->id, request_id) != 0)
+		return false;
+	if (answer->upstream_id != NULL)
+		return strcmp(answer->upstream_id, upstream->status.id) == 0;
+	return answer->id != NULL && answer->status != 421;
+}
+
+void
+kwb_upstream_note_answer(struct kwb_upstream *upstream, uint64_t incarnation_ms,
+    const char *request_id, const struct kwb_upstream_answer *answer)
+{
+	if (!answer->leaving || upstream->is_leaving ||
+	    upstream->status.incarnation_ms != incarnation_ms ||
+	    !is_own_answer(upstream, request_id, answer))
+		return;
+	upstream->is_leaving = true;
+	kwb_metric_add(KWB_METRIC_UPSTREAMS_LEAVING, 1);
+	kwb_log(KWB_LOG_INFO, "upstream",
+	    "event=leaving upstream=%s incarnation=%llu id=%s status=%u "
+	    "in_flight=%u stored=%s stored_age_ms=%llu",
+	    upstream->status.id, (unsigned long long)incarnation_ms,
+	    request_id[0] != '\0' ? request_id : "-", answer->status,
+	    upstream->in_flight,
+	    !upstream->listed		    ? "missing"
+		: upstream->status.draining ? "draining"
+					    : "ready",
+	    (unsigned long long)((kwb_clock_now_ns() - upstream->stored_ns) /
+		KWB_MS_NS));
+}
+
 uint64_t
 kwb_upstream_version(const struct kwb_upstream *upstream, const char *model)
 {
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -260,7 +260,7 @@
 	}
 	for (i = 0; i < registry->count; i++) {
 		upstream = registry->upstreams[i];
-		if (!upstream->listed || upstream->status.draining ||
+		if (!kwb_upstream_takes_requests(upstream) ||
 		    strcmp(upstream->status.service, service->name) != 0)
 			continue;
 		assignments[count].id = upstream->status.id;
@@ -348,7 +348,7 @@
 		    replica->model[0] == '\0')
 			continue;
 		upstream = updater_find_listed(updater, replica->id);
-		if (upstream != NULL && !upstream->status.draining)
+		if (upstream != NULL && kwb_upstream_takes_requests(upstream))
 			replica_update(
 			    updater, snapshot, replica, upstream, urgency);
 	}
--- a/src/weights/mover_look.c
+++ b/src/weights/mover_look.c
@@ -83,8 +83,10 @@
 		if (upstream == NULL || replica->model[0] == '\0')
 			continue;
 		loading = is_loading(replica, now_ns);
-		snapshot->upstreams++;
 		snapshot->loading += loading;
+		if (!kwb_upstream_takes_requests(upstream))
+			continue;
+		snapshot->upstreams++;
 		index = updater_model_index(updater, replica->model);
 		if (index < 0)
 			continue;
--- a/src/weights/mover_order.c
+++ b/src/weights/mover_order.c
@@ -47,6 +47,22 @@
 	replica->check_ns = now_ns + KWB_WEIGHT_LOAD_RECHECK_NS;
 }
 
+/* Answers here carry no id of a request, but may name who answers. */
+static void
+note_leaving(struct kwb_replica *replica, const struct kwb_message *message)
+{
+	struct kwb_weight_updater *updater = replica->updater;
+	struct kwb_upstream *upstream =
+	    updater_find_listed(updater, replica->id);
+	struct kwb_upstream_answer answer;
+
+	if (upstream == NULL)
+		return;
+	updater->env->forward->codec->parse_answer(message, &answer);
+	kwb_upstream_note_answer(
+	    upstream, replica->incarnation_ms, "", &answer);
+}
+
 static void
 order_on_answer(struct kwb_replica *replica, const struct kwb_message *message)
 {
@@ -97,6 +113,8 @@
 
 	kwb_message_init(&exchange->answer);
 	updater_exchange_close(replica);
+	if (error == 0)
+		note_leaving(replica, &answer);
 	if (error != 0) {
 		kwb_log(KWB_LOG_WARN, "mover", "event=%s upstream=%s error=%s",
 		    was_order ? "order_in_doubt" : "no_report", replica->id,
@@ -125,6 +143,7 @@
 	memset(&replica->exchange, 0, sizeof(replica->exchange));
 	replica->exchange.ops = &exchange_ops;
 	replica->exchange.context = replica;
+	replica->incarnation_ms = upstream->status.incarnation_ms;
 	replica->exchange.deadline_ns =
 	    kwb_clock_now_ns() + KWB_ORDER_TIMEOUT_MS * KWB_MS_NS;
 	if (kwb_exchange_start(&replica->exchange,
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1798,6 +1798,86 @@
 	CU_ASSERT_EQUAL(i, MUTATIONS); /* no input crashed */
 }
 
+/* Which heads of answers say that their server leaves. */
+static void
+test_leaving_sign(void)
+{
+	static const struct {
+		const char *names[2];
+		const char *values[2];
+		bool is_leaving;
+	} cases[] = {
+	    {{"Server-Leaving"}, {"1"}, true},
+	    {{"server-leaving"}, {"1"}, true},
+	    {{"Server-Leaving"}, {"0"}, false},
+	    {{"Server-Leaving"}, {""}, false},
+	    {{"Server-Leaving"}, {"10"}, false},
+	    {{"Server-Leaving"}, {"true"}, false},
+	    {{"X-Server-Leaving"}, {"1"}, false},
+	    {{"Server-Leaving", "Server-Leaving"}, {"0", "1"}, true},
+	    {{"Server-Leaving", "Server-Leaving"}, {"1", "0"}, true},
+	};
+	struct kwb_upstream_answer answer;
+	struct kwb_message message;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		kwb_message_init(&message);
+		for (k = 0; k < 2 && cases[i].names[k] != NULL; k++)
+			CU_ASSERT_EQUAL(
+			    kwb_message_add_header(&message, cases[i].names[k],
+				cases[i].values[k]),
+			    0);
+		platform_message_codec.parse_answer(&message, &answer);
+		CU_ASSERT_EQUAL(answer.leaving, cases[i].is_leaving);
+		kwb_message_finish(&message);
+	}
+}
+
+/* Whose word counts: a server's own, in the life that the request was for. */
+static void
+test_leaving_is_own(void)
+{
+	static const struct {
+		const char *id;
+		const char *upstream_id;
+		uint16_t status;
+		uint64_t incarnation_ms;
+		bool is_marked;
+	} cases[] = {
+	    {"r", NULL, 200, 7, true},
+	    {"r", "u", 200, 7, true},
+	    {"r", NULL, 500, 7, true},
+	    {"r", NULL, 503, 7, true},
+	    {"r", "other", 200, 7, false},
+	    {"another", NULL, 200, 7, false},
+	    {"another", "u", 200, 7, false},
+	    {NULL, NULL, 200, 7, false},
+	    {NULL, "u", 200, 7, true},
+	    {"r", NULL, 421, 7, false},
+	    {"r", "u", 421, 7, true},
+	    {"r", "other", 421, 7, false},
+	    {"r", NULL, 200, 6, false},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct kwb_upstream upstream = {
+		    .listed = true, .status = {.id = "u", .incarnation_ms = 7}};
+		struct kwb_upstream_answer answer = {.id = cases[i].id,
+		    .upstream_id = cases[i].upstream_id,
+		    .status = cases[i].status,
+		    .leaving = true};
+
+		kwb_upstream_note_answer(
+		    &upstream, cases[i].incarnation_ms, "r", &answer);
+		CU_ASSERT_EQUAL(upstream.is_leaving, cases[i].is_marked);
+		CU_ASSERT_EQUAL(kwb_upstream_takes_requests(&upstream),
+		    !cases[i].is_marked);
+	}
+}
+
 struct parse_result {
 	unsigned messages;
 	unsigned errors;
@@ -1973,6 +2053,8 @@
 	    {"trace", test_trace},
 	    {"expired_deadline_at_start", test_expired_deadline_at_start},
 	    {"unreachable_at_start", test_unreachable_at_start},
+	    {"leaving_sign", test_leaving_sign},
+	    {"leaving_is_own", test_leaving_is_own},
 	    {"scores_leave_spare_slots", test_scores_leave_spare_slots},
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -19,6 +19,8 @@
  *   $ fault SERVER FAULT [N [FAULT]]   see server_fault_names; for N requests
  *       only, and then for one
  *   $ heartbeat SERVER, $ drain SERVER, $ remove SERVER    its row
+ *   $ leave SERVER, $ stay SERVER    whether its answers say that it leaves
+ *   $ restart SERVER              under its id: it leaves no more, is reborn
  *   $ corrupt SERVER              makes its row unreadable
  *   $ entry NAME FIELD VALUE [FIELD VALUE]   writes a row like a server's in
  *       which FIELD has that JSON value; or all of it, for FIELD "all"; VALUE
@@ -54,6 +56,7 @@
  *   $ metrics NODE                their types
  *
  * What the servers got; ID is that of a request or item:
+ *   $ arrivals SERVER             requests that it ran
  *   $ ran ID                      how often, and from which events on
  *   $ resumed ID                  whether its last run began after event 1
  *   $ repeated-events ID N        whether at most N events were sent again
@@ -785,6 +788,18 @@
 	kwb_buf_printf(&script->out, "\n");
 }
 
+static void
+run_arrivals(struct script *script)
+{
+	const struct testbed *testbed = &script->testbed;
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < testbed->runs_count; i++)
+		count += strcmp(testbed->runs[i].server, script->words[1]) == 0;
+	kwb_buf_printf(&script->out, "%u\n", count);
+}
+
 /* Prints the prompt's parts as the upstream received them. */
 static void
 run_prompt(struct script *script)
@@ -1184,6 +1199,15 @@
 	if (strcmp(script->words[0], "drain") == 0) {
 		server->is_draining = true;
 		testbed_server_publish(server);
+	} else if (strcmp(script->words[0], "leave") == 0) {
+		server->is_leaving = true;
+	} else if (strcmp(script->words[0], "stay") == 0) {
+		server->is_leaving = false;
+	} else if (strcmp(script->words[0], "restart") == 0) {
+		server->is_leaving = false;
+		server->is_draining = false;
+		server->born_ms++;
+		testbed_server_publish(server);
 	} else if (strcmp(script->words[0], "heartbeat") == 0) {
 		testbed_server_publish(server);
 	} else if (strcmp(script->words[0], "remove") == 0) {
@@ -1257,7 +1281,9 @@
 	    {"end", run_end}, {"item", run_item}, {"store", run_store},
 	    {"fault", run_fault}, {"drain", run_server_change},
 	    {"remove", run_server_change}, {"corrupt", run_server_change},
-	    {"heartbeat", run_server_change}, {"metrics", run_metrics},
+	    {"heartbeat", run_server_change}, {"leave", run_server_change},
+	    {"stay", run_server_change}, {"restart", run_server_change},
+	    {"arrivals", run_arrivals}, {"metrics", run_metrics},
 	    {"ran", run_ran}, {"prompt", run_prompt},
 	    {"wait-version", run_wait_version}, {"orders", run_totals},
 	    {"rows", run_rows}, {"silent-part", run_silent_part},
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -65,15 +65,21 @@
 	return fault;
 }
 
+static const char *
+leaving_header(const struct testbed_server *server)
+{
+	return server->is_leaving ? "Server-Leaving: 1\r\n" : "";
+}
+
 static void
 format_common_headers(char *out, size_t out_capacity,
     const struct http_session *session, bool has_receipt)
 {
 	const struct testbed_server *server = session->listener->context;
 	int length = snprintf(out, out_capacity,
-	    "Attempt-Id: %s\r\nServer-Load: %u,0,%u\r\n",
+	    "Attempt-Id: %s\r\nServer-Load: %u,0,%u\r\n%s",
 	    request_header(session, "Attempt-Id"), server->streams_open,
-	    server->slots);
+	    server->slots, leaving_header(server));
 
 	if (has_receipt)
 		snprintf(out + length, out_capacity - (size_t)length,
@@ -107,8 +113,11 @@
 		return true;
 	case SERVER_FAULT_WRONG_ID:
 		http_session_answer(session, 200,
-		    "Attempt-Id: another\r\nServer-Stamp: stamp-x\r\n", "no",
-		    2);
+		    server->is_leaving
+			? "Attempt-Id: another\r\nServer-Stamp: stamp-x\r\n"
+			  "Server-Leaving: 1\r\n"
+			: "Attempt-Id: another\r\nServer-Stamp: stamp-x\r\n",
+		    "no", 2);
 		return true;
 	case SERVER_FAULT_TRUNCATE:
 		evbuffer_add_printf(out,
@@ -178,8 +187,11 @@
 
 	if (fault == SERVER_FAULT_MISDIRECTED ||
 	    (expected[0] != '\0' && strcmp(expected, server->name) != 0)) {
-		http_session_answer(
-		    session, 421, "Instance-Id: other\r\n", "", 0);
+		http_session_answer(session, 421,
+		    server->is_leaving
+			? "Instance-Id: other\r\nServer-Leaving: 1\r\n"
+			: "Instance-Id: other\r\n",
+		    "", 0);
 		return true;
 	}
 	if (version[0] != '\0' &&
@@ -191,8 +203,8 @@
 	    kwb_clock_now_ns() >= server->loading_until_ns)
 		return false;
 	snprintf(headers, sizeof(headers),
-	    "Not-Executed: 1\r\nAttempt-Id: %s\r\n",
-	    request_header(session, "Attempt-Id"));
+	    "Not-Executed: 1\r\nAttempt-Id: %s\r\n%s",
+	    request_header(session, "Attempt-Id"), leaving_header(server));
 	http_session_answer(session, 503, headers, "", 0);
 	return true;
 }
@@ -371,6 +383,15 @@
 /* ---- Weight orders and reports
  * ---------------------------------------------- */
 
+/* Of answers that belong to no request's id. */
+static void
+format_own_headers(
+    char *out, size_t out_capacity, const struct testbed_server *server)
+{
+	snprintf(out, out_capacity, "Instance-Id: %s\r\n%s", server->name,
+	    leaving_header(server));
+}
+
 static void
 record_order(struct testbed_server *server, const json_t *body, uint64_t fence)
 {
@@ -400,6 +421,7 @@
 	uint64_t seq =
 	    (uint64_t)json_integer_value(json_object_get(body, "expected-rev"));
 	unsigned status = 202;
+	char headers[128];
 
 	record_order(server, body, fence);
 	if (fence < server->fence && !server->ignores_fences)
@@ -419,7 +441,8 @@
 		    kwb_clock_now_ns() + server->load_duration_ms * KWB_MS_NS;
 	}
 	json_decref(body);
-	http_session_answer(session, status, "", "", 0);
+	format_own_headers(headers, sizeof(headers), server);
+	http_session_answer(session, status, headers, "", 0);
 }
 
 static void
@@ -427,6 +450,7 @@
 {
 	const struct testbed_server *server = session->listener->context;
 	char text[256];
+	char headers[128];
 	int length = snprintf(text, sizeof(text),
 	    "{\"models\":[{\"name\":\"m\",\"version\":%llu}],"
 	    "\"busy\":%s,\"seq\":%llu,\"running\":%u,\"queued\":0}",
@@ -434,7 +458,8 @@
 	    kwb_clock_now_ns() < server->loading_until_ns ? "true" : "false",
 	    (unsigned long long)server->seq, server->streams_open);
 
-	http_session_answer(session, 200, "", text, (size_t)length);
+	format_own_headers(headers, sizeof(headers), server);
+	http_session_answer(session, 200, headers, text, (size_t)length);
 }
 
 static void
@@ -488,10 +513,11 @@
 	snprintf(text, sizeof(text),
 	    "{\"service\":\"%s\",\"addr\":\"%s:%u\",\"zone\":\"z1\","
 	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\",\"seq\":%llu,"
-	    "\"born\":1700000000000%s",
+	    "\"born\":%llu%s",
 	    server->service, address->ip, address->port, server->slots,
 	    server->is_draining ? "draining" : "ready",
 	    (unsigned long long)server->seq,
+	    (unsigned long long)server->born_ms,
 	    server->is_model_server ? "" : "}");
 	if (server->is_model_server)
 		snprintf(text + strlen(text), sizeof(text) - strlen(text),
@@ -506,6 +532,7 @@
 testbed_server_open(struct testbed_server *server, struct testbed *testbed)
 {
 	server->testbed = testbed;
+	server->born_ms = 1700000000000;
 	if (http_listener_open(&server->port, testbed->base, server_on_request,
 		server_on_close, server) != 0)
 		abort();
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -204,6 +204,8 @@
 	bool ignores_fences;  /* accepts orders with old tokens */
 	bool is_published;    /* its row was written */
 	bool is_draining;
+	bool is_leaving; /* its answers say so */
+	uint64_t born_ms;
 	unsigned slots;		   /* streams at a time that it reports */
 	unsigned streams_open;	   /* now */
 	uint64_t version;	   /* of the weights */
