Soak: servers leave with the sign, and nothing sent later may reach them

Each server of the soak leaves once in some seconds, says so in all its answers, in half of the cases reports it to the store, too, and starts again 1.2 s later under its id. Checked: a call that a client sends after a node had passed on an answer with the sign doesn't reach that server from that node, without any slack and also after a freeze or SIGHUP of the node; only its restart, or the server's next life, excuses it.

--- a/tests/platform/soak.c
+++ b/tests/platform/soak.c
@@ -35,6 +35,8 @@
 #define FAULTS_MS 7000	  /* duration of the phase with faults */
 #define RECOVERY_MS 14000 /* then at most until accepted batches are ended */
 #define GRACE_MS 8000
+#define LEAVE_PERIOD_MS 6000 /* a server leaves so long after its start */
+#define LEAVING_MS 1200	     /* and starts again after that */
 #define LEASE_MS 3000
 #define VERSION_PERIOD_MS 900 /* between published weight versions */
 
@@ -50,12 +52,24 @@
 	bool is_terminating;		  /* by SIGTERM */
 	uint64_t grace_until_ns;	  /* after SIGTERM; killed then */
 	uint64_t restart_due_ns;	  /* 0 for none */
+	unsigned memory_number;		  /* rises when it starts */
 };
 
 struct call {
 	char id[24];
 	bool is_non_idempotent; /* must not run twice */
 	uint16_t status;	/* of the answer; 0 for none */
+	uint64_t sent_ns;
+	unsigned barred_servers; /* bits: its node knew that they leave */
+};
+
+/* A server that leaves and starts again under its id, by turns. */
+struct server_life {
+	uint64_t started_ns;
+	uint64_t leave_due_ns;
+	uint64_t restart_due_ns; /* 0 while it doesn't leave */
+	/* By node: the memory that has passed on the sign; 0 for none. */
+	unsigned told_memory[NODES];
 };
 
 struct batch {
@@ -105,8 +119,11 @@
 	uint64_t next_fault_ns;	  /* when the next fault is injected */
 	uint64_t phase_until_ns;  /* end of the phase of faults or recovery */
 	bool is_recovering;	  /* no more faults, calls and new batches */
-	unsigned failures;	  /* broken guarantees */
-	unsigned faults;	  /* injected */
+	struct server_life lives[SERVERS];
+	unsigned leaving_random_state; /* of its own: keeps seeds' faults */
+	unsigned leaves;	       /* servers that left */
+	unsigned failures;	       /* broken guarantees */
+	unsigned faults;	       /* injected */
 };
 
 /* A random number from 0 to below - 1, from the seed's sequence. */
@@ -178,6 +195,7 @@
 		execl(program, program, (char *)NULL);
 		_exit(127);
 	}
+	node->memory_number++;
 	node->is_paused = false;
 	node->is_terminating = false;
 	node->restart_due_ns = 0;
@@ -273,6 +291,40 @@
 	evbuffer_free(out);
 }
 
+/* Notes which servers the node that gets the call must not send it to. */
+static void
+call_bar_leaving(struct soak *soak, struct call *call, const struct node *node)
+{
+	unsigned node_index = (unsigned)(node - soak->nodes);
+	unsigned i;
+
+	call->sent_ns = kwb_clock_now_ns();
+	for (i = 0; i < SERVERS; i++)
+		if (soak->lives[i].told_memory[node_index] ==
+		    node->memory_number)
+			call->barred_servers |= 1u << i;
+}
+
+/* A node has passed an answer on that says that its server leaves. */
+static void
+note_leaving_answer(struct client *client, const struct kwb_message *answer)
+{
+	struct soak *soak = client->soak;
+	const char *leaving = kwb_message_header(answer, "Server-Leaving");
+	const char *receipt = kwb_message_header(answer, "Server-Stamp");
+	unsigned node_index = (unsigned)(client->node - soak->nodes);
+	struct server_life *life;
+	unsigned i;
+
+	if (leaving == NULL || strcmp(leaving, "1") != 0 || receipt == NULL ||
+	    sscanf(receipt, "stamp-s%u-", &i) != 1 || i >= SERVERS)
+		return;
+	life = &soak->lives[i];
+	if (life->restart_due_ns != 0 &&
+	    client->call->sent_ns >= life->started_ns)
+		life->told_memory[node_index] = client->node->memory_number;
+}
+
 static void
 caller_send(struct client *client)
 {
@@ -289,6 +341,7 @@
 	snprintf(body, sizeof(body), "body of %s", call->id);
 	client_send(client, "POST",
 	    call->is_non_idempotent ? "/once/x" : "/web/x", call->id, body);
+	call_bar_leaving(soak, call, client->node);
 }
 
 static void
@@ -299,6 +352,8 @@
 	char body[48];
 
 	call->status = error == 0 ? answer->status : 0;
+	if (call->status == 200)
+		note_leaving_answer(client, answer);
 	snprintf(body, sizeof(body), "body of %s", call->id);
 	if (call->status == 200 &&
 	    (strcmp(kwb_buf_text(&answer->body), body) != 0 ||
@@ -599,6 +654,55 @@
 		    soak->testbed.store.revision;
 }
 
+/* A new life under the same id: what was known of the old one is void. */
+static void
+server_restart(struct soak *soak, unsigned index)
+{
+	struct testbed_server *server = &soak->testbed.servers[index];
+	struct server_life *life = &soak->lives[index];
+	unsigned i;
+
+	server->is_leaving = false;
+	server->is_draining = false;
+	server->born_ms++;
+	testbed_server_publish(server);
+	memset(life, 0, sizeof(*life));
+	life->started_ns = kwb_clock_now_ns();
+	life->leave_due_ns = life->started_ns +
+	    ((uint64_t)rand_r(&soak->leaving_random_state) % LEAVE_PERIOD_MS) *
+		KWB_MS_NS;
+	for (i = 0; i < CALLERS; i++)
+		if (soak->clients[i].is_busy && soak->clients[i].call != NULL)
+			soak->clients[i].call->barred_servers &= ~(1u << index);
+}
+
+/* Servers leave, half of them with a report, too, and start again. */
+static void
+servers_poll(struct soak *soak)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	struct testbed_server *server;
+	struct server_life *life;
+	unsigned i;
+
+	for (i = 0; i < SERVERS; i++) {
+		server = &soak->testbed.servers[i];
+		life = &soak->lives[i];
+		if (life->restart_due_ns != 0 &&
+		    (now_ns >= life->restart_due_ns || soak->is_recovering)) {
+			server_restart(soak, i);
+		} else if (life->restart_due_ns == 0 &&
+		    now_ns >= life->leave_due_ns && !soak->is_recovering) {
+			soak->leaves++;
+			life->restart_due_ns = now_ns + LEAVING_MS * KWB_MS_NS;
+			server->is_leaving = true;
+			server->is_draining =
+			    rand_r(&soak->leaving_random_state) % 2 == 0;
+			testbed_server_publish(server);
+		}
+	}
+}
+
 static void
 clear_faults(struct soak *soak)
 {
@@ -642,6 +746,26 @@
 
 /* ---- Checks and the run of a seed ---------------------------------------- */
 
+/* A call must not reach a server that its node knew to be leaving. */
+static void
+check_barred_servers(struct soak *soak, const struct call *call)
+{
+	const struct recorded_run *run;
+	unsigned server;
+	unsigned i;
+
+	for (i = 0; call->barred_servers != 0 && i < soak->testbed.runs_count;
+	     i++) {
+		run = &soak->testbed.runs[i];
+		if (strcmp(run->id, call->id) == 0 &&
+		    sscanf(run->server, "s%u", &server) == 1 &&
+		    (call->barred_servers >> server & 1) != 0)
+			report_failure(soak,
+			    "%s reached %s, which was known to leave", call->id,
+			    run->server);
+	}
+}
+
 /* How often the servers have run the request with this id. */
 static unsigned
 count_runs(const struct soak *soak, const char *id)
@@ -664,6 +788,7 @@
 	for (i = 0; i < soak->calls_count; i++) {
 		call = &soak->calls[i];
 		runs = count_runs(soak, call->id);
+		check_barred_servers(soak, call);
 		if (call->is_non_idempotent && runs > 1)
 			report_failure(soak,
 			    "%s is not idempotent, but ran %u times", call->id,
@@ -890,6 +1015,7 @@
 	memset(&soak, 0, sizeof(soak));
 	soak.seed = seed;
 	soak.random_state = seed;
+	soak.leaving_random_state = seed;
 	soak.is_fencing_enforced = seed % 2 == 0;
 	soak.version = 1;
 	snprintf(
@@ -897,11 +1023,17 @@
 	if (mkdtemp(soak.directory) == NULL)
 		abort();
 	soak_start(&soak);
+	for (i = 0; i < SERVERS; i++)
+		soak.lives[i].leave_due_ns = kwb_clock_now_ns() +
+		    ((uint64_t)rand_r(&soak.leaving_random_state) %
+			LEAVE_PERIOD_MS) *
+			KWB_MS_NS;
 	soak.phase_until_ns = kwb_clock_now_ns() + FAULTS_MS * KWB_MS_NS;
 	soak.next_fault_ns = kwb_clock_now_ns() + 500 * KWB_MS_NS;
 	while (kwb_clock_now_ns() < soak.phase_until_ns) {
 		testbed_run_for(&soak.testbed, 5);
 		nodes_poll(&soak);
+		servers_poll(&soak);
 		if (kwb_clock_now_ns() >= soak.next_fault_ns)
 			inject_fault(&soak);
 		if (kwb_clock_now_ns() >= soak.next_version_ns)
@@ -913,6 +1045,7 @@
 	while (kwb_clock_now_ns() < soak.phase_until_ns && !is_settled(&soak)) {
 		testbed_run_for(&soak.testbed, 5);
 		nodes_poll(&soak);
+		servers_poll(&soak);
 	}
 	check_calls(&soak);
 	mark_unanswered_submissions(&soak);
@@ -921,10 +1054,10 @@
 	for (i = 0; i < soak.batches_count; i++)
 		ended_count += soak.batches[i].is_ended;
 	printf("%s soak %u   faults=%u calls=%u batches=%u ended=%u "
-	       "orders=%u\n",
+	       "orders=%u leaves=%u\n",
 	    soak.failures == 0 ? "ok" : "FAILED", seed, soak.faults,
 	    soak.calls_count, soak.batches_count, ended_count,
-	    soak.testbed.orders_count);
+	    soak.testbed.orders_count, soak.leaves);
 	fflush(stdout);
 	soak_finish(&soak);
 	return soak.failures;
