--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -72,8 +72,7 @@
 	headers = headers_create(request);
 	handle_prepare(curl, &exchange, headers);
 	code = curl_easy_perform(curl);
-	/* libcurl takes a head that ends with its connection for a whole one.
-	 */
+	/* libcurl takes a head that ends with its connection for whole. */
 	if (code == CURLE_OK && !exchange.has_head) {
 		kwb_log(KWB_LOG_WARN, "http", "event=head_cut_off url=%s",
 		    request->url);
