Clusters of the tests claim free ports

Two runs of make check on one machine used the same ports (contract 26000, golden 27000, faults 21000): each saw the processes of the other and reported orders that ran twice. Cause: base ports were constants. Ruled out: port 0 for each process, since settings name the ports before the processes start.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -17,7 +17,6 @@
 #include "../fakes/trainer.h"
 #include "measure.h"
 
-#define BASE_PORT 25000
 #define TOKEN_US 3000
 #define BATCH_US 30
 #define LENGTH_MEDIAN 100 /* tokens */
@@ -551,7 +550,7 @@
 	    "--length_spread %d",
 	    TOKEN_US, BATCH_US, LENGTH_MEDIAN, LENGTH_SPREAD);
 	spec.lists = format_lists(deployment);
-	if (cluster_start(cluster, &spec, BASE_PORT) == 0) {
+	if (cluster_start(cluster, &spec) == 0) {
 		cluster_publish_weights(cluster, "n", 1);
 		return;
 	}
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -13,7 +13,6 @@
 
 #include "measure.h"
 
-#define BASE_PORT 24000
 #define IDLE_PERIOD_NS (6000 * KWB_MS_NS)
 #define CALLERS 8
 
@@ -434,7 +433,7 @@
 	lists.used_bytes = 0;
 	format_lists(&lists, plans);
 	spec.lists = lists.data;
-	if (cluster_start(cluster, &spec, BASE_PORT) == 0)
+	if (cluster_start(cluster, &spec) == 0)
 		return;
 	fprintf(stderr, "the test deployment did not start\n");
 	cluster_stop(cluster);
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -17,11 +17,12 @@
 #include "../src/wire/wire.h"
 #include "world.h"
 
-#define BASE_PORT 26000
 #define ANSWER_TIMEOUT_MS 4000
 #define LLM_AGENT_PORT_OFFSET 16
 #define SHOP_AGENT_PORT_OFFSET 17
 
+static struct cluster world;
+
 static const char lists_text[] =
     "plans:\n"
     "  - {name: quotes, customer: a, kind: training, pool: llm, model: m}\n"
@@ -42,6 +43,7 @@
 
 static unsigned passed, failed;
 
+/* Connects to a port of the cluster, counted from its base. */
 static void client_open(struct client *client, unsigned port);
 static void client_close(struct client *client);
 static bool client_send(struct client *client, Kwb__Wire__Frame *frame);
@@ -61,7 +63,6 @@
 int
 main(void)
 {
-	static struct cluster world;
 	struct cluster_spec spec = {.entries = 1,
 	    .engines = 1,
 	    .services = 1,
@@ -75,8 +76,7 @@
 	kwb_log_init("contract", KWB_LOG_ERROR);
 	kwb_http_init();
 	signal(SIGPIPE, SIG_IGN);
-	check(cluster_start(&world, &spec, BASE_PORT) == 0,
-	    "the cluster starts", "");
+	check(cluster_start(&world, &spec) == 0, "the cluster starts", "");
 	check_calls(&world);
 	check_weight_orders(&world);
 	check_attempt_fencing();
@@ -608,7 +608,7 @@
 	memset(client, 0, sizeof(*client));
 	kwb_buf_init(&client->in);
 	client->fd = socket(AF_INET, SOCK_STREAM, 0);
-	in.sin_port = htons((uint16_t)(BASE_PORT + port));
+	in.sin_port = htons((uint16_t)(world.base_port + port));
 	inet_pton(AF_INET, "127.0.0.1", &in.sin_addr);
 	if (connect(client->fd, (struct sockaddr *)&in, sizeof(in)) != 0)
 		return;
--- a/tests/faults.c
+++ b/tests/faults.c
@@ -16,7 +16,6 @@
 #include "session.h"
 
 #define PARALLEL_SESSIONS 4
-#define BASE_PORT 21000
 #define SESSIONS_MAX 512
 #define KNOWN_FAILURES_FILE "KNOWN-RED.txt"
 
@@ -50,7 +49,7 @@
 };
 
 static const struct fault *find_fault(const char *name);
-static int run_session(const struct session_line *line, uint16_t base_port);
+static int run_session(const struct session_line *line);
 static int run_sessions(const struct session_line *lines, unsigned count);
 static bool is_known_failure(const struct session_line *line);
 static void line_print(
@@ -87,7 +86,7 @@
 		lines[0].seed = find_fault(last) ? 1 : strtoull(last, NULL, 10);
 		if (argc > 2 && find_fault(argv[2]))
 			lines[0].second = argv[2];
-		return run_session(&lines[0], BASE_PORT);
+		return run_session(&lines[0]);
 	}
 	for (i = 0; i < session_faults_count; i++) {
 		lines[count].first = session_faults[i].name;
@@ -111,7 +110,7 @@
 
 /* Runs a session and prints its result. Returns 0, 1 failed or 2 misused. */
 static int
-run_session(const struct session_line *line, uint16_t base_port)
+run_session(const struct session_line *line)
 {
 	static struct session session;
 	char text[128];
@@ -124,7 +123,7 @@
 		return 2;
 	}
 	passed = session_run(&session, find_fault(line->first),
-	    find_fault(line->second), line->seed, base_port);
+	    find_fault(line->second), line->seed);
 	printf("%s %-40s steps=%u samples=%u answers=%u refused=%u orders=%u "
 	       "step_after_ms=%u order_after_ms=%u\n",
 	    passed ? "ok    " : "FAILED", text, session.complete_steps,
@@ -164,9 +163,7 @@
 			running_line[slot] = next;
 			pids[slot] = fork();
 			if (pids[slot] == 0)
-				_exit(run_session(&lines[next],
-				    (uint16_t)(BASE_PORT +
-					slot * CLUSTER_PORTS_COUNT)));
+				_exit(run_session(&lines[next]));
 			next++;
 		}
 		pid = wait(&status);
--- a/tests/golden.c
+++ b/tests/golden.c
@@ -23,7 +23,6 @@
 #include "../src/core/yaml.h"
 #include "world.h"
 
-#define BASE_PORT 27000
 #define WORDS_MAX 16
 
 static const char lists_text[] =
@@ -81,8 +80,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	glob("tests/scripts/*.txt", 0, NULL, &scripts);
 	for (i = 0; i < scripts.gl_pathc; i++) {
-		bool has_passed =
-		    cluster_start(&world, &spec, BASE_PORT) == 0 &&
+		bool has_passed = cluster_start(&world, &spec) == 0 &&
 		    run_script(&world, scripts.gl_pathv[i], is_writing);
 
 		cluster_stop(&world);
--- a/tests/session.c
+++ b/tests/session.c
@@ -84,7 +84,7 @@
 
 bool
 session_run(struct session *session, const struct fault *first,
-    const struct fault *second, uint64_t seed, uint16_t base_port)
+    const struct fault *second, uint64_t seed)
 {
 	struct cluster_spec spec = {.entries = ENTRIES,
 	    .engines = ENGINES,
@@ -106,7 +106,7 @@
 	session->seed = seed;
 	session->is_planned = (first == NULL || first->is_planned) &&
 	    (second == NULL || second->is_planned);
-	if (cluster_start(&session->cluster, &spec, base_port) != 0) {
+	if (cluster_start(&session->cluster, &spec) != 0) {
 		session_fail(session, "the test cluster did not start");
 		cluster_stop(&session->cluster);
 		return false;
--- a/tests/session.h
+++ b/tests/session.h
@@ -79,7 +79,7 @@
  * checks passed; session->failures says what did not.
  */
 bool session_run(struct session *session, const struct fault *first,
-    const struct fault *second, uint64_t seed, uint16_t base_port);
+    const struct fault *second, uint64_t seed);
 
 /* Records a failed check; those beyond SESSION_FAILURES_MAX are dropped. */
 void session_fail(struct session *session, const char *format, ...)
--- a/tests/world.c
+++ b/tests/world.c
@@ -1,11 +1,13 @@
 /*
  * Test cluster on loopback, for tests and benchmarks.
  */
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -17,6 +19,7 @@
 
 /* Ports, counted from the base port of the cluster. */
 #define PLATFORM_PORT_OFFSET 0
+#define CLAIM_PORT_OFFSET 3 /* bound for as long as the ports are in use */
 #define ENTRY_PORT_OFFSET 4
 #define AGENT_PORT_OFFSET 16
 #define UPSTREAM_PORT_OFFSET 56
@@ -25,6 +28,9 @@
 #define METRICS_PORT_OFFSET 200
 /* Relays before agents come first; from here on they are behind entries. */
 #define ENTRY_RELAY_FIRST_INDEX 40
+/* Blocks of ports lie below those that the kernel gives to clients. */
+#define FIRST_BASE_PORT 10000
+#define LAST_BASE_PORT 32000
 #define PLATFORM_START_MAX_MS 10000 /* allows for a busy machine */
 #define SETTLE_MAX_MS 20000
 #define BUILD_DIRECTORY_VARIABLE "KWB_BUILD"
@@ -51,15 +57,46 @@
 static pid_t spawn_process(const struct cluster *cluster,
     const struct cluster_process *process, const char *output);
 
+/*
+ * Binds one port of a free block, which other clusters then leave alone.
+ * Returns 0, or -1 if all blocks are in use.
+ */
+static int
+claim_ports(struct cluster *cluster)
+{
+	struct sockaddr_in in = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	unsigned base;
+
+	for (base = FIRST_BASE_PORT; base <= LAST_BASE_PORT;
+	     base += CLUSTER_PORTS_COUNT) {
+		cluster->ports_claim =
+		    socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		in.sin_port = htons((uint16_t)(base + CLAIM_PORT_OFFSET));
+		if (bind(cluster->ports_claim, (struct sockaddr *)&in,
+			sizeof(in)) == 0) {
+			cluster->base_port = (uint16_t)base;
+			return 0;
+		}
+		close(cluster->ports_claim);
+	}
+	cluster->ports_claim = -1;
+	fprintf(stderr, "no free block of %u ports from %u on\n",
+	    CLUSTER_PORTS_COUNT, FIRST_BASE_PORT);
+	return -1;
+}
+
 int
-cluster_start(struct cluster *cluster, const struct cluster_spec *spec,
-    uint16_t base_port)
+cluster_start(struct cluster *cluster, const struct cluster_spec *spec)
 {
+	unsigned base_port;
 	unsigned i;
 
 	memset(cluster, 0, sizeof(*cluster));
+	if (claim_ports(cluster) != 0)
+		return -1;
+	base_port = cluster->base_port;
 	cluster->spec = *spec;
-	cluster->base_port = base_port;
 	snprintf(cluster->directory, sizeof(cluster->directory),
 	    "/tmp/kwb-%d-%u", (int)getpid(), base_port);
 	mkdir(cluster->directory, 0700);
@@ -112,6 +149,9 @@
 
 	for (i = 0; i < cluster->processes_count; i++)
 		cluster_kill_process(cluster, cluster->processes[i].name);
+	if (cluster->ports_claim > 0)
+		close(cluster->ports_claim);
+	cluster->ports_claim = 0;
 }
 
 struct cluster_process *
--- a/tests/world.h
+++ b/tests/world.h
@@ -46,17 +46,18 @@
 struct cluster {
 	struct cluster_spec spec;
 	uint16_t base_port;
+	int ports_claim;     /* socket that keeps the ports for this cluster */
 	char directory[128]; /* settings and logs */
 	unsigned processes_count;
 	struct cluster_process processes[CLUSTER_PROCESSES_MAX];
 };
 
 /*
- * Starts all processes and applies the lists. Returns 0 once the agents hold
- * the whole allowance of each plan, or -1; stop the cluster in either case.
+ * Starts all processes on ports that no other cluster of this machine uses and
+ * applies the lists. Returns 0 once the agents hold the whole allowance of each
+ * plan, or -1; stop the cluster in either case.
  */
-int cluster_start(struct cluster *cluster, const struct cluster_spec *spec,
-    uint16_t base_port);
+int cluster_start(struct cluster *cluster, const struct cluster_spec *spec);
 
 /* Kills all processes; settings and logs stay in cluster->directory. */
 void cluster_stop(struct cluster *cluster);
