Decode what keys, workspaces and duties need from settings and config

The settings of duties and of the revocation of keys, a route's public flag, the bounds of a scaled service and the workspaces of a config are read into the types of kwb_node.h.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -657,6 +657,16 @@
 	uint32_t row_max_bytes; /* largest value of a row of the store */
 	/* Upstreams refuse orders with an outdated fencing token. */
 	bool is_fencing_enforced;
+	/* A key that was taken away admits nothing after revoke_ms. */
+	bool is_revocation_strict;
+	uint32_t revoke_ms;
+	/* Duties: calls to the platform that one node at a time makes. */
+	struct kwb_address duty_address; /* that takes them; port 0 for none */
+	bool reports_usage;		 /* usage of workspaces, by window */
+	bool scales_services;		 /* numbers of upstreams */
+	uint32_t duty_calls_per_s;	 /* of all nodes; 0 for no limit */
+	uint32_t usage_window_ms;	 /* length of a window of usage */
+	uint32_t usage_late_ms;		 /* after a window, its report is due */
 };
 
 void kwb_node_settings_init(
@@ -825,7 +835,8 @@
 	enum kwb_route_kind kind;
 	bool resumable;	     /* a stream may go on at another upstream */
 	bool single_version; /* an item's text comes from one weight version */
-	bool sticky; /* prefer upstreams that read the same prompt prefix */
+	bool sticky;	/* prefer upstreams that read the same prompt prefix */
+	bool is_public; /* needs no key, also where there are workspaces */
 	uint32_t timeout_ms;	    /* 0 when not set */
 	uint32_t target_latency_ms; /* 0 when not set */
 	uint32_t run_deadline_ms;   /* time for a whole batch */
@@ -843,6 +854,18 @@
 	uint32_t slots; /* of an upstream; 0 when not an engine */
 	char (*models)[KWB_NAME_MAX_BYTES];
 	uint32_t models_count;
+	/* Bounds of the number of upstreams in a failure domain. */
+	bool is_scaled; /* the number is to be ordered, within these */
+	uint32_t scale_min;
+	uint32_t scale_max;
+	uint32_t boot_ms; /* until a new upstream serves */
+};
+
+/* A customer of the operator, who holds keys. */
+struct kwb_workspace {
+	char name[KWB_NAME_MAX_BYTES];
+	uint32_t priority; /* 0 is the highest; goes before the route's */
+	bool has_priority;
 };
 
 struct kwb_node_config {
@@ -851,6 +874,9 @@
 	uint32_t routes_count;
 	struct kwb_service *services;
 	uint32_t services_count;
+	struct kwb_workspace *workspaces;
+	uint32_t workspaces_count;
+	bool has_workspaces; /* requests need a key, except on public routes */
 	uint32_t max_header_bytes;  /* of a request's head */
 	uint64_t max_body_bytes;    /* of a request's body */
 	uint32_t header_timeout_ms; /* for a request's head to arrive */
@@ -1042,6 +1068,7 @@
 	const char *id;	      /* chosen by the client, "" when absent */
 	const char *host;     /* "" when absent */
 	const char *prompt;   /* "PART:TOKENS,...", "" when absent */
+	const char *key;      /* of a workspace, "" when absent */
 	uint64_t deadline_ns; /* 0 for none */
 	char batch[KWB_KEY_MAX_BYTES]; /* id; "" for KWB_REQUEST_FORWARD */
 	char item[KWB_KEY_MAX_BYTES];  /* id, "" for none */
@@ -1054,7 +1081,8 @@
 	const char *method;
 	const char *target; /* path and query */
 	const char *host;
-	const char *id; /* "" for none */
+	const char *id;	       /* "" for none */
+	const char *workspace; /* that asks; NULL for none */
 	/* Passed on, except the hop-by-hop ones; NULL for none. */
 	const struct kwb_message *headers;
 	const void *body;
@@ -1227,6 +1255,7 @@
 	const struct kwb_forward_env *env;
 	struct kwb_upstream_request request;
 	char service[KWB_NAME_MAX_BYTES];
+	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
 	const char *prompt;  /* its parts, where the route is sticky, or NULL */
 	bool idempotent;     /* may run more than once */
 	bool returns_errors; /* a 5xx answer is returned, not retried */
@@ -1313,10 +1342,11 @@
  */
 struct kwb_batch_record {
 	char id[KWB_KEY_MAX_BYTES];
-	char owner[KWB_NAME_MAX_BYTES]; /* node; "" when released */
-	uint64_t owner_incarnation;	/* process of that node */
-	char host[KWB_KEY_MAX_BYTES];	/* of the submission */
-	char target[KWB_URL_MAX_BYTES]; /* path of the submission */
+	char owner[KWB_NAME_MAX_BYTES];	    /* node; "" when released */
+	uint64_t owner_incarnation;	    /* process of that node */
+	char host[KWB_KEY_MAX_BYTES];	    /* of the submission */
+	char target[KWB_URL_MAX_BYTES];	    /* path of the submission */
+	char workspace[KWB_NAME_MAX_BYTES]; /* that submitted it, "" for none */
 	char model[KWB_NAME_MAX_BYTES];
 	uint64_t min_version;	 /* oldest weights allowed */
 	uint64_t config_version; /* under which it was accepted; 0 unknown */
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -12,6 +12,9 @@
 #define MEMORY_MB 256
 #define PROCESSOR_MILLI 1000 /* one core */
 #define FDS_MAX 4096
+#define REVOKE_MS 5000
+#define USAGE_WINDOW_MS 5000
+#define USAGE_LATE_MS 10000
 
 void
 kwb_node_settings_init(struct kwb_node_settings *settings)
@@ -24,4 +27,7 @@
 	settings->memory_mb = MEMORY_MB;
 	settings->processor_milli = PROCESSOR_MILLI;
 	settings->fds_max = FDS_MAX;
+	settings->revoke_ms = REVOKE_MS;
+	settings->usage_window_ms = USAGE_WINDOW_MS;
+	settings->usage_late_ms = USAGE_LATE_MS;
 }
--- a/src/route/node_config.c
+++ b/src/route/node_config.c
@@ -18,6 +18,7 @@
 		free(config->services[i].models);
 	free(config->routes);
 	free(config->services);
+	free(config->workspaces);
 	memset(config, 0, sizeof(*config));
 }
 
