--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -14,6 +14,7 @@
 #include <sys/queue.h>
 
 #include "kwb.h"
+#include "kwb_access.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -842,7 +843,7 @@
 	uint32_t run_deadline_ms;   /* time for a whole batch */
 	uint32_t item_ttl_ms;	    /* after which an item may be given up */
 	uint32_t max_attempts;	    /* of one request, the first included */
-	uint32_t priority;	    /* not used */
+	uint32_t priority;	    /* 0 is the highest */
 	struct kwb_route_split *splits; /* at least one */
 	uint32_t splits_count;
 };
@@ -877,10 +878,11 @@
 	struct kwb_workspace *workspaces;
 	uint32_t workspaces_count;
 	bool has_workspaces; /* requests need a key, except on public routes */
-	uint32_t max_header_bytes;  /* of a request's head */
-	uint64_t max_body_bytes;    /* of a request's body */
-	uint32_t header_timeout_ms; /* for a request's head to arrive */
-	uint32_t idle_timeout_ms;   /* of a connection between requests */
+	struct kwb_access_keys keys; /* of the workspaces */
+	uint32_t max_header_bytes;   /* of a request's head */
+	uint64_t max_body_bytes;     /* of a request's body */
+	uint32_t header_timeout_ms;  /* for a request's head to arrive */
+	uint32_t idle_timeout_ms;    /* of a connection between requests */
 };
 
 void kwb_node_config_finish(struct kwb_node_config *config); /* frees it */
--- a/src/route/node_config.c
+++ b/src/route/node_config.c
@@ -19,6 +19,7 @@
 	free(config->routes);
 	free(config->services);
 	free(config->workspaces);
+	kwb_access_keys_finish(&config->keys);
 	memset(config, 0, sizeof(*config));
 }
 
