--- a/include/kwb.h
+++ b/include/kwb.h
@@ -177,8 +177,10 @@
 	KWB_METRIC_CONTROL_BYTES,     /* sent to peers, apart from requests */
 	KWB_METRIC_STORE_DETOURS,     /* switches to a path through a peer */
 	KWB_METRIC_UPSTREAMS_LEAVING, /* upstreams that said that they leave */
-	KWB_METRIC_RELAYED_BYTES,     /* between peers and the store */
-	KWB_METRIC_LISTS_REVISION,    /* gauge: lists or config in force */
+	KWB_METRIC_KEYS_UNKNOWN,   /* requests with no key, or no valid one */
+	KWB_METRIC_KEYS_UNPROVED,  /* not admitted: config may be outdated */
+	KWB_METRIC_RELAYED_BYTES,  /* between peers and the store */
+	KWB_METRIC_LISTS_REVISION, /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
 
--- a/include/kwb_access.h
+++ b/include/kwb_access.h
@@ -8,8 +8,11 @@
 
 #include "kwb.h"
 
-struct kwb_workspace;
+struct kwb_follower;
+struct kwb_node_config;
+struct kwb_node_settings;
 struct kwb_route_entry;
+struct kwb_workspace;
 
 /* ---- Keys ----------------------------------------------------------------
  */
@@ -54,7 +57,73 @@
 uint32_t kwb_access_rank(
     const struct kwb_workspace *workspace, const struct kwb_route_entry *route);
 
+/* A feed of the store that was answered; times are kwb_boot_now_ns(). */
+struct kwb_proof_input {
+	uint64_t sent_ns;
+	uint64_t answered_ns;
+	uint32_t wait_ms; /* that it asked for */
+	bool has_rows;
+	bool is_partial; /* there are more rows than these */
+};
+
+/* Up to when all changes are known by that answer; 0 when it proves nothing. */
+uint64_t kwb_access_proof_ns(const struct kwb_proof_input *input);
+
+/* How old a proof may be that admits a request, from the settings. */
+uint64_t kwb_access_proof_max_age_ns(bool is_strict, uint32_t revoke_ms);
+
+enum kwb_access_verdict {
+	KWB_ACCESS_ADMIT,
+	KWB_ACCESS_UNKNOWN, /* no config that may be in force has the key */
+	KWB_ACCESS_ASK,	    /* the store's answer decides, and is awaited */
+	KWB_ACCESS_UNPROVED /* the node's config may be outdated */
+};
+
+/* A request that needs a key; times are kwb_boot_now_ns(). */
+struct kwb_access_input {
+	bool is_known;	     /* the node's config has the key */
+	uint64_t proof_ns;   /* up to when that config is known to be newest */
+	uint64_t max_age_ns; /* of the proof */
+	uint64_t arrived_ns; /* when the request had been read */
+	uint64_t wait_until_ns; /* the store's answer is awaited until then */
+	uint64_t now_ns;	/* read after the request was */
+};
+
+enum kwb_access_verdict kwb_access_decide(
+    const struct kwb_access_input *input); /* pure */
+
 /* Whether a workspace may use what belongs to owner; "" stands for none. */
 bool kwb_access_is_owner(const char *owner, const char *workspace);
 
+/* ---- Access --------------------------------------------------------------
+ */
+
+/* What a node knows of keys: the newest config, and how surely it is newest. */
+struct kwb_access {
+	const struct kwb_node_settings *settings;
+	const struct kwb_node_config *const *config; /* may be NULL yet */
+	struct kwb_follower *follower;		     /* that reads it */
+	bool is_config_unread; /* a newer one could not be parsed */
+	uint64_t asked_ns;     /* boot time when the store was last asked */
+};
+
+/* A request as far as its key is concerned. */
+struct kwb_access_request {
+	const char *key;       /* "" for none */
+	bool is_public;	       /* needs no key */
+	uint64_t arrived_ns;   /* boot time when it had been read */
+	const char *workspace; /* out: that asks, "" for none */
+	uint64_t proof_age_ns; /* out: UINT64_MAX for none */
+	uint64_t recheck_ns;   /* out: boot time, for KWB_ACCESS_ASK */
+};
+
+/*
+ * Decides on a request now. After KWB_ACCESS_ASK it is to be called again when
+ * the follower's proof has risen, or at recheck_ns.
+ */
+enum kwb_access_verdict kwb_access_check(
+    struct kwb_access *access, struct kwb_access_request *request);
+/* Asks the store where its answer is late; to be called periodically. */
+void kwb_access_keep_proof(struct kwb_access *access);
+
 #endif
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -104,6 +104,17 @@
 #define KWB_RELAY_BUFFER_BYTES 65536 /* of a connection, in each direction */
 #define KWB_RELAY_IDLE_S 5	     /* longer than a feed waits */
 
+/* Keys of workspaces */
+#define KWB_ACCESS_MARGIN_DIVISOR 20 /* of revoke-ms, for clocks that differ   \
+				      */
+#define KWB_ACCESS_WAIT_DIVISOR 4    /* of revoke-ms: longest wait of a feed */
+/* A feed that is unanswered for so long after its wait is asked again. */
+#define KWB_ACCESS_LATE_NS (600 * KWB_MS_NS)
+/* A request waits so long for the store's word on its key. */
+#define KWB_ACCESS_WAIT_NS (300 * KWB_MS_NS)
+/* Between questions for unknown keys; bounds what callers can cause. */
+#define KWB_ACCESS_ASK_NS (100 * KWB_MS_NS)
+
 /* Upstreams of the shared platform */
 /*
  * A unit of work is a plain request or one event of a generation. Its pace is
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -574,6 +574,13 @@
 	uint32_t failures;	  /* in a row */
 	bool synced;		  /* a whole read has been completed */
 	bool reading;		  /* a whole read is in progress */
+	/* Boot times: of the call in progress, or its whole read; of proof. */
+	uint64_t sent_ns;
+	uint64_t proof_ns;  /* up to then all changes were reported; or 0 */
+	uint32_t asked_ms;  /* wait of the feed in progress; 0 for none */
+	uint32_t wait_ms;   /* longest wait of a feed */
+	bool is_proof_kept; /* after a failure a feed does not wait */
+	void (*on_proof)(void *context); /* after a rise of proof_ns, or NULL */
 };
 
 /* Starts to read the table; returns KWB_ERR_MEMORY on failure. */
@@ -587,6 +594,14 @@
 bool kwb_follower_is_current(
     const struct kwb_follower *follower, uint64_t age_ns);
 
+/*
+ * From now on feeds wait for wait_ms at most, and not at all after a failure,
+ * so that proof_ns stays recent while the store answers.
+ */
+void kwb_follower_keep_proof(struct kwb_follower *follower, uint32_t wait_ms);
+/* Asks for changes until now, unless such a question is on its way. */
+void kwb_follower_ask(struct kwb_follower *follower);
+
 /*
  * Asks again if the call in progress has waited for min_wait_ns, for an owner
  * that knows of changes it was not told of: a connection may have gone silent.
@@ -1556,7 +1571,8 @@
 	void *context;
 	struct kwb_batches *batches;
 	struct kwb_store_call call;
-	struct kwb_batch_record record; /* caller sets id, host, target */
+	struct kwb_batch_record record; /* caller sets id, host, target,
+					   workspace */
 	struct kwb_batch_spec spec;
 	const char *body; /* as submitted; must outlive the operation */
 	size_t body_bytes;
@@ -1576,10 +1592,11 @@
 	void *context;
 	struct kwb_batches *batches;
 	struct kwb_store_call call;
-	struct event *timer;		/* retries */
-	struct kwb_batch_record record; /* caller sets id */
-	uint64_t deadline_ns;		/* no retry after it */
-	bool reading;			/* a retry was scheduled */
+	struct event *timer;		    /* retries */
+	struct kwb_batch_record record;	    /* caller sets id */
+	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
+	uint64_t deadline_ns;		    /* no retry after it */
+	bool reading;			    /* a retry was scheduled */
 	int error; /* 0, KWB_ERR_STORE_MISSING, or why it isn't certain */
 };
 
@@ -1596,8 +1613,9 @@
 	struct kwb_store_call call;
 	struct event *timer; /* polls and retries */
 	char batch[KWB_KEY_MAX_BYTES];
-	char item[KWB_KEY_MAX_BYTES]; /* "" for results */
-	uint32_t after;		      /* first position wanted */
+	char item[KWB_KEY_MAX_BYTES];	    /* "" for results */
+	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
+	uint32_t after;			    /* first position wanted */
 	uint64_t wait_deadline_ns; /* an empty list is held back until then */
 	uint64_t deadline_ns;	   /* no retry after it */
 	uint32_t total;		   /* items of the batch */
@@ -1762,6 +1780,8 @@
 	struct evconnlistener *ready_listener;
 	struct evconnlistener *metrics_listener; /* NULL for none */
 	struct kwb_caller_list callers;		 /* open connections */
+	struct kwb_access access;		 /* keys of workspaces */
+	struct kwb_caller_list waiting_callers;	 /* for the store's word */
 	struct event *timer;			 /* every KWB_NODE_CHECK_NS */
 	uint64_t incarnation;	   /* start in ms of the wall clock */
 	uint64_t stop_deadline_ns; /* of a stop; 0 while not stopping */
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -65,7 +65,11 @@
 		accept_complete(accept, KWB_ACCEPT_TAKEN, "written");
 		return;
 	case KWB_ERR_STORE_CONFLICT:
-		accept_complete(accept, KWB_ACCEPT_TAKEN, "there_already");
+		if (accept->record.workspace[0] != '\0')
+			accept_read_back(accept); /* whose is it? */
+		else
+			accept_complete(
+			    accept, KWB_ACCEPT_TAKEN, "there_already");
 		return;
 	case KWB_ERR_STORE_REFUSED:
 		accept_complete(accept, KWB_ACCEPT_REFUSED, "store_refused");
@@ -80,8 +84,13 @@
     struct kwb_store_call *call, const struct kwb_store_answer *answer)
 {
 	struct kwb_batch_accept *accept = call->context;
+	struct kwb_batch_record found;
 
-	if (answer->error == 0 && answer->rows_count > 0)
+	if (answer->error == 0 && answer->rows_count > 0 &&
+	    kwb_batch_record_parse(&found, &answer->rows[0]) == 0 &&
+	    !kwb_access_is_owner(found.workspace, accept->record.workspace))
+		accept_complete(accept, KWB_ACCEPT_REFUSED, "store_refused");
+	else if (answer->error == 0 && answer->rows_count > 0)
 		accept_complete(accept, KWB_ACCEPT_TAKEN, "read_back");
 	else
 		accept_complete(accept, KWB_ACCEPT_UNKNOWN,
@@ -183,13 +192,19 @@
 kwb_batch_accept_start(struct kwb_batch_accept *accept)
 {
 	struct kwb_store *store = accept->batches->env->store;
+	const struct kwb_batch_record *known =
+	    kwb_batches_find_record(accept->batches, accept->record.id);
 	char name[KWB_KEY_MAX_BYTES + 8];
 	int code;
 
 	accept->call.context = accept;
-	if (kwb_batches_find_record(accept->batches, accept->record.id) !=
-	    NULL) {
-		accept_complete(accept, KWB_ACCEPT_TAKEN, "known");
+	if (known != NULL) {
+		if (kwb_access_is_owner(
+			known->workspace, accept->record.workspace))
+			accept_complete(accept, KWB_ACCEPT_TAKEN, "known");
+		else
+			accept_complete(
+			    accept, KWB_ACCEPT_REFUSED, "store_refused");
 		return;
 	}
 	code = accept->batches->env->forward->codec->parse_batch(
--- a/src/batch/end.c
+++ b/src/batch/end.c
@@ -71,6 +71,10 @@
 		return;
 	}
 	records_update(end->batches, &end->record);
+	if (!kwb_access_is_owner(end->record.workspace, end->workspace)) {
+		end_finish(end, KWB_ERR_STORE_MISSING);
+		return;
+	}
 	if (end->record.ended)
 		end_finish(end, 0);
 	else
@@ -135,6 +139,11 @@
 		end_finish(end, KWB_ERR_MEMORY);
 		return;
 	}
+	/* Another workspace's batch takes as long as one that does not exist.
+	 */
+	if (record != NULL &&
+	    !kwb_access_is_owner(record->workspace, end->workspace))
+		record = NULL;
 	if (record != NULL && record->ended) {
 		end_finish(end, 0);
 		return;
--- a/src/batch/head.c
+++ b/src/batch/head.c
@@ -60,6 +60,8 @@
 	copy_string(record->owner, sizeof(record->owner), value, "owner");
 	copy_string(record->host, sizeof(record->host), value, "host");
 	copy_string(record->target, sizeof(record->target), value, "path");
+	copy_string(
+	    record->workspace, sizeof(record->workspace), value, "workspace");
 	copy_string(record->model, sizeof(record->model), value, "model");
 	record->owner_incarnation = get_number(value, "incarnation");
 	record->min_version = get_number(value, "min_version");
@@ -92,9 +94,13 @@
 	    "target_groups", (json_int_t)record->target_groups, "total",
 	    (json_int_t)record->total, "ended", record->ended, "listed",
 	    record->listed, "fresh", record->fresh);
-	char *text = json_dumps(value, JSON_COMPACT);
+	char *text;
 	int code;
 
+	if (record->workspace[0] != '\0')
+		json_object_set_new(
+		    value, "workspace", json_string(record->workspace));
+	text = json_dumps(value, JSON_COMPACT);
 	json_decref(value);
 	if (text == NULL)
 		return KWB_ERR_ARGUMENT;
--- a/src/batch/read.c
+++ b/src/batch/read.c
@@ -172,7 +172,8 @@
 		return;
 	}
 	records_update(read->batches, &record);
-	if (batch_is_expired(read->batches, &record)) {
+	if (batch_is_expired(read->batches, &record) ||
+	    !kwb_access_is_owner(record.workspace, read->workspace)) {
 		read_finish(read, KWB_ERR_STORE_MISSING);
 		return;
 	}
@@ -288,7 +289,10 @@
 		read_finish(read, KWB_ERR_MEMORY);
 		return;
 	}
-	if (record != NULL && !batch_is_expired(read->batches, record)) {
+	/* Another workspace's batch takes as long as one that does not exist.
+	 */
+	if (record != NULL && !batch_is_expired(read->batches, record) &&
+	    kwb_access_is_owner(record->workspace, read->workspace)) {
 		read->total = record->total;
 		read->record_known = true;
 	}
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -28,6 +28,17 @@
 	return kwb_buf_add(&conn->message.text, at, length);
 }
 
+/* Fields after the body are no headers; they count as part of the head. */
+static int
+trailer_skip(struct kwb_conn *conn, size_t length)
+{
+	conn->head_bytes += (uint32_t)length;
+	return conn->head_max_bytes != 0 &&
+		conn->head_bytes > conn->head_max_bytes
+	    ? KWB_ERR_NET_HEAD_SIZE
+	    : 0;
+}
+
 /* Ends the target, name or value that is being collected. */
 static int
 text_terminate(struct kwb_conn *conn)
@@ -60,6 +71,8 @@
 	struct kwb_conn *conn = conn_from_parser(parser);
 	struct kwb_message *message = &conn->message;
 
+	if (conn->has_head)
+		return trailer_skip(conn, length);
 	if (message->headers_count == 0 && conn->head_bytes > 0 &&
 	    !conn->is_in_header_value && text_terminate(conn) != 0)
 		return -1; /* the target ended here */
@@ -82,6 +95,8 @@
 	struct kwb_conn *conn = conn_from_parser(parser);
 	struct kwb_message *message = &conn->message;
 
+	if (conn->has_head)
+		return trailer_skip(conn, length);
 	if (!conn->is_in_header_value) {
 		if (text_terminate(conn) != 0)
 			return -1;
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -53,10 +53,11 @@
 	kwb_histogram_observe(KWB_HISTOGRAM_CALLER, elapsed_ns);
 	kwb_log(KWB_LOG_INFO, "caller",
 	    "event=answered id=%s batch=%s route=%s status=%u reason=%s "
-	    "upstream=%s config=%llu taken_ms=%llu",
+	    "upstream=%s workspace=%s config=%llu taken_ms=%llu",
 	    caller->call.id ? caller->call.id : "-",
 	    caller->call.batch[0] ? caller->call.batch : "-",
 	    caller->route[0] ? caller->route : "-", status, reason, upstream,
+	    caller->workspace[0] ? caller->workspace : "-",
 	    (unsigned long long)(caller->node->config
 		    ? caller->node->config->version
 		    : 0),
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -38,6 +38,9 @@
 caller_free(struct kwb_caller *caller)
 {
 	request_free(caller);
+	if (caller->is_waiting)
+		TAILQ_REMOVE(
+		    &caller->node->waiting_callers, caller, waiting_entry);
 	if (caller->is_busy)
 		caller->node->busy_callers_count--;
 	TAILQ_REMOVE(&caller->node->callers, caller, entry);
@@ -104,19 +107,14 @@
  * answer is 408. An idle connection is closed.
  */
 static void
-caller_on_timer(int fd, short what, void *context)
+caller_check_idle(struct kwb_caller *caller)
 {
-	struct kwb_caller *caller = context;
 	const struct kwb_conn *conn = &caller->conn;
 	bool is_partial = conn->head_bytes > 0 && !conn->is_complete;
 	uint64_t received_bytes =
 	    conn->head_bytes + conn->message.body.used_bytes;
 	uint64_t now_ns = kwb_clock_now_ns();
 
-	(void)fd;
-	(void)what;
-	if (caller->is_busy)
-		return;
 	if (is_partial && received_bytes != caller->received_bytes)
 		caller->idle_deadline_ns =
 		    now_ns + idle_timeout_ns(caller->node);
@@ -138,6 +136,19 @@
 	caller_arm_timer(caller);
 }
 
+static void
+caller_on_timer(int fd, short what, void *context)
+{
+	struct kwb_caller *caller = context;
+
+	(void)fd;
+	(void)what;
+	if (caller->is_waiting)
+		caller_recheck(caller);
+	else if (!caller->is_busy)
+		caller_check_idle(caller);
+}
+
 /* A caller that sent "Expect: 100-continue" waits before it sends its body. */
 static void
 caller_on_head(struct kwb_conn *conn)
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -23,10 +23,14 @@
 	uint64_t idle_deadline_ns; /* closed then, unless bytes arrive */
 	uint64_t started_ns;	   /* of the request in progress */
 	bool was_partial; /* only part of a request was there at last check */
-	uint64_t received_bytes;	/* of that part */
-	bool is_busy;			/* a request is in progress */
-	struct kwb_request_head call;	/* the request, decoded */
-	char route[KWB_NAME_MAX_BYTES]; /* name of its route, "" for none */
+	uint64_t received_bytes;	    /* of that part */
+	bool is_busy;			    /* a request is in progress */
+	struct kwb_request_head call;	    /* the request, decoded */
+	char route[KWB_NAME_MAX_BYTES];	    /* name of its route, "" for none */
+	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
+	uint64_t arrived_ns; /* boot time when the request had been read */
+	bool is_waiting;     /* for the store's word on its key */
+	TAILQ_ENTRY(kwb_caller) waiting_entry;
 	/* The operation that serves the request: at most one is not NULL. */
 	struct kwb_forward *forward;
 	struct kwb_batch_accept *accept;
@@ -59,6 +63,10 @@
 /* serve.c */
 /* Answers the request, which is whole, now or later. */
 void caller_serve_request(struct kwb_caller *caller);
+/* Serves a request that waited, if its key can be decided on now. */
+void caller_recheck(struct kwb_caller *caller);
+/* Rechecks all that wait. */
+void callers_recheck(struct kwb_node *node);
 
 /* node.c */
 /* Its rows are read, the store answers, and it is not stopping. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -29,6 +29,7 @@
 		    (unsigned long long)(config ? config->version : 0),
 		    faults != NULL && faults->count > 0 ? faults->text[0]
 							: "not_newer");
+		node->access.is_config_unread = code != 0;
 		if (code == 0)
 			kwb_node_config_finish(config);
 		free(config);
@@ -40,11 +41,14 @@
 		kwb_node_config_finish(node->config);
 	free(node->config);
 	node->config = config;
+	node->access.is_config_unread = false;
 	kwb_metric_set(KWB_METRIC_LISTS_REVISION, config->version);
 	kwb_log(KWB_LOG_INFO, "node",
-	    "event=config version=%llu routes=%u services=%u row=%llu",
+	    "event=config version=%llu routes=%u services=%u workspaces=%u "
+	    "keys=%u row=%llu",
 	    (unsigned long long)config->version, config->routes_count,
-	    config->services_count, (unsigned long long)row->revision);
+	    config->services_count, config->workspaces_count,
+	    config->keys.count, (unsigned long long)row->revision);
 	kwb_batches_dispatch(&node->batches);
 }
 
@@ -73,6 +77,12 @@
 	kwb_weight_updater_announce(&node->weight_updater, model, version);
 }
 
+static void
+operator_on_proof(void *context)
+{
+	callers_recheck(context);
+}
+
 /*
  * Entries expire in an outage of the store, and upstreams that still run write
  * them again soon after it. So an upstream is removed only if its entry is
@@ -176,6 +186,7 @@
 	(void)fd;
 	(void)what;
 	remove_absent_upstreams(node);
+	kwb_access_keep_proof(&node->access);
 	node->batches.fleet_nodes = kwb_peers_estimate_nodes(&node->peers);
 	if (node->stop_deadline_ns != 0 && can_finish_stop(node, now_ns)) {
 		kwb_log(KWB_LOG_INFO, "node",
@@ -241,6 +252,7 @@
 		code = kwb_follower_init(&node->operator_follower, node->base,
 		    node->store, node->schema->operator_table, operator_on_row,
 		    NULL, node);
+	node->operator_follower.on_proof = operator_on_proof;
 	if (code == 0)
 		code = kwb_follower_init(&node->upstream_follower, node->base,
 		    node->store, node->schema->upstream_table, upstream_on_row,
@@ -267,6 +279,10 @@
 	node->context = context;
 	node->incarnation = kwb_clock_wall_ms();
 	TAILQ_INIT(&node->callers);
+	TAILQ_INIT(&node->waiting_callers);
+	node->access = (struct kwb_access){.settings = settings,
+	    .config = (const struct kwb_node_config *const *)&node->config,
+	    .follower = &node->operator_follower};
 	kwb_registry_init(&node->registry);
 	code = kwb_client_init(&node->client, base);
 	if (code != 0)
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -4,6 +4,7 @@
  * or accepted as the submission of a batch.
  */
 #include <event2/buffer.h>
+#include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -97,6 +98,9 @@
 	    .deadline_ns = forward->deadline_ns,
 	    .priority =
 		route->kind == KWB_ROUTE_STREAMING ? KWB_PRIORITY_CALLER : -1};
+	kwb_text_copy(
+	    forward->workspace, sizeof(forward->workspace), caller->workspace);
+	forward->request.workspace = forward->workspace;
 	kwb_text_copy(forward->service, sizeof(forward->service),
 	    kwb_route_entry_pick_service(route, (uint64_t)random()));
 	forward->idempotent = route->kind == KWB_ROUTE_IDEMPOTENT ||
@@ -155,6 +159,8 @@
 	    caller->call.host);
 	kwb_text_copy(accept->record.target, sizeof(accept->record.target),
 	    kwb_message_target(message));
+	kwb_text_copy(accept->record.workspace,
+	    sizeof(accept->record.workspace), caller->workspace);
 	accept->body = kwb_buf_text(&message->body);
 	accept->body_bytes = message->body.used_bytes;
 	kwb_batch_accept_start(accept);
@@ -190,6 +196,8 @@
 	    caller->started_ns + KWB_BATCH_END_TIMEOUT_MS * KWB_MS_NS;
 	kwb_text_copy(
 	    end->record.id, sizeof(end->record.id), caller->call.batch);
+	kwb_text_copy(
+	    end->workspace, sizeof(end->workspace), caller->workspace);
 	kwb_batch_end_start(end);
 }
 
@@ -230,37 +238,88 @@
 	read->deadline_ns =
 	    read->wait_deadline_ns + KWB_BATCH_READ_TIMEOUT_MS * KWB_MS_NS;
 	kwb_text_copy(read->batch, sizeof(read->batch), caller->call.batch);
+	kwb_text_copy(
+	    read->workspace, sizeof(read->workspace), caller->workspace);
 	if (caller->call.kind == KWB_REQUEST_READ_ITEM)
 		kwb_text_copy(
 		    read->item, sizeof(read->item), caller->call.item);
 	kwb_batch_read_start(read);
 }
 
+/* Answers a request that its key does not admit; the answer says it hasn't run.
+ */
 static void
-serve_call(struct kwb_caller *caller)
+refuse_key(struct kwb_caller *caller, enum kwb_access_verdict verdict,
+    const struct kwb_access_request *request)
 {
-	struct kwb_message *message = &caller->conn.message;
-	const struct kwb_route_entry *route;
+	bool is_unknown = verdict == KWB_ACCESS_UNKNOWN;
 
-	caller->node->codec->parse_request(message, &caller->call);
-	caller->route[0] = '\0';
-	if (caller->node->config == NULL) {
-		answer_error(caller, 503, "no_config_yet");
-		return;
-	}
-	switch (caller->call.kind) {
-	case KWB_REQUEST_READ_RESULTS:
-	case KWB_REQUEST_READ_ITEM:
-		serve_batch_read(caller);
-		return;
-	case KWB_REQUEST_END_BATCH:
-		serve_batch_end(caller);
-		return;
-	case KWB_REQUEST_FORWARD:
-		break;
+	kwb_metric_add(
+	    is_unknown ? KWB_METRIC_KEYS_UNKNOWN : KWB_METRIC_KEYS_UNPROVED, 1);
+	kwb_log(KWB_LOG_INFO, "access",
+	    "event=%s id=%s batch=%s has_key=%d config=%llu proof_age_ms=%llu",
+	    is_unknown ? "key_unknown" : "key_unproved", caller->call.id,
+	    caller->call.batch[0] ? caller->call.batch : "-",
+	    caller->call.key[0] != '\0',
+	    (unsigned long long)caller->node->config->version,
+	    (unsigned long long)(request->proof_age_ns / KWB_MS_NS));
+	if (is_unknown)
+		answer_error(caller, 401, "unknown_key");
+	else
+		answer_error(caller, 503, "config_unproved");
+}
+
+/* Whether the request may go on; else it is answered, or waits. */
+static bool
+admit(struct kwb_caller *caller, bool is_public)
+{
+	struct kwb_node *node = caller->node;
+	struct kwb_access_request request = {.key = caller->call.key,
+	    .is_public = is_public,
+	    .arrived_ns = caller->arrived_ns};
+	enum kwb_access_verdict verdict =
+	    kwb_access_check(&node->access, &request);
+
+	switch (verdict) {
+	case KWB_ACCESS_ADMIT:
+		kwb_text_copy(caller->workspace, sizeof(caller->workspace),
+		    request.workspace);
+		return true;
+	case KWB_ACCESS_ASK:
+		caller->is_waiting = true;
+		TAILQ_INSERT_TAIL(
+		    &node->waiting_callers, caller, waiting_entry);
+		kwb_timer_arm(caller->timer,
+		    kwb_clock_now_ns() + request.recheck_ns -
+			kwb_boot_now_ns());
+		return false;
+	case KWB_ACCESS_UNKNOWN:
+	case KWB_ACCESS_UNPROVED:
+		refuse_key(caller, verdict, &request);
+		return false;
 	}
-	route = kwb_node_config_find_route(caller->node->config,
-	    caller->call.host, kwb_message_target(message));
+	return false;
+}
+
+/* A call without a key, for a batch that was accepted without one. */
+static bool
+is_public_batch(const struct kwb_caller *caller)
+{
+	const struct kwb_batch_record *record =
+	    kwb_batches_find_record(&caller->node->batches, caller->call.batch);
+
+	return caller->call.key[0] == '\0' && record != NULL &&
+	    record->workspace[0] == '\0';
+}
+
+static void
+serve_by_route(struct kwb_caller *caller)
+{
+	struct kwb_message *message = &caller->conn.message;
+	const struct kwb_route_entry *route =
+	    kwb_node_config_find_route(caller->node->config, caller->call.host,
+		kwb_message_target(message));
+
 	if (route == NULL &&
 	    kwb_batches_is_config_behind(&caller->node->batches)) {
 		answer_error(caller, 503, "config_behind");
@@ -271,6 +330,8 @@
 		return;
 	}
 	kwb_text_copy(caller->route, sizeof(caller->route), route->name);
+	if (!admit(caller, route->is_public))
+		return;
 	if (route->kind == KWB_ROUTE_ROLLOUT) {
 		if (strcmp(message->method, "POST") == 0 &&
 		    caller->call.id[0] != '\0')
@@ -282,6 +343,66 @@
 	serve_forward(caller, route);
 }
 
+static void
+serve_parsed(struct kwb_caller *caller)
+{
+	switch (caller->call.kind) {
+	case KWB_REQUEST_READ_RESULTS:
+	case KWB_REQUEST_READ_ITEM:
+		if (admit(caller, is_public_batch(caller)))
+			serve_batch_read(caller);
+		return;
+	case KWB_REQUEST_END_BATCH:
+		if (admit(caller, is_public_batch(caller)))
+			serve_batch_end(caller);
+		return;
+	case KWB_REQUEST_FORWARD:
+		serve_by_route(caller);
+		return;
+	}
+}
+
+static void
+serve_call(struct kwb_caller *caller)
+{
+	caller->node->codec->parse_request(
+	    &caller->conn.message, &caller->call);
+	caller->route[0] = '\0';
+	caller->workspace[0] = '\0';
+	caller->arrived_ns = kwb_boot_now_ns();
+	if (caller->node->config == NULL) {
+		answer_error(caller, 503, "no_config_yet");
+		return;
+	}
+	serve_parsed(caller);
+}
+
+void
+caller_recheck(struct kwb_caller *caller)
+{
+	caller->is_waiting = false;
+	TAILQ_REMOVE(&caller->node->waiting_callers, caller, waiting_entry);
+	event_del(caller->timer);
+	serve_parsed(caller);
+}
+
+/* One that has to wait on is put at the end of the list. */
+void
+callers_recheck(struct kwb_node *node)
+{
+	struct kwb_caller *last =
+	    TAILQ_LAST(&node->waiting_callers, kwb_caller_list);
+	struct kwb_caller *caller;
+
+	while ((caller = TAILQ_FIRST(&node->waiting_callers)) != NULL) {
+		bool is_last = caller == last;
+
+		caller_recheck(caller);
+		if (is_last)
+			return;
+	}
+}
+
 static void
 serve_metrics(struct kwb_caller *caller)
 {
--- a/src/store/follow.c
+++ b/src/store/follow.c
@@ -159,12 +159,29 @@
 		follower->rows[i]->seen = false;
 }
 
+/* Notes up to when all changes are known; the answer has been applied. */
+static void
+proof_update(struct kwb_follower *follower,
+    const struct kwb_store_answer *answer, bool was_reading)
+{
+	struct kwb_proof_input input = {.sent_ns = follower->sent_ns,
+	    .answered_ns = kwb_boot_now_ns(),
+	    .wait_ms = was_reading ? 0 : follower->asked_ms,
+	    .has_rows = was_reading || answer->rows_count > 0,
+	    .is_partial = follower->reading || answer->more};
+	uint64_t proof_ns = kwb_access_proof_ns(&input);
+
+	if (proof_ns > follower->proof_ns)
+		follower->proof_ns = proof_ns;
+}
+
 static void
 follower_on_answer(
     struct kwb_store_call *call, const struct kwb_store_answer *answer)
 {
 	struct kwb_follower *follower = call->context;
 	uint64_t delay_ns = KWB_STORE_RETRY_NS;
+	bool was_reading = follower->reading;
 
 	if (answer->error == 0) {
 		follower->failures = 0;
@@ -173,7 +190,10 @@
 			page_apply(follower, answer);
 		else
 			feed_apply(follower, answer);
+		proof_update(follower, answer, was_reading);
 		follower_fetch(follower);
+		if (follower->on_proof != NULL)
+			follower->on_proof(follower->context);
 		return;
 	}
 	if (answer->error == KWB_ERR_STORE_HISTORY_GONE) {
@@ -197,25 +217,36 @@
 }
 
 static void
-follower_fetch(struct kwb_follower *follower)
+fetch(struct kwb_follower *follower, uint32_t wait_ms)
 {
 	struct kwb_range range = {
 	    .table = follower->table, .part = "", .from = follower->next_key};
 	int code;
 
 	follower->started_ns = kwb_clock_now_ns();
+	follower->asked_ms = wait_ms;
+	if (!follower->reading || follower->next_key == NULL)
+		follower->sent_ns = kwb_boot_now_ns();
 	if (follower->reading)
 		code = follower->store->ops->range(
 		    follower->store, &range, &follower->call);
 	else
 		code =
 		    follower->store->ops->feed(follower->store, follower->table,
-			follower->revision, KWB_FEED_WAIT_MS, &follower->call);
+			follower->revision, wait_ms, &follower->call);
 	if (code != 0)
 		kwb_timer_arm(
 		    follower->timer, kwb_clock_now_ns() + KWB_STORE_RETRY_NS);
 }
 
+static void
+follower_fetch(struct kwb_follower *follower)
+{
+	bool is_late = follower->is_proof_kept && follower->failures > 0;
+
+	fetch(follower, is_late ? 0 : follower->wait_ms);
+}
+
 static void
 follower_on_timer(int fd, short what, void *context)
 {
@@ -239,6 +270,7 @@
 	follower->call.on_done = follower_on_answer;
 	follower->call.context = follower;
 	follower->reading = true;
+	follower->wait_ms = KWB_FEED_WAIT_MS;
 	follower->timer = kwb_timer_new(base, follower_on_timer, follower);
 	if (follower->timer == NULL)
 		return KWB_ERR_MEMORY;
@@ -277,6 +309,25 @@
 	follower_fetch(follower);
 }
 
+void
+kwb_follower_keep_proof(struct kwb_follower *follower, uint32_t wait_ms)
+{
+	follower->is_proof_kept = true;
+	follower->wait_ms =
+	    wait_ms < KWB_FEED_WAIT_MS ? wait_ms : KWB_FEED_WAIT_MS;
+}
+
+void
+kwb_follower_ask(struct kwb_follower *follower)
+{
+	/* A whole read, a pause after a failure or a question is under way. */
+	if (follower->reading || follower->call.pending == NULL ||
+	    follower->asked_ms == 0)
+		return;
+	kwb_store_cancel(follower->store, &follower->call);
+	fetch(follower, 0);
+}
+
 bool
 kwb_follower_is_current(const struct kwb_follower *follower, uint64_t age_ns)
 {
