Tests of keys, workspaces and revocation

Decisions run without a network: the table of keys, evidence and its age, who is admitted, freezes and cuts around a removal, what reaches an upstream. Three scripts run nodes before the stand-ins, which learn keys.

--- a/Makefile
+++ b/Makefile
@@ -104,7 +104,8 @@
 $(B)/tests/platform/soak: $(B)/tests/platform/soak.o $(STAGE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
-$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o $(TRACE_OBJ) \
+$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
+		$(B)/tests/platform/decisions_access.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -27,19 +27,22 @@
  *       "deep" stands for arrays nested 100000 times
  *   $ route NAME KIND PREFIX SERVICE [host=H] [attempts=N] [timeout=MS]
  *       [target=MS] [ttl=S] [single=1] [resumable=1] [sticky=1]
- *       [split=SERVICE:WEIGHT]
+ *       [split=SERVICE:WEIGHT] [public=1] [priority=N]
  *   $ unroute NAME                leaves a route out from the next config on
- *   $ config VERSION [body=BYTES] publishes the routes so far
+ *   $ workspace NAME KEYS         adds it, or gives it these keys instead,
+ *       separated by commas, from the next config on
+ *   $ config VERSION [body=BYTES] publishes the routes and workspaces so far
  *   $ set-version VERSION         publishes the newest version of model m
  *   $ wait-version VERSION        until a server has it; the newest version
- *   $ node NAME [peers=0] [keep=MS] [row=BYTES]            starts a node
+ *   $ node NAME [peers=0] [keep=MS] [row=BYTES] [revoke=MS]  starts a node;
+ *       revoke=: with strict revocation of keys
  *   $ stop NODE [wait=0]          with a handover of its batches
  *   $ kill NODE                   without
  *   $ ready NODE                  status of its readiness check
  *
  * Requests to a node:
  *   $ call NODE METHOD PATH [id=ID] [deadline=MS] [body=TEXT] [host=H] [from=N]
- *       [disconnect=MS] [prompt=PARTS] [stream=1]
+ *       [disconnect=MS] [prompt=PARTS] [stream=1] [key=KEY]
  *       status, whether the receipt is for this id, Retry-After if any, body;
  *       or the name of the error, with stream=1 and what came before it; or
  *       "disconnected" if there is no answer
@@ -49,7 +52,8 @@
  *   $ raw NODE TEXT               sends TEXT, with _ for a space and \n for a
  *       line end; prints as "call" does
  *   $ submit NODE BATCH [items=N] [size=N] [events=N] [min=V] [target=N]
- *       [path=PATH]
+ *       [path=PATH] [item-key=KEY]   key=KEY as for "call", for all of these;
+ *       item-key=: in the headers of its items
  *   $ results NODE BATCH          all results, by item
  *   $ results-size NODE BATCH     their number and length only
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
@@ -62,6 +66,8 @@
  *   $ repeated-events ID N        whether at most N events were sent again
  *   $ prompt ID                   its parts, as the upstream was told
  *   $ priority ID                 of each of its runs
+ *   $ workspace-of ID             that each of its runs named, and whether a
+ *       key came with it
  *   $ orders, $ running           of all servers: loads, streams open now
  *
  * Store:
@@ -109,6 +115,7 @@
 struct script {
 	struct testbed testbed;
 	json_t *routes;		/* of the next config */
+	json_t *workspaces;	/* likewise; empty for none */
 	char *words[WORDS_MAX]; /* of the command */
 	unsigned words_count;
 	struct kwb_buf out; /* output of the command */
@@ -287,6 +294,18 @@
 	kwb_buf_printf(&script->out, "\n");
 }
 
+/* The header line with the command's key, or "". */
+static const char *
+key_header(const struct script *script)
+{
+	static char line[128];
+	const char *key = option(script, "key", NULL);
+
+	snprintf(
+	    line, sizeof(line), key ? "Api-Key: %s\r\n" : "%s", key ? key : "");
+	return line;
+}
+
 static void
 run_call(struct script *script)
 {
@@ -308,6 +327,7 @@
 		kwb_buf_printf(&headers, "Prompt-Prefix: %s\r\n", prompt);
 	if (from != NULL)
 		kwb_buf_printf(&headers, "Last-Event-Id: %s\r\n", from);
+	kwb_buf_printf(&headers, "%s", key_header(script));
 	call.is_streaming = option_number(script, "stream", 0) != 0;
 	call_run(&script->testbed, &call, &node->settings.listen,
 	    request_new(script->words[2], script->words[3], headers.data, body,
@@ -407,8 +427,8 @@
 	struct testbed_node *target_node = testbed_node(&script->testbed, node);
 	char headers[256];
 
-	snprintf(
-	    headers, sizeof(headers), "Host: " HOST "\r\n%s", extra_headers);
+	snprintf(headers, sizeof(headers), "Host: " HOST "\r\n%s%s",
+	    key_header(script), extra_headers);
 	call_run(&script->testbed, call, &target_node->settings.listen,
 	    request_new(method, target, headers, body, strlen(body)), 0);
 }
@@ -444,6 +464,7 @@
 	unsigned items = option_number(script, "items", 4);
 	unsigned size = option_number(script, "size", 2);
 	const char *path = option(script, "path", SUBMIT_PATH);
+	const char *item_key = option(script, "item-key", NULL);
 	json_t *requests = json_array();
 	struct kwb_buf body;
 	char text[64];
@@ -463,12 +484,13 @@
 		    option_number(script, "events", 4));
 		kwb_base64_encode(&body, text, strlen(text));
 		json_array_append_new(requests,
-		    json_pack("{s:s, s:s, s:{s:s}, s:s, s:i, s:s, s:{s:s, s:s, "
-			      "s:s, s:s}}",
-			"id", id, "path", path, "headers", "Model", "m", "body",
-			body.data, "tokens", 100, "group", group, "scorer",
-			"id", score, "hostname", HOST, "path", "/score/x",
-			"body", "c2NvcmU="));
+		    json_pack("{s:s, s:s, s:{s:s, s:s*, s:s*}, s:s, s:i, s:s, "
+			      "s:{s:s, s:s, s:s, s:s}}",
+			"id", id, "path", path, "headers", "Model", "m",
+			"aPI-kEY", item_key, "Tenant",
+			item_key ? "forged" : NULL, "body", body.data, "tokens",
+			100, "group", group, "scorer", "id", score, "hostname",
+			HOST, "path", "/score/x", "body", "c2NvcmU="));
 		kwb_buf_finish(&body);
 	}
 	document =
@@ -629,7 +651,8 @@
 {
 	const char *split = option(script, "split", NULL);
 	json_t *route = json_pack(
-	    "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:b, s:b}",
+	    "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:b, s:b, "
+	    "s:b, s:i}",
 	    "name", script->words[1], "hostname", option(script, "host", HOST),
 	    "route-kind", script->words[2], "path-prefix", script->words[3],
 	    "service", script->words[4], "max-attempts",
@@ -639,7 +662,9 @@
 	    option_number(script, "ttl", 40), "run-deadline-ms", 7500,
 	    "single-version", option_number(script, "single", 0), "resumable",
 	    option_number(script, "resumable", 0), "sticky",
-	    option_number(script, "sticky", 0));
+	    option_number(script, "sticky", 0), "public",
+	    option_number(script, "public", 0), "priority",
+	    option_number(script, "priority", 0));
 	const char *colon = split ? strchr(split, ':') : NULL;
 
 	if (colon != NULL)
@@ -661,6 +686,26 @@
 			json_array_remove(script->routes, i);
 }
 
+static void
+run_workspace(struct script *script)
+{
+	json_t *keys = json_array();
+	json_t *workspace =
+	    json_pack("{s:s, s:o}", "name", script->words[1], "api-keys", keys);
+	char *key;
+	size_t i;
+
+	for (key = strtok(script->words[2], ","); key != NULL;
+	     key = strtok(NULL, ","))
+		json_array_append_new(keys, json_string(key));
+	for (i = 0; i < json_array_size(script->workspaces); i++)
+		if (strcmp(json_string_value(json_object_get(
+			       json_array_get(script->workspaces, i), "name")),
+			script->words[1]) == 0)
+			json_array_remove(script->workspaces, i);
+	json_array_append_new(script->workspaces, workspace);
+}
+
 static void
 run_config(struct script *script)
 {
@@ -672,8 +717,11 @@
 	    "models", "name", "m", "limits", "max-header-bytes", 4096,
 	    "max-body-bytes", option_number(script, "body", 100000),
 	    "header-timeout-ms", 500, "idle-timeout-ms", 15000);
-	char *text = json_dumps(document, JSON_COMPACT);
+	char *text;
 
+	if (json_array_size(script->workspaces) > 0)
+		json_object_set(document, "tenants", script->workspaces);
+	text = json_dumps(document, JSON_COMPACT);
 	testbed_store_put(&script->testbed.store, "op", "config", text);
 	free(text);
 	json_decref(document);
@@ -698,6 +746,7 @@
 	uint64_t end_ns = kwb_clock_now_ns() + 1000 * KWB_MS_NS;
 
 	node->has_no_peers = option_number(script, "peers", 1) == 0;
+	node->revoke_ms = option_number(script, "revoke", 0);
 	testbed_node_start(node);
 	node->settings.batch_keep_ms = option_number(script, "keep", 120000);
 	node->settings.row_max_bytes = option_number(script, "row", 65536);
@@ -916,6 +965,22 @@
 				: "none");
 }
 
+static void
+run_workspace_of(struct script *script)
+{
+	const struct testbed *testbed = &script->testbed;
+	const struct recorded_run *run;
+	unsigned i;
+
+	for (i = 0; i < testbed->runs_count; i++) {
+		run = &testbed->runs[i];
+		if (strcmp(run->id, script->words[1]) == 0)
+			kwb_buf_printf(&script->out, "%s%s\n",
+			    run->workspace[0] ? run->workspace : "none",
+			    run->has_key ? " WITH A KEY" : "");
+	}
+}
+
 /* Prints how often nodes began to reach the store through a peer. */
 static void
 run_detours(struct script *script)
@@ -1294,7 +1359,8 @@
 	    {"proxy", run_proxy}, {"freeze", run_freeze}, {"path", run_path},
 	    {"entry", run_entry}, {"retries", run_retries}, {"pace", run_pace},
 	    {"concurrent-calls", run_concurrent_calls},
-	    {"priority", run_priority}, {"detours", run_detours}};
+	    {"priority", run_priority}, {"detours", run_detours},
+	    {"workspace", run_workspace}, {"workspace-of", run_workspace_of}};
 	struct testbed *testbed = &script->testbed;
 	size_t i;
 
@@ -1407,10 +1473,12 @@
 	kwb_buf_init(&expected);
 	testbed_init(&script.testbed);
 	script.routes = json_array();
+	script.workspaces = json_array();
 	matches = run_lines(&script, file, &actual, &expected);
 	fclose(file);
 	testbed_finish(&script.testbed);
 	json_decref(script.routes);
+	json_decref(script.workspaces);
 	if (!matches && update) {
 		file = fopen(path, "w");
 		fputs(kwb_buf_text(&actual), file);
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "stage.h"
 
@@ -32,6 +33,21 @@
 	return value ? value : "";
 }
 
+/* Whether a header has a key's name, or a value like the keys of the tests. */
+static bool
+has_key(const struct kwb_message *message)
+{
+	uint32_t i;
+
+	for (i = 0; i < message->headers_count; i++)
+		if (strcasecmp(
+			kwb_message_header_name(message, i), "Api-Key") == 0 ||
+		    strstr(kwb_message_header_value(message, i),
+			TESTBED_KEY_PREFIX) != NULL)
+			return true;
+	return false;
+}
+
 static void
 record_run(struct testbed_server *server, const struct http_session *session,
     unsigned first_event)
@@ -47,6 +63,9 @@
 	    request_header(session, "Prompt-Prefix"));
 	kwb_text_copy(run->priority, sizeof(run->priority),
 	    request_header(session, "Priority-Class"));
+	kwb_text_copy(run->workspace, sizeof(run->workspace),
+	    request_header(session, "Tenant"));
+	run->has_key = has_key(&session->conn.message);
 	kwb_text_copy(run->server, sizeof(run->server), server->name);
 	run->first_event = first_event;
 }
--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -148,6 +148,9 @@
 	if (!node->has_no_peers)
 		testbed_pick_address(&node->settings.peers);
 	node->settings.is_fencing_enforced = true;
+	node->settings.is_revocation_strict = node->revoke_ms != 0;
+	if (node->revoke_ms != 0)
+		node->settings.revoke_ms = node->revoke_ms;
 	node->settings.grace_ms = 8000;
 	if (platform_store_init(&node->store, node->testbed->base,
 		&node->settings.store) != 0 ||
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -16,6 +16,7 @@
 #define TESTBED_ROWS_MAX 4096
 #define TESTBED_SERVERS_MAX 16
 #define TESTBED_NODES_MAX 4
+#define TESTBED_KEY_PREFIX "key-" /* of all keys of workspaces */
 #define RECORDED_RUNS_MAX 16384
 #define RECORDED_ORDERS_MAX 2048
 
@@ -179,6 +180,8 @@
 	char server[32];      /* name */
 	char prompt[64];      /* Prompt-Prefix; "" if none */
 	char priority[4];     /* Priority-Class; "" if none */
+	char workspace[64];   /* Tenant; "" if none */
+	bool has_key;	      /* a header names or holds a key */
 	unsigned first_event; /* from 1; 0: not a stream */
 	unsigned last_event;  /* that was sent; 0: none */
 };
@@ -238,6 +241,7 @@
 	struct proxy store_proxy; /* between node and store */
 	bool has_store_proxy;	  /* it is open; it outlives the node */
 	bool has_no_peers;	  /* doesn't listen for other nodes */
+	unsigned revoke_ms;	  /* strict revocation of keys; 0 for none */
 	struct testbed *testbed;
 };
 
