--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1615,7 +1615,8 @@
 	char batch[KWB_KEY_MAX_BYTES];
 	char item[KWB_KEY_MAX_BYTES];	    /* "" for results */
 	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
-	uint32_t after;			    /* first position wanted */
+	char owner[KWB_NAME_MAX_BYTES]; /* workspace of the batch, once known */
+	uint32_t after;			/* first position wanted */
 	uint64_t wait_deadline_ns; /* an empty list is held back until then */
 	uint64_t deadline_ns;	   /* no retry after it */
 	uint32_t total;		   /* items of the batch */
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -194,7 +194,7 @@
 	struct kwb_store *store = accept->batches->env->store;
 	const struct kwb_batch_record *known =
 	    kwb_batches_find_record(accept->batches, accept->record.id);
-	char name[KWB_KEY_MAX_BYTES + 8];
+	char name[OBJECT_NAME_BYTES];
 	int code;
 
 	accept->call.context = accept;
@@ -219,7 +219,8 @@
 		accept_complete(accept, KWB_ACCEPT_REFUSED, "stopping");
 		return;
 	}
-	batch_object_name(name, sizeof(name), accept->record.id);
+	batch_object_name(
+	    name, sizeof(name), accept->record.workspace, accept->record.id);
 	accept->call.on_done = submission_on_answer;
 	code = store->ops->object_put(
 	    store, name, accept->body, accept->body_bytes, &accept->call);
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -16,7 +16,7 @@
 
 #define POSITION_DIGITS 6
 #define OBJECT_PREFIX '@' /* of a value that is the name of an object */
-#define OBJECT_NAME_BYTES (2 * KWB_KEY_MAX_BYTES + 32)
+#define OBJECT_NAME_BYTES (2 * KWB_KEY_MAX_BYTES + 32) /* of batch and item */
 #define ITEM_VERSIONS_MAX 8
 #define CHUNKS_MAX 40 /* of texts, written in one transaction */
 
@@ -114,8 +114,9 @@
     const struct kwb_store_answer *answer); /* rows of TABLE_DONE */
 struct kwb_batch *batch_find(
     const struct kwb_batches *batches, const char *id); /* or NULL */
-void batch_object_name(char *name, size_t capacity_bytes,
-    const char *batch); /* of the object that holds its submission */
+void batch_object_name(char *name, size_t capacity_bytes, const char *workspace,
+    const char *batch); /* of the object that holds its submission; no workspace
+			   can write another one's */
 
 /* run.c: an item at an upstream */
 const struct kwb_batch_env *run_env(const struct item_run *run);
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -12,9 +12,14 @@
 static void load_range(struct kwb_batch *batch, struct kwb_range *range);
 
 void
-batch_object_name(char *name, size_t capacity_bytes, const char *batch)
+batch_object_name(
+    char *name, size_t capacity_bytes, const char *workspace, const char *batch)
 {
-	snprintf(name, capacity_bytes, "batch-%s", batch);
+	if (workspace[0] != '\0')
+		snprintf(
+		    name, capacity_bytes, "workspace-%s@%s", workspace, batch);
+	else
+		snprintf(name, capacity_bytes, "batch-%s", batch);
 }
 
 struct kwb_batch *
@@ -302,7 +307,7 @@
 	struct kwb_store *store = batch->batches->env->store;
 	struct kwb_range range = {
 	    .table = TABLE_DONE, .part = batch->record.id};
-	char name[KWB_KEY_MAX_BYTES + 8];
+	char name[OBJECT_NAME_BYTES];
 	int code;
 
 	batch->load_retry_ns = 0;
@@ -312,7 +317,8 @@
 		load_range(batch, &range);
 		return;
 	}
-	batch_object_name(name, sizeof(name), batch->record.id);
+	batch_object_name(
+	    name, sizeof(name), batch->record.workspace, batch->record.id);
 	batch->call.on_done = submission_on_answer;
 	code = store->ops->object_get(store, name, &batch->call);
 	if (code != 0)
--- a/src/batch/read.c
+++ b/src/batch/read.c
@@ -177,6 +177,7 @@
 		read_finish(read, KWB_ERR_STORE_MISSING);
 		return;
 	}
+	kwb_text_copy(read->owner, sizeof(read->owner), record.workspace);
 	read->total = record.total;
 	read->record_known = true;
 	if (read->item[0] != '\0')
@@ -243,14 +244,14 @@
 {
 	struct kwb_store *store = read->batches->env->store;
 	const struct kwb_batch *batch = batch_find(read->batches, read->batch);
-	char name[KWB_KEY_MAX_BYTES + 8];
+	char name[OBJECT_NAME_BYTES];
 	int code;
 
 	if (batch != NULL && batch->runs != NULL) {
 		read_finish(read, add_item_body(&batch->spec, read));
 		return;
 	}
-	batch_object_name(name, sizeof(name), read->batch);
+	batch_object_name(name, sizeof(name), read->owner, read->batch);
 	read->call.on_done = submission_on_answer;
 	code = store->ops->object_get(store, name, &read->call);
 	if (code != 0)
@@ -293,6 +294,8 @@
 	 */
 	if (record != NULL && !batch_is_expired(read->batches, record) &&
 	    kwb_access_is_owner(record->workspace, read->workspace)) {
+		kwb_text_copy(
+		    read->owner, sizeof(read->owner), record->workspace);
 		read->total = record->total;
 		read->record_known = true;
 	}
--- a/src/batch/sweep.c
+++ b/src/batch/sweep.c
@@ -135,9 +135,10 @@
 static int
 sweep_object(struct kwb_batches *batches)
 {
-	char name[KWB_KEY_MAX_BYTES + 8];
+	const struct kwb_batch_record *record = &batches->sweep_record;
+	char name[OBJECT_NAME_BYTES];
 
-	batch_object_name(name, sizeof(name), batches->sweep_record.id);
+	batch_object_name(name, sizeof(name), record->workspace, record->id);
 	batches->sweep.on_done = removal_on_answer;
 	return batches->env->store->ops->object_drop(
 	    batches->env->store, name, &batches->sweep);
--- a/tests/platform/decisions_access.c
+++ b/tests/platform/decisions_access.c
@@ -10,6 +10,7 @@
 #include <CUnit/CUnit.h>
 
 #include "../../platform/platform.h"
+#include "../../src/batch/batch.h"
 #include "kwb_node.h"
 
 #define COUNT(table) (sizeof(table) / sizeof((table)[0]))
@@ -295,6 +296,8 @@
 	struct kwb_batch_record record = {.id = "b", .total = 3};
 	struct kwb_batch_record read;
 	struct kwb_row row = {.key = (char *)"b"};
+	char name[OBJECT_NAME_BYTES];
+	char other[OBJECT_NAME_BYTES];
 	struct kwb_buf value;
 
 	kwb_text_copy(record.workspace, sizeof(record.workspace), "w1");
@@ -311,6 +314,11 @@
 	CU_ASSERT_STRING_EQUAL(read.workspace, "");
 	CU_ASSERT_EQUAL(read.total, 3);
 	kwb_buf_finish(&value);
+	batch_object_name(name, sizeof(name), "", "b");
+	CU_ASSERT_STRING_EQUAL(name, "batch-b"); /* of any version */
+	batch_object_name(name, sizeof(name), "w1", "b");
+	batch_object_name(other, sizeof(other), "w2", "b");
+	CU_ASSERT_STRING_NOT_EQUAL(name, other);
 	CU_ASSERT_TRUE(kwb_access_is_owner("w1", "w1"));
 	CU_ASSERT_FALSE(kwb_access_is_owner("w1", "w2"));
 	CU_ASSERT_TRUE(kwb_access_is_owner("", "w2"));
