--- a/src/wire/frame.c
+++ b/src/wire/frame.c
@@ -27,6 +27,44 @@
 	return 0;
 }
 
+/*
+ * Whether a message, or one inside it, has an unknown field with the number 0.
+ * No field may have it, but protobuf-c reads it from a tag of several bytes.
+ */
+static bool
+has_field_zero(const ProtobufCMessage *message)
+{
+	const ProtobufCMessageDescriptor *descriptor = message->descriptor;
+	unsigned i;
+
+	for (i = 0; i < message->n_unknown_fields; i++)
+		if (message->unknown_fields[i].tag == 0)
+			return true;
+	for (i = 0; i < descriptor->n_fields; i++) {
+		const ProtobufCFieldDescriptor *field = &descriptor->fields[i];
+		const char *base = (const char *)message;
+		const ProtobufCMessage *const *inner =
+		    (const void *)(base + field->offset);
+		size_t count = 1;
+
+		if (field->type != PROTOBUF_C_TYPE_MESSAGE)
+			continue;
+		if (field->label == PROTOBUF_C_LABEL_REPEATED) {
+			count =
+			    *(const size_t *)(base + field->quantifier_offset);
+			inner = *(const ProtobufCMessage *const *const *)inner;
+		} else if ((field->flags & PROTOBUF_C_FIELD_FLAG_ONEOF) != 0 &&
+		    *(const uint32_t *)(base + field->quantifier_offset) !=
+			field->id) {
+			continue;
+		}
+		for (; count > 0; count--, inner++)
+			if (*inner != NULL && has_field_zero(*inner))
+				return true;
+	}
+	return false;
+}
+
 /*
  * Takes one frame off the front of in. Returns 1 with a frame, 0 when more
  * bytes are needed, or an error after which the stream is unusable.
@@ -50,7 +88,8 @@
 	kwb_buf_consume(in, HEADER_BYTES + (size_t)length);
 	if (*frame == NULL)
 		return KWB_ERR_WIRE_FRAME;
-	if ((*frame)->body_case == KWB__WIRE__FRAME__BODY__NOT_SET) {
+	if ((*frame)->body_case == KWB__WIRE__FRAME__BODY__NOT_SET ||
+	    has_field_zero(&(*frame)->base)) {
 		kwb_frame_free(*frame);
 		*frame = NULL;
 		return KWB_ERR_WIRE_FRAME;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -16,7 +16,7 @@
 		build/tests/unit build/tests/contract build/tests/golden \
 		build/tests/faults build/tests/platform/decisions \
 		build/tests/platform/script build/tests/platform/soak \
-		build/tests/fuzz/rows \
+		build/tests/fuzz/rows build/tests/fuzz/frame \
 		>"$scratch/log" 2>&1
 }
 while IFS="~" read -r name file expression command; do
