An answer without the id of its request is taken only for a refusal

Upstreams repeat the id in all that they say of their work, so an answer without it is now taken only where it says that nothing ran, and an answer with an id is none to an order or a read of a server's state.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -90,6 +90,13 @@
 /* Appends a header; KWB_ERR_MEMORY on failure. */
 int kwb_message_add_header(
     struct kwb_message *message, const char *name, const char *value);
+/*
+ * Whether a text can stand in a message as the name of a header, as the value
+ * of one, or as a request's target. Any other could end the line it stands in.
+ */
+bool kwb_text_is_token(const char *text);
+bool kwb_text_is_field_value(const char *text);
+bool kwb_text_is_target(const char *text);
 /* Copies head and body into an empty message; KWB_ERR_MEMORY on failure. */
 int kwb_message_copy(struct kwb_message *to, const struct kwb_message *from);
 
@@ -977,6 +984,12 @@
 /* Whether new requests may start there: neither store nor answers say no. */
 bool kwb_upstream_takes_requests(const struct kwb_upstream *upstream);
 struct kwb_upstream_answer;
+/*
+ * Whether an answer is the one to the request of that id, "" for a request
+ * without one, and not a late copy of an earlier answer.
+ */
+bool kwb_answer_is_to_request(
+    const struct kwb_upstream_answer *answer, const char *request_id);
 /*
  * Notes from the head of an answer that the upstream is leaving. Only an answer
  * that is proved to be its own counts: by the id of the request, or by its own
@@ -1000,6 +1013,9 @@
     struct kwb_upstream *upstream, uint64_t now_ns); /* may make it suspect */
 void kwb_upstream_record_pace(struct kwb_upstream *upstream,
     uint64_t taken_ns); /* time that a unit of work took */
+bool kwb_registry_has_version(const struct kwb_registry *registry,
+    const char *service, const char *model,
+    uint64_t version); /* at an upstream that takes requests */
 uint64_t kwb_registry_median_pace(const struct kwb_registry *registry,
     const char *service,
     uint64_t now_ns); /* median of baselines, in ns; 0 when none is known */
@@ -1010,6 +1026,7 @@
 	const char *failure_domain; /* preferred, NULL for none */
 	const char *model;	    /* NULL for plain requests */
 	uint64_t min_version;	    /* oldest weights allowed */
+	uint64_t version;	    /* the only weights allowed, 0 for any */
 	const struct kwb_upstream *const *exclude; /* never picked */
 	uint32_t exclude_count;
 	const char *affinity_id; /* upstream that read the prompt, or NULL */
@@ -1402,6 +1419,8 @@
 
 bool kwb_item_is_stalled(
     const struct kwb_stall_input *input); /* its upstream has stopped; pure */
+/* Whether checks stopped for so long that silence shows nothing; pure. */
+bool kwb_check_was_delayed(uint64_t last_ns, uint64_t now_ns);
 bool kwb_item_is_queued(
     const struct kwb_stall_input *input); /* it waits for a slot; pure */
 
@@ -1499,6 +1518,7 @@
 	struct event *owner_timer; /* claims batches without living owner */
 	bool dispatch_armed;
 	uint64_t move_checked_ns;	 /* last check of the running items */
+	uint64_t check_seen_ns;		 /* when a check was last due */
 	bool handing_over;		 /* starts and claims nothing more */
 	struct kwb_store_call heartbeat; /* writes the own one */
 	struct kwb_store_call heartbeats_read; /* those of all nodes */
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -170,7 +170,7 @@
 	}
 	if (answer.status != 200 ||
 	    !kwb_sse_may_be_events(kwb_exchange_answer(exchange)) ||
-	    (answer.id != NULL && strcmp(answer.id, run->item->id) != 0))
+	    !kwb_answer_is_to_request(&answer, run->item->id))
 		return;
 	kwb_upstream_record_success(run->upstream);
 	exchange->is_streaming = true;
@@ -274,6 +274,10 @@
 	}
 	run_env(run)->forward->codec->parse_answer(
 	    kwb_exchange_answer(exchange), &answer);
+	if (!kwb_answer_is_to_request(&answer, run->item->id)) {
+		run_retry(run, 0, "answer_of_another_request");
+		return;
+	}
 	handle_refusal(run, &answer);
 }
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -121,14 +121,6 @@
 	forward_end(forward, KWB_FORWARD_UNKNOWN, reason);
 }
 
-static bool
-is_answer_to_request(
-    const struct kwb_forward *forward, const struct kwb_upstream_answer *answer)
-{
-	return answer->id == NULL ||
-	    strcmp(answer->id, forward->request.id) == 0;
-}
-
 /* The upstream says that it has not run the request. */
 static void
 attempt_refused(struct kwb_forward_attempt *attempt,
@@ -164,7 +156,7 @@
 
 	forward->env->codec->parse_answer(message, &answer);
 	record_load(upstream, &answer);
-	if (!is_answer_to_request(forward, &answer)) {
+	if (!kwb_answer_is_to_request(&answer, forward->request.id)) {
 		attempt_failed(attempt, false, "answer_of_another_request");
 		return;
 	}
@@ -289,7 +281,7 @@
 	if (forward->on_data == NULL)
 		return;
 	if (answer.not_run || answer.status >= 300 || answer.receipt == NULL ||
-	    !is_answer_to_request(forward, &answer))
+	    !kwb_answer_is_to_request(&answer, forward->request.id))
 		return;
 	if (forward->head_sent && !kwb_sse_may_be_events(message))
 		return; /* nothing that could go on with the stream */
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -162,6 +162,20 @@
 	    !upstream->is_leaving;
 }
 
+/*
+ * An upstream repeats the id of a request in all that it says of its work. Only
+ * a refusal may lack it, by whoever took the connection. Without this, a late
+ * copy of an answer to a request without an id would pass for the next one's.
+ */
+bool
+kwb_answer_is_to_request(
+    const struct kwb_upstream_answer *answer, const char *request_id)
+{
+	if (answer->id == NULL)
+		return answer->not_run || request_id[0] == '\0';
+	return strcmp(answer->id, request_id) == 0;
+}
+
 /* Whether an answer is certainly one of this upstream to that request. */
 static bool
 is_own_answer(const struct kwb_upstream *upstream, const char *request_id,
@@ -315,3 +329,20 @@
 	}
 	return count > 0 ? paces[(count - 1) / 2] : 0;
 }
+
+bool
+kwb_registry_has_version(const struct kwb_registry *registry,
+    const char *service, const char *model, uint64_t version)
+{
+	uint32_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		const struct kwb_upstream *upstream = registry->upstreams[i];
+
+		if (kwb_upstream_takes_requests(upstream) &&
+		    strcmp(upstream->status.service, service) == 0 &&
+		    kwb_upstream_version(upstream, model) == version)
+			return true;
+	}
+	return false;
+}
--- a/src/weights/mover_order.c
+++ b/src/weights/mover_order.c
@@ -63,6 +63,17 @@
 	    upstream, replica->incarnation_ms, "", &answer);
 }
 
+/* Orders and status requests have no id: an answer with one is a late copy. */
+static bool
+is_of_another_request(
+    const struct kwb_replica *replica, const struct kwb_message *message)
+{
+	struct kwb_upstream_answer answer;
+
+	replica->updater->env->forward->codec->parse_answer(message, &answer);
+	return !kwb_answer_is_to_request(&answer, "");
+}
+
 static void
 order_on_answer(struct kwb_replica *replica, const struct kwb_message *message)
 {
@@ -115,6 +126,8 @@
 	updater_exchange_close(replica);
 	if (error == 0)
 		note_leaving(replica, &answer);
+	if (error == 0 && is_of_another_request(replica, &answer))
+		error = KWB_ERR_NET_MALFORMED;
 	if (error != 0) {
 		kwb_log(KWB_LOG_WARN, "mover", "event=%s upstream=%s error=%s",
 		    was_order ? "order_in_doubt" : "no_report", replica->id,
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -46,10 +46,12 @@
  *       within disconnect=, which is 8000 if not given
  *   $ concurrent-calls NODE PATH [calls=N] [mb=N]  how many end, and whether
  *       the memory of the process grows by less than mb=
+ *   $ read-late NODE PATH KB MS   a call with a body of that size, whose answer,
+ *       the body again, is read after MS; how much of it comes
  *   $ raw NODE TEXT               sends TEXT, with _ for a space and \n for a
  *       line end; prints as "call" does
  *   $ submit NODE BATCH [items=N] [size=N] [events=N] [min=V] [target=N]
- *       [path=PATH]
+ *       [path=PATH] [header=NAME:VALUE]   of its items; \r and \n in VALUE
  *   $ results NODE BATCH          all results, by item
  *   $ results-size NODE BATCH     their number and length only
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
@@ -78,6 +80,7 @@
  *
  * Others:
  *   $ wait MS
+ *   $ pause MS                    the nodes and all others stand still
  *   $ ctl WORDS                   output and exit code of kwb-nodectl
  *   $ trace trace BATCH LOG       its spans of half a second or more; LOG
  *       stands for the log file
@@ -85,7 +88,9 @@
  */
 /* clang-format on */
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <glob.h>
+#include <poll.h>
 #include <signal.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -130,9 +135,9 @@
     "reset", "silent", "wrong-id", "truncate", "extra-answer", "no-length",
     "not-http", "no-receipt", "skip-event", "misdirected", "stall",
     "stream-no-length", "cut-no-length", "error-text", "error-page",
-    "restart-stream", "cut-head", "cut-status", "cut-anywhere", "endless-head",
-    "endless-body", "endless-chunk-size", "endless-line", "comments-only",
-    NULL};
+    "restart-stream", "cut-head", "cut-status", "cut-anywhere", "wrong-422",
+    "endless-head", "endless-body", "endless-chunk-size", "endless-line",
+    "comments-only", NULL};
 
 /* Returns the index of a name in a list; exits if it isn't there. */
 static int
@@ -362,8 +367,10 @@
 	char headers[128];
 	unsigned i;
 
+	if (count > CONCURRENT_CALLS_MAX)
+		count = CONCURRENT_CALLS_MAX;
 	memset(calls, 0, sizeof(calls));
-	for (i = 0; i < count && i < CONCURRENT_CALLS_MAX; i++) {
+	for (i = 0; i < count; i++) {
 		struct evbuffer *request;
 
 		snprintf(headers, sizeof(headers),
@@ -434,9 +441,93 @@
 	kwb_exchange_finish(&call.exchange);
 }
 
+/* Pumps the loop until the socket can be read, or MS have passed. */
+static bool
+wait_readable(struct script *script, int fd, uint64_t end_ns)
+{
+	struct pollfd poll_fd = {.fd = fd, .events = POLLIN};
+
+	while (poll(&poll_fd, 1, 0) == 0) {
+		if (kwb_clock_now_ns() >= end_ns)
+			return false;
+		testbed_run_for(&script->testbed, 2);
+	}
+	return true;
+}
+
+static void
+run_read_late(struct script *script)
+{
+	struct testbed_node *node =
+	    testbed_node(&script->testbed, script->words[1]);
+	size_t body_bytes = strtoul(script->words[3], NULL, 10) << 10;
+	struct sockaddr_in in = {.sin_family = AF_INET,
+	    .sin_port = htons(node->settings.listen.port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint64_t end_ns = kwb_clock_now_ns() + CALL_TIMEOUT_MS * KWB_MS_NS;
+	int receive_bytes = 4096;
+	struct kwb_buf bytes;
+	char part[16384];
+	ssize_t length;
+	size_t sent = 0;
+
+	setsockopt(
+	    fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
+	inet_pton(AF_INET, node->settings.listen.ip, &in.sin_addr);
+	kwb_buf_init(&bytes);
+	if (connect(fd, (struct sockaddr *)&in, sizeof(in)) != 0)
+		body_bytes = 0;
+	kwb_buf_printf(&bytes,
+	    "POST %s HTTP/1.1\r\nHost: " HOST "\r\nAttempt-Id: late\r\n"
+	    "Content-Length: %zu\r\n\r\n",
+	    script->words[2], body_bytes);
+	memset(part, 'x', sizeof(part));
+	for (length = 0; (size_t)length < body_bytes; length += 1024)
+		kwb_buf_add(&bytes, part, 1024);
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	while (sent < bytes.used_bytes && kwb_clock_now_ns() < end_ns) {
+		length = write(fd, bytes.data + sent, bytes.used_bytes - sent);
+		sent += length > 0 ? (size_t)length : 0;
+		testbed_run_for(&script->testbed, 2);
+	}
+	testbed_run_for(
+	    &script->testbed, (uint32_t)strtoul(script->words[4], NULL, 10));
+	if (!node->is_running)
+		testbed_node_kill(node); /* its process has ended */
+	bytes.used_bytes = 0;
+	while (wait_readable(script, fd, end_ns) &&
+	    (length = read(fd, part, sizeof(part))) > 0)
+		kwb_buf_add(&bytes, part, (size_t)length);
+	close(fd);
+	kwb_buf_printf(&script->out, "%s\n",
+	    bytes.used_bytes >= body_bytes ? "whole" : "cut off");
+	kwb_buf_finish(&bytes);
+}
+
 /* ---- Batches
  * --------------------------------------------------------------------- */
 
+/* Name and value of the header= option, each ended by NUL. */
+static void
+item_header(struct script *script, char *out, size_t capacity)
+{
+	const char *from = option(script, "header", "X-Item:1");
+	bool has_name = false;
+	size_t length = 0;
+
+	for (; *from != '\0' && length + 1 < capacity; from++) {
+		if (*from == ':' && !has_name) {
+			has_name = true;
+			out[length++] = '\0';
+		} else if (from[0] == '\\' && from[1] != '\0') {
+			out[length++] = *++from == 'n' ? '\n' : '\r';
+		} else {
+			out[length++] = *from;
+		}
+	}
+	out[length] = '\0';
+}
+
 /* Returns a batch document as text, to be freed. */
 static char *
 batch_body(struct script *script, const char *batch)
@@ -445,6 +536,7 @@
 	unsigned size = option_number(script, "size", 2);
 	const char *path = option(script, "path", SUBMIT_PATH);
 	json_t *requests = json_array();
+	char header[256];
 	struct kwb_buf body;
 	char text[64];
 	char id[64];
@@ -454,6 +546,7 @@
 	unsigned i;
 	char *out;
 
+	item_header(script, header, sizeof(header));
 	for (i = 0; i < items; i++) {
 		kwb_buf_init(&body);
 		snprintf(id, sizeof(id), "%s-i%u", batch, i);
@@ -463,12 +556,13 @@
 		    option_number(script, "events", 4));
 		kwb_base64_encode(&body, text, strlen(text));
 		json_array_append_new(requests,
-		    json_pack("{s:s, s:s, s:{s:s}, s:s, s:i, s:s, s:{s:s, s:s, "
-			      "s:s, s:s}}",
-			"id", id, "path", path, "headers", "Model", "m", "body",
-			body.data, "tokens", 100, "group", group, "scorer",
-			"id", score, "hostname", HOST, "path", "/score/x",
-			"body", "c2NvcmU="));
+		    json_pack("{s:s, s:s, s:{s:s, s:s}, s:s, s:i, s:s, "
+			      "s:{s:s, s:s, s:s, s:s}}",
+			"id", id, "path", path, "headers", "Model", "m", header,
+			header + strlen(header) + 1, "body", body.data,
+			"tokens", 100, "group", group, "scorer", "id", score,
+			"hostname", HOST, "path", "/score/x", "body",
+			"c2NvcmU="));
 		kwb_buf_finish(&body);
 	}
 	document =
@@ -1277,14 +1371,14 @@
 	    {"unroute", run_unroute}, {"config", run_config},
 	    {"set-version", run_set_version}, {"node", run_node},
 	    {"stop", run_stop}, {"ready", run_ready}, {"call", run_call},
-	    {"raw", run_raw}, {"submit", run_submit}, {"results", run_results},
-	    {"end", run_end}, {"item", run_item}, {"store", run_store},
-	    {"fault", run_fault}, {"drain", run_server_change},
-	    {"remove", run_server_change}, {"corrupt", run_server_change},
-	    {"heartbeat", run_server_change}, {"leave", run_server_change},
-	    {"stay", run_server_change}, {"restart", run_server_change},
-	    {"arrivals", run_arrivals}, {"metrics", run_metrics},
-	    {"ran", run_ran}, {"prompt", run_prompt},
+	    {"raw", run_raw}, {"read-late", run_read_late},
+	    {"submit", run_submit}, {"results", run_results}, {"end", run_end},
+	    {"item", run_item}, {"store", run_store}, {"fault", run_fault},
+	    {"drain", run_server_change}, {"remove", run_server_change},
+	    {"corrupt", run_server_change}, {"heartbeat", run_server_change},
+	    {"leave", run_server_change}, {"stay", run_server_change},
+	    {"restart", run_server_change}, {"arrivals", run_arrivals},
+	    {"metrics", run_metrics}, {"ran", run_ran}, {"prompt", run_prompt},
 	    {"wait-version", run_wait_version}, {"orders", run_totals},
 	    {"rows", run_rows}, {"silent-part", run_silent_part},
 	    {"wait-rows", run_wait_rows}, {"objects", run_objects},
@@ -1303,7 +1397,9 @@
 			commands[i].run(script);
 			return;
 		}
-	if (strcmp(script->words[0], "wait") == 0)
+	if (strcmp(script->words[0], "pause") == 0)
+		usleep((useconds_t)atoi(script->words[1]) * 1000);
+	else if (strcmp(script->words[0], "wait") == 0)
 		testbed_run_for(testbed, (unsigned)atoi(script->words[1]));
 	else if (strcmp(script->words[0], "kill") == 0)
 		testbed_node_kill(testbed_node(testbed, script->words[1]));
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -106,6 +106,10 @@
 	case SERVER_FAULT_422:
 		http_session_answer(session, 422, headers, "", 0);
 		return true;
+	case SERVER_FAULT_WRONG_422:
+		http_session_answer(
+		    session, 422, "Attempt-Id: another\r\n", "", 0);
+		return true;
 	case SERVER_FAULT_RESET:
 		http_session_close(session, true);
 		return true;
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -166,8 +166,9 @@
 	SERVER_FAULT_CUT_HEAD,	       /* closes in the middle of the head */
 	SERVER_FAULT_CUT_STATUS,       /* closes after the status line */
 	SERVER_FAULT_CUT_ANYWHERE,     /* in the head, a byte later each time */
-	SERVER_FAULT_ENDLESS_HEAD,     /* a header line that never ends */
-	SERVER_FAULT_ENDLESS_BODY,     /* a body that never ends */
+	SERVER_FAULT_WRONG_422,	   /* answers 422 with another request's id */
+	SERVER_FAULT_ENDLESS_HEAD, /* a header line that never ends */
+	SERVER_FAULT_ENDLESS_BODY, /* a body that never ends */
 	SERVER_FAULT_ENDLESS_CHUNK_SIZE, /* a chunk size line that never ends */
 	SERVER_FAULT_ENDLESS_LINE,	 /* a stream's line that never ends */
 	SERVER_FAULT_COMMENTS_ONLY /* a stream of comments, one each 100 ms */
