A line break in a header of an item is refused

An item's header with CR LF in its value was written to the upstream as it came: what followed it ran there as a request of its own. On the own interface the type of a body is checked before a request is made; its target is checked by libcurl. Weighed: leaving out just the header, which would run another item than the trainer sent.

--- a/src/net/message.c
+++ b/src/net/message.c
@@ -2,6 +2,7 @@
  * One HTTP/1.1 message. One buffer holds the target and the headers, another
  * one the body.
  */
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -85,6 +86,41 @@
 	return &message->headers[message->headers_count++];
 }
 
+/* Bytes of a token (RFC 9110, 5.6.2) besides letters and digits. */
+#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
+
+bool
+kwb_text_is_token(const char *text)
+{
+	size_t i;
+
+	for (i = 0; text[i] != '\0'; i++)
+		if (!isalnum((unsigned char)text[i]) &&
+		    strchr(TOKEN_MARKS, text[i]) == NULL)
+			return false;
+	return i > 0;
+}
+
+bool
+kwb_text_is_field_value(const char *text)
+{
+	for (; *text != '\0'; text++)
+		if (iscntrl((unsigned char)*text) && *text != '\t')
+			return false;
+	return true;
+}
+
+bool
+kwb_text_is_target(const char *text)
+{
+	if (text[0] != '/')
+		return false;
+	for (; *text != '\0'; text++)
+		if ((unsigned char)*text <= ' ' || *text == 0x7f)
+			return false;
+	return true;
+}
+
 int
 kwb_message_add_header(
     struct kwb_message *message, const char *name, const char *value)
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -69,6 +69,9 @@
 	kwb_buf_init(&answer->body);
 	if (curl == NULL)
 		return KWB_ERR_MEMORY;
+	if (request->content_type != NULL &&
+	    strpbrk(request->content_type, "\r\n") != NULL)
+		return KWB_ERR_ARGUMENT; /* it would add lines to the head */
 	headers = headers_create(request);
 	handle_prepare(curl, &exchange, headers);
 	code = curl_easy_perform(curl);
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -1772,6 +1772,53 @@
 }
 
 /* No input crashes the parsers, and what they reject leaks no memory. */
+/* A late copy of an earlier answer is at the place of the one awaited. */
+static void
+test_answers_of_other_requests(void)
+{
+	static const struct {
+		const char *answer_id;
+		bool not_run;
+		const char *request_id;
+		bool is_own;
+	} cases[] = {
+	    {"r1", false, "r1", true}, {"r0", false, "r1", false},
+	    {"r0", true, "r1", false},	/* refused, but another one */
+	    {NULL, false, "r1", false}, /* to a report of the upstream */
+	    {NULL, true, "r1", true},	/* refused by whoever is there now */
+	    {NULL, false, "", true},
+	    {"r0", false, "", false}, /* to a caller's request */
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct kwb_upstream_answer answer = {
+		    .status = cases[i].not_run ? 503 : 200,
+		    .id = cases[i].answer_id,
+		    .not_run = cases[i].not_run};
+
+		CU_ASSERT_EQUAL(
+		    kwb_answer_is_to_request(&answer, cases[i].request_id),
+		    cases[i].is_own);
+	}
+}
+
+static void
+test_texts_of_heads(void)
+{
+	CU_ASSERT_TRUE(kwb_text_is_token("X-Item_1"));
+	CU_ASSERT_FALSE(kwb_text_is_token(""));
+	CU_ASSERT_FALSE(kwb_text_is_token("X Item"));
+	CU_ASSERT_FALSE(kwb_text_is_token("X:"));
+	CU_ASSERT_TRUE(kwb_text_is_field_value("a b\tc \xc3\xa4"));
+	CU_ASSERT_FALSE(kwb_text_is_field_value("a\rb"));
+	CU_ASSERT_FALSE(kwb_text_is_field_value("a\nb"));
+	CU_ASSERT_TRUE(kwb_text_is_target("/a?b=%20c"));
+	CU_ASSERT_FALSE(kwb_text_is_target("a"));
+	CU_ASSERT_FALSE(kwb_text_is_target("/a b"));
+	CU_ASSERT_FALSE(kwb_text_is_target("/a\r\nb"));
+}
+
 static void
 test_mutated_documents(void)
 {
@@ -2059,6 +2106,8 @@
 	    {"settings", test_settings},
 	    {"upstream_entries", test_upstream_entries},
 	    {"documents", test_documents},
+	    {"answers_of_other_requests", test_answers_of_other_requests},
+	    {"texts_of_heads", test_texts_of_heads},
 	    {"mutated_documents", test_mutated_documents},
 	    {"requests", test_request_parser}, {"index", test_index},
 	    {"base64", test_base64}};
