A text of one version begins anew once no upstream has that version

On a route with texts of one version, an item whose upstream was lost asked the others for the version that was gone, was refused as misdirected, and asked on until its time was up. Items that go on now look only at upstreams with their version, and where none has it the text begins anew.

--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -8,6 +8,22 @@
 
 #include "batch.h"
 
+/*
+ * Where a text must come from one version of the weights, the version that has
+ * made its events so far; 0 for any.
+ */
+static uint64_t
+version_to_go_on_with(const struct item_run *run)
+{
+	const struct kwb_route_entry *route;
+
+	if (run->versions_count == 0)
+		return 0;
+	route = kwb_node_config_find_route(
+	    *run_env(run)->config, run->batch->record.host, run->item->target);
+	return route != NULL && route->single_version ? run->versions[0] : 0;
+}
+
 /* Best upstream with a free slot, other than the current one; or NULL. */
 static struct kwb_upstream *
 run_pick_upstream(const struct item_run *run, const char *service)
@@ -19,6 +35,7 @@
 	    .failure_domain = run_env(run)->forward->failure_domain,
 	    .model = batch->spec.model,
 	    .min_version = batch->spec.min_version,
+	    .version = version_to_go_on_with(run),
 	    .affinity_id = batch->groups[run->group].upstream_id,
 	    .exclude = &current,
 	    .exclude_count = current != NULL,
@@ -157,6 +174,8 @@
 	const struct kwb_route_entry *route = kwb_node_config_find_route(
 	    *env->config, run->batch->record.host, run->item->target);
 	struct kwb_upstream *upstream;
+	const char *service;
+	uint64_t version;
 	uint64_t seed = 0;
 	const char *c;
 
@@ -166,8 +185,15 @@
 	}
 	for (c = run->item->id; *c != '\0'; c++)
 		seed = seed * 31 + (unsigned char)*c;
-	upstream =
-	    run_pick_upstream(run, kwb_route_entry_pick_service(route, seed));
+	service = kwb_route_entry_pick_service(route, seed);
+	version = version_to_go_on_with(run);
+	if (version != 0 &&
+	    !kwb_registry_has_version(env->forward->registry, service,
+		run->batch->spec.model, version)) {
+		run_log(run, "begins_anew", "version_gone");
+		run_reset_text(run);
+	}
+	upstream = run_pick_upstream(run, service);
 	if (upstream == NULL)
 		return false;
 	run_start(run, upstream, route);
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -89,6 +89,10 @@
 	    expected_version_of(upstream, criteria->model) <
 		criteria->min_version)
 		return false;
+	if (criteria->model != NULL && criteria->version != 0 &&
+	    kwb_upstream_version(upstream, criteria->model) !=
+		criteria->version)
+		return false;
 	if (criteria->model != NULL && !can_start(criteria, upstream))
 		return false;
 	if (!criteria->needs_free_slot)
