A stop waits for answers that are being read, and takes no request it can't end

A caller that read slowly lost the rest of its answer when its node was stopped: after 3 s without requests in progress the process ended with bytes unsent. And a request that came on an open connection late in a stop was passed on and then cut. The stop now lasts until all answers are written or its time is up, and a request whose deadline lies behind the end of the stop is refused at once as not run, so that it is served whole by another node. Scripts stop_slow_reader (cut off before, whole now) and stop_late_request (200 before, 503 at once now; a request with a deadline that fits is served).

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -3,6 +3,7 @@
  * config, the versions of models that trainers announce, and the entries of
  * upstreams. A stop lets the requests in progress end.
  */
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <stdlib.h>
@@ -156,6 +157,18 @@
 	    KWB_READY_STORE_AGE_NS;
 }
 
+/* Whether a caller has not yet read all of its answer. */
+static bool
+has_unread_answer(const struct kwb_node *node)
+{
+	struct kwb_caller *caller;
+
+	TAILQ_FOREACH (caller, &node->callers, entry)
+		if (evbuffer_get_length(kwb_conn_output(&caller->conn)) > 0)
+			return true;
+	return false;
+}
+
 /* At the deadline, or earlier when no request and no batch is left. */
 static bool
 can_finish_stop(const struct kwb_node *node, uint64_t now_ns)
@@ -163,7 +176,7 @@
 	if (now_ns >= node->stop_deadline_ns)
 		return true;
 	return now_ns - node->stop_started_ns >= KWB_STOP_MIN_NS &&
-	    node->busy_callers_count == 0 &&
+	    node->busy_callers_count == 0 && !has_unread_answer(node) &&
 	    kwb_batches_is_idle(&node->batches);
 }
 
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -236,6 +236,20 @@
 	kwb_batch_read_start(read);
 }
 
+/*
+ * A stopping node takes requests on open connections, but none that may be cut
+ * off by the end of its process.
+ */
+static bool
+is_too_late_in_stop(
+    const struct kwb_caller *caller, const struct kwb_route_entry *route)
+{
+	const struct kwb_node *node = caller->node;
+
+	return node->stop_deadline_ns != 0 &&
+	    request_deadline_ns(caller, route) > node->stop_deadline_ns;
+}
+
 static void
 serve_call(struct kwb_caller *caller)
 {
@@ -279,6 +293,10 @@
 			answer_error(caller, 400, "no_submission");
 		return;
 	}
+	if (is_too_late_in_stop(caller, route)) {
+		answer_error(caller, 503, "stopping");
+		return;
+	}
 	serve_forward(caller, route);
 }
 
