A pause of the node itself is no silence of its upstreams

Traced: when the process stands still for 0.6 s, its check of running items fires before the events that came meanwhile are read, and takes the upstream for silent. A check that comes more than 0.3 s late now judges no item; the next one, 0.2 s later, does.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -157,6 +157,8 @@
 #define KWB_QUEUED_BACKOFF_NS (600 * KWB_MS_NS) /* then avoided so long */
 #define KWB_STALL_PACES 10 /* so many usual event gaps, if that is longer */
 #define KWB_MOVE_CHECK_NS (200 * KWB_MS_NS) /* between checks of items */
+/* So late a check shows that this process stood still, not an upstream. */
+#define KWB_CHECK_DELAY_NS (300 * KWB_MS_NS)
 #define KWB_MOVES_MAX 4			    /* of one item */
 #define KWB_MOVE_MIN_NS (300 * KWB_MS_NS)   /* at an upstream before a move */
 #define KWB_CHECKPOINT_NS (500 * KWB_MS_NS) /* between writes of texts */
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -112,6 +112,7 @@
 	struct kwb_batches *batches = context;
 	struct kwb_batch *batch;
 	bool has_waiting = false;
+	uint64_t now_ns;
 
 	(void)fd;
 	(void)what;
@@ -126,11 +127,16 @@
 	    KWB_DISPATCH_STORE_AGE_NS)
 		TAILQ_FOREACH (batch, &batches->running, entry)
 			has_waiting |= batch_dispatch(batch);
-	if (kwb_clock_now_ns() - batches->move_checked_ns >=
-	    KWB_MOVE_CHECK_NS) {
-		batches->move_checked_ns = kwb_clock_now_ns();
+	now_ns = kwb_clock_now_ns();
+	if (now_ns - batches->move_checked_ns >= KWB_MOVE_CHECK_NS) {
+		bool was_delayed =
+		    kwb_check_was_delayed(batches->check_seen_ns, now_ns);
+
+		batches->move_checked_ns = now_ns;
+		batches->check_seen_ns = now_ns;
 		TAILQ_FOREACH (batch, &batches->running, entry)
-			batch_check_running(batch);
+			if (!was_delayed)
+				batch_check_running(batch);
 		TAILQ_FOREACH (batch, &batches->running, entry)
 			batch_checkpoint(batch);
 	}
--- a/src/batch/item.c
+++ b/src/batch/item.c
@@ -72,6 +72,16 @@
 	return input->elapsed_ns >= limit_ns;
 }
 
+/*
+ * After a pause of this process, timers fire before the events that came
+ * meanwhile are read: all upstreams then seem to have been silent.
+ */
+bool
+kwb_check_was_delayed(uint64_t last_ns, uint64_t now_ns)
+{
+	return now_ns - last_ns >= KWB_MOVE_CHECK_NS + KWB_CHECK_DELAY_NS;
+}
+
 /*
  * The first event usually comes within a few event gaps, as reading a prompt
  * takes some milliseconds. When it is later, items of other nodes, unknown to
