--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -105,9 +105,10 @@
 #define KWB_RELAY_IDLE_S 5	     /* longer than a feed waits */
 
 /* Keys of workspaces */
-#define KWB_ACCESS_MARGIN_DIVISOR 20 /* of revoke-ms, for clocks that differ   \
-				      */
-#define KWB_ACCESS_WAIT_DIVISOR 4    /* of revoke-ms: longest wait of a feed */
+#define KWB_ACCESS_MARGIN_DIVISOR                                              \
+	20			  /* of revoke-ms, for clocks that differ      \
+				   */
+#define KWB_ACCESS_WAIT_DIVISOR 4 /* of revoke-ms: longest wait of a feed */
 /* A feed that is unanswered for so long after its wait is asked again. */
 #define KWB_ACCESS_LATE_NS (600 * KWB_MS_NS)
 /* A request waits so long for the store's word on its key. */
@@ -168,6 +169,8 @@
 #define KWB_QUEUED_BACKOFF_NS (600 * KWB_MS_NS) /* then avoided so long */
 #define KWB_STALL_PACES 10 /* so many usual event gaps, if that is longer */
 #define KWB_MOVE_CHECK_NS (200 * KWB_MS_NS) /* between checks of items */
+/* So late a check shows that this process stood still, not an upstream. */
+#define KWB_CHECK_DELAY_NS (300 * KWB_MS_NS)
 #define KWB_MOVES_MAX 4			    /* of one item */
 #define KWB_MOVE_MIN_NS (300 * KWB_MS_NS)   /* at an upstream before a move */
 #define KWB_CHECKPOINT_NS (500 * KWB_MS_NS) /* between writes of texts */
