kwb-nodectl check: a configuration before it is sent

Operators had no way to see what a configuration does before all nodes take it: a route to a service that isn't there, a prefix that never matches or a latency target over its timeout showed in refusals only, and a wrong type was served as a default. The check reports errors, entries that can never match, limits that contradict each other, and what differs from the configuration in force, from a file or from the store, each by its path in the document. The decisions are functions of parsed configurations; types and ranges are read from the document. The same for the two lists of the own interface is not begun: kwbctl check and diff have code of their own.

--- a/Makefile
+++ b/Makefile
@@ -23,11 +23,15 @@
 	src/weights/mover_look.c src/weights/mover_order.c \
 	$(addprefix src/core/,base64.c buf.c clock.c completion.c error.c faults.c index.c log.c \
 	metrics.c timer.c address.c)
-NODE_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/ctl.c,$(NODE_SRC)))
+NODE_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/ctl%.c,$(NODE_SRC)))
+# What only kwb-nodectl uses: the check of a configuration.
+CHECK_OBJ = $(addprefix $(B)/,src/route/config_check.o src/route/config_compare.o \
+	platform/ctl_check.o)
 TRACE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/trace/*.c))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
-	src/batch/% src/node/% src/peer/% src/access/% src/trace/% src/route/node_config.c src/weights/homes.c \
+	src/batch/% src/node/% src/peer/% src/access/% src/trace/% src/route/node_config.c src/route/config_check.c \
+	src/route/config_compare.c src/weights/homes.c \
 	src/weights/mover.c src/weights/mover_look.c src/weights/mover_order.c src/core/base64.c src/core/timer.c src/core/index.c, \
 	$(wildcard src/*/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
@@ -58,7 +62,7 @@
 $(B)/kwb-node: $(NODE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
-$(B)/kwb-nodectl: $(B)/platform/ctl.o $(TRACE_OBJ) \
+$(B)/kwb-nodectl: $(B)/platform/ctl.o $(CHECK_OBJ) $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
@@ -115,7 +119,7 @@
 
 # Objects that a fuzz target links: libkwb for frames, the trace reader for traces,
 # and the node's objects for traces and all others.
-fuzz_parts = $(if $(filter frame,$1),$(B)/libkwb.a,$(if $(filter trace,$1),$(TRACE_OBJ)) $(NODE_PARTS))
+fuzz_parts = $(if $(filter frame,$1),$(B)/libkwb.a,$(if $(filter trace,$1),$(TRACE_OBJ)) $(if $(filter document,$1),$(CHECK_OBJ)) $(NODE_PARTS))
 fuzz_libs = $(if $(filter frame,$1),$(LIBS),$(NODE_LIBS))
 
 .SECONDEXPANSION:
@@ -135,6 +139,7 @@
 	platform/*.[ch] bench/*.[ch] \
 	examples/*.c))
 LINT_SRC = $(filter-out %.pb-c.c,$(LIB_SRC)) $(NODE_SRC) \
+	src/route/config_check.c src/route/config_compare.c \
 	$(wildcard src/trace/*.c daemons/*.c cli/*.c)
 
 # Builds everything and runs all tests; the last line counts passed and failed.
--- a/tests/fuzz/document.c
+++ b/tests/fuzz/document.c
@@ -2,12 +2,32 @@
  * Fuzz target: documents that other processes write to the store. The first
  * byte selects the kind of document.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../platform/ctl_check.h"
 #include "../../platform/platform.h"
 #include "fuzz.h"
 
+/* Checks it against itself, so that both sides are any bytes. */
+static void
+check_document(const char *text, size_t length_bytes)
+{
+	static FILE *nowhere;
+	struct ctl_check check = {.text = text,
+	    .text_bytes = length_bytes,
+	    .current_text = text,
+	    .current_bytes = length_bytes};
+	struct ctl_check_counts counts;
+
+	if (nowhere == NULL)
+		nowhere = fopen("/dev/null", "w");
+	if (nowhere == NULL)
+		abort();
+	ctl_check_run(&check, nowhere, &counts);
+}
+
 static void
 parse_document(uint8_t kind, const char *text, size_t length_bytes)
 {
@@ -27,6 +47,7 @@
 		if (platform_document_schema.parse_config(
 			&config, text, length_bytes, &faults) == 0)
 			kwb_node_config_finish(&config);
+		check_document(text, length_bytes);
 		break;
 	case 1:
 		platform_document_schema.parse_upstream(
