--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -105,9 +105,10 @@
 #define KWB_RELAY_IDLE_S 5	     /* longer than a feed waits */
 
 /* Keys of workspaces */
-#define KWB_ACCESS_MARGIN_DIVISOR 20 /* of revoke-ms, for clocks that differ   \
-				      */
-#define KWB_ACCESS_WAIT_DIVISOR 4    /* of revoke-ms: longest wait of a feed */
+#define KWB_ACCESS_MARGIN_DIVISOR                                              \
+	20			  /* of revoke-ms, for clocks that differ      \
+				   */
+#define KWB_ACCESS_WAIT_DIVISOR 4 /* of revoke-ms: longest wait of a feed */
 /* A feed that is unanswered for so long after its wait is asked again. */
 #define KWB_ACCESS_LATE_NS (600 * KWB_MS_NS)
 /* A request waits so long for the store's word on its key. */
