Soak: keys are taken away and given, checked at the servers

Callers use a key that stays, the newest and removed ones; no request that was sent later than revoke-ms after a removal may run, also at nodes that are frozen or cut off, each run names its workspace, and no key that is held is unknown.

--- a/tests/platform/soak.c
+++ b/tests/platform/soak.c
@@ -39,6 +39,9 @@
 #define LEAVING_MS 1200	     /* and starts again after that */
 #define LEASE_MS 3000
 #define VERSION_PERIOD_MS 900 /* between published weight versions */
+#define KEYS_MAX 32	      /* of workspace w1, one after the other */
+#define KEY_PERIOD_MS 1100    /* then it gets another one instead */
+#define REVOKE_MS 1500
 
 struct node {
 	char name[16];
@@ -60,6 +63,7 @@
 	bool is_non_idempotent; /* must not run twice */
 	uint16_t status;	/* of the answer; 0 for none */
 	uint64_t sent_ns;
+	unsigned key;		 /* of w1, from 1; 0: that of w0, which stays */
 	unsigned barred_servers; /* bits: its node knew that they leave */
 };
 
@@ -122,8 +126,13 @@
 	struct server_life lives[SERVERS];
 	unsigned leaving_random_state; /* of its own: keeps seeds' faults */
 	unsigned leaves;	       /* servers that left */
-	unsigned failures;	       /* broken guarantees */
-	unsigned faults;	       /* injected */
+	uint64_t next_key_ns;	       /* when w1 gets its next key */
+	uint64_t key_removed_ns[KEYS_MAX + 1]; /* 0 while it is held */
+	unsigned keys_count;		       /* that w1 has had */
+	unsigned keys_random_state;	       /* likewise */
+	unsigned revoked_calls; /* sent too late with a removed key */
+	unsigned failures;	/* broken guarantees */
+	unsigned faults;	/* injected */
 };
 
 /* A random number from 0 to below - 1, from the seed's sequence. */
@@ -160,12 +169,13 @@
 	if (file == NULL)
 		abort();
 	fprintf(file,
+	    "bounds.strict-revocation=true\nbounds.revoke-ms=%u\n"
 	    "node-name=%s\nzone=z1\nlisten.front=127.0.0.1:%u\n"
 	    "listen.ready=127.0.0.1:%u\nplatform.addr=127.0.0.1:%u\n"
 	    "bounds.grace-s=8\nbounds.fencing-enforced=%s\n"
 	    "bounds.lease-ms=%u\nip=127.0.0.1\nport-range=%u,%u\n",
-	    node->name, node->front_address.port, node->ready_address.port,
-	    node->proxy.address.port,
+	    REVOKE_MS, node->name, node->front_address.port,
+	    node->ready_address.port, node->proxy.address.port,
 	    soak->is_fencing_enforced ? "true" : "false", LEASE_MS,
 	    node->relay_address.port, node->relay_address.port);
 	fclose(file);
@@ -274,13 +284,14 @@
 {
 	struct soak *soak = client->soak;
 	struct evbuffer *out = evbuffer_new();
+	unsigned key = client->is_trainer ? 0 : client->call->key;
 
 	client->node = &soak->nodes[random_below(soak, NODES)];
 	evbuffer_add_printf(out,
 	    "%s %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\n"
-	    "Deadline-Ms: 1500\r\nWait-Ms: 300\r\nContent-Length: %zu\r\n\r\n"
-	    "%s",
-	    method, target, id, strlen(body), body);
+	    "Api-Key: " TESTBED_KEY_PREFIX "%u\r\nDeadline-Ms: 1500\r\n"
+	    "Wait-Ms: 300\r\nContent-Length: %zu\r\n\r\n%s",
+	    method, target, id, key, strlen(body), body);
 	client->is_busy = true;
 	client->exchange.deadline_ns = kwb_clock_now_ns() + 2500 * KWB_MS_NS;
 	if (kwb_exchange_start(&client->exchange, &soak->testbed.client,
@@ -325,6 +336,18 @@
 		life->told_memory[node_index] = client->node->memory_number;
 }
 
+/* The key that stays, the newest of the others, or any of them. */
+static unsigned
+choose_key(struct soak *soak)
+{
+	unsigned drawn = (unsigned)rand_r(&soak->keys_random_state);
+
+	if (drawn % 3 == 0)
+		return 0;
+	return drawn % 3 == 1 ? soak->keys_count
+			      : 1 + drawn / 3 % soak->keys_count;
+}
+
 static void
 caller_send(struct client *client)
 {
@@ -338,6 +361,7 @@
 	snprintf(call->id, sizeof(call->id), "c%u", soak->calls_count++);
 	call->is_non_idempotent = random_below(soak, 2) == 0;
 	client->call = call;
+	call->key = choose_key(soak);
 	snprintf(body, sizeof(body), "body of %s", call->id);
 	client_send(client, "POST",
 	    call->is_non_idempotent ? "/once/x" : "/web/x", call->id, body);
@@ -361,6 +385,9 @@
 		report_failure(client->soak,
 		    "%s got a wrong body or no receipt: '%s'", call->id,
 		    kwb_buf_text(&answer->body));
+	if (call->status == 401 && client->soak->key_removed_ns[call->key] == 0)
+		report_failure(client->soak, "%s: key %u is held, but unknown",
+		    call->id, call->key);
 	if (call->status == 404 || call->status == 400)
 		report_failure(client->soak, "%s was rejected with status %u",
 		    call->id, call->status);
@@ -766,6 +793,44 @@
 	}
 }
 
+/* Each run names its workspace, and none follows a removal of its key. */
+static void
+check_keys(struct soak *soak)
+{
+	const struct recorded_run *run;
+	const struct call *call;
+	uint64_t removed_ns;
+	bool is_call;
+	unsigned i;
+
+	for (i = 0; i < soak->testbed.runs_count; i++) {
+		run = &soak->testbed.runs[i];
+		is_call = run->id[0] == 'c';
+		call = &soak->calls[is_call ? atoi(run->id + 1) : 0];
+		if (run->has_key ||
+		    strcmp(run->workspace,
+			strstr(run->id, "-s") != NULL	? "" /* a reward */
+			    : is_call && call->key != 0 ? "w1"
+							: "w0") != 0)
+			report_failure(soak, "%s ran for '%s'%s", run->id,
+			    run->workspace, run->has_key ? " with a key" : "");
+		removed_ns = is_call ? soak->key_removed_ns[call->key] : 0;
+		if (removed_ns != 0 &&
+		    call->sent_ns > removed_ns + REVOKE_MS * KWB_MS_NS)
+			report_failure(soak,
+			    "%s ran, %llu ms after key %u was taken away",
+			    run->id,
+			    (unsigned long long)((call->sent_ns - removed_ns) /
+				KWB_MS_NS),
+			    call->key);
+	}
+	for (i = 0; i < soak->calls_count; i++) {
+		removed_ns = soak->key_removed_ns[soak->calls[i].key];
+		soak->revoked_calls += removed_ns != 0 &&
+		    soak->calls[i].sent_ns > removed_ns + REVOKE_MS * KWB_MS_NS;
+	}
+}
+
 /* How often the servers have run the request with this id. */
 static unsigned
 count_runs(const struct soak *soak, const char *id)
@@ -897,6 +962,39 @@
 	    kwb_clock_now_ns() + VERSION_PERIOD_MS * KWB_MS_NS;
 }
 
+/* Publishes a config in which w1 has another key instead of the one before. */
+static void
+publish_next_key(struct soak *soak)
+{
+	static const char config[] =
+	    "{\"version\":%u,\"tenants\":["
+	    "{\"name\":\"w0\",\"api-keys\":[\"" TESTBED_KEY_PREFIX "0\"]},"
+	    "{\"name\":\"w1\",\"api-keys\":[\"" TESTBED_KEY_PREFIX "%u\"]}],"
+	    "\"route-table\":["
+	    "{\"name\":\"web\",\"hostname\":\"h\",\"path-prefix\":\"/web/\","
+	    "\"route-kind\":\"idempotent\",\"service\":\"shop\","
+	    "\"max-attempts\":4,\"timeout-ms\":1500,\"target-latency-ms\":100},"
+	    "{\"name\":\"once\",\"hostname\":\"h\",\"path-prefix\":\"/once/\","
+	    "\"route-kind\":\"non_idempotent\",\"service\":\"shop\","
+	    "\"max-attempts\":3,\"timeout-ms\":1500,\"target-latency-ms\":100},"
+	    "{\"name\":\"gen\",\"hostname\":\"h\",\"path-prefix\":\"/gen/\","
+	    "\"route-kind\":\"rollout\",\"service\":\"engine\","
+	    "\"max-attempts\":1000,\"item-ttl-s\":60}],\"services\":[{\"name\":"
+	    "\"shop\"},{\"name\":\"engine\",\"engine\":{\"slots\":4,\"models\":"
+	    "[{\"name\":\"m\"}]}}],\"limits\":{}}";
+	char text[sizeof(config) + 32];
+
+	soak->next_key_ns = kwb_clock_now_ns() + KEY_PERIOD_MS * KWB_MS_NS;
+	if (soak->keys_count == KEYS_MAX)
+		return;
+	soak->keys_count++;
+	snprintf(
+	    text, sizeof(text), config, soak->keys_count, soak->keys_count);
+	testbed_store_put(&soak->testbed.store, "op", "config", text);
+	soak->key_removed_ns[soak->keys_count - 1] =
+	    soak->keys_count > 1 ? kwb_clock_now_ns() : 0;
+}
+
 /* Whether the trainers have ended all accepted batches. */
 static bool
 is_settled(const struct soak *soak)
@@ -912,19 +1010,6 @@
 static void
 soak_start(struct soak *soak)
 {
-	static const char config[] =
-	    "{\"version\":1,\"route-table\":["
-	    "{\"name\":\"web\",\"hostname\":\"h\",\"path-prefix\":\"/web/\","
-	    "\"route-kind\":\"idempotent\",\"service\":\"shop\","
-	    "\"max-attempts\":4,\"timeout-ms\":1500,\"target-latency-ms\":100},"
-	    "{\"name\":\"once\",\"hostname\":\"h\",\"path-prefix\":\"/once/\","
-	    "\"route-kind\":\"non_idempotent\",\"service\":\"shop\","
-	    "\"max-attempts\":3,\"timeout-ms\":1500,\"target-latency-ms\":100},"
-	    "{\"name\":\"gen\",\"hostname\":\"h\",\"path-prefix\":\"/gen/\","
-	    "\"route-kind\":\"rollout\",\"service\":\"engine\","
-	    "\"max-attempts\":1000,\"item-ttl-s\":60}],\"services\":[{\"name\":"
-	    "\"shop\"},{\"name\":\"engine\",\"engine\":{\"slots\":4,\"models\":"
-	    "[{\"name\":\"m\"}]}}],\"limits\":{}}";
 	struct testbed_server *server;
 	char name[16];
 	unsigned i;
@@ -948,7 +1033,7 @@
 		server->advertised = soak->proxies[i].address;
 		testbed_server_publish(server);
 	}
-	testbed_store_put(&soak->testbed.store, "op", "config", config);
+	publish_next_key(soak);
 	for (i = 0; i < NODES; i++) {
 		struct node *node = &soak->nodes[i];
 
@@ -1016,6 +1101,7 @@
 	soak.seed = seed;
 	soak.random_state = seed;
 	soak.leaving_random_state = seed;
+	soak.keys_random_state = seed;
 	soak.is_fencing_enforced = seed % 2 == 0;
 	soak.version = 1;
 	snprintf(
@@ -1038,6 +1124,8 @@
 			inject_fault(&soak);
 		if (kwb_clock_now_ns() >= soak.next_version_ns)
 			publish_version(&soak);
+		if (kwb_clock_now_ns() >= soak.next_key_ns)
+			publish_next_key(&soak);
 	}
 	clear_faults(&soak);
 	soak.is_recovering = true;
@@ -1048,16 +1136,18 @@
 		servers_poll(&soak);
 	}
 	check_calls(&soak);
+	check_keys(&soak);
 	mark_unanswered_submissions(&soak);
 	check_batches(&soak);
 	check_weight_orders(&soak);
 	for (i = 0; i < soak.batches_count; i++)
 		ended_count += soak.batches[i].is_ended;
 	printf("%s soak %u   faults=%u calls=%u batches=%u ended=%u "
-	       "orders=%u leaves=%u\n",
+	       "orders=%u leaves=%u keys=%u revoked=%u\n",
 	    soak.failures == 0 ? "ok" : "FAILED", seed, soak.faults,
 	    soak.calls_count, soak.batches_count, ended_count,
-	    soak.testbed.orders_count, soak.leaves);
+	    soak.testbed.orders_count, soak.leaves, soak.keys_count,
+	    soak.revoked_calls);
 	fflush(stdout);
 	soak_finish(&soak);
 	return soak.failures;
