kwb-nodectl node: upstreams as a node sees them

The store shows what upstreams report, not which of them a node avoids: one that said in an answer that it leaves, or failed, looked ready in every table.

--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -68,6 +68,10 @@
 /* Rechecks all that wait. */
 void callers_recheck(struct kwb_node *node);
 
+/* inspect.c */
+/* Appends a JSON list of all upstreams as this node sees them. */
+int inspect_upstreams(const struct kwb_node *node, struct kwb_buf *out);
+
 /* node.c */
 /* Its rows are read, the store answers, and it is not stopping. */
 bool node_is_ready(const struct kwb_node *node);
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -427,9 +427,17 @@
 	struct kwb_buf text;
 
 	kwb_buf_init(&text);
-	kwb_metrics_print(&text);
-	answer_body(caller, 200, "text/plain; version=0.0.4",
-	    kwb_buf_text(&text), text.used_bytes);
+	if (strcmp(kwb_message_target(&caller->conn.message), "/upstreams") !=
+	    0) {
+		kwb_metrics_print(&text);
+		answer_body(caller, 200, "text/plain; version=0.0.4",
+		    kwb_buf_text(&text), text.used_bytes);
+	} else if (inspect_upstreams(caller->node, &text) == 0) {
+		answer_body(caller, 200, "application/json",
+		    kwb_buf_text(&text), text.used_bytes);
+	} else {
+		answer_error(caller, 503, "out_of_memory");
+	}
 	kwb_buf_finish(&text);
 }
 
