Clusters of the tests leave the testbed's ports alone

Traced: the testbed of the platform's scripts picks ports from 12000 to 19999, and clusters claimed blocks from 10000 on since their ports are not fixed any more. Blocks begin at 20000 now.

--- a/tests/world.c
+++ b/tests/world.c
@@ -28,8 +28,8 @@
 #define METRICS_PORT_OFFSET 200
 /* Relays before agents come first; from here on they are behind entries. */
 #define ENTRY_RELAY_FIRST_INDEX 40
-/* Blocks of ports lie below those that the kernel gives to clients. */
-#define FIRST_BASE_PORT 10000
+/* Above the ports of the testbed, below those that the kernel gives clients. */
+#define FIRST_BASE_PORT 20000
 #define LAST_BASE_PORT 32000
 #define PLATFORM_START_MAX_MS 10000 /* allows for a busy machine */
 #define SETTLE_MAX_MS 20000
