Evidence for keys counts from the sending of a call only

A feed that ended without rows was taken as proof up to its end. A store that is about to drop its history holds back changes for a moment, so that could be up to a second too late, against a margin of a quarter of one. Each answer proves the state at its sending now; feeds wait for a sixth of revoke-ms, and questions are whole reads of the table, which is the operator's config and a row a model.

--- a/include/kwb_access.h
+++ b/include/kwb_access.h
@@ -57,12 +57,10 @@
 uint32_t kwb_access_rank(
     const struct kwb_workspace *workspace, const struct kwb_route_entry *route);
 
-/* A feed of the store that was answered; times are kwb_boot_now_ns(). */
+/* An answered read or feed of a table; times are kwb_boot_now_ns(). */
 struct kwb_proof_input {
-	uint64_t sent_ns;
+	uint64_t sent_ns; /* of a read in pages: the first one */
 	uint64_t answered_ns;
-	uint32_t wait_ms; /* that it asked for */
-	bool has_rows;
 	bool is_partial; /* there are more rows than these */
 };
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -108,13 +108,13 @@
 #define KWB_ACCESS_MARGIN_DIVISOR                                              \
 	20			  /* of revoke-ms, for clocks that differ      \
 				   */
-#define KWB_ACCESS_WAIT_DIVISOR 4 /* of revoke-ms: longest wait of a feed */
+#define KWB_ACCESS_WAIT_DIVISOR 6 /* of revoke-ms: longest wait of a feed */
 /* A feed that is unanswered for so long after its wait is asked again. */
 #define KWB_ACCESS_LATE_NS (600 * KWB_MS_NS)
 /* A request waits so long for the store's word on its key. */
 #define KWB_ACCESS_WAIT_NS (300 * KWB_MS_NS)
 /* Between questions for unknown keys; bounds what callers can cause. */
-#define KWB_ACCESS_ASK_NS (100 * KWB_MS_NS)
+#define KWB_ACCESS_ASK_NS (150 * KWB_MS_NS)
 
 /* Upstreams of the shared platform */
 /*
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -606,7 +606,7 @@
  * so that proof_ns stays recent while the store answers.
  */
 void kwb_follower_keep_proof(struct kwb_follower *follower, uint32_t wait_ms);
-/* Asks for changes until now, unless such a question is on its way. */
+/* Reads the whole table now, unless that or a pause is under way. */
 void kwb_follower_ask(struct kwb_follower *follower);
 
 /*
--- a/src/access/access.c
+++ b/src/access/access.c
@@ -18,7 +18,7 @@
 	const struct kwb_follower *follower = access->follower;
 
 	return follower->failures > 0 ||
-	    (follower->asked_ms == 0 &&
+	    (follower->reading &&
 		now_ns - follower->sent_ns >= KWB_ACCESS_WAIT_NS);
 }
 
--- a/src/access/decide.c
+++ b/src/access/decide.c
@@ -6,22 +6,14 @@
 #include "kwb_node.h"
 
 /*
- * The store answers a feed without rows at the end of its wait, so nothing had
- * changed until then. That end is counted from the sending, not back from the
- * arrival of the answer: it may have lain in a buffer while the node was
- * frozen. An answer with rows, or before the wait's end, proves the state at
- * its sending only.
+ * An answer proves the state at the sending of its call. It may have lain in a
+ * buffer while the node was frozen, and a feed may end shortly after a change
+ * without reporting it, when the store is about to drop its history.
  */
 uint64_t
 kwb_access_proof_ns(const struct kwb_proof_input *input)
 {
-	uint64_t wait_ns = input->wait_ms * KWB_MS_NS;
-
-	if (input->is_partial)
-		return 0;
-	if (input->has_rows || input->answered_ns - input->sent_ns < wait_ns)
-		return input->sent_ns;
-	return input->sent_ns + wait_ns;
+	return input->is_partial ? 0 : input->sent_ns;
 }
 
 uint64_t
--- a/src/store/follow.c
+++ b/src/store/follow.c
@@ -161,13 +161,11 @@
 
 /* Notes up to when all changes are known; the answer has been applied. */
 static void
-proof_update(struct kwb_follower *follower,
-    const struct kwb_store_answer *answer, bool was_reading)
+proof_update(
+    struct kwb_follower *follower, const struct kwb_store_answer *answer)
 {
 	struct kwb_proof_input input = {.sent_ns = follower->sent_ns,
 	    .answered_ns = kwb_boot_now_ns(),
-	    .wait_ms = was_reading ? 0 : follower->asked_ms,
-	    .has_rows = was_reading || answer->rows_count > 0,
 	    .is_partial = follower->reading || answer->more};
 	uint64_t proof_ns = kwb_access_proof_ns(&input);
 
@@ -181,7 +179,6 @@
 {
 	struct kwb_follower *follower = call->context;
 	uint64_t delay_ns = KWB_STORE_RETRY_NS;
-	bool was_reading = follower->reading;
 
 	if (answer->error == 0) {
 		follower->failures = 0;
@@ -190,7 +187,7 @@
 			page_apply(follower, answer);
 		else
 			feed_apply(follower, answer);
-		proof_update(follower, answer, was_reading);
+		proof_update(follower, answer);
 		follower_fetch(follower);
 		if (follower->on_proof != NULL)
 			follower->on_proof(follower->context);
@@ -320,12 +317,12 @@
 void
 kwb_follower_ask(struct kwb_follower *follower)
 {
-	/* A whole read, a pause after a failure or a question is under way. */
-	if (follower->reading || follower->call.pending == NULL ||
-	    follower->asked_ms == 0)
+	/* A whole read or a pause after a failure is under way. */
+	if (follower->reading || follower->call.pending == NULL)
 		return;
 	kwb_store_cancel(follower->store, &follower->call);
-	fetch(follower, 0);
+	read_restart(follower);
+	follower_fetch(follower);
 }
 
 bool
--- a/tests/platform/decisions_access.c
+++ b/tests/platform/decisions_access.c
@@ -98,29 +98,13 @@
 		struct kwb_proof_input input;
 		uint64_t proof_ns;
 	} cases[] = {
-	    {"idle feed at its wait's end",
-		{.sent_ns = 1000, .answered_ns = 1000 + 20 * MS, .wait_ms = 20},
-		1000 + 20 * MS},
-	    {"its answer lay in a buffer during a freeze",
-		{.sent_ns = 1000,
-		    .answered_ns = 1000 + 9000 * MS,
-		    .wait_ms = 20},
-		1000 + 20 * MS},
-	    {"answered before its wait's end",
-		{.sent_ns = 1000, .answered_ns = 1000 + 19 * MS, .wait_ms = 20},
-		1000},
-	    {"rows",
-		{.sent_ns = 1000,
-		    .answered_ns = 1000 + 30 * MS,
-		    .wait_ms = 20,
-		    .has_rows = true},
-		1000},
-	    {"without wait", {.sent_ns = 1000, .answered_ns = 1000 + 30 * MS},
-		1000},
+	    {"answered at once",
+		{.sent_ns = 1000, .answered_ns = 1000 + 4 * MS}, 1000},
+	    {"a feed at its wait's end, or in a buffer during a freeze",
+		{.sent_ns = 1000, .answered_ns = 1000 + 9000 * MS}, 1000},
 	    {"a page of several",
 		{.sent_ns = 1000,
 		    .answered_ns = 1000 + 30 * MS,
-		    .has_rows = true,
 		    .is_partial = true},
 		0},
 	};
@@ -218,8 +202,7 @@
 	const uint64_t wait_ns = REVOKE_MS / KWB_ACCESS_WAIT_DIVISOR * MS;
 	struct kwb_access_input input = {.is_known = true,
 	    .max_age_ns = kwb_access_proof_max_age_ns(true, REVOKE_MS)};
-	struct kwb_proof_input feed = {
-	    .sent_ns = 10 * MS, .wait_ms = REVOKE_MS / KWB_ACCESS_WAIT_DIVISOR};
+	struct kwb_proof_input feed = {.sent_ns = 10 * MS};
 	uint64_t last_ns = 0;
 	uint64_t now_ns;
 
@@ -243,7 +226,6 @@
 		if (now_ns < due_ns || (is_cut && now_ns >= frozen_ns))
 			continue;
 		feed.answered_ns = now_ns;
-		feed.has_rows = is_changed;
 		input.is_known &= !is_changed;
 		input.proof_ns = kwb_access_proof_ns(&feed);
 		feed.sent_ns = now_ns;
