Report usage of workspaces by window, once, under the lease

A deployment that asks for reports of usage got none: each window was missed. Every node now counts the requests that upstreams began for its callers, by window and workspace, and writes them to the store in rows of its own; the holder of the weight updater's lease reads the rows when a window's report is to be decided, writes the report under the revision of a mark, and sends only what it has read back. A call that fails is made again with the same counts; a later holder sends the same report; a refusal for an old token ends the tenure. Nothing of it runs where the settings name no duty.

Ruled out: a second lease for duties (all nodes would read another row twice a second), and reports from memory (the next holder would send other counts).

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 # Sources of kwb-node, which runs on the users' platform and links only these.
 NODE_SRC = $(wildcard src/net/*.c src/store/*.c src/upstream/*.c \
-	src/forward/*.c src/batch/*.c src/node/*.c src/peer/*.c \
+	src/forward/*.c src/batch/*.c src/duty/*.c src/node/*.c src/peer/*.c \
 	platform/*.c) \
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
 	src/weights/mover_look.c src/weights/mover_order.c \
@@ -27,7 +27,7 @@
 TRACE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/trace/*.c))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
-	src/batch/% src/node/% src/peer/% src/trace/% src/route/node_config.c src/weights/homes.c \
+	src/batch/% src/duty/% src/node/% src/peer/% src/trace/% src/route/node_config.c src/weights/homes.c \
 	src/weights/mover.c src/weights/mover_look.c src/weights/mover_order.c src/core/base64.c src/core/timer.c src/core/index.c, \
 	$(wildcard src/*/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
@@ -94,7 +94,7 @@
 		$(B)/fakes/text.o $(B)/fakes/trainer.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o proxy.o) \
+STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o proxy.o duty.o) \
 	$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 
 $(B)/tests/platform/script: $(B)/tests/platform/script.o $(STAGE_OBJ) \
@@ -104,7 +104,8 @@
 $(B)/tests/platform/soak: $(B)/tests/platform/soak.o $(STAGE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
-$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o $(TRACE_OBJ) \
+$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
+		$(B)/tests/platform/decisions_duty.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -173,12 +173,17 @@
 	KWB_METRIC_REFUSED_STALE_LISTS, /* sent under outdated lists */
 	KWB_METRIC_WEIGHT_SWAPS, /* done by an agent, or ordered by a node */
 	KWB_METRIC_WEIGHT_SWAP_FAILURES,
-	KWB_METRIC_LINKS_LOST,	      /* links to peers that were closed */
-	KWB_METRIC_CONTROL_BYTES,     /* sent to peers, apart from requests */
-	KWB_METRIC_STORE_DETOURS,     /* switches to a path through a peer */
-	KWB_METRIC_UPSTREAMS_LEAVING, /* upstreams that said that they leave */
-	KWB_METRIC_RELAYED_BYTES,     /* between peers and the store */
-	KWB_METRIC_LISTS_REVISION,    /* gauge: lists or config in force */
+	KWB_METRIC_LINKS_LOST,	       /* links to peers that were closed */
+	KWB_METRIC_CONTROL_BYTES,      /* sent to peers, apart from requests */
+	KWB_METRIC_STORE_DETOURS,      /* switches to a path through a peer */
+	KWB_METRIC_UPSTREAMS_LEAVING,  /* upstreams that said that they leave */
+	KWB_METRIC_RELAYED_BYTES,      /* between peers and the store */
+	KWB_METRIC_USAGE_REQUESTS,     /* counted for reports of usage */
+	KWB_METRIC_USAGE_REPORTS,      /* sent */
+	KWB_METRIC_USAGE_REPORTS_LATE, /* of these, later than they were due */
+	KWB_METRIC_SCALE_ORDERS,       /* of numbers of upstreams, sent */
+	KWB_METRIC_DUTY_CALLS_REFUSED, /* for an old token, or as invalid */
+	KWB_METRIC_LISTS_REVISION,     /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -244,6 +244,27 @@
 #define KWB_PEER_TRIP_NS (1000 * KWB_MS_NS)   /* not chosen after failures */
 #define KWB_PEER_TRIP_FAILURES 3 /* in a row, before it is not chosen */
 
+/* Duties */
+#define KWB_USAGE_WINDOWS_MAX 16      /* rows of a node that may wait */
+#define KWB_USAGE_ROW_ENTRIES_MAX 600 /* workspaces in a row; 50 KB */
+/* A node's counts wait at least so long, and longer in a larger fleet. */
+#define KWB_USAGE_WRITE_MIN_NS (500 * KWB_MS_NS)
+#define KWB_USAGE_WRITE_NS_PER_NODE (20 * KWB_MS_NS) /* 50 writes a second */
+/* Of the writes after a window's end, which are over in 2 s. */
+#define KWB_USAGE_FINAL_NS_PER_NODE (5 * KWB_MS_NS)
+#define KWB_USAGE_FINAL_MAX_NS (2000 * KWB_MS_NS)
+/* A report is decided after this part of the time until it is due. */
+#define KWB_USAGE_DECIDE_PERCENT 40
+/* Nodes write what they have this long after an outage of the store. */
+#define KWB_USAGE_RECOVERY_MS 1000
+/* An empty window that is overdue for so long is not reported. */
+#define KWB_USAGE_STALE_MS 60000
+#define KWB_DUTY_TIMEOUT_NS (1000 * KWB_MS_NS) /* of a call */
+/* The delay before a call is made again doubles from MIN to MAX. */
+#define KWB_DUTY_RETRY_MIN_NS (200 * KWB_MS_NS)
+#define KWB_DUTY_RETRY_MAX_NS (1600 * KWB_MS_NS)
+#define KWB_DUTY_TRIES_MAX 100 /* then a report is given up */
+
 /* Weights */
 #define KWB_LEASE_MS 6000 /* lost when not renewed */
 #define KWB_LEASE_RENEW_NS (2000 * KWB_MS_NS)
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1142,6 +1142,7 @@
 };
 
 struct kwb_batch_spec;
+struct kwb_duty_codec;
 
 /*
  * Translates the platform's HTTP messages. Functions named write_ append to
@@ -1179,6 +1180,7 @@
 	/* Parses a submission; kwb_batch_spec_finish() frees the result. */
 	int (*parse_batch)(
 	    const char *body, size_t body_bytes, struct kwb_batch_spec *spec);
+	const struct kwb_duty_codec *duty;
 };
 
 /*
@@ -1222,6 +1224,7 @@
 };
 
 struct kwb_forward;
+struct kwb_usage_meter;
 
 /* What all forwards of a node share. */
 struct kwb_forward_env {
@@ -1231,6 +1234,7 @@
 	const struct kwb_message_codec *codec;
 	const char *failure_domain; /* of this node */
 	struct kwb_prefix_map *prefixes;
+	struct kwb_usage_meter *usage; /* NULL: requests are not counted */
 };
 
 /* The request at one upstream. */
@@ -1272,8 +1276,9 @@
 	uint32_t sent_count; /* attempts that may have run */
 	uint64_t retry_ns;   /* when to pick an upstream again; 0 for never */
 	bool done;
-	bool streaming; /* not used */
-	bool head_sent; /* the caller has the head of a streamed answer */
+	bool is_counted; /* in the usage of its workspace */
+	bool streaming;	 /* not used */
+	bool head_sent;	 /* the caller has the head of a streamed answer */
 	struct kwb_sse_parser events; /* of the streamed answer */
 	bool is_event_stream;	      /* the parser reads it */
 	bool is_out_of_order;	      /* an event's id does not rise */
@@ -1716,6 +1721,8 @@
 uint64_t kwb_weight_updater_announced(const struct kwb_weight_updater *updater,
     const char *model); /* newest version announced, 0 for none */
 
+#include "kwb_duty.h"
+
 /* ---- Node -----------------------------------------------------------------
  */
 
@@ -1748,6 +1755,7 @@
 	struct kwb_batch_env batch_env; /* for batches and weight_updater */
 	struct kwb_batches batches;
 	struct kwb_weight_updater weight_updater;
+	struct kwb_duties duties; /* under the weight updater's lease */
 	struct kwb_store_watchdog store_watchdog;
 	struct kwb_relay relay;
 	struct kwb_peers peers;
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -26,6 +26,11 @@
     [KWB_METRIC_STORE_DETOURS] = "kwb_store_detours_total",
     [KWB_METRIC_UPSTREAMS_LEAVING] = "kwb_upstreams_leaving_total",
     [KWB_METRIC_RELAYED_BYTES] = "kwb_relayed_bytes_total",
+    [KWB_METRIC_USAGE_REQUESTS] = "kwb_usage_requests_total",
+    [KWB_METRIC_USAGE_REPORTS] = "kwb_usage_reports_total",
+    [KWB_METRIC_USAGE_REPORTS_LATE] = "kwb_usage_reports_late_total",
+    [KWB_METRIC_SCALE_ORDERS] = "kwb_scale_orders_total",
+    [KWB_METRIC_DUTY_CALLS_REFUSED] = "kwb_duty_calls_refused_total",
     [KWB_METRIC_LISTS_REVISION] = "kwb_lists_revision",
 };
 static _Atomic uint64_t values[KWB_METRIC_COUNT];
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -275,6 +275,32 @@
 		forward->is_event_stream = false; /* no event is so long */
 }
 
+/*
+ * Counts the request once, when an answer proves that an upstream began it: one
+ * with its id, or with a receipt, that doesn't say that it was not run. Hedges
+ * and retries are attempts of one request. It began with its first event, or,
+ * for a plain answer, about when it was sent.
+ */
+static void
+count_usage(struct kwb_forward_attempt *attempt,
+    const struct kwb_message *message, const struct kwb_upstream_answer *answer)
+{
+	struct kwb_forward *forward = attempt->forward;
+	uint64_t began_ms = kwb_clock_wall_ms();
+
+	if (forward->env->usage == NULL || forward->is_counted ||
+	    forward->workspace[0] == '\0' || answer->not_run ||
+	    !is_answer_to_request(forward, answer) ||
+	    (answer->id == NULL && answer->receipt == NULL))
+		return;
+	if (forward->on_data == NULL || !kwb_sse_may_be_events(message))
+		began_ms -=
+		    (kwb_clock_now_ns() - attempt->started_ns) / KWB_MS_NS;
+	forward->is_counted = true;
+	kwb_usage_meter_count(
+	    forward->env->usage, forward->workspace, began_ms);
+}
+
 static void
 exchange_on_head(struct kwb_exchange *exchange)
 {
@@ -286,6 +312,7 @@
 	forward->env->codec->parse_answer(message, &answer);
 	kwb_upstream_note_answer(attempt->upstream, attempt->incarnation_ms,
 	    forward->request.id, &answer);
+	count_usage(attempt, message, &answer);
 	if (forward->on_data == NULL)
 		return;
 	if (answer.not_run || answer.status >= 300 || answer.receipt == NULL ||
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -177,6 +177,7 @@
 	(void)what;
 	remove_absent_upstreams(node);
 	node->batches.fleet_nodes = kwb_peers_estimate_nodes(&node->peers);
+	kwb_duties_check(&node->duties, node->batches.fleet_nodes);
 	if (node->stop_deadline_ns != 0 && can_finish_stop(node, now_ns)) {
 		kwb_log(KWB_LOG_INFO, "node",
 		    "event=stopped after_ms=%llu busy=%u",
@@ -288,6 +289,7 @@
 	if (node->timer == NULL)
 		return KWB_ERR_MEMORY;
 	kwb_timer_arm(node->timer, kwb_clock_now_ns() + KWB_NODE_CHECK_NS);
+	kwb_duties_init(&node->duties, node);
 	code = node_listen(node);
 	if (code == 0)
 		code = node_init_components(node);
@@ -314,6 +316,7 @@
 	kwb_log(KWB_LOG_INFO, "node", "event=stopping busy=%u grace_ms=%u",
 	    node->busy_callers_count, node->settings->grace_ms);
 	kwb_relay_stop(&node->relay);
+	kwb_duties_stop(&node->duties);
 	kwb_weight_updater_step_down(&node->weight_updater);
 	kwb_batches_hand_over(&node->batches);
 }
@@ -333,6 +336,7 @@
 	kwb_store_watchdog_finish(&node->store_watchdog);
 	kwb_follower_finish(&node->operator_follower);
 	kwb_follower_finish(&node->upstream_follower);
+	kwb_duties_finish(&node->duties);
 	kwb_weight_updater_finish(&node->weight_updater);
 	kwb_batches_finish(&node->batches);
 	event_free(node->timer);
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2025,6 +2025,9 @@
 	}
 }
 
+/* decisions_duty.c: adds its tests and returns their number. */
+extern unsigned add_duty_tests(CU_pSuite suite);
+
 int
 main(void)
 {
@@ -2062,6 +2065,7 @@
 	    {"mutated_documents", test_mutated_documents},
 	    {"requests", test_request_parser}, {"index", test_index},
 	    {"base64", test_base64}};
+	unsigned count = COUNT(tests);
 	CU_pSuite suite;
 	unsigned failed;
 	unsigned i;
@@ -2074,12 +2078,12 @@
 	for (i = 0; i < COUNT(tests); i++)
 		if (CU_add_test(suite, tests[i].name, tests[i].run) == NULL)
 			return 1;
+	count += add_duty_tests(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
 	CU_basic_show_failures(CU_get_failure_list());
 	failed = CU_get_number_of_tests_failed();
-	printf(
-	    "%u passed, %u failed\n", (unsigned)COUNT(tests) - failed, failed);
+	printf("%u passed, %u failed\n", count - failed, failed);
 	CU_cleanup_registry();
 	return failed == 0 ? 0 : 1;
 }
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -32,7 +32,8 @@
  *   $ config VERSION [body=BYTES] publishes the routes so far
  *   $ set-version VERSION         publishes the newest version of model m
  *   $ wait-version VERSION        until a server has it; the newest version
- *   $ node NAME [peers=0] [keep=MS] [row=BYTES]            starts a node
+ *   $ node NAME [peers=0] [keep=MS] [row=BYTES] [usage=MS] [lease=MS]
+ *       starts a node
  *   $ stop NODE [wait=0]          with a handover of its batches
  *   $ kill NODE                   without
  *   $ ready NODE                  status of its readiness check
@@ -76,6 +77,15 @@
  *   $ retries N                   whether nodes sent at most N requests again
  *   $ detours                     how often a node took the path through a peer
  *
+ * Duties, of nodes that were started with usage=MS, the length of a window:
+ *   $ use NODE WORKSPACE N        counts N requests of a workspace
+ *   $ duty FAULT [N]              of the platform's interface for duties; see
+ *       duty_fault_names; for N calls only
+ *   $ deaf [NODE]                 calls of this node get no answer
+ *   $ believe NODE                that it holds the lease, however long
+ *   $ reported                    the sum of all reports, by whom, what is wrong
+ *   $ refused                     calls refused for an old token
+ *
  * Others:
  *   $ wait MS
  *   $ ctl WORDS                   output and exit code of kwb-nodectl
@@ -124,6 +134,8 @@
 
 static const char *const store_fault_names[] = {"ok", "503", "429", "reset",
     "silent", "lose-answer", "delay-write", "no-write-answer", NULL};
+static const char *const duty_fault_names[] = {
+    "ok", "503", "429", "silent", "lose-answer", "late", NULL};
 static const char *const proxy_mode_names[] = {"forward", "delay", "reset",
     "drop-replies", "freeze-open", "blackhole", NULL};
 static const char *const server_fault_names[] = {"ok", "refuse", "500", "422",
@@ -698,6 +710,8 @@
 	uint64_t end_ns = kwb_clock_now_ns() + 1000 * KWB_MS_NS;
 
 	node->has_no_peers = option_number(script, "peers", 1) == 0;
+	node->usage_window_ms = option_number(script, "usage", 0);
+	node->lease_ms = option_number(script, "lease", 0);
 	testbed_node_start(node);
 	node->settings.batch_keep_ms = option_number(script, "keep", 120000);
 	node->settings.row_max_bytes = option_number(script, "row", 65536);
@@ -1267,6 +1281,42 @@
 	testbed_run_for(&script->testbed, 20);
 }
 
+static void
+run_use(struct script *script)
+{
+	struct testbed_node *node =
+	    testbed_node(&script->testbed, script->words[1]);
+	int i;
+
+	for (i = 0; i < atoi(script->words[3]); i++)
+		kwb_usage_meter_count(&node->node.duties.meter,
+		    script->words[2], kwb_clock_wall_ms());
+}
+
+static void
+run_duty(struct script *script)
+{
+	struct testbed_duty *duty = &script->testbed.duty;
+	const char *second = script->words_count > 1 ? script->words[1] : "";
+
+	if (strcmp(script->words[0], "reported") == 0) {
+		testbed_duty_print(duty, &script->out);
+	} else if (strcmp(script->words[0], "refused") == 0) {
+		kwb_buf_printf(&script->out, "%u\n", duty->refused_count);
+	} else if (strcmp(script->words[0], "deaf") == 0) {
+		kwb_text_copy(duty->deaf_to, sizeof(duty->deaf_to), second);
+	} else if (strcmp(script->words[0], "believe") == 0) {
+		testbed_node(&script->testbed, second)
+		    ->node.weight_updater.lease.held_until_ns = UINT64_MAX;
+	} else {
+		duty->fault =
+		    (enum duty_fault)name_index(duty_fault_names, second);
+		duty->fault_remaining = script->words_count > 2
+		    ? (unsigned)atoi(script->words[2])
+		    : 0;
+	}
+}
+
 static void
 run_command(struct script *script)
 {
@@ -1294,7 +1344,10 @@
 	    {"proxy", run_proxy}, {"freeze", run_freeze}, {"path", run_path},
 	    {"entry", run_entry}, {"retries", run_retries}, {"pace", run_pace},
 	    {"concurrent-calls", run_concurrent_calls},
-	    {"priority", run_priority}, {"detours", run_detours}};
+	    {"priority", run_priority}, {"detours", run_detours},
+	    {"use", run_use}, {"duty", run_duty}, {"deaf", run_duty},
+	    {"believe", run_duty}, {"reported", run_duty},
+	    {"refused", run_duty}};
 	struct testbed *testbed = &script->testbed;
 	size_t i;
 
--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -19,7 +19,8 @@
 	memset(testbed, 0, sizeof(*testbed));
 	testbed->base = event_base_new();
 	if (kwb_client_init(&testbed->client, testbed->base) != 0 ||
-	    testbed_store_open(&testbed->store, testbed->base) != 0)
+	    testbed_store_open(&testbed->store, testbed->base) != 0 ||
+	    testbed_duty_open(&testbed->duty, testbed->base) != 0)
 		abort();
 }
 
@@ -40,6 +41,7 @@
 	for (i = 0; i < testbed->servers_count; i++)
 		http_listener_close(&testbed->servers[i].port);
 	testbed_store_close(&testbed->store);
+	testbed_duty_close(&testbed->duty);
 	kwb_client_finish(&testbed->client);
 	event_base_free(testbed->base);
 }
@@ -147,6 +149,14 @@
 	node->settings.store = node->store_proxy.address;
 	if (!node->has_no_peers)
 		testbed_pick_address(&node->settings.peers);
+	if (node->usage_window_ms != 0) {
+		node->settings.duty_address = node->testbed->duty.port.address;
+		node->settings.reports_usage = true;
+		node->settings.usage_window_ms = node->usage_window_ms;
+		node->settings.usage_late_ms = 5 * node->usage_window_ms;
+	}
+	if (node->lease_ms != 0)
+		node->settings.lease_ms = node->lease_ms;
 	node->settings.is_fencing_enforced = true;
 	node->settings.grace_ms = 8000;
 	if (platform_store_init(&node->store, node->testbed->base,
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -226,6 +226,53 @@
 /* Writes its row in the store, which is its heartbeat, too. */
 void testbed_server_publish(struct testbed_server *server);
 
+/* ---- Fake of the platform's duties
+ * ----------------------------------------------------------- */
+
+enum duty_fault {
+	DUTY_FAULT_NONE,
+	DUTY_FAULT_503,		/* answers 503 */
+	DUTY_FAULT_429,		/* answers 429 */
+	DUTY_FAULT_SILENT,	/* carries nothing out, never answers */
+	DUTY_FAULT_LOSE_ANSWER, /* carries the call out, then resets */
+	DUTY_FAULT_LATE		/* resets, carries it out 300 ms later */
+};
+
+#define RECORDED_REPORTS_MAX 256
+
+/* What was said of a window for the first time. */
+struct recorded_report {
+	uint64_t window;
+	json_t *counts;
+	bool is_accepted;
+};
+
+struct late_call; /* of DUTY_FAULT_LATE */
+TAILQ_HEAD(late_call_list, late_call);
+
+struct testbed_duty {
+	struct http_listener port;
+	enum duty_fault fault;
+	unsigned fault_remaining; /* calls still affected; 0: all */
+	char deaf_to[32];	  /* holder whose calls get no answer; or "" */
+	struct late_call_list late_calls;
+	struct recorded_report reports[RECORDED_REPORTS_MAX];
+	unsigned reports_count;
+	unsigned calls_count;
+	unsigned refused_count;	    /* for a token lower than one seen */
+	unsigned differing_reports; /* of a window that had another one */
+	unsigned same_tokens;	    /* used by two holders */
+	uint64_t fence;		    /* highest seen */
+	char holder[32];	    /* of the last call carried out */
+	struct kwb_buf holders;	    /* in order of their calls */
+};
+
+/* Starts to listen; returns 0 or KWB_ERR_SYSTEM. */
+int testbed_duty_open(struct testbed_duty *duty, struct event_base *base);
+void testbed_duty_close(struct testbed_duty *duty);
+/* Prints what was reported in all, by whom, and what was wrong. */
+void testbed_duty_print(const struct testbed_duty *duty, struct kwb_buf *out);
+
 /* ---- Testbed
  * ------------------------------------------------------------------------- */
 
@@ -238,6 +285,8 @@
 	struct proxy store_proxy; /* between node and store */
 	bool has_store_proxy;	  /* it is open; it outlives the node */
 	bool has_no_peers;	  /* doesn't listen for other nodes */
+	uint32_t usage_window_ms; /* 0: the node has no duties */
+	uint32_t lease_ms;	  /* 0: the default */
 	struct testbed *testbed;
 };
 
@@ -246,6 +295,7 @@
 	struct event_base *base;
 	struct kwb_client client; /* of the test's own calls */
 	struct testbed_store store;
+	struct testbed_duty duty;
 	struct testbed_server servers[TESTBED_SERVERS_MAX];
 	unsigned servers_count;
 	struct testbed_node nodes[TESTBED_NODES_MAX];
