--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2025,8 +2025,9 @@
 	}
 }
 
-/* decisions_duty.c: adds its tests and returns their number. */
-extern unsigned add_duty_tests(CU_pSuite suite);
+/* Of the other files of this program; each returns how many it has added. */
+extern unsigned access_tests_add(CU_pSuite suite);
+extern unsigned duty_tests_add(CU_pSuite suite);
 
 int
 main(void)
@@ -2065,8 +2066,8 @@
 	    {"mutated_documents", test_mutated_documents},
 	    {"requests", test_request_parser}, {"index", test_index},
 	    {"base64", test_base64}};
-	unsigned count = COUNT(tests);
 	CU_pSuite suite;
+	unsigned count = COUNT(tests);
 	unsigned failed;
 	unsigned i;
 
@@ -2078,7 +2079,8 @@
 	for (i = 0; i < COUNT(tests); i++)
 		if (CU_add_test(suite, tests[i].name, tests[i].run) == NULL)
 			return 1;
-	count += add_duty_tests(suite);
+	count += access_tests_add(suite);
+	count += duty_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
 	CU_basic_show_failures(CU_get_failure_list());
--- a/tests/platform/decisions_duty.c
+++ b/tests/platform/decisions_duty.c
@@ -9,7 +9,7 @@
 
 #define COUNT(table) (sizeof(table) / sizeof((table)[0]))
 
-extern unsigned add_duty_tests(CU_pSuite suite);
+extern unsigned duty_tests_add(CU_pSuite suite);
 
 static void
 test_usage_counts(void)
@@ -217,7 +217,7 @@
 }
 
 unsigned
-add_duty_tests(CU_pSuite suite)
+duty_tests_add(CU_pSuite suite)
 {
 	static const struct {
 		const char *name;
