Order numbers of upstreams from the load that all nodes see

A deployment with scaled services had no one to order their numbers. Each node writes the loads that upstreams of scaled services told it; the holder of the lease reads all rows once a second, needs as many upstreams as the load and the loss of one failure domain ask for, and orders them: up at once, down after a hold and by a quarter at a time. It decides only after a read that succeeded and with at least half of the reports known.

Shown by tables of cases and a script with two nodes and the stand-in.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -275,7 +275,18 @@
 /* The delay before a call is made again doubles from MIN to MAX. */
 #define KWB_DUTY_RETRY_MIN_NS (200 * KWB_MS_NS)
 #define KWB_DUTY_RETRY_MAX_NS (1600 * KWB_MS_NS)
-#define KWB_DUTY_TRIES_MAX 100 /* then a report is given up */
+#define KWB_DUTY_TRIES_MAX 100	  /* then a report is given up */
+#define KWB_SCALE_SUBJECTS_MAX 64 /* scaled services in failure domains */
+#define KWB_SCALE_PERIOD_NS (1000 * KWB_MS_NS) /* between decisions */
+/* A report of load counts for so long, and longer in a larger fleet. */
+#define KWB_SCALE_REPORT_NS (5000 * KWB_MS_NS)
+#define KWB_SCALE_FILL_PERCENT 70      /* of the slots, at the load as it is */
+#define KWB_SCALE_LOSS_FILL_PERCENT 90 /* after a failure domain is lost */
+/* No decrease for so long after the load last needed the number, and no order
+ * again. Added to it is how long an upstream takes to boot. */
+#define KWB_SCALE_DOWN_NS (10000 * KWB_MS_NS)
+#define KWB_SCALE_REPEAT_NS (10000 * KWB_MS_NS)
+#define KWB_SCALE_STEP_DIVISOR 4 /* of the number, in one decrease */
 
 /* Weights */
 #define KWB_LEASE_MS 6000 /* lost when not renewed */
--- a/include/kwb_duty.h
+++ b/include/kwb_duty.h
@@ -10,6 +10,8 @@
 #error "include kwb_node.h"
 #endif
 
+struct kwb_node;
+
 /* ---- Usage: counts of requests by workspace --------------------------------
  */
 
@@ -48,7 +50,7 @@
  *   reported                      the newest window decided
  */
 #define KWB_USAGE_TABLE "usage"
-#define KWB_USAGE_PARTITION "usage"
+#define KWB_DUTY_PARTITION "duties"
 #define KWB_USAGE_REPORT_PREFIX "report/"
 #define KWB_USAGE_FLOOR_KEY "reported"
 #define KWB_USAGE_WINDOW_FORMAT "%014llu"
@@ -237,18 +239,95 @@
 /* Starts what is due; called often. */
 void kwb_usage_reporter_check(struct kwb_usage_reporter *reporter);
 
+/* ---- Scale: numbers of upstreams -------------------------------------------
+ */
+
+/* Load of a service in one failure domain. */
+struct kwb_scale_load {
+	uint32_t upstreams; /* that take requests */
+	uint32_t known;	    /* of these, with a recent report */
+	uint64_t requests;  /* running and waiting there, of the known */
+	uint64_t slots;	    /* requests that the known run at a time */
+};
+
+struct kwb_scale_input {
+	uint32_t min;
+	uint32_t max;
+	const struct kwb_scale_load *load; /* by failure domain */
+	uint32_t domains;
+	uint32_t domain; /* the one to decide on */
+};
+
+/*
+ * Upstreams that a failure domain needs: for its load, and to take the load of
+ * another one that is lost. 0 when too few reports are known. A pure function.
+ */
+uint32_t kwb_scale_need(const struct kwb_scale_input *input);
+
+/* The number ordered in a failure domain. */
+struct kwb_scale_state {
+	uint32_t target;    /* 0: not decided yet */
+	uint32_t peak_need; /* since the last decrease was put off */
+	uint64_t down_ns;   /* no decrease before */
+};
+
+/* Up at once, down slowly and in steps; a pure function. */
+void kwb_scale_decide(struct kwb_scale_state *state, uint32_t need,
+    uint32_t upstreams, uint32_t boot_ms, uint64_t now_ns);
+
+/* An order's state: a service in a failure domain. */
+struct kwb_scale_subject {
+	char service[KWB_NAME_MAX_BYTES];
+	char failure_domain[KWB_NAME_MAX_BYTES];
+	struct kwb_scale_state state;
+	uint32_t ordered;   /* by the last order that succeeded; 0 for none */
+	uint32_t sent;	    /* by the order in progress */
+	uint32_t failures;  /* of orders, in a row */
+	uint64_t retry_ns;  /* no order before */
+	uint64_t repeat_ns; /* ordered again if it has no effect until then */
+};
+
+/*
+ * Each node writes what upstreams of scaled services reported to it; the holder
+ * of the lease reads these rows and orders numbers of upstreams.
+ */
+struct kwb_scaler {
+	struct kwb_store *store;
+	const struct kwb_node_settings *settings;
+	const struct kwb_duty_codec *codec;
+	struct kwb_duty_caller *caller;
+	struct kwb_registry *registry;
+	const struct kwb_node_config *const *config;
+	uint32_t fleet_nodes;		      /* estimate */
+	struct kwb_store_call write;	      /* of the own row */
+	uint64_t write_ns;		      /* when to write it next */
+	uint64_t fence;			      /* of this tenure; 0 for none */
+	struct kwb_store_call read;	      /* of the rows of all nodes */
+	uint64_t read_ns;		      /* when to read them next */
+	char next_key[KWB_KEY_MAX_BYTES + 1]; /* of the next page; "": first */
+	struct kwb_scale_subject subjects[KWB_SCALE_SUBJECTS_MAX];
+	uint32_t subjects_count;
+	struct kwb_scale_subject *sending; /* NULL for none */
+};
+
+void kwb_scaler_init(struct kwb_scaler *scaler, struct kwb_node *node,
+    struct kwb_duty_caller *caller);
+void kwb_scaler_finish(struct kwb_scaler *scaler);
+/* Starts what is due; called often. */
+void kwb_scaler_check(struct kwb_scaler *scaler);
+
 /* ---- Duties of a node ------------------------------------------------------
  */
 
 struct kwb_duties {
-	bool is_enabled; /* by the settings */
-	struct kwb_usage_meter meter;
+	bool reports_usage; /* by the settings, as the next one */
+	bool scales_services;
 	struct kwb_duty_caller caller;
+	struct kwb_usage_meter meter;
 	struct kwb_usage_reporter reporter;
+	struct kwb_scaler scaler;
 };
 
-struct kwb_node;
-
 /* Does nothing where the settings name no duty. */
 void kwb_duties_init(struct kwb_duties *duties, struct kwb_node *node);
 void kwb_duties_finish(struct kwb_duties *duties);
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -952,6 +952,8 @@
 	uint32_t reported_load;	      /* running and waiting there, in all */
 	uint32_t in_flight_at_report; /* in_flight when that was reported */
 	uint64_t reported_ns;	      /* when it was reported; 0 for never */
+	uint32_t shared_load;	      /* as any node has last reported it */
+	uint64_t shared_ms;	      /* store's clock then; 0 for never */
 	uint32_t failures;	      /* in a row */
 	uint64_t suspect_until_ns;    /* avoided until then, after failures */
 	const void *prober;	   /* request that probes it; NULL for none */
--- a/src/duty/meter.c
+++ b/src/duty/meter.c
@@ -161,9 +161,9 @@
 	    (unsigned long long)window->number, meter->settings->node,
 	    (unsigned long long)meter->incarnation, window->row_index);
 	memset(&tx, 0, sizeof(tx));
-	kwb_tx_expect(&tx, KWB_USAGE_TABLE, KWB_USAGE_PARTITION, key,
+	kwb_tx_expect(&tx, KWB_USAGE_TABLE, KWB_DUTY_PARTITION, key,
 	    window->row_revision);
-	kwb_tx_put(&tx, KWB_USAGE_TABLE, KWB_USAGE_PARTITION, key,
+	kwb_tx_put(&tx, KWB_USAGE_TABLE, KWB_DUTY_PARTITION, key,
 	    kwb_buf_text(&meter->written), meter->written.used_bytes);
 	if (meter->store->ops->transact(meter->store, &tx, &meter->call) != 0)
 		meter->retry_ns = kwb_clock_now_ns() + KWB_STORE_RETRY_NS;
--- a/src/duty/report.c
+++ b/src/duty/report.c
@@ -216,7 +216,7 @@
 	for (i = 0; i < reporter->rows_count; i++)
 		if (tx->remove_count < REMOVED_ROWS_MAX &&
 		    row_is_old(reporter, &reporter->rows[i], decided_window))
-			kwb_tx_remove(tx, KWB_USAGE_TABLE, KWB_USAGE_PARTITION,
+			kwb_tx_remove(tx, KWB_USAGE_TABLE, KWB_DUTY_PARTITION,
 			    reporter->rows[i].key);
 	return tx->remove_count;
 }
@@ -305,13 +305,13 @@
 	snprintf(floor, sizeof(floor), "%llu",
 	    (unsigned long long)window - is_first);
 	memset(&tx, 0, sizeof(tx));
-	kwb_tx_expect(&tx, KWB_USAGE_TABLE, KWB_USAGE_PARTITION,
+	kwb_tx_expect(&tx, KWB_USAGE_TABLE, KWB_DUTY_PARTITION,
 	    KWB_USAGE_FLOOR_KEY, reporter->floor_revision);
-	kwb_tx_put(&tx, KWB_USAGE_TABLE, KWB_USAGE_PARTITION,
+	kwb_tx_put(&tx, KWB_USAGE_TABLE, KWB_DUTY_PARTITION,
 	    KWB_USAGE_FLOOR_KEY, floor, strlen(floor));
 	if (!is_first) {
-		kwb_tx_put(&tx, KWB_USAGE_TABLE, KWB_USAGE_PARTITION,
-		    report_key, kwb_buf_text(&text), text.used_bytes);
+		kwb_tx_put(&tx, KWB_USAGE_TABLE, KWB_DUTY_PARTITION, report_key,
+		    kwb_buf_text(&text), text.used_bytes);
 		tx_remove_old(reporter, &tx, window);
 	}
 	reporter->deciding_window = window;
@@ -455,7 +455,7 @@
 {
 	bool is_first = reporter->next_key[0] == '\0';
 	struct kwb_range range = {.table = KWB_USAGE_TABLE,
-	    .part = KWB_USAGE_PARTITION,
+	    .part = KWB_DUTY_PARTITION,
 	    .from = is_first ? NULL : reporter->next_key};
 
 	if (is_first) {
--- a/tests/platform/decisions_duty.c
+++ b/tests/platform/decisions_duty.c
@@ -216,6 +216,75 @@
 	kwb_usage_counts_finish(&counts);
 }
 
+/* Three failure domains with 10 upstreams of 10 slots each, unless said. */
+static void
+test_scale_need(void)
+{
+	static const struct {
+		const char *name;
+		struct kwb_scale_load here;
+		uint64_t requests_elsewhere; /* in each other domain */
+		uint32_t domains;
+		uint32_t need;
+	} cases[] = {{"even load", {10, 10, 42, 100}, 42, 3, 7},
+	    {"here more than elsewhere", {10, 10, 90, 100}, 10, 3, 13},
+	    {"loss of another domain", {10, 10, 60, 100}, 60, 3, 10},
+	    {"one domain", {10, 10, 60, 100}, 0, 1, 9},
+	    {"full, half as many again", {10, 10, 100, 100}, 100, 3, 17},
+	    {"what waits counts", {10, 10, 150, 100}, 100, 3, 22},
+	    {"half unknown, like the others", {10, 5, 30, 50}, 60, 3, 10},
+	    {"too few known", {10, 4, 30, 40}, 60, 3, 0},
+	    {"none known", {10, 0, 0, 0}, 60, 3, 0},
+	    {"no upstream here", {0, 0, 0, 0}, 60, 3, 0},
+	    {"slots not told", {10, 10, 60, 0}, 60, 3, 0},
+	    {"idle, at least the minimum", {10, 10, 0, 100}, 0, 3, 2},
+	    {"at most the maximum", {10, 10, 900, 100}, 900, 3, 40}};
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct kwb_scale_load load[3] = {cases[i].here,
+		    {10, 10, cases[i].requests_elsewhere, 100},
+		    {10, 10, cases[i].requests_elsewhere, 100}};
+		struct kwb_scale_input input = {.min = 2,
+		    .max = 40,
+		    .load = load,
+		    .domains = cases[i].domains};
+
+		CU_ASSERT_EQUAL(kwb_scale_need(&input), cases[i].need);
+	}
+}
+
+/* Load: a need that changes each second, with upstreams that boot for 5 s. */
+static void
+test_scale_hysteresis(void)
+{
+	struct kwb_scale_state state = {0};
+	unsigned changes = 0;
+	uint32_t before;
+	unsigned second;
+
+	kwb_scale_decide(&state, 0, 8, 5000, 0);
+	CU_ASSERT_EQUAL(state.target, 0); /* stale: nothing is decided */
+	kwb_scale_decide(&state, 8, 8, 5000, 0);
+	CU_ASSERT_EQUAL(state.target, 8);
+	kwb_scale_decide(&state, 11, 8, 5000, 1000 * KWB_MS_NS);
+	CU_ASSERT_EQUAL(state.target, 11); /* at once */
+	/* The need swings between 6 and 10: one decrease, to 10. */
+	for (second = 2; second < 100; second++) {
+		before = state.target;
+		kwb_scale_decide(&state, second % 2 == 0 ? 6 : 10, 11, 5000,
+		    second * 1000 * KWB_MS_NS);
+		changes += state.target != before;
+	}
+	CU_ASSERT_EQUAL(changes, 1);
+	CU_ASSERT_EQUAL(state.target, 10);
+	/* Falls by a quarter at a time, 20 s apart, and holds while stale. */
+	for (; second < 200; second++)
+		kwb_scale_decide(&state, second < 150 ? 2 : 0, 10, 5000,
+		    second * 1000 * KWB_MS_NS);
+	CU_ASSERT_EQUAL(state.target, 6);
+}
+
 unsigned
 duty_tests_add(CU_pSuite suite)
 {
@@ -226,7 +295,8 @@
 	    {"usage_plan", test_usage_plan},
 	    {"usage_writes", test_usage_writes},
 	    {"duty_calls", test_duty_calls}, {"duty_caller", test_duty_caller},
-	    {"duty_codec", test_duty_codec}};
+	    {"duty_codec", test_duty_codec}, {"scale_need", test_scale_need},
+	    {"scale_hysteresis", test_scale_hysteresis}};
 	unsigned i;
 
 	for (i = 0; i < COUNT(tests); i++)
--- a/tests/platform/duty.c
+++ b/tests/platform/duty.c
@@ -52,6 +52,23 @@
 	return report;
 }
 
+static void
+note_order(struct testbed_duty *duty, const struct kwb_message *message)
+{
+	json_t *body =
+	    json_loadb(message->body.data, message->body.used_bytes, 0, NULL);
+	const char *service = "";
+	const char *zone = "";
+	int count = 0;
+
+	json_unpack(body, "{s:s, s:s, s:i}", "service", &service, "zone", &zone,
+	    "target-groups", &count);
+	kwb_buf_printf(&duty->scale_orders, "%s%s in %s: %d",
+	    duty->scale_orders.used_bytes > 0 ? ", " : "", service, zone,
+	    count);
+	json_decref(body);
+}
+
 /* Carries a call out; its status. */
 static unsigned
 apply_call(struct testbed_duty *duty, const struct kwb_message *message)
@@ -70,7 +87,10 @@
 		    duty->holders.used_bytes > 0 ? " " : "", holder);
 	}
 	duty->fence = fence;
-	note_report(duty, message)->is_accepted = true;
+	if (strcmp(kwb_message_target(message), "/scale") == 0)
+		note_order(duty, message);
+	else
+		note_report(duty, message)->is_accepted = true;
 	return 200;
 }
 
@@ -132,7 +152,8 @@
 		http_session_answer(session, 429, "", "", 0);
 		return;
 	case DUTY_FAULT_SILENT:
-		note_report(duty, message);
+		if (strcmp(kwb_message_target(message), "/usage") == 0)
+			note_report(duty, message);
 		return;
 	case DUTY_FAULT_LOSE_ANSWER:
 		apply_call(duty, message);
@@ -170,6 +191,7 @@
 	for (i = 0; i < duty->reports_count; i++)
 		json_decref(duty->reports[i].counts);
 	kwb_buf_finish(&duty->holders);
+	kwb_buf_finish(&duty->scale_orders);
 }
 
 /* Sums the accepted reports of all windows, by workspace. */
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -31,7 +31,8 @@
  *   $ unroute NAME                leaves a route out from the next config on
  *   $ workspace NAME KEYS         adds it, or gives it these keys instead,
  *       separated by commas, from the next config on
- *   $ config VERSION [body=BYTES] publishes the routes and workspaces so far
+ *   $ config VERSION [body=BYTES] [scale=MIN]   publishes the routes and
+ *       workspaces so far; scale=: service shop is scaled, up to 9 upstreams
  *   $ set-version VERSION         publishes the newest version of model m
  *   $ wait-version VERSION        until a server has it; the newest version
  *   $ node NAME [peers=0] [keep=MS] [row=BYTES] [revoke=MS] [usage=MS]
@@ -90,6 +91,7 @@
  *   $ believe NODE                that it holds the lease, however long
  *   $ reported                    the sum of all reports, by whom, what is wrong
  *   $ refused                     calls refused for an old token
+ *   $ scaled                      numbers of upstreams ordered
  *
  * Others:
  *   $ wait MS
@@ -732,6 +734,13 @@
 
 	if (json_array_size(script->workspaces) > 0)
 		json_object_set(document, "tenants", script->workspaces);
+	if (option_number(script, "scale", 0) > 0)
+		json_object_set_new(
+		    json_array_get(json_object_get(document, "services"), 0),
+		    "autoscale",
+		    json_pack("{s:i, s:i, s:i}", "min",
+			option_number(script, "scale", 0), "max", 9, "boot-s",
+			1));
 	text = json_dumps(document, JSON_COMPACT);
 	testbed_store_put(&script->testbed.store, "op", "config", text);
 	free(text);
@@ -1365,6 +1374,11 @@
 
 	if (strcmp(script->words[0], "reported") == 0) {
 		testbed_duty_print(duty, &script->out);
+	} else if (strcmp(script->words[0], "scaled") == 0) {
+		kwb_buf_printf(&script->out, "%s\n",
+		    duty->scale_orders.used_bytes > 0
+			? kwb_buf_text(&duty->scale_orders)
+			: "none");
 	} else if (strcmp(script->words[0], "refused") == 0) {
 		kwb_buf_printf(&script->out, "%u\n", duty->refused_count);
 	} else if (strcmp(script->words[0], "deaf") == 0) {
@@ -1411,8 +1425,8 @@
 	    {"priority", run_priority}, {"detours", run_detours},
 	    {"use", run_use}, {"duty", run_duty}, {"deaf", run_duty},
 	    {"believe", run_duty}, {"reported", run_duty},
-	    {"refused", run_duty}, {"workspace", run_workspace},
-	    {"workspace-of", run_workspace_of}};
+	    {"refused", run_duty}, {"scaled", run_duty},
+	    {"workspace", run_workspace}, {"workspace-of", run_workspace_of}};
 	struct testbed *testbed = &script->testbed;
 	size_t i;
 
--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -152,6 +152,7 @@
 	if (node->usage_window_ms != 0) {
 		node->settings.duty_address = node->testbed->duty.port.address;
 		node->settings.reports_usage = true;
+		node->settings.scales_services = true;
 		node->settings.usage_window_ms = node->usage_window_ms;
 		node->settings.usage_late_ms = 5 * node->usage_window_ms;
 	}
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -262,12 +262,13 @@
 	struct recorded_report reports[RECORDED_REPORTS_MAX];
 	unsigned reports_count;
 	unsigned calls_count;
-	unsigned refused_count;	    /* for a token lower than one seen */
-	unsigned differing_reports; /* of a window that had another one */
-	unsigned same_tokens;	    /* used by two holders */
-	uint64_t fence;		    /* highest seen */
-	char holder[32];	    /* of the last call carried out */
-	struct kwb_buf holders;	    /* in order of their calls */
+	unsigned refused_count;	     /* for a token lower than one seen */
+	unsigned differing_reports;  /* of a window that had another one */
+	unsigned same_tokens;	     /* used by two holders */
+	uint64_t fence;		     /* highest seen */
+	char holder[32];	     /* of the last call carried out */
+	struct kwb_buf holders;	     /* in order of their calls */
+	struct kwb_buf scale_orders; /* likewise */
 };
 
 /* Starts to listen; returns 0 or KWB_ERR_SYSTEM. */
