--- a/include/kwb.h
+++ b/include/kwb.h
@@ -180,7 +180,12 @@
 	KWB_METRIC_KEYS_UNKNOWN,   /* requests with no key, or no valid one */
 	KWB_METRIC_KEYS_UNPROVED,  /* not admitted: config may be outdated */
 	KWB_METRIC_RELAYED_BYTES,  /* between peers and the store */
-	KWB_METRIC_LISTS_REVISION, /* gauge: lists or config in force */
+	KWB_METRIC_USAGE_REQUESTS, /* counted for reports of usage */
+	KWB_METRIC_USAGE_REPORTS,  /* sent */
+	KWB_METRIC_USAGE_REPORTS_LATE, /* of these, later than they were due */
+	KWB_METRIC_SCALE_ORDERS,       /* of numbers of upstreams, sent */
+	KWB_METRIC_DUTY_CALLS_REFUSED, /* for an old token, or as invalid */
+	KWB_METRIC_LISTS_REVISION,     /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
 
