Testbed: a node that has stopped by itself is freed at a script's end

The sanitizers reported a leak of a whole node in two runs beside other tests, and none in a run of all scripts alone: a script that stops a node without waiting (stop_slow_reader) ends shortly before or after the node does, and testbed_finish() freed only nodes that ran. No check is changed. The whole sanitizer run was not repeated.

--- a/tests/platform/stage.c
+++ b/tests/platform/stage.c
@@ -30,7 +30,7 @@
 	unsigned i;
 
 	for (i = 0; i < testbed->nodes_count; i++)
-		if (testbed->nodes[i].is_running)
+		if (testbed->nodes[i].is_open)
 			testbed_node_kill(&testbed->nodes[i]);
 	for (i = 0; i < testbed->nodes_count; i++)
 		if (testbed->nodes[i].has_store_proxy)
@@ -170,6 +170,7 @@
 		&platform_document_schema, node_on_stopped, node) != 0)
 		abort();
 	node->is_running = true;
+	node->is_open = true;
 }
 
 void
@@ -178,4 +179,5 @@
 	kwb_node_finish(&node->node);
 	platform_store_finish(&node->store);
 	node->is_running = false;
+	node->is_open = false;
 }
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -287,6 +287,7 @@
 struct testbed_node {
 	char name[32];
 	bool is_running;
+	bool is_open; /* holds memory; also when it has stopped by itself */
 	struct kwb_node_settings settings;
 	struct platform_store store;
 	struct kwb_node node;
