Crowds of clients beyond the limits, played against real processes

Clients that keep no limit ended a process: it ran out of memory. The new test binary starts a node (memory-mb 120, max-body-bytes 8 MB, max-fds 1000 or 300), an entry and an agent, lets a crowd loose on each, and checks that the process lives, that its peak resident memory and its sockets stay within its settings, that a small request is answered beside the crowd and a large one after it.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 EXAMPLES = $(patsubst examples/%.c,$(B)/examples/%,$(wildcard examples/*.c))
 TESTS = $(B)/tests/unit $(B)/tests/contract $(B)/tests/golden \
 	$(B)/tests/faults $(B)/tests/platform/decisions \
-	$(B)/tests/platform/script $(B)/tests/platform/soak
+	$(B)/tests/platform/script $(B)/tests/platform/soak \
+	$(B)/tests/platform/crowd
 FUZZ = request answer stream document settings rows trace frame
 TESTS += $(FUZZ:%=$(B)/tests/fuzz/%)
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
@@ -104,6 +105,10 @@
 $(B)/tests/platform/soak: $(B)/tests/platform/soak.o $(STAGE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
+$(B)/tests/platform/crowd: $(B)/tests/platform/crowd.o $(B)/tests/world.o \
+		$(STAGE_OBJ) $(B)/libkwb.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) $(LIBS)
+
 $(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -10,7 +10,7 @@
 scripts_pid=$!
 for name in unit contract golden faults platform/decisions platform/script platform/soak \
 	fuzz/request fuzz/answer fuzz/stream fuzz/document fuzz/settings \
-	fuzz/rows fuzz/trace fuzz/frame; do
+	fuzz/rows fuzz/trace fuzz/frame platform/crowd; do
 	arguments=
 	# Seeds that failed before (causes in docs/PROOFS.md), and two others.
 	[ "$name" = platform/soak ] && arguments='1 2 144 506'
