One account of memory and descriptors; stalled clients give way

Callers saw a process end: bodies were buffered as they came, answers piled up for clients that did not read, requests were read on behind unread answers, and connections were accepted without a limit, so that none was left for others.

The node reserves a body before it reads it, holds it while there is no room, and refuses it with 503 (not run) after two seconds. While one waits, clients without progress for a second give way. Answers not read are counted; the next request waits for them, and a stream's upstream isn't read meanwhile. Sockets are shared out; beyond the callers' share idle connections give way, then the slowest incomplete. A listener without descriptors pauses until the next check. Large bodies are sent from where they are. An entry reserves bodies before it reads them; an agent closes a link whose first frame is longer than a hello.

Ruled out: the allocator (what was resident was in use) and the kernel's buffers.

--- a/include/kwb.h
+++ b/include/kwb.h
@@ -178,6 +178,13 @@
 	KWB_METRIC_STORE_DETOURS,     /* switches to a path through a peer */
 	KWB_METRIC_UPSTREAMS_LEAVING, /* upstreams that said that they leave */
 	KWB_METRIC_RELAYED_BYTES,     /* between peers and the store */
+	KWB_METRIC_BODIES_REFUSED,    /* for want of memory */
+	KWB_METRIC_HOLDERS_CLOSED,    /* stalled clients that gave way */
+	KWB_METRIC_CALLERS_REFUSED,   /* or closed for want of descriptors */
+	KWB_METRIC_MEMORY_CALLS,      /* gauge: bytes of bodies of calls */
+	KWB_METRIC_MEMORY_BATCHES,    /* gauge: of submissions and batches */
+	KWB_METRIC_MEMORY_ANSWERS,    /* gauge: of answers not yet read */
+	KWB_METRIC_CALLERS_OPEN,      /* gauge: connections of callers */
 	KWB_METRIC_LISTS_REVISION,    /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
@@ -588,11 +595,13 @@
 	int fd;
 	uint32_t tag; /* the caller's number of a peer; 0 if accepted */
 	bool is_connecting;
+	bool has_received;	   /* a whole frame */
 	bool is_watching_writable; /* epoll reports when it can be written */
 	uint64_t heartbeat_period_ns;
 	uint64_t silence_deadline_ns; /* closed unless data arrives by then */
 	uint64_t next_heartbeat_ns;   /* when the next one is due */
 	struct kwb_buf receive_buffer;
+	uint64_t unfinished_bytes; /* of it, in the sum of the loop */
 	struct kwb_buf send_buffer;
 };
 
@@ -603,6 +612,7 @@
 	int epoll_fd;
 	int listen_fd; /* -1 if it does not listen */
 	uint64_t next_link_number;
+	uint64_t unfinished_bytes; /* of frames that are not whole, all links */
 	volatile bool is_stopping;
 	pthread_t thread;
 	pthread_mutex_t links_lock; /* held while a link is added */
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -137,6 +137,36 @@
 /* A delayed hedge leaves a third of the slots to other first attempts. */
 #define KWB_HEDGE_SPARE_DIVISOR 3
 
+/* Memory and descriptors */
+/* Kept out of the budget: the process, the store, answers being read. */
+#define KWB_MEMORY_RESERVE_BYTES (40u << 20)
+#define KWB_MEMORY_BUDGET_MIN_DIVISOR 4 /* at least a quarter of the limit */
+#define KWB_MEMORY_GUARANTEE_DIVISOR 8	/* an eighth for each use */
+#define KWB_MEMORY_SMALL_DIVISOR 16	/* large bodies leave this to small */
+#define KWB_SMALL_BODY_BYTES 65536
+#define KWB_MEMORY_STEP_BYTES 65536 /* that a chunked body reserves at once */
+/* A submission, its document while it is parsed, and its items. */
+#define KWB_SUBMISSION_FACTOR 4
+#define KWB_BODY_KEEP_BYTES 65536 /* buffer that a connection keeps */
+/* Larger bodies are sent from where they are, not copied. */
+#define KWB_BODY_COPY_MAX_BYTES 16384
+#define KWB_BODY_WAIT_NS (2000 * KWB_MS_NS)    /* for room, then refused */
+#define KWB_HOLDER_STALL_NS (1000 * KWB_MS_NS) /* without progress */
+#define KWB_ROOM_CHECK_NS (100 * KWB_MS_NS)    /* while room is short */
+#define KWB_HOLDER_STEP_BYTES 65536	       /* that count as progress */
+#define KWB_CONN_INPUT_BYTES 16384	       /* read ahead from a caller */
+#define KWB_CONN_BYTES 8192	      /* of a connection, apart from bodies */
+#define KWB_ANSWER_UNREAD_BYTES 65536 /* then no further request is read */
+#define KWB_STREAM_UNREAD_BYTES (256u << 10) /* then its upstream isn't read   \
+					      */
+#define KWB_FDS_FOR_FILES 200		     /* of the limit in the settings */
+#define KWB_FDS_OWN 16			     /* of the kernel's limit */
+#define KWB_CHECK_CALLERS_MAX 64 /* connections for checks, on each port */
+/* Own interface: bodies that an entry holds; a first frame at an agent. */
+#define KWB_ENTRY_BODIES_MAX_BYTES (48u << 20)
+#define KWB_FIRST_FRAME_MAX_BYTES 65536
+#define KWB_LOOP_RECEIVE_MAX_BYTES (64u << 20) /* frames not yet whole */
+
 /* Batches */
 #define KWB_ITEM_TTL_MS 30000		    /* when no route names one */
 #define KWB_ITEM_RETRY_NS (100 * KWB_MS_NS) /* after an upstream's error */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -14,6 +14,7 @@
 #include <sys/queue.h>
 
 #include "kwb.h"
+#include "kwb_memory.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -116,6 +117,13 @@
 	void (*on_data)(struct kwb_conn *conn);
 	/* The message is whole. */
 	void (*on_message)(struct kwb_conn *conn);
+	/*
+	 * Whether a body may grow to so many bytes. If not, the connection is
+	 * held: it reads no more until kwb_conn_resume(). May be NULL.
+	 */
+	bool (*may_grow)(struct kwb_conn *conn, uint64_t body_bytes);
+	/* All output is with the kernel. May be NULL. */
+	void (*on_written)(struct kwb_conn *conn);
 	/*
 	 * No more messages follow. error: KWB_ERR_NET_ number, or 0 after
 	 * kwb_conn_close_when_written().
@@ -143,6 +151,7 @@
 	bool is_head_reported;	/* on_head was called for this message */
 	bool is_complete;	/* message is whole; parsing is paused */
 	bool is_connected;
+	bool is_held;	 /* reads no more until kwb_conn_resume() */
 	bool is_closing; /* closes once all output is written */
 	/* During callbacks a flag that kwb_conn_finish() sets, else NULL. */
 	bool *is_finished;
@@ -167,6 +176,8 @@
 void kwb_conn_reset(struct kwb_conn *conn);
 /* Drops the whole message and reads the next one. */
 void kwb_conn_read_next(struct kwb_conn *conn);
+/* Goes on reading a body that was held. */
+void kwb_conn_resume(struct kwb_conn *conn);
 /* Reads no more; calls on_close with 0 once all output is written. */
 void kwb_conn_close_when_written(struct kwb_conn *conn);
 /* Buffer of the bytes to send. */
@@ -187,6 +198,8 @@
 	struct event *sweep_timer; /* closes connections idle for too long */
 	uint32_t idle_count;
 	uint64_t opened_count;		    /* connections opened so far */
+	uint32_t conns_count;		    /* open now */
+	uint32_t conns_max;		    /* 0: no limit */
 	uint64_t answer_max_bytes;	    /* a longer body is an error */
 	struct kwb_body_budget body_budget; /* of all answers being read */
 };
@@ -227,6 +240,7 @@
 	bool wants_new_conn;	   /* takes no kept connection */
 	bool is_conn_reused;	   /* was sent on a kept connection */
 	bool has_no_body;	   /* of the answer; the request is a HEAD */
+	bool is_paused;		   /* the answer isn't read */
 	struct kwb_message answer; /* once it is whole */
 };
 
@@ -257,6 +271,8 @@
  * answer.
  */
 void kwb_exchange_finish(struct kwb_exchange *exchange);
+/* Stops to read the answer, or goes on; a paused one has no silence limit. */
+void kwb_exchange_set_paused(struct kwb_exchange *exchange, bool is_paused);
 /* The answer, as far as it has been read. */
 struct kwb_message *kwb_exchange_answer(struct kwb_exchange *exchange);
 
@@ -647,9 +663,9 @@
 	struct kwb_address store;   /* of the platform's store */
 	struct kwb_address metrics; /* for reads of metrics; port 0 for none */
 	struct kwb_address peers;   /* for nodes to relay; port 0 for none */
-	uint32_t memory_mb;	    /* limit of the process; not used */
+	uint32_t memory_mb;	    /* limit of the process */
 	uint32_t processor_milli;   /* share of the CPU, 1000 for a core */
-	uint32_t fds_max;	    /* limit of open files; not used */
+	uint32_t fds_max;	    /* limit of open files */
 	uint32_t grace_ms;	    /* from SIGTERM to SIGKILL */
 	/* Least time between the orders of two successive lease holders. */
 	uint32_t lease_ms;
@@ -722,6 +738,7 @@
 	struct evconnlistener *listener;
 	struct kwb_relay_pair_list pairs;
 	uint32_t pairs_count;
+	uint32_t pairs_max;
 	bool is_stopping;
 };
 
@@ -1293,6 +1310,8 @@
     struct kwb_forward *forward); /* ends it without on_done */
 void kwb_forward_finish(
     struct kwb_forward *forward); /* cancels it and frees what it holds */
+/* Stops to read the answer while its caller does not, or goes on. */
+void kwb_forward_set_paused(struct kwb_forward *forward, bool is_paused);
 
 /* ---- Batch: submissions of trainers
  * ------------------------------------------ */
@@ -1438,7 +1457,8 @@
 	const struct kwb_node_config *const *config; /* newest, may be NULL */
 	struct kwb_follower *config_follower;	     /* that reads it */
 	const struct kwb_node_settings *settings;
-	uint64_t incarnation; /* of this process */
+	struct kwb_memory *memory; /* of the process; NULL: not counted */
+	uint64_t incarnation;	   /* of this process */
 };
 
 struct kwb_batch;
@@ -1759,8 +1779,13 @@
 	struct evconnlistener *listener; /* for requests */
 	struct evconnlistener *ready_listener;
 	struct evconnlistener *metrics_listener; /* NULL for none */
-	struct kwb_caller_list callers;		 /* open connections */
-	struct event *timer;			 /* every KWB_NODE_CHECK_NS */
+	struct kwb_memory memory;
+	struct kwb_socket_shares sockets;
+	struct kwb_caller_list callers;	     /* open connections */
+	uint32_t callers_count[3];	     /* of those, by enum caller_port */
+	struct kwb_caller_list held_callers; /* whose bodies wait for room */
+	struct event *room_timer;  /* armed while some wait, or room is short */
+	struct event *timer;	   /* every KWB_NODE_CHECK_NS */
 	uint64_t incarnation;	   /* start in ms of the wall clock */
 	uint64_t stop_deadline_ns; /* of a stop; 0 while not stopping */
 	uint64_t stop_started_ns;
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -48,6 +48,19 @@
 	return batch;
 }
 
+/* What the items take in memory, nearly. */
+static uint64_t
+spec_bytes(const struct kwb_batch_spec *spec)
+{
+	uint64_t bytes = 0;
+	uint32_t i;
+
+	for (i = 0; i < spec->items_count; i++)
+		bytes += sizeof(spec->items[i]) + sizeof(struct item_run) +
+		    spec->items[i].body_bytes + spec->items[i].score_body_bytes;
+	return bytes;
+}
+
 void
 batch_free(struct kwb_batch *batch)
 {
@@ -62,6 +75,9 @@
 	TAILQ_REMOVE(&batch->batches->running, batch, entry);
 	free(batch->runs);
 	free(batch->groups);
+	if (batch->batches->env->memory != NULL)
+		kwb_memory_release(batch->batches->env->memory,
+		    KWB_MEMORY_BATCHES, spec_bytes(&batch->spec));
 	kwb_batch_spec_finish(&batch->spec);
 	free(batch);
 }
@@ -124,6 +140,9 @@
 		return KWB_ERR_MEMORY;
 	batch->spec = *spec;
 	memset(spec, 0, sizeof(*spec));
+	if (batch->batches->env->memory != NULL)
+		kwb_memory_charge(batch->batches->env->memory,
+		    KWB_MEMORY_BATCHES, spec_bytes(&batch->spec));
 	for (i = 0; i < batch->spec.items_count; i++) {
 		batch->runs[i].batch = batch;
 		batch->runs[i].item = &batch->spec.items[i];
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -26,6 +26,13 @@
     [KWB_METRIC_STORE_DETOURS] = "kwb_store_detours_total",
     [KWB_METRIC_UPSTREAMS_LEAVING] = "kwb_upstreams_leaving_total",
     [KWB_METRIC_RELAYED_BYTES] = "kwb_relayed_bytes_total",
+    [KWB_METRIC_BODIES_REFUSED] = "kwb_bodies_refused_total",
+    [KWB_METRIC_HOLDERS_CLOSED] = "kwb_holders_closed_total",
+    [KWB_METRIC_CALLERS_REFUSED] = "kwb_callers_refused_total",
+    [KWB_METRIC_MEMORY_CALLS] = "kwb_memory_calls_bytes",
+    [KWB_METRIC_MEMORY_BATCHES] = "kwb_memory_batches_bytes",
+    [KWB_METRIC_MEMORY_ANSWERS] = "kwb_memory_answers_bytes",
+    [KWB_METRIC_CALLERS_OPEN] = "kwb_callers_open",
     [KWB_METRIC_LISTS_REVISION] = "kwb_lists_revision",
 };
 static _Atomic uint64_t values[KWB_METRIC_COUNT];
@@ -110,7 +117,7 @@
 
 	for (i = 0; i < KWB_METRIC_COUNT; i++)
 		kwb_buf_printf(out, "# TYPE %s %s\n%s %llu\n", names[i],
-		    i == KWB_METRIC_LISTS_REVISION ? "gauge" : "counter",
+		    i >= KWB_METRIC_MEMORY_CALLS ? "gauge" : "counter",
 		    names[i], (unsigned long long)kwb_metric_get(i));
 	for (i = 0; i < KWB_HISTOGRAM_COUNT; i++)
 		histogram_print(i, out);
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -126,6 +126,7 @@
 	else if (plan_load(&exchange) == 0 && body_read(&exchange) == 0)
 		dispatch(&exchange);
 	kwb_buf_finish(&exchange.body);
+	atomic_fetch_sub(&entry->bodies_bytes, exchange.reserved_bytes);
 	free(exchange.plan.rules);
 	atomic_fetch_sub(&entry->active, 1);
 	return 200;
@@ -232,21 +233,68 @@
 	return error;
 }
 
-/* Reads the body; refuses and returns KWB_ERR_WIRE_SIZE if it is too large. */
+/*
+ * Reserves room for a body of that length; large ones leave a part of the room
+ * to small ones.
+ */
+static bool
+body_reserve(struct exchange *exchange, uint64_t body_bytes)
+{
+	uint64_t max_bytes = KWB_ENTRY_BODIES_MAX_BYTES;
+	uint64_t more_bytes = body_bytes - exchange->reserved_bytes;
+	_Atomic uint64_t *used_bytes = &exchange->entry->bodies_bytes;
+
+	if (body_bytes <= exchange->reserved_bytes)
+		return true;
+	if (body_bytes > KWB_SMALL_BODY_BYTES)
+		max_bytes -= max_bytes / KWB_MEMORY_SMALL_DIVISOR;
+	if (atomic_fetch_add(used_bytes, more_bytes) + more_bytes > max_bytes) {
+		atomic_fetch_sub(used_bytes, more_bytes);
+		return false;
+	}
+	exchange->reserved_bytes = body_bytes;
+	return true;
+}
+
+/* Refuses a body before it is read; the rest of it isn't read either. */
+static int
+body_refuse(
+    struct exchange *exchange, int status, int error, const char *detail)
+{
+	kwb_metric_add(KWB_METRIC_BODIES_REFUSED, 1);
+	mg_disable_connection_keep_alive(exchange->connection);
+	refuse_early(exchange, status, error, detail);
+	return error;
+}
+
+/*
+ * Reads the body. Refuses it and returns an error if it is too large, or if
+ * those of other requests leave no room.
+ */
 static int
 body_read(struct exchange *exchange)
 {
+	long long announced_bytes = exchange->info->content_length;
 	char chunk[8192];
 	int got_bytes;
 
+	if (announced_bytes > KWB_FRAME_MAX_BYTES / 2)
+		return body_refuse(
+		    exchange, 413, KWB_ERR_WIRE_SIZE, "body too large");
+	if (announced_bytes > 0 &&
+	    !body_reserve(exchange, (uint64_t)announced_bytes))
+		return body_refuse(
+		    exchange, 503, KWB_ERR_CALL_BUSY, "no room for the body");
 	while ((got_bytes = mg_read(
 		    exchange->connection, chunk, sizeof(chunk))) > 0) {
 		if (exchange->body.used_bytes + (size_t)got_bytes >
-		    KWB_FRAME_MAX_BYTES / 2) {
-			refuse_early(
+		    KWB_FRAME_MAX_BYTES / 2)
+			return body_refuse(
 			    exchange, 413, KWB_ERR_WIRE_SIZE, "body too large");
-			return KWB_ERR_WIRE_SIZE;
-		}
+		if (!body_reserve(exchange,
+			exchange->body.used_bytes + (size_t)got_bytes))
+			return body_refuse(exchange, 503, KWB_ERR_CALL_BUSY,
+			    "no room for the body");
 		kwb_buf_add(&exchange->body, chunk, (size_t)got_bytes);
 	}
 	return 0;
--- a/src/entry/http.h
+++ b/src/entry/http.h
@@ -21,6 +21,7 @@
 	struct kwb_plan plan;		    /* copy, with its rules */
 	uint32_t queue_max; /* completions of the plan that may wait */
 	struct kwb_buf body;
+	uint64_t reserved_bytes; /* for the body, of the entry's bodies_bytes */
 };
 
 /* http.c: deadlines and answers. */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -573,6 +573,17 @@
 		event_del(forward->timer);
 }
 
+void
+kwb_forward_set_paused(struct kwb_forward *forward, bool is_paused)
+{
+	uint32_t i;
+
+	for (i = 0; i < 2; i++)
+		if (forward->attempts[i].upstream != NULL)
+			kwb_exchange_set_paused(
+			    &forward->attempts[i].exchange, is_paused);
+}
+
 void
 kwb_forward_finish(struct kwb_forward *forward)
 {
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -20,6 +20,13 @@
 	TAILQ_ENTRY(kwb_pooled_conn) entry;
 };
 
+static void
+pooled_free(struct kwb_pooled_conn *pooled)
+{
+	pooled->client->conns_count--;
+	free(pooled);
+}
+
 /* Closes an idle connection and frees it. */
 static void
 pooled_close_idle(struct kwb_pooled_conn *pooled)
@@ -27,7 +34,7 @@
 	TAILQ_REMOVE(&pooled->client->idle_conns, pooled, entry);
 	pooled->client->idle_count--;
 	kwb_conn_finish(&pooled->conn);
-	free(pooled);
+	pooled_free(pooled);
 }
 
 static bool
@@ -83,7 +90,7 @@
 	if (pooled == NULL)
 		return;
 	kwb_conn_reset(&pooled->conn);
-	free(pooled);
+	pooled_free(pooled);
 }
 
 /* After a whole answer: keeps the connection for up to idle_ns; 0: closes. */
@@ -94,12 +101,15 @@
 	struct kwb_client *client = exchange->client;
 
 	if (idle_ns == 0 || client->idle_count >= KWB_IDLE_CONNS_MAX ||
-	    evbuffer_get_length(bufferevent_get_input(pooled->conn.bev)) > 0) {
+	    evbuffer_get_length(bufferevent_get_input(pooled->conn.bev)) > 0 ||
+	    evbuffer_get_length(kwb_conn_output(&pooled->conn)) > 0) {
 		kwb_conn_finish(&pooled->conn);
-		free(pooled);
+		pooled_free(pooled);
 		return;
 	}
 	pooled->exchange = NULL;
+	if (exchange->is_paused)
+		bufferevent_enable(pooled->conn.bev, EV_READ);
 	pooled->idle_deadline_ns = kwb_clock_now_ns() + idle_ns;
 	TAILQ_INSERT_HEAD(&client->idle_conns, pooled, entry);
 	client->idle_count++;
@@ -201,7 +211,7 @@
 		return 0; /* no connection could be opened */
 	if (!exchange->pooled->conn.is_connected)
 		next_ns = exchange->connect_deadline_ns;
-	else if (exchange->silence_deadline_ns != 0)
+	else if (exchange->silence_deadline_ns != 0 && !exchange->is_paused)
 		next_ns = exchange->silence_deadline_ns;
 	if (exchange->deadline_ns != 0 && exchange->deadline_ns < next_ns)
 		next_ns = exchange->deadline_ns;
@@ -253,8 +263,16 @@
 static struct kwb_pooled_conn *
 pooled_new(struct kwb_client *client, const struct kwb_address *address)
 {
-	struct kwb_pooled_conn *pooled = calloc(1, sizeof(*pooled));
+	struct kwb_pooled_conn *pooled;
 
+	if (client->conns_max != 0 &&
+	    client->conns_count >= client->conns_max &&
+	    !TAILQ_EMPTY(&client->idle_conns))
+		pooled_close_idle(
+		    TAILQ_LAST(&client->idle_conns, kwb_pooled_conns));
+	if (client->conns_max != 0 && client->conns_count >= client->conns_max)
+		return NULL;
+	pooled = calloc(1, sizeof(*pooled));
 	if (pooled == NULL)
 		return NULL;
 	pooled->client = client;
@@ -267,6 +285,7 @@
 	pooled->conn.body_max_bytes = client->answer_max_bytes;
 	pooled->conn.body_budget = &client->body_budget;
 	client->opened_count++;
+	client->conns_count++;
 	return pooled;
 }
 
@@ -317,6 +336,23 @@
 	kwb_message_finish(&exchange->answer);
 }
 
+void
+kwb_exchange_set_paused(struct kwb_exchange *exchange, bool is_paused)
+{
+	if (exchange->pooled == NULL || exchange->is_paused == is_paused)
+		return;
+	exchange->is_paused = is_paused;
+	if (is_paused) {
+		bufferevent_disable(exchange->pooled->conn.bev, EV_READ);
+		return;
+	}
+	bufferevent_enable(exchange->pooled->conn.bev, EV_READ);
+	if (exchange->max_silence_ns != 0)
+		exchange->silence_deadline_ns =
+		    kwb_clock_now_ns() + exchange->max_silence_ns;
+	exchange_arm_timer(exchange);
+}
+
 struct kwb_message *
 kwb_exchange_answer(struct kwb_exchange *exchange)
 {
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -237,6 +237,14 @@
 	while (!conn->is_complete && evbuffer_get_length(input) > 0) {
 		if (evbuffer_peek(input, PARSE_MAX_BYTES, NULL, &span, 1) < 1)
 			break;
+		if (conn->has_head && conn->ops->may_grow != NULL &&
+		    !conn->ops->may_grow(
+			conn, conn->message.body.used_bytes + span.iov_len)) {
+			if (is_finished)
+				return;
+			conn->is_held = true;
+			break;
+		}
 		parsed_bytes = http_parser_execute(&conn->parser,
 		    &parser_settings, span.iov_base, span.iov_len);
 		parser_error = HTTP_PARSER_ERRNO(&conn->parser);
@@ -258,7 +266,7 @@
 	struct kwb_conn *conn = context;
 
 	(void)bev;
-	if (!conn->is_closing)
+	if (!conn->is_closing && !conn->is_held)
 		conn_process(conn);
 }
 
@@ -270,6 +278,8 @@
 	if (conn->is_closing &&
 	    evbuffer_get_length(bufferevent_get_output(bev)) == 0)
 		conn->ops->on_close(conn, 0);
+	else if (conn->ops->on_written != NULL)
+		conn->ops->on_written(conn);
 }
 
 /* The peer has closed; a message of unknown length is whole now. */
@@ -278,7 +288,7 @@
 {
 	bool is_finished = false;
 
-	if (!conn->is_complete) {
+	if (!conn->is_complete && !conn->is_held) {
 		conn->is_finished = &is_finished;
 		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
 		if (!conn_report(conn, &is_finished))
@@ -301,7 +311,7 @@
 	}
 	if (what & BEV_EVENT_EOF) {
 		conn->is_finished = &is_finished;
-		if (!conn->is_closing)
+		if (!conn->is_closing && !conn->is_held)
 			conn_process(conn);
 		if (is_finished)
 			return;
@@ -345,6 +355,7 @@
 		return code;
 	conn->is_connected = true;
 	kwb_socket_set_no_delay(fd);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, KWB_CONN_INPUT_BYTES);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	return 0;
 }
@@ -399,11 +410,20 @@
 	http_parser_pause(&conn->parser, 0);
 	budget_release(conn);
 	kwb_message_clear(&conn->message);
+	if (conn->message.body.capacity_bytes > KWB_BODY_KEEP_BYTES)
+		kwb_buf_finish(&conn->message.body);
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
 		bufferevent_trigger(
 		    conn->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void
+kwb_conn_resume(struct kwb_conn *conn)
+{
+	conn->is_held = false;
+	bufferevent_trigger(conn->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void
 kwb_conn_close_when_written(struct kwb_conn *conn)
 {
--- a/src/net/socket.c
+++ b/src/net/socket.c
@@ -2,6 +2,7 @@
  * TCP sockets of a node: listening, connecting, and TCP_NODELAY.
  */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -44,6 +45,15 @@
 		    KWB_LOG_WARN, "socket", "event=linger_failed fd=%d", fd);
 }
 
+/* Out of descriptors or memory: accepts again after the owner's next check. */
+static void
+listener_on_error(struct evconnlistener *listener, void *context)
+{
+	(void)context;
+	kwb_log(KWB_LOG_ERROR, "socket", "event=accept_failed errno=%d", errno);
+	evconnlistener_disable(listener);
+}
+
 int
 kwb_socket_listen(struct event_base *base, const struct kwb_address *address,
     void (*on_accept)(struct evconnlistener *listener, int fd,
@@ -59,8 +69,10 @@
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
 	    LISTEN_BACKLOG, (struct sockaddr *)&bind_address,
 	    sizeof(bind_address));
-	if (*listener != NULL)
+	if (*listener != NULL) {
+		evconnlistener_set_error_cb(*listener, listener_on_error);
 		return 0;
+	}
 	kwb_log(KWB_LOG_ERROR, "socket", "event=listen_failed address=%s:%u",
 	    address->ip, address->port);
 	return KWB_ERR_SYSTEM;
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -4,6 +4,7 @@
  */
 #include <event2/buffer.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -123,9 +124,29 @@
 			    kwb_message_header_value(answer, i));
 }
 
+static void
+body_free(const void *data, size_t bytes, void *context)
+{
+	(void)bytes;
+	(void)context;
+	free((void *)data);
+}
+
+/* Adds a body without a copy of it, and empties it. */
+static void
+write_body(struct evbuffer *out, struct kwb_buf *body)
+{
+	if (body->used_bytes <= KWB_BODY_COPY_MAX_BYTES ||
+	    evbuffer_add_reference(
+		out, body->data, body->used_bytes, body_free, NULL) != 0) {
+		evbuffer_add(out, body->data, body->used_bytes);
+		return;
+	}
+	kwb_buf_init(body);
+}
+
 void
-answer_from_upstream(
-    struct kwb_caller *caller, const struct kwb_message *answer)
+answer_from_upstream(struct kwb_caller *caller, struct kwb_message *answer)
 {
 	struct evbuffer *out = kwb_conn_output(&caller->conn);
 	bool is_head = strcmp(caller->conn.message.method, "HEAD") == 0;
@@ -141,7 +162,7 @@
 		evbuffer_add_printf(
 		    out, "Content-Length: %zu\r\n", answer->body.used_bytes);
 	evbuffer_add(out, "\r\n", 2);
-	evbuffer_add(out, answer->body.data, answer->body.used_bytes);
+	write_body(out, &answer->body);
 	record_answer(
 	    caller, answer->status, "upstream", caller->forward->upstream_id);
 	caller_finish_request(caller);
@@ -168,6 +189,8 @@
 	evbuffer_add(out, data->data, data->used_bytes);
 	evbuffer_add(out, "\r\n", 2);
 	data->used_bytes = 0;
+	if (caller->unread_bytes > KWB_STREAM_UNREAD_BYTES)
+		kwb_forward_set_paused(caller->forward, true);
 }
 
 void
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -40,6 +40,10 @@
 	request_free(caller);
 	if (caller->is_busy)
 		caller->node->busy_callers_count--;
+	caller_release_memory(caller);
+	kwb_memory_release(&caller->node->memory, KWB_MEMORY_ANSWERS,
+	    caller->unread_bytes + KWB_CONN_BYTES);
+	caller->node->callers_count[caller->port]--;
 	TAILQ_REMOVE(&caller->node->callers, caller, entry);
 	event_free(caller->timer);
 	kwb_conn_finish(&caller->conn);
@@ -79,23 +83,63 @@
 	caller->conn.body_max_bytes = config->max_body_bytes;
 }
 
+/* Reads the next request, once the last answer is with the kernel. */
+static void
+caller_read_next(struct kwb_caller *caller)
+{
+	caller->was_partial = false;
+	caller_apply_limits(caller);
+	caller_arm_timer(caller);
+	kwb_conn_read_next(&caller->conn);
+}
+
+static void
+caller_on_written(struct kwb_conn *conn)
+{
+	struct kwb_caller *caller = conn->context;
+
+	if (caller->forward != NULL)
+		kwb_forward_set_paused(caller->forward, false);
+	if (!caller->is_draining)
+		return;
+	caller->is_draining = false;
+	caller_read_next(caller);
+}
+
 void
 caller_finish_request(struct kwb_caller *caller)
 {
 	caller->is_busy = false;
 	caller->node->busy_callers_count--;
 	request_free(caller);
+	kwb_buf_finish(&caller->conn.message.body);
+	caller_release_memory(caller);
+	caller->idle_deadline_ns =
+	    kwb_clock_now_ns() + idle_timeout_ns(caller->node);
 	if (caller->node->stop_deadline_ns != 0 ||
 	    !caller->conn.message.keep_alive) {
+		caller_arm_timer(caller);
 		kwb_conn_close_when_written(&caller->conn);
 		return;
 	}
-	caller->idle_deadline_ns =
-	    kwb_clock_now_ns() + idle_timeout_ns(caller->node);
-	caller->was_partial = false;
-	caller_apply_limits(caller);
-	caller_arm_timer(caller);
-	kwb_conn_read_next(&caller->conn);
+	if (caller->unread_bytes > KWB_ANSWER_UNREAD_BYTES) {
+		caller->is_draining = true;
+		caller_arm_timer(caller);
+		return;
+	}
+	caller_read_next(caller);
+}
+
+void
+caller_refuse(struct kwb_caller *caller, uint16_t status, const char *reason)
+{
+	if (!caller->is_busy) {
+		caller->is_busy = true;
+		caller->node->busy_callers_count++;
+	}
+	caller->started_ns = kwb_clock_now_ns();
+	caller->conn.message.keep_alive = false;
+	answer_error(caller, status, reason);
 }
 
 /*
@@ -117,16 +161,24 @@
 	(void)what;
 	if (caller->is_busy)
 		return;
+	if (caller->is_draining || conn->is_closing) {
+		if (caller->unread_bytes != caller->received_bytes)
+			caller->idle_deadline_ns =
+			    now_ns + idle_timeout_ns(caller->node);
+		caller->received_bytes = caller->unread_bytes;
+		if (now_ns >= caller->idle_deadline_ns)
+			caller_free(caller);
+		else
+			caller_arm_timer(caller);
+		return;
+	}
 	if (is_partial && received_bytes != caller->received_bytes)
 		caller->idle_deadline_ns =
 		    now_ns + idle_timeout_ns(caller->node);
 	if (is_partial &&
 	    ((caller->was_partial && !conn->has_head) ||
 		now_ns >= caller->idle_deadline_ns)) {
-		caller->is_busy = true;
-		caller->node->busy_callers_count++;
-		caller->conn.message.keep_alive = false;
-		answer_error(caller, 408, "request_incomplete");
+		caller_refuse(caller, 408, "request_incomplete");
 		return;
 	}
 	if (!is_partial && now_ns >= caller->idle_deadline_ns) {
@@ -157,6 +209,7 @@
 	caller->is_busy = true;
 	caller->node->busy_callers_count++;
 	caller->started_ns = kwb_clock_now_ns();
+	caller->progress_ns = caller->started_ns;
 	event_del(caller->timer);
 	caller_serve_request(caller);
 }
@@ -168,13 +221,7 @@
 
 	if (error == KWB_ERR_NET_MALFORMED || error == KWB_ERR_NET_HEAD_SIZE ||
 	    error == KWB_ERR_NET_BODY_SIZE) {
-		if (!caller->is_busy) {
-			caller->is_busy = true;
-			caller->node->busy_callers_count++;
-		}
-		caller->started_ns = kwb_clock_now_ns();
-		conn->message.keep_alive = false;
-		answer_error(caller,
+		caller_refuse(caller,
 		    error == KWB_ERR_NET_HEAD_SIZE	 ? 431
 			: error == KWB_ERR_NET_BODY_SIZE ? 413
 							 : 400,
@@ -187,6 +234,8 @@
 static const struct kwb_conn_ops conn_ops = {
     .on_head = caller_on_head,
     .on_message = caller_on_message,
+    .may_grow = caller_may_grow,
+    .on_written = caller_on_written,
     .on_close = caller_on_close,
 };
 
@@ -194,8 +243,10 @@
 static void
 caller_new(struct kwb_node *node, int fd, enum caller_port port)
 {
-	struct kwb_caller *caller = calloc(1, sizeof(*caller));
+	struct kwb_caller *caller = NULL;
 
+	if (caller_make_place(node, port))
+		caller = calloc(1, sizeof(*caller));
 	if (caller == NULL) {
 		close(fd);
 		return;
@@ -215,6 +266,12 @@
 		return;
 	}
 	TAILQ_INSERT_TAIL(&node->callers, caller, entry);
+	node->callers_count[port]++;
+	kwb_memory_charge(&node->memory, KWB_MEMORY_ANSWERS, KWB_CONN_BYTES);
+	caller->progress_ns = kwb_clock_now_ns();
+	if (evbuffer_add_cb(kwb_conn_output(&caller->conn), caller_on_output,
+		caller) == NULL)
+		kwb_log(KWB_LOG_ERROR, "caller", "event=answers_not_counted");
 	caller->idle_deadline_ns = kwb_clock_now_ns() + idle_timeout_ns(node);
 	caller_apply_limits(caller);
 	caller_arm_timer(caller);
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -5,6 +5,8 @@
 #ifndef KWB_CALLER_H
 #define KWB_CALLER_H
 
+#include <event2/buffer.h>
+
 #include "kwb_node.h"
 
 /* The port that a connection came in on. */
@@ -24,6 +26,15 @@
 	uint64_t started_ns;	   /* of the request in progress */
 	bool was_partial; /* only part of a request was there at last check */
 	uint64_t received_bytes;	/* of that part */
+	enum kwb_memory_use memory_use; /* of the body */
+	uint64_t charged_bytes;	   /* for the body, in the node's account */
+	uint64_t wanted_bytes;	   /* to be charged before it is read on */
+	uint64_t progress_bytes;   /* of the body at progress_ns */
+	uint64_t progress_ns;	   /* when a good part was sent or read */
+	uint64_t hold_deadline_ns; /* of a body that waits for room */
+	uint64_t unread_bytes;	   /* of answers, not yet with the kernel */
+	bool is_held;		   /* listed in held_callers */
+	bool is_draining; /* its next request waits until these are sent */
 	bool is_busy;			/* a request is in progress */
 	struct kwb_request_head call;	/* the request, decoded */
 	char route[KWB_NAME_MAX_BYTES]; /* name of its route, "" for none */
@@ -33,6 +44,7 @@
 	struct kwb_batch_end *end;
 	struct kwb_batch_read *read;
 	TAILQ_ENTRY(kwb_caller) entry;
+	TAILQ_ENTRY(kwb_caller) held_entry;
 };
 
 /* caller.c */
@@ -43,13 +55,30 @@
 /* The answer is written: reads the next request, or closes the connection. */
 void caller_finish_request(struct kwb_caller *caller);
 
+/* Answers a request that isn't whole, and closes the connection. */
+void caller_refuse(
+    struct kwb_caller *caller, uint16_t status, const char *reason);
+
+/* pressure.c */
+/* Whether the body may grow; if not, the caller is held until there is room. */
+bool caller_may_grow(struct kwb_conn *conn, uint64_t body_bytes);
+void caller_release_memory(struct kwb_caller *caller); /* of the body */
+/* Counts what is added to the output, and what the kernel takes from it. */
+void caller_on_output(struct evbuffer *output,
+    const struct evbuffer_cb_info *info, void *context);
+/* Whether one more connection is allowed; another may have given way to it. */
+bool caller_make_place(struct kwb_node *node, enum caller_port port);
+int node_init_room(struct kwb_node *node); /* 0 or KWB_ERR_MEMORY */
+/* Each KWB_NODE_CHECK_NS: gauges, and listeners that could not accept. */
+void node_check_room(struct kwb_node *node);
+
 /* answer.c: each answer but the first parts of a stream ends the request */
 void answer_error(struct kwb_caller *caller, uint16_t status,
     const char *reason); /* of the node itself: {"error":"REASON"} */
 void answer_body(struct kwb_caller *caller, uint16_t status, const char *type,
     const void *body, size_t body_bytes); /* of the node itself */
 void answer_from_upstream(struct kwb_caller *caller,
-    const struct kwb_message *answer); /* passes on a whole answer */
+    struct kwb_message *answer); /* passes on a whole answer, takes its body */
 void answer_stream_begin(struct kwb_caller *caller,
     const struct kwb_message *answer); /* passes on the head of an answer */
 void answer_stream_data(struct kwb_caller *caller,
@@ -57,6 +86,8 @@
 void answer_stream_end(struct kwb_caller *caller);
 
 /* serve.c */
+/* By its head: a batch is submitted. */
+bool caller_is_submission(struct kwb_caller *caller);
 /* Answers the request, which is whole, now or later. */
 void caller_serve_request(struct kwb_caller *caller);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -176,6 +176,7 @@
 	(void)fd;
 	(void)what;
 	remove_absent_upstreams(node);
+	node_check_room(node);
 	node->batches.fleet_nodes = kwb_peers_estimate_nodes(&node->peers);
 	if (node->stop_deadline_ns != 0 && can_finish_stop(node, now_ns)) {
 		kwb_log(KWB_LOG_INFO, "node",
@@ -231,6 +232,7 @@
 	if (code == 0)
 		code = kwb_relay_init(
 		    &node->relay, node->base, node->settings, node->store);
+	node->relay.pairs_max = node->sockets.relay_pairs;
 	if (code == 0)
 		code = kwb_peers_init(
 		    &node->peers, node->base, node->settings, node->store);
@@ -269,6 +271,8 @@
 	TAILQ_INIT(&node->callers);
 	kwb_registry_init(&node->registry);
 	code = kwb_client_init(&node->client, base);
+	if (code == 0)
+		code = node_init_room(node);
 	if (code != 0)
 		return code;
 	node->forward = (struct kwb_forward_env){.base = base,
@@ -283,6 +287,7 @@
 	    .config = (const struct kwb_node_config *const *)&node->config,
 	    .config_follower = &node->operator_follower,
 	    .settings = settings,
+	    .memory = &node->memory,
 	    .incarnation = node->incarnation};
 	node->timer = kwb_timer_new(base, node_on_timer, node);
 	if (node->timer == NULL)
@@ -336,6 +341,7 @@
 	kwb_weight_updater_finish(&node->weight_updater);
 	kwb_batches_finish(&node->batches);
 	event_free(node->timer);
+	event_free(node->room_timer);
 	kwb_client_finish(&node->client);
 	kwb_registry_finish(&node->registry);
 	if (node->config != NULL)
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -236,6 +236,21 @@
 	kwb_batch_read_start(read);
 }
 
+bool
+caller_is_submission(struct kwb_caller *caller)
+{
+	const struct kwb_node_config *config = caller->node->config;
+	const struct kwb_route_entry *route;
+
+	if (config == NULL)
+		return false;
+	caller->node->codec->parse_request(
+	    &caller->conn.message, &caller->call);
+	route = kwb_node_config_find_route(config, caller->call.host,
+	    kwb_message_target(&caller->conn.message));
+	return route != NULL && route->kind == KWB_ROUTE_ROLLOUT;
+}
+
 static void
 serve_call(struct kwb_caller *caller)
 {
--- a/src/peer/relay.c
+++ b/src/peer/relay.c
@@ -123,7 +123,7 @@
 	    .is_relayed = relay->store->relay != NULL,
 	    .is_stopping = relay->is_stopping,
 	    .pairs = relay->pairs_count,
-	    .pairs_max = KWB_RELAY_PAIRS_MAX};
+	    .pairs_max = relay->pairs_max};
 	struct kwb_relay_pair *pair;
 
 	(void)listener;
@@ -163,6 +163,7 @@
 	relay->base = base;
 	relay->settings = settings;
 	relay->store = store;
+	relay->pairs_max = KWB_RELAY_PAIRS_MAX;
 	TAILQ_INIT(&relay->pairs);
 	if (settings->peers.port == 0)
 		return 0;
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -35,6 +35,7 @@
 static void link_on_event(
     struct kwb_loop *loop, uint64_t link_id, uint32_t events);
 static int link_read(struct kwb_loop *loop, uint64_t link_id);
+static int link_count_unfinished(struct kwb_loop *loop, struct kwb_link *link);
 static int link_flush(struct kwb_loop *loop, struct kwb_link *link);
 static void link_watch_writable(
     struct kwb_loop *loop, struct kwb_link *link, bool writable);
@@ -425,9 +426,37 @@
 	    (read_bytes < 0 && errno != EAGAIN && errno != EINTR))
 		return KWB_ERR_WIRE_CLOSED;
 	/* Only this thread uses receive_buffer, so it needs no lock. */
-	while ((result = kwb_frame_unpack(&link->receive_buffer, &frame)) > 0)
+	while ((result = kwb_frame_unpack(&link->receive_buffer, &frame)) > 0) {
+		link->has_received = true;
 		loop->ops->on_frame(loop->context, link_id, tag, frame);
-	return result;
+	}
+	return result == 0 ? link_count_unfinished(loop, link) : result;
+}
+
+/*
+ * Counts what waits for the rest of its frame. An error if that is too much: a
+ * peer that hasn't said hello can't have much to say, and all links together
+ * have to fit in memory.
+ */
+static int
+link_count_unfinished(struct kwb_loop *loop, struct kwb_link *link)
+{
+	uint64_t bytes = link->receive_buffer.used_bytes;
+
+	loop->unfinished_bytes += bytes - link->unfinished_bytes;
+	link->unfinished_bytes = bytes;
+	if (link->receive_buffer.used_bytes == 0 &&
+	    link->receive_buffer.capacity_bytes > 2 * READ_CHUNK_BYTES)
+		kwb_buf_finish(&link->receive_buffer);
+	if ((link->has_received || bytes <= KWB_FIRST_FRAME_MAX_BYTES) &&
+	    loop->unfinished_bytes <= KWB_LOOP_RECEIVE_MAX_BYTES)
+		return 0;
+	kwb_metric_add(KWB_METRIC_HOLDERS_CLOSED, 1);
+	kwb_log(KWB_LOG_WARN, "link",
+	    "event=frame_refused bytes=%llu all_bytes=%llu hello=%d",
+	    (unsigned long long)bytes,
+	    (unsigned long long)loop->unfinished_bytes, link->has_received);
+	return KWB_ERR_WIRE_SIZE;
 }
 
 /* Sends as much as the socket takes. Called with the link locked. */
@@ -476,6 +505,9 @@
 		return;
 	tag = link->tag;
 	link->id = 0;
+	loop->unfinished_bytes -= link->unfinished_bytes;
+	link->unfinished_bytes = 0;
+	link->has_received = false;
 	close(link->fd);
 	kwb_buf_finish(&link->receive_buffer);
 	kwb_buf_finish(&link->send_buffer);
