--- a/Makefile
+++ b/Makefile
@@ -109,7 +109,8 @@
 		$(STAGE_OBJ) $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) $(LIBS)
 
-$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o $(TRACE_OBJ) \
+$(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
+		$(B)/tests/platform/decisions_memory.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -152,16 +152,19 @@
 #define KWB_BODY_COPY_MAX_BYTES 16384
 #define KWB_BODY_WAIT_NS (2000 * KWB_MS_NS)    /* for room, then refused */
 #define KWB_HOLDER_STALL_NS (1000 * KWB_MS_NS) /* without progress */
-#define KWB_ROOM_CHECK_NS (100 * KWB_MS_NS)    /* while room is short */
+#define KWB_MEMORY_CHECK_NS (100 * KWB_MS_NS)  /* while room is short */
 #define KWB_HOLDER_STEP_BYTES 65536	       /* that count as progress */
 #define KWB_CONN_INPUT_BYTES 16384	       /* read ahead from a caller */
 #define KWB_CONN_BYTES 8192	      /* of a connection, apart from bodies */
 #define KWB_ANSWER_UNREAD_BYTES 65536 /* then no further request is read */
-#define KWB_STREAM_UNREAD_BYTES (256u << 10) /* then its upstream isn't read   \
-					      */
-#define KWB_FDS_FOR_FILES 200		     /* of the limit in the settings */
-#define KWB_FDS_OWN 16			     /* of the kernel's limit */
-#define KWB_CHECK_CALLERS_MAX 64 /* connections for checks, on each port */
+#define KWB_STREAM_UNREAD_BYTES                                                \
+	(256u << 10)		     /* then its upstream isn't read           \
+				      */
+#define KWB_FDS_FOR_FILES 200	     /* of the limit in the settings */
+#define KWB_FDS_OWN 16		     /* of the kernel's limit */
+#define KWB_RELAY_SOCKETS_DIVISOR 20 /* sockets for a pair of a relay */
+#define KWB_CHECK_SOCKETS_DIVISOR 32 /* sockets for a check's connection */
+#define KWB_CHECK_CALLERS_MAX 64     /* connections for checks, on each port */
 /* Own interface: bodies that an entry holds; a first frame at an agent. */
 #define KWB_ENTRY_BODIES_MAX_BYTES (48u << 20)
 #define KWB_FIRST_FRAME_MAX_BYTES 65536
--- a/include/kwb_memory.h
+++ b/include/kwb_memory.h
@@ -40,6 +40,11 @@
     struct kwb_memory *memory, enum kwb_memory_use use, uint64_t bytes);
 /* More is charged than the budget has. */
 bool kwb_memory_is_over(const struct kwb_memory *memory);
+/*
+ * So much more that the process may not live until a client has stalled. Load:
+ * many large answers that end at once for clients that don't read.
+ */
+bool kwb_memory_is_critical(const struct kwb_memory *memory);
 
 /* A client whose bytes or connection may give way to others. */
 struct kwb_holder {
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1804,7 +1804,8 @@
 	struct kwb_caller_list callers;	     /* open connections */
 	uint32_t callers_count[3];	     /* of those, by enum caller_port */
 	struct kwb_caller_list held_callers; /* whose bodies wait for room */
-	struct event *room_timer;  /* armed while some wait, or room is short */
+	struct event
+	    *memory_timer;	   /* armed while some wait, or room is short */
 	struct event *timer;	   /* every KWB_NODE_CHECK_NS */
 	uint64_t incarnation;	   /* start in ms of the wall clock */
 	uint64_t stop_deadline_ns; /* of a stop; 0 while not stopping */
--- a/src/memory/memory.c
+++ b/src/memory/memory.c
@@ -94,6 +94,13 @@
 	return kwb_memory_used_bytes(memory) > memory->budget_bytes;
 }
 
+bool
+kwb_memory_is_critical(const struct kwb_memory *memory)
+{
+	return kwb_memory_used_bytes(memory) >
+	    memory->budget_bytes + guaranteed_bytes(memory);
+}
+
 bool
 kwb_holder_is_stalled(const struct kwb_holder *holder, uint64_t now_ns)
 {
@@ -125,11 +132,13 @@
 		    : KWB_FDS_OWN;
 	shares.callers = sockets * 3 / 8;
 	shares.upstreams = sockets * 3 / 8;
-	shares.checks = sockets / 32 < KWB_CHECK_CALLERS_MAX
-	    ? sockets / 32 + 1
+	shares.checks =
+	    sockets / KWB_CHECK_SOCKETS_DIVISOR < KWB_CHECK_CALLERS_MAX
+	    ? sockets / KWB_CHECK_SOCKETS_DIVISOR + 1
 	    : KWB_CHECK_CALLERS_MAX;
-	shares.relay_pairs = sockets / 16 < KWB_RELAY_PAIRS_MAX
-	    ? sockets / 16
+	shares.relay_pairs =
+	    sockets / KWB_RELAY_SOCKETS_DIVISOR < KWB_RELAY_PAIRS_MAX
+	    ? sockets / KWB_RELAY_SOCKETS_DIVISOR
 	    : KWB_RELAY_PAIRS_MAX;
 	return shares;
 }
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -234,7 +234,8 @@
 	enum http_errno parser_error;
 
 	conn->is_finished = &is_finished;
-	while (!conn->is_complete && evbuffer_get_length(input) > 0) {
+	while (!conn->is_complete && !conn->is_held &&
+	    evbuffer_get_length(input) > 0) {
 		if (evbuffer_peek(input, PARSE_MAX_BYTES, NULL, &span, 1) < 1)
 			break;
 		if (conn->has_head && conn->ops->may_grow != NULL &&
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -163,6 +163,7 @@
 		    out, "Content-Length: %zu\r\n", answer->body.used_bytes);
 	evbuffer_add(out, "\r\n", 2);
 	write_body(out, &answer->body);
+	node_free_answers(caller->node);
 	record_answer(
 	    caller, answer->status, "upstream", caller->forward->upstream_id);
 	caller_finish_request(caller);
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -195,10 +195,24 @@
 caller_on_head(struct kwb_conn *conn)
 {
 	const char *expect = kwb_message_header(&conn->message, "Expect");
+	struct kwb_caller *caller = conn->context;
+
+	if (expect == NULL || strcasecmp(expect, "100-continue") != 0)
+		return;
+	caller->wants_continue = true;
+	if (caller_may_grow(conn, 0))
+		caller_continue(caller);
+	else
+		conn->is_held = true;
+}
 
-	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
-		evbuffer_add_printf(
-		    kwb_conn_output(conn), "HTTP/1.1 100 Continue\r\n\r\n");
+void
+caller_continue(struct kwb_caller *caller)
+{
+	if (caller->wants_continue)
+		evbuffer_add_printf(kwb_conn_output(&caller->conn),
+		    "HTTP/1.1 100 Continue\r\n\r\n");
+	caller->wants_continue = false;
 }
 
 static void
@@ -211,6 +225,11 @@
 	caller->started_ns = kwb_clock_now_ns();
 	caller->progress_ns = caller->started_ns;
 	event_del(caller->timer);
+	if (kwb_memory_is_over(&caller->node->memory) &&
+	    caller->port == CALLER_PORT_REQUESTS) {
+		caller_refuse_for_memory(caller, "over_budget");
+		return;
+	}
 	caller_serve_request(caller);
 }
 
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -33,9 +33,10 @@
 	uint64_t progress_ns;	   /* when a good part was sent or read */
 	uint64_t hold_deadline_ns; /* of a body that waits for room */
 	uint64_t unread_bytes;	   /* of answers, not yet with the kernel */
+	bool wants_continue;	   /* sends its body after a "100 Continue" */
 	bool is_held;		   /* listed in held_callers */
 	bool is_draining; /* its next request waits until these are sent */
-	bool is_busy;			/* a request is in progress */
+	bool is_busy;	  /* a request is in progress */
 	struct kwb_request_head call;	/* the request, decoded */
 	char route[KWB_NAME_MAX_BYTES]; /* name of its route, "" for none */
 	/* The operation that serves the request: at most one is not NULL. */
@@ -59,7 +60,14 @@
 void caller_refuse(
     struct kwb_caller *caller, uint16_t status, const char *reason);
 
+/* It may send its body, if it waits to be told so. */
+void caller_continue(struct kwb_caller *caller);
+
 /* pressure.c */
+/* Answers 503: the request has not run. */
+void caller_refuse_for_memory(struct kwb_caller *caller, const char *why);
+/* Frees answers that nobody reads, where the next check would be too late. */
+void node_free_answers(struct kwb_node *node);
 /* Whether the body may grow; if not, the caller is held until there is room. */
 bool caller_may_grow(struct kwb_conn *conn, uint64_t body_bytes);
 void caller_release_memory(struct kwb_caller *caller); /* of the body */
@@ -68,9 +76,9 @@
     const struct evbuffer_cb_info *info, void *context);
 /* Whether one more connection is allowed; another may have given way to it. */
 bool caller_make_place(struct kwb_node *node, enum caller_port port);
-int node_init_room(struct kwb_node *node); /* 0 or KWB_ERR_MEMORY */
+int node_init_limits(struct kwb_node *node); /* 0 or KWB_ERR_MEMORY */
 /* Each KWB_NODE_CHECK_NS: gauges, and listeners that could not accept. */
-void node_check_room(struct kwb_node *node);
+void node_check_limits(struct kwb_node *node);
 
 /* answer.c: each answer but the first parts of a stream ends the request */
 void answer_error(struct kwb_caller *caller, uint16_t status,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -189,7 +189,7 @@
 	(void)fd;
 	(void)what;
 	remove_absent_upstreams(node);
-	node_check_room(node);
+	node_check_limits(node);
 	node->batches.fleet_nodes = kwb_peers_estimate_nodes(&node->peers);
 	if (node->stop_deadline_ns != 0 && can_finish_stop(node, now_ns)) {
 		kwb_log(KWB_LOG_INFO, "node",
@@ -285,7 +285,7 @@
 	kwb_registry_init(&node->registry);
 	code = kwb_client_init(&node->client, base);
 	if (code == 0)
-		code = node_init_room(node);
+		code = node_init_limits(node);
 	if (code != 0)
 		return code;
 	node->forward = (struct kwb_forward_env){.base = base,
@@ -354,7 +354,7 @@
 	kwb_weight_updater_finish(&node->weight_updater);
 	kwb_batches_finish(&node->batches);
 	event_free(node->timer);
-	event_free(node->room_timer);
+	event_free(node->memory_timer);
 	kwb_client_finish(&node->client);
 	kwb_registry_finish(&node->registry);
 	if (node->config != NULL)
--- a/src/node/pressure.c
+++ b/src/node/pressure.c
@@ -50,7 +50,7 @@
 }
 
 static void
-room_update_metrics(const struct kwb_node *node)
+memory_update_metrics(const struct kwb_node *node)
 {
 	const uint64_t *used_bytes = node->memory.used_bytes;
 
@@ -63,9 +63,8 @@
 	    KWB_METRIC_CALLERS_OPEN, node->callers_count[CALLER_PORT_REQUESTS]);
 }
 
-/* Ends a request that isn't whole: it has not run. */
-static void
-refuse_body(struct kwb_caller *caller, const char *why)
+void
+caller_refuse_for_memory(struct kwb_caller *caller, const char *why)
 {
 	kwb_metric_add(KWB_METRIC_BODIES_REFUSED, 1);
 	kwb_log(KWB_LOG_WARN, "memory",
@@ -136,7 +135,7 @@
 		    : 0);
 	TAILQ_INSERT_TAIL(&node->held_callers, caller, held_entry);
 	caller->is_held = true;
-	kwb_timer_arm(node->room_timer, 0);
+	kwb_timer_arm(node->memory_timer, 0);
 	return false;
 }
 
@@ -160,7 +159,7 @@
 	caller->charged_bytes = 0;
 	caller->progress_bytes = 0;
 	if (!TAILQ_EMPTY(&node->held_callers))
-		kwb_timer_arm(node->room_timer, 0);
+		kwb_timer_arm(node->memory_timer, 0);
 }
 
 void
@@ -178,7 +177,7 @@
 	if (info->n_deleted > 0)
 		caller->progress_ns = kwb_clock_now_ns();
 	if (info->n_added > 0 && kwb_memory_is_over(&node->memory))
-		kwb_timer_arm(node->room_timer, 0);
+		kwb_timer_arm(node->memory_timer, 0);
 }
 
 /* Lets held bodies go on that fit now, and refuses those that waited. */
@@ -193,10 +192,11 @@
 		if (take_wanted(caller)) {
 			caller_unhold(caller);
 			caller->progress_ns = now_ns;
+			caller_continue(caller);
 			kwb_conn_resume(&caller->conn);
 		} else if (now_ns >= caller->hold_deadline_ns) {
 			caller_unhold(caller);
-			refuse_body(caller, "waited");
+			caller_refuse_for_memory(caller, "waited");
 		}
 	}
 }
@@ -212,8 +212,20 @@
 	caller_free(caller);
 }
 
+void
+node_free_answers(struct kwb_node *node)
+{
+	struct kwb_caller *caller;
+
+	while (kwb_memory_is_critical(&node->memory) &&
+	    (caller = find_yielding(node, CALLER_PORT_REQUESTS, false)) !=
+		NULL &&
+	    caller->charged_bytes + caller->unread_bytes > 0)
+		close_holder(caller);
+}
+
 static void
-room_on_timer(int fd, short what, void *context)
+memory_on_timer(int fd, short what, void *context)
 {
 	struct kwb_node *node = context;
 	uint64_t now_ns = kwb_clock_now_ns();
@@ -229,10 +241,10 @@
 		close_holder(caller);
 		serve_held(node, now_ns);
 	}
-	room_update_metrics(node);
+	memory_update_metrics(node);
 	if (!TAILQ_EMPTY(&node->held_callers) ||
 	    kwb_memory_is_over(&node->memory))
-		kwb_timer_arm(node->room_timer, now_ns + KWB_ROOM_CHECK_NS);
+		kwb_timer_arm(node->memory_timer, now_ns + KWB_MEMORY_CHECK_NS);
 }
 
 bool
@@ -264,9 +276,9 @@
 }
 
 void
-node_check_room(struct kwb_node *node)
+node_check_limits(struct kwb_node *node)
 {
-	room_update_metrics(node);
+	memory_update_metrics(node);
 	listener_go_on(node, node->listener);
 	listener_go_on(node, node->ready_listener);
 	if (node->metrics_listener != NULL)
@@ -276,7 +288,7 @@
 }
 
 int
-node_init_room(struct kwb_node *node)
+node_init_limits(struct kwb_node *node)
 {
 	const struct kwb_node_settings *settings = node->settings;
 	struct rlimit limit = {.rlim_cur = RLIM_INFINITY};
@@ -291,6 +303,6 @@
 	    "event=limits budget_bytes=%llu callers=%u upstreams=%u",
 	    (unsigned long long)node->memory.budget_bytes,
 	    node->sockets.callers, node->sockets.upstreams);
-	node->room_timer = kwb_timer_new(node->base, room_on_timer, node);
-	return node->room_timer != NULL ? 0 : KWB_ERR_MEMORY;
+	node->memory_timer = kwb_timer_new(node->base, memory_on_timer, node);
+	return node->memory_timer != NULL ? 0 : KWB_ERR_MEMORY;
 }
