--- a/include/kwb.h
+++ b/include/kwb.h
@@ -177,15 +177,17 @@
 	KWB_METRIC_CONTROL_BYTES,     /* sent to peers, apart from requests */
 	KWB_METRIC_STORE_DETOURS,     /* switches to a path through a peer */
 	KWB_METRIC_UPSTREAMS_LEAVING, /* upstreams that said that they leave */
-	KWB_METRIC_RELAYED_BYTES,     /* between peers and the store */
-	KWB_METRIC_BODIES_REFUSED,    /* for want of memory */
-	KWB_METRIC_HOLDERS_CLOSED,    /* stalled clients that gave way */
-	KWB_METRIC_CALLERS_REFUSED,   /* or closed for want of descriptors */
-	KWB_METRIC_MEMORY_CALLS,      /* gauge: bytes of bodies of calls */
-	KWB_METRIC_MEMORY_BATCHES,    /* gauge: of submissions and batches */
-	KWB_METRIC_MEMORY_ANSWERS,    /* gauge: of answers not yet read */
-	KWB_METRIC_CALLERS_OPEN,      /* gauge: connections of callers */
-	KWB_METRIC_LISTS_REVISION,    /* gauge: lists or config in force */
+	KWB_METRIC_KEYS_UNKNOWN,    /* requests with no key, or no valid one */
+	KWB_METRIC_KEYS_UNPROVED,   /* not admitted: config may be outdated */
+	KWB_METRIC_RELAYED_BYTES,   /* between peers and the store */
+	KWB_METRIC_BODIES_REFUSED,  /* for want of memory */
+	KWB_METRIC_HOLDERS_CLOSED,  /* stalled clients that gave way */
+	KWB_METRIC_CALLERS_REFUSED, /* or closed for want of descriptors */
+	KWB_METRIC_MEMORY_CALLS,    /* gauge: bytes of bodies of calls */
+	KWB_METRIC_MEMORY_BATCHES,  /* gauge: of submissions and batches */
+	KWB_METRIC_MEMORY_ANSWERS,  /* gauge: of answers not yet read */
+	KWB_METRIC_CALLERS_OPEN,    /* gauge: connections of callers */
+	KWB_METRIC_LISTS_REVISION,  /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
 
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -37,8 +37,12 @@
 	bool is_held;		   /* listed in held_callers */
 	bool is_draining; /* its next request waits until these are sent */
 	bool is_busy;	  /* a request is in progress */
-	struct kwb_request_head call;	/* the request, decoded */
-	char route[KWB_NAME_MAX_BYTES]; /* name of its route, "" for none */
+	struct kwb_request_head call;	    /* the request, decoded */
+	char route[KWB_NAME_MAX_BYTES];	    /* name of its route, "" for none */
+	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
+	uint64_t arrived_ns; /* boot time when the request had been read */
+	bool is_waiting;     /* for the store's word on its key */
+	TAILQ_ENTRY(kwb_caller) waiting_entry;
 	/* The operation that serves the request: at most one is not NULL. */
 	struct kwb_forward *forward;
 	struct kwb_batch_accept *accept;
@@ -98,6 +102,10 @@
 bool caller_is_submission(struct kwb_caller *caller);
 /* Answers the request, which is whole, now or later. */
 void caller_serve_request(struct kwb_caller *caller);
+/* Serves a request that waited, if its key can be decided on now. */
+void caller_recheck(struct kwb_caller *caller);
+/* Rechecks all that wait. */
+void callers_recheck(struct kwb_node *node);
 
 /* node.c */
 /* Its rows are read, the store answers, and it is not stopping. */
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2074,6 +2074,7 @@
 
 /* Of the other files of this program; each returns how many it has added. */
 extern unsigned memory_tests_add(CU_pSuite suite);
+extern unsigned access_tests_add(CU_pSuite suite);
 
 int
 main(void)
@@ -2128,6 +2129,7 @@
 		if (CU_add_test(suite, tests[i].name, tests[i].run) == NULL)
 			return 1;
 	count += memory_tests_add(suite);
+	count += access_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
 	CU_basic_show_failures(CU_get_failure_list());
