--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 
 # Sources of kwb-node, which runs on the users' platform and links only these.
 NODE_SRC = $(wildcard src/net/*.c src/store/*.c src/upstream/*.c \
-	src/forward/*.c src/batch/*.c src/node/*.c src/peer/*.c src/access/*.c \
-	src/memory/*.c \
+	src/forward/*.c src/batch/*.c src/duty/*.c src/node/*.c src/peer/*.c \
+	src/access/*.c src/memory/*.c \
 	platform/*.c) \
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
 	src/weights/mover_look.c src/weights/mover_order.c \
@@ -31,7 +31,7 @@
 TRACE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/trace/*.c))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
-	src/batch/% src/node/% src/peer/% src/access/% src/memory/% src/trace/% src/route/node_config.c src/route/config_check.c \
+	src/batch/% src/duty/% src/node/% src/peer/% src/access/% src/memory/% src/trace/% src/route/node_config.c src/route/config_check.c \
 	src/route/config_compare.c src/weights/homes.c \
 	src/weights/mover.c src/weights/mover_look.c src/weights/mover_order.c src/core/base64.c src/core/timer.c src/core/index.c, \
 	$(wildcard src/*/*.c))
@@ -100,7 +100,7 @@
 		$(B)/fakes/text.o $(B)/fakes/trainer.o $(B)/libkwb.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o proxy.o) \
+STAGE_OBJ = $(addprefix $(B)/tests/platform/,stage.o port.o store.o server.o proxy.o duty.o) \
 	$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 
 $(B)/tests/platform/script: $(B)/tests/platform/script.o $(STAGE_OBJ) \
@@ -115,6 +115,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) $(LIBS)
 
 $(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
+		$(B)/tests/platform/decisions_duty.o \
 		$(B)/tests/platform/decisions_access.o \
 		$(B)/tests/platform/decisions_memory.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2075,6 +2075,7 @@
 /* Of the other files of this program; each returns how many it has added. */
 extern unsigned memory_tests_add(CU_pSuite suite);
 extern unsigned access_tests_add(CU_pSuite suite);
+extern unsigned duty_tests_add(CU_pSuite suite);
 
 int
 main(void)
@@ -2130,6 +2131,7 @@
 			return 1;
 	count += memory_tests_add(suite);
 	count += access_tests_add(suite);
+	count += duty_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
 	CU_basic_show_failures(CU_get_failure_list());
