The descriptor of a closed connection is free at once

A crowd of half-open connections was let in faster than older ones left: 330 sockets of 100, once in two full runs beside load, as libevent closes a freed connection's descriptor only at the end of its turn, and a listener accepts many in one. The crowd prints how a process ended.

--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "kwb_node.h"
 
@@ -419,8 +420,15 @@
 	if (conn->is_finished != NULL)
 		*conn->is_finished = true;
 	budget_release(conn);
-	if (conn->bev != NULL)
+	if (conn->bev != NULL) {
+		/* libevent would close it later: too late for its successor. */
+		int fd = bufferevent_getfd(conn->bev);
+
+		bufferevent_setfd(conn->bev, -1);
+		if (fd >= 0)
+			close(fd);
 		bufferevent_free(conn->bev);
+	}
 	conn->bev = NULL;
 	kwb_message_finish(&conn->message);
 }
--- a/tests/platform/crowd.c
+++ b/tests/platform/crowd.c
@@ -178,6 +178,7 @@
 struct subject {
 	pid_t pid;
 	bool has_ended;
+	int status; /* of waitpid(), once it has ended */
 	unsigned sockets_most;
 };
 
@@ -239,7 +240,7 @@
 	if (sockets > subject->sockets_most)
 		subject->sockets_most = sockets;
 	if (!subject->has_ended &&
-	    waitpid(subject->pid, NULL, WNOHANG) == subject->pid)
+	    waitpid(subject->pid, &subject->status, WNOHANG) == subject->pid)
 		subject->has_ended = true;
 }
 
@@ -584,6 +585,9 @@
 	    subject.sockets_most, crowd.fds_max - FDS_RESERVED,
 	    small ? "answered" : "NOT ANSWERED",
 	    large ? "answered" : "NOT ANSWERED");
+	if (subject.has_ended)
+		printf("%s: ended with status 0x%x\n", crowd.name,
+		    (unsigned)subject.status);
 	report(crowd.name,
 	    !subject.has_ended && small && large &&
 		peak_kb < MEMORY_MB * 1024ul &&
