--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # Sources of kwb-node, which runs on the users' platform and links only these.
 NODE_SRC = $(wildcard src/net/*.c src/store/*.c src/upstream/*.c \
 	src/forward/*.c src/batch/*.c src/duty/*.c src/node/*.c src/peer/*.c \
-	src/access/*.c \
+	src/access/*.c src/memory/*.c \
 	platform/*.c) \
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
 	src/weights/mover_look.c src/weights/mover_order.c \
@@ -31,7 +31,7 @@
 TRACE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/trace/*.c))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
-	src/batch/% src/duty/% src/node/% src/peer/% src/access/% src/trace/% src/route/node_config.c src/route/config_check.c \
+	src/batch/% src/duty/% src/node/% src/peer/% src/access/% src/memory/% src/trace/% src/route/node_config.c src/route/config_check.c \
 	src/route/config_compare.c src/weights/homes.c \
 	src/weights/mover.c src/weights/mover_look.c src/weights/mover_order.c src/core/base64.c src/core/timer.c src/core/index.c, \
 	$(wildcard src/*/*.c))
@@ -42,7 +42,8 @@
 EXAMPLES = $(patsubst examples/%.c,$(B)/examples/%,$(wildcard examples/*.c))
 TESTS = $(B)/tests/unit $(B)/tests/contract $(B)/tests/golden \
 	$(B)/tests/faults $(B)/tests/platform/decisions \
-	$(B)/tests/platform/script $(B)/tests/platform/soak
+	$(B)/tests/platform/script $(B)/tests/platform/soak \
+	$(B)/tests/platform/crowd
 FUZZ = request answer stream document settings rows trace frame
 TESTS += $(FUZZ:%=$(B)/tests/fuzz/%)
 BENCHES = $(B)/bench/slopes $(B)/bench/policies
@@ -109,9 +110,14 @@
 $(B)/tests/platform/soak: $(B)/tests/platform/soak.o $(STAGE_OBJ)
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
+$(B)/tests/platform/crowd: $(B)/tests/platform/crowd.o $(B)/tests/world.o \
+		$(STAGE_OBJ) $(B)/libkwb.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) $(LIBS)
+
 $(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
 		$(B)/tests/platform/decisions_duty.o \
-		$(B)/tests/platform/decisions_access.o $(TRACE_OBJ) \
+		$(B)/tests/platform/decisions_access.o \
+		$(B)/tests/platform/decisions_memory.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -185,6 +185,13 @@
 	KWB_METRIC_USAGE_REPORTS_LATE, /* of these, later than they were due */
 	KWB_METRIC_SCALE_ORDERS,       /* of numbers of upstreams, sent */
 	KWB_METRIC_DUTY_CALLS_REFUSED, /* for an old token, or as invalid */
+	KWB_METRIC_BODIES_REFUSED,     /* for want of memory */
+	KWB_METRIC_HOLDERS_CLOSED,     /* stalled clients that gave way */
+	KWB_METRIC_CALLERS_REFUSED,    /* or closed for want of descriptors */
+	KWB_METRIC_MEMORY_CALLS,       /* gauge: bytes of bodies of calls */
+	KWB_METRIC_MEMORY_BATCHES,     /* gauge: of submissions and batches */
+	KWB_METRIC_MEMORY_ANSWERS,     /* gauge: of answers not yet read */
+	KWB_METRIC_CALLERS_OPEN,       /* gauge: connections of callers */
 	KWB_METRIC_LISTS_REVISION,     /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
@@ -595,11 +602,13 @@
 	int fd;
 	uint32_t tag; /* the caller's number of a peer; 0 if accepted */
 	bool is_connecting;
+	bool has_received;	   /* a whole frame */
 	bool is_watching_writable; /* epoll reports when it can be written */
 	uint64_t heartbeat_period_ns;
 	uint64_t silence_deadline_ns; /* closed unless data arrives by then */
 	uint64_t next_heartbeat_ns;   /* when the next one is due */
 	struct kwb_buf receive_buffer;
+	uint64_t unfinished_bytes; /* of it, in the sum of the loop */
 	struct kwb_buf send_buffer;
 };
 
@@ -610,6 +619,7 @@
 	int epoll_fd;
 	int listen_fd; /* -1 if it does not listen */
 	uint64_t next_link_number;
+	uint64_t unfinished_bytes; /* of frames that are not whole, all links */
 	volatile bool is_stopping;
 	pthread_t thread;
 	pthread_mutex_t links_lock; /* held while a link is added */
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "kwb_node.h"
 
@@ -240,41 +241,68 @@
 
 /* Parses the input until a message is whole; the rest waits. */
 static void
-conn_process(struct kwb_conn *conn)
+conn_process(struct kwb_conn *conn, bool *is_finished)
 {
 	struct evbuffer *input = bufferevent_get_input(conn->bev);
 	struct evbuffer_iovec span;
-	bool is_finished = false;
 	size_t parsed_bytes;
 	enum http_errno parser_error;
 
-	conn->is_finished = &is_finished;
-	while (!conn->is_complete && evbuffer_get_length(input) > 0) {
+	conn->is_finished = is_finished;
+	while (!conn->is_complete && !conn->is_held &&
+	    evbuffer_get_length(input) > 0) {
 		if (evbuffer_peek(input, PARSE_MAX_BYTES, NULL, &span, 1) < 1)
 			break;
+		if (conn->has_head && conn->ops->may_grow != NULL &&
+		    !conn->ops->may_grow(
+			conn, conn->message.body.used_bytes + span.iov_len)) {
+			if (*is_finished)
+				return;
+			conn->is_held = true;
+			break;
+		}
 		parsed_bytes = http_parser_execute(&conn->parser,
 		    &parser_settings, span.iov_base, span.iov_len);
 		parser_error = HTTP_PARSER_ERRNO(&conn->parser);
 		evbuffer_drain(input, parsed_bytes);
-		if (!conn_report(conn, &is_finished))
+		if (!conn_report(conn, is_finished))
 			return;
 		if (parser_error != HPE_OK && parser_error != HPE_PAUSED) {
-			conn->is_finished = NULL;
 			conn_fail(conn, conn_parse_error(conn));
+			if (!*is_finished)
+				conn->is_finished = NULL;
 			return;
 		}
 	}
 	conn->is_finished = NULL;
 }
 
+/*
+ * Stops to read when nothing is taken out of a full input buffer: libevent
+ * would call conn_on_read() over and over.
+ */
+static void
+conn_stop_full_input(struct kwb_conn *conn)
+{
+	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) >=
+	    KWB_CONN_INPUT_BYTES)
+		bufferevent_disable(conn->bev, EV_READ);
+}
+
 static void
 conn_on_read(struct bufferevent *bev, void *context)
 {
 	struct kwb_conn *conn = context;
+	bool is_finished = false;
 
 	(void)bev;
-	if (!conn->is_closing)
-		conn_process(conn);
+	if (conn->is_closing || conn->is_held || conn->is_complete) {
+		conn_stop_full_input(conn);
+		return;
+	}
+	conn_process(conn, &is_finished);
+	if (!is_finished)
+		conn_stop_full_input(conn);
 }
 
 static void
@@ -285,6 +313,8 @@
 	if (conn->is_closing &&
 	    evbuffer_get_length(bufferevent_get_output(bev)) == 0)
 		conn->ops->on_close(conn, 0);
+	else if (conn->ops->on_written != NULL)
+		conn->ops->on_written(conn);
 }
 
 /* The peer has closed; a message of unknown length is whole now. */
@@ -293,7 +323,7 @@
 {
 	bool is_finished = false;
 
-	if (!conn->is_complete) {
+	if (!conn->is_complete && !conn->is_held) {
 		conn->is_finished = &is_finished;
 		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
 		if (!conn_report(conn, &is_finished))
@@ -316,8 +346,8 @@
 	}
 	if (what & BEV_EVENT_EOF) {
 		conn->is_finished = &is_finished;
-		if (!conn->is_closing)
-			conn_process(conn);
+		if (!conn->is_closing && !conn->is_held)
+			conn_process(conn, &is_finished);
 		if (is_finished)
 			return;
 		conn->is_finished = NULL;
@@ -360,6 +390,7 @@
 		return code;
 	conn->is_connected = true;
 	kwb_socket_set_no_delay(fd);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, KWB_CONN_INPUT_BYTES);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	return 0;
 }
@@ -389,8 +420,15 @@
 	if (conn->is_finished != NULL)
 		*conn->is_finished = true;
 	budget_release(conn);
-	if (conn->bev != NULL)
+	if (conn->bev != NULL) {
+		/* libevent would close it later: too late for its successor. */
+		int fd = bufferevent_getfd(conn->bev);
+
+		bufferevent_setfd(conn->bev, -1);
+		if (fd >= 0)
+			close(fd);
 		bufferevent_free(conn->bev);
+	}
 	conn->bev = NULL;
 	kwb_message_finish(&conn->message);
 }
@@ -414,11 +452,22 @@
 	http_parser_pause(&conn->parser, 0);
 	budget_release(conn);
 	kwb_message_clear(&conn->message);
+	if (conn->message.body.capacity_bytes > KWB_BODY_KEEP_BYTES)
+		kwb_buf_finish(&conn->message.body);
+	bufferevent_enable(conn->bev, EV_READ);
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
 		bufferevent_trigger(
 		    conn->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void
+kwb_conn_resume(struct kwb_conn *conn)
+{
+	conn->is_held = false;
+	bufferevent_enable(conn->bev, EV_READ);
+	bufferevent_trigger(conn->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void
 kwb_conn_close_when_written(struct kwb_conn *conn)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -199,6 +199,7 @@
 	(void)fd;
 	(void)what;
 	remove_absent_upstreams(node);
+	node_check_limits(node);
 	kwb_access_keep_proof(&node->access);
 	node->batches.fleet_nodes = kwb_peers_estimate_nodes(&node->peers);
 	kwb_duties_check(&node->duties, node->batches.fleet_nodes);
@@ -256,6 +257,7 @@
 	if (code == 0)
 		code = kwb_relay_init(
 		    &node->relay, node->base, node->settings, node->store);
+	node->relay.pairs_max = node->sockets.relay_pairs;
 	if (code == 0)
 		code = kwb_peers_init(
 		    &node->peers, node->base, node->settings, node->store);
@@ -299,6 +301,8 @@
 	    .follower = &node->operator_follower};
 	kwb_registry_init(&node->registry);
 	code = kwb_client_init(&node->client, base);
+	if (code == 0)
+		code = node_init_limits(node);
 	if (code != 0)
 		return code;
 	node->forward = (struct kwb_forward_env){.base = base,
@@ -313,6 +317,7 @@
 	    .config = (const struct kwb_node_config *const *)&node->config,
 	    .config_follower = &node->operator_follower,
 	    .settings = settings,
+	    .memory = &node->memory,
 	    .incarnation = node->incarnation};
 	node->timer = kwb_timer_new(base, node_on_timer, node);
 	if (node->timer == NULL)
@@ -369,6 +374,7 @@
 	kwb_weight_updater_finish(&node->weight_updater);
 	kwb_batches_finish(&node->batches);
 	event_free(node->timer);
+	event_free(node->memory_timer);
 	kwb_client_finish(&node->client);
 	kwb_registry_finish(&node->registry);
 	if (node->config != NULL)
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2073,6 +2073,7 @@
 }
 
 /* Of the other files of this program; each returns how many it has added. */
+extern unsigned memory_tests_add(CU_pSuite suite);
 extern unsigned access_tests_add(CU_pSuite suite);
 extern unsigned duty_tests_add(CU_pSuite suite);
 
@@ -2128,6 +2129,7 @@
 	for (i = 0; i < COUNT(tests); i++)
 		if (CU_add_test(suite, tests[i].name, tests[i].run) == NULL)
 			return 1;
+	count += memory_tests_add(suite);
 	count += access_tests_add(suite);
 	count += duty_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
