Crowds keep the node's settings and log until it has ended

tiny_chunks failed once: the node ended at its start, and there was no log. The files now stay until the node has ended, and the end of the log of a node that ends by itself is printed. Crowds and bounds are unchanged.

--- a/tests/platform/crowd.c
+++ b/tests/platform/crowd.c
@@ -5,8 +5,7 @@
  * limits of its settings, that an ordinary request is answered while the crowd
  * is still connected, and that a large one is once the crowd has gone.
  *
- *   crowd [NAME ...]   these crowds, or all; CROWD_LOG names a file for the
- *       node's log
+ *   crowd [NAME ...]   these crowds, or all
  */
 #include <arpa/inet.h>
 #include <dirent.h>
@@ -486,19 +485,49 @@
 	testbed_store_put(&testbed.store, "op", "config", text);
 }
 
+/* Files of the node that is running. */
+static char settings[32];
+static char log_path[32];
+
+/* Prints the last lines of the log of a node that has ended by itself. */
+static void
+print_log_end(void)
+{
+	char line[512];
+	FILE *file = fopen(log_path, "r");
+
+	if (file == NULL)
+		return;
+	fseek(file, -2048, SEEK_END);
+	while (fgets(line, sizeof(line), file) != NULL)
+		printf("log: %s", line);
+	fclose(file);
+}
+
+static void
+node_remove_files(void)
+{
+	unlink(settings);
+	unlink(log_path);
+}
+
 static pid_t
 node_start(const struct crowd *crowd, struct kwb_address *listen)
 {
 	const char *build = getenv("KWB_BUILD");
-	const char *log = getenv("CROWD_LOG");
-	char settings[] = "/tmp/kwb-crowd-XXXXXX";
 	struct kwb_address ready, peers;
 	struct rlimit limit = {crowd->rlimit_fds, crowd->rlimit_fds};
 	char program[256];
-	int fd = mkstemp(settings);
-	FILE *file = fdopen(fd, "w");
+	int fd;
+	FILE *file;
 	pid_t pid;
 
+	strcpy(settings, "/tmp/kwb-crowd-XXXXXX");
+	strcpy(log_path, "/tmp/kwb-crowd-XXXXXX");
+	close(mkstemp(log_path));
+	fd = mkstemp(settings);
+	file = fdopen(fd, "w");
+
 	testbed_pick_address(listen);
 	testbed_pick_address(&ready);
 	testbed_pick_address(&peers);
@@ -519,8 +548,7 @@
 		if (crowd->rlimit_fds != 0)
 			setrlimit(RLIMIT_NOFILE, &limit);
 		setenv(PLATFORM_SETTINGS_VARIABLE, settings, 1);
-		fd = open(log ? log : "/dev/null", O_WRONLY | O_CREAT | O_TRUNC,
-		    0600);
+		fd = open(log_path, O_WRONLY | O_TRUNC);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		close(fd);
@@ -528,7 +556,6 @@
 		_exit(127);
 	}
 	testbed_run_for(&testbed, 500);
-	unlink(settings);
 	return pid;
 }
 
@@ -588,6 +615,8 @@
 	if (subject.has_ended)
 		printf("%s: ended with status 0x%x\n", crowd.name,
 		    (unsigned)subject.status);
+	if (subject.has_ended)
+		print_log_end();
 	report(crowd.name,
 	    !subject.has_ended && small && large &&
 		peak_kb < MEMORY_MB * 1024ul &&
@@ -597,6 +626,7 @@
 		kill(subject.pid, SIGKILL);
 		waitpid(subject.pid, NULL, 0);
 	}
+	node_remove_files();
 	testbed_finish(&testbed);
 }
 
@@ -625,6 +655,7 @@
 	    text);
 	kill(subject.pid, SIGKILL);
 	waitpid(subject.pid, NULL, 0);
+	node_remove_files();
 	testbed_finish(&testbed);
 }
 
