--- a/include/kwb.h
+++ b/include/kwb.h
@@ -178,7 +178,18 @@
 	KWB_METRIC_STORE_DETOURS,     /* switches to a path through a peer */
 	KWB_METRIC_UPSTREAMS_LEAVING, /* upstreams that said that they leave */
 	KWB_METRIC_RELAYED_BYTES,     /* between peers and the store */
-	KWB_METRIC_LISTS_REVISION,    /* gauge: lists or config in force */
+	KWB_METRIC_MOVES,	      /* of running items to other upstreams */
+	KWB_METRIC_MOVES_WON_MS,      /* by moves, as expected before them */
+	KWB_METRIC_MOVES_LOST_MS,
+	/* Connections to upstreams, in the order of enum kwb_conn_cause. */
+	KWB_METRIC_CONNS_FIRST,
+	KWB_METRIC_CONNS_BUSY,
+	KWB_METRIC_CONNS_NOT_REPEATABLE,
+	KWB_METRIC_CONNS_CUT,
+	KWB_METRIC_CONNS_CLOSED,
+	KWB_METRIC_CONNS_RESET,
+	KWB_METRIC_CONNS_IDLE,
+	KWB_METRIC_LISTS_REVISION, /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -54,8 +54,9 @@
 /* Connections to upstreams and store */
 /* A server that names no time is taken to keep idle connections this long. */
 #define KWB_IDLE_DEFAULT_MS 2000
-#define KWB_IDLE_MARGIN_MS 700 /* closed this long before the server would */
-#define KWB_IDLE_CONNS_MAX 512 /* idle connections of a node */
+#define KWB_IDLE_MARGIN_MS 700	/* closed this long before the server would */
+#define KWB_IDLE_CONNS_MAX 512	/* idle connections of a node */
+#define KWB_CONN_PASTS_MAX 1024 /* addresses remembered; 24 KB */
 /* Between checks for connections that were idle for too long. */
 #define KWB_IDLE_SWEEP_NS (500 * KWB_MS_NS)
 /* Body of one answer; an object of the store is smaller. */
@@ -122,6 +123,10 @@
 /* Shorter times are delayed events that came together, longer ones pauses. */
 #define KWB_PACE_MIN_NS (1 * KWB_MS_NS)
 #define KWB_PACE_MAX_NS (500 * KWB_MS_NS)
+#define KWB_SLOW_PERCENT 170 /* of its baseline: the pace is slow */
+/* A reported slowness counts up to this many times the usual pace. */
+#define KWB_SLOWNESS_RATIO_MAX 4
+#define KWB_LOAD_PERCENT 60 /* a full upstream takes so much longer */
 #define KWB_REPORT_TTL_NS (400 * KWB_MS_NS) /* a reported load counts */
 /* How long to avoid an upstream that refused a request. */
 #define KWB_REFUSED_BACKOFF_NS (60 * KWB_MS_NS)
@@ -158,6 +163,10 @@
 #define KWB_STALL_PACES 10 /* so many usual event gaps, if that is longer */
 #define KWB_MOVE_CHECK_NS (200 * KWB_MS_NS) /* between checks of items */
 #define KWB_MOVES_MAX 4			    /* of one item */
+#define KWB_MOVE_MARGIN_DIVISOR 3 /* a move gains this part of its estimate */
+#define KWB_MOVE_GAIN_MIN_NS (100 * KWB_MS_NS) /* and at least so much */
+#define KWB_MOVE_START_NS (40 * KWB_MS_NS)     /* connects, reads all again */
+#define KWB_OVERRUN_DIVISOR 2 /* a text beyond its hint goes on for half */
 #define KWB_MOVE_MIN_NS (300 * KWB_MS_NS)   /* at an upstream before a move */
 #define KWB_CHECKPOINT_NS (500 * KWB_MS_NS) /* between writes of texts */
 #define KWB_CHECKPOINT_MIN_EVENTS 20	    /* a second of work */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -14,6 +14,7 @@
 #include <sys/queue.h>
 
 #include "kwb.h"
+#include "kwb_placement.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -187,6 +188,7 @@
 	struct event *sweep_timer; /* closes connections idle for too long */
 	uint32_t idle_count;
 	uint64_t opened_count;		    /* connections opened so far */
+	struct kwb_conn_history *history;   /* of those to upstreams, or NULL */
 	uint64_t answer_max_bytes;	    /* a longer body is an error */
 	struct kwb_body_budget body_budget; /* of all answers being read */
 };
@@ -935,12 +937,15 @@
 	uint32_t reported_load;	      /* running and waiting there, in all */
 	uint32_t in_flight_at_report; /* in_flight when that was reported */
 	uint64_t reported_ns;	      /* when it was reported; 0 for never */
+	uint32_t slowness_percent;    /* reported then, 100 usual; 0 none */
+	uint32_t usual_percent;	      /* lowest reported in this life */
 	uint32_t failures;	      /* in a row */
 	uint64_t suspect_until_ns;    /* avoided until then, after failures */
 	const void *prober;	   /* request that probes it; NULL for none */
 	uint64_t pace_ns;	   /* smoothed; 0 when not measured */
 	uint64_t pace_updated_ns;  /* when it was last measured */
 	uint64_t baseline_pace_ns; /* pace without slow phases; 0 likewise */
+	uint64_t slow_since_ns; /* when pace left its baseline; 0 if near it */
 	uint64_t backoff_until_ns; /* avoided until then, after a refusal */
 	/* Model whose weights are kept current here, "" for none. */
 	char assigned_model[KWB_NAME_MAX_BYTES];
@@ -1000,6 +1005,13 @@
     struct kwb_upstream *upstream, uint64_t now_ns); /* may make it suspect */
 void kwb_upstream_record_pace(struct kwb_upstream *upstream,
     uint64_t taken_ns); /* time that a unit of work took */
+uint32_t kwb_upstream_load(const struct kwb_upstream *upstream,
+    uint64_t now_ns); /* requests there, of all nodes, as far as known */
+void kwb_upstream_record_report(struct kwb_upstream *upstream,
+    const struct kwb_upstream_answer *answer); /* load and slowness, if told */
+/* What is known of its pace; service_ns: median pace of its service. */
+void kwb_upstream_view_pace(const struct kwb_upstream *upstream,
+    uint64_t service_ns, uint64_t now_ns, struct kwb_pace_view *view);
 uint64_t kwb_registry_median_pace(const struct kwb_registry *registry,
     const char *service,
     uint64_t now_ns); /* median of baselines, in ns; 0 when none is known */
@@ -1016,6 +1028,8 @@
 	bool needs_free_slot;	 /* only upstreams with a free slot */
 	uint32_t spare_divisor;	 /* slots / this must stay free; 0 for none */
 	const struct kwb_client *client; /* prefers open connections, or NULL */
+	/* Units of work it has; chosen by its expected end. 0: by cost. */
+	uint64_t units;
 	uint64_t now_ns;
 	uint64_t random; /* 64 random bits */
 };
@@ -1106,8 +1120,10 @@
 	uint32_t running;	 /* requests there */
 	uint32_t waiting;	 /* requests there */
 	uint32_t slots;		 /* requests that it runs at a time */
-	uint64_t version;	 /* of the weights, 0 when absent */
-	uint64_t keep_alive_ms;	 /* unused */
+	uint32_t
+	    slowness_percent;	/* of the time work usually takes; 0 absent */
+	uint64_t version;	/* of the weights, 0 when absent */
+	uint64_t keep_alive_ms; /* unused */
 };
 
 enum kwb_item_state { KWB_ITEM_COMPLETED, KWB_ITEM_ERRORED };
@@ -1498,9 +1514,10 @@
 	struct event *dispatch_timer;	  /* starts items */
 	struct event *owner_timer; /* claims batches without living owner */
 	bool dispatch_armed;
-	uint64_t move_checked_ns;	 /* last check of the running items */
-	bool handing_over;		 /* starts and claims nothing more */
-	struct kwb_store_call heartbeat; /* writes the own one */
+	uint64_t move_checked_ns; /* last check of the running items */
+	uint64_t hint_per_unit;	  /* of the texts so far, smoothed; 0 unknown */
+	bool handing_over;	  /* starts and claims nothing more */
+	struct kwb_store_call heartbeat;       /* writes the own one */
 	struct kwb_store_call heartbeats_read; /* those of all nodes */
 	struct kwb_node_heartbeat *heartbeats;
 	uint32_t heartbeats_count;
@@ -1741,7 +1758,8 @@
 	struct kwb_store *store;
 	const struct kwb_message_codec *codec;
 	const struct kwb_document_schema *schema;
-	struct kwb_client client;	/* connections to upstreams */
+	struct kwb_client client; /* connections to upstreams */
+	struct kwb_conn_history conn_history;
 	struct kwb_registry registry;	/* upstreams listed in the store */
 	struct kwb_forward_env forward; /* what all forwards share */
 	struct kwb_prefix_map prefixes; /* of prompts read by upstreams */
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -47,6 +47,8 @@
 	uint64_t version;	/* of the weights that generate now */
 	uint64_t versions[ITEM_VERSIONS_MAX]; /* of the events so far */
 	uint64_t started_ns;		      /* at this upstream */
+	/* When it would have ended without its last move; 0 for no move. */
+	uint64_t unmoved_end_ns;
 	uint64_t not_before_ns; /* earliest next start, or request of reward */
 	uint64_t text_complete_ns;
 	struct kwb_forward score; /* request of the reward */
@@ -79,7 +81,8 @@
 	struct item_run *runs; /* one per item of spec, in that order */
 	struct batch_group *groups;
 	uint32_t groups_count;
-	uint64_t longest_hint;			  /* unused */
+	uint64_t longest_hint;	/* unused */
+	uint64_t least_time_ns; /* that its step still takes, at usual pace */
 	struct kwb_store_call call;		  /* loads, lists, hands over */
 	struct kwb_store_call checkpoint_call;	  /* writes chunks of texts */
 	struct kwb_store_call result_object_call; /* stores a long result */
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -8,6 +8,13 @@
 
 #include "batch.h"
 
+static uint64_t
+run_units_left(const struct item_run *run)
+{
+	return kwb_units_left(run->item->length_hint,
+	    run->batch->batches->hint_per_unit, run->last_event);
+}
+
 /* Best upstream with a free slot, other than the current one; or NULL. */
 static struct kwb_upstream *
 run_pick_upstream(const struct item_run *run, const char *service)
@@ -23,6 +30,8 @@
 	    .exclude = &current,
 	    .exclude_count = current != NULL,
 	    .needs_free_slot = true,
+	    .client = run_env(run)->forward->client,
+	    .units = run_units_left(run),
 	    .now_ns = kwb_clock_now_ns(),
 	    .random = (uint64_t)random(),
 	};
@@ -43,11 +52,72 @@
 		run->upstream, run->batch->spec.model, now_ns)};
 }
 
+/* Until the item would end there, if it started or went on now. */
+static uint64_t
+run_time_at(const struct item_run *run, const struct kwb_upstream *upstream,
+    uint64_t now_ns)
+{
+	struct kwb_pace_view view;
+
+	kwb_upstream_view_pace(upstream,
+	    kwb_registry_median_pace(run_env(run)->forward->registry,
+		upstream->status.service, now_ns),
+	    now_ns, &view);
+	return kwb_pace_run_ns(&view, run_units_left(run));
+}
+
+/*
+ * Until the item ends where it runs. One that waits in a queue is expected to
+ * wait for as long again.
+ */
+static uint64_t
+run_stay_ns(const struct item_run *run, uint64_t now_ns)
+{
+	uint64_t stay_ns = run_time_at(run, run->upstream, now_ns);
+	uint64_t loaded_ns =
+	    run->upstream->expected_since_ns + KWB_WEIGHT_LOAD_NS;
+
+	if (kwb_upstream_is_loading(
+		run->upstream, run->batch->spec.model, now_ns) &&
+	    loaded_ns > now_ns)
+		return stay_ns + loaded_ns - now_ns;
+	if (run->last_event_ns == 0)
+		stay_ns += now_ns - run->started_ns;
+	return stay_ns;
+}
+
+/*
+ * Whether an item ends sooner if it moves to that candidate, with its prompt
+ * and text read again, which takes about as long as an event.
+ */
+static bool
+run_gains_by_move(const struct item_run *run,
+    const struct kwb_upstream *candidate, uint64_t now_ns)
+{
+	struct kwb_move_terms terms = {.stay_ns = run_stay_ns(run, now_ns),
+	    .move_ns = run_time_at(run, candidate, now_ns) + KWB_MOVE_START_NS,
+	    .step_least_ns = run->batch->least_time_ns,
+	    .moves = run->moves};
+
+	return kwb_move_pays(&terms);
+}
+
+static bool
+is_single_version(const struct item_run *run)
+{
+	const struct kwb_route_entry *route = kwb_node_config_find_route(
+	    *run_env(run)->config, run->batch->record.host, run->item->target);
+
+	return route != NULL && route->single_version;
+}
+
 /* Why a running item should move to that candidate; NULL to stay. */
 static const char *
 reason_to_move(const struct item_run *run, const struct kwb_upstream *candidate,
     uint64_t now_ns)
 {
+	bool is_loading = kwb_upstream_is_loading(
+	    run->upstream, run->batch->spec.model, now_ns);
 	struct kwb_move_input input = {.pace_ns = run->upstream->pace_ns,
 	    .moves = run->moves,
 	    .elapsed_ns = now_ns - run->started_ns};
@@ -58,12 +128,36 @@
 		input.best_pace_ns =
 		    kwb_registry_median_pace(run_env(run)->forward->registry,
 			candidate->status.service, now_ns);
-	if (kwb_upstream_is_loading(
-		run->upstream, run->batch->spec.model, now_ns))
+	if (!is_single_version(run)) {
+		if (!run_gains_by_move(run, candidate, now_ns))
+			return NULL;
+		return is_loading ? "weights_change" : "slow_upstream";
+	}
+	if (is_loading)
 		return input.best_pace_ns != 0 ? "weights_change" : NULL;
 	return kwb_move_is_worthwhile(&input) ? "slow_upstream" : NULL;
 }
 
+/* Notes when the item would have ended where it is; see run_settle_move(). */
+static void
+run_note_move(struct item_run *run, const struct kwb_upstream *candidate,
+    const char *reason)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t stay_ns = run_stay_ns(run, now_ns);
+
+	run->unmoved_end_ns = now_ns + stay_ns;
+	kwb_metric_add(KWB_METRIC_MOVES, 1);
+	kwb_log(KWB_LOG_INFO, "item",
+	    "event=move id=%s from=%s to=%s reason=%s stay_ms=%llu "
+	    "move_ms=%llu step_least_ms=%llu",
+	    run->item->id, run->upstream->status.id, candidate->status.id,
+	    reason, (unsigned long long)(stay_ns / KWB_MS_NS),
+	    (unsigned long long)(run_time_at(run, candidate, now_ns) /
+		KWB_MS_NS),
+	    (unsigned long long)(run->batch->least_time_ns / KWB_MS_NS));
+}
+
 /* Resumes there at once, ahead of the waiting items. */
 static void
 run_move(
@@ -74,6 +168,7 @@
 
 	if (route == NULL)
 		return;
+	run_note_move(run, candidate, reason);
 	run_retry(run, 0, reason);
 	if (run->state == ITEM_WAITING)
 		run_start(run, candidate, route);
@@ -108,6 +203,8 @@
 	candidate = run_pick_upstream(run, run->upstream->status.service);
 	if (candidate == NULL)
 		return;
+	if (queued && !run_gains_by_move(run, candidate, now_ns))
+		return;
 	if (queued) {
 		run_move(run, candidate, "queued");
 		return;
@@ -119,11 +216,44 @@
 	run_move(run, candidate, reason);
 }
 
+/*
+ * The time that the step takes at least: that of its longest item at the usual
+ * pace. Only an item that takes longer can hold it up.
+ */
+static uint64_t
+batch_least_time(const struct kwb_batch *batch)
+{
+	const struct kwb_registry *registry =
+	    batch->batches->env->forward->registry;
+	uint64_t now_ns = kwb_clock_now_ns();
+	uint64_t units = 0;
+	uint64_t pace_ns = 0;
+	uint64_t left;
+	uint32_t i;
+
+	for (i = 0; i < batch->spec.items_count; i++) {
+		const struct item_run *run = &batch->runs[i];
+
+		if (run->state > ITEM_RUNNING ||
+		    batch->groups[run->group].surplus)
+			continue;
+		left = run_units_left(run);
+		if (left > units)
+			units = left;
+		if (pace_ns == 0 && run->upstream != NULL)
+			pace_ns = kwb_registry_median_pace(
+			    registry, run->upstream->status.service, now_ns);
+	}
+	return units * pace_ns;
+}
+
 void
 batch_check_running(struct kwb_batch *batch)
 {
 	uint32_t i;
 
+	if (batch->loaded)
+		batch->least_time_ns = batch_least_time(batch);
 	for (i = 0; batch->loaded && i < batch->spec.items_count; i++)
 		if (batch->runs[i].state == ITEM_RUNNING)
 			run_check(&batch->runs[i]);
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -163,11 +163,7 @@
 	    kwb_exchange_answer(exchange), &answer);
 	kwb_upstream_note_answer(
 	    run->upstream, run->incarnation_ms, run->item->id, &answer);
-	if (answer.has_load) {
-		run->upstream->reported_load = answer.running + answer.waiting;
-		run->upstream->in_flight_at_report = run->upstream->in_flight;
-		run->upstream->reported_ns = kwb_clock_now_ns();
-	}
+	kwb_upstream_record_report(run->upstream, &answer);
 	if (answer.status != 200 ||
 	    !kwb_sse_may_be_events(kwb_exchange_answer(exchange)) ||
 	    (answer.id != NULL && strcmp(answer.id, run->item->id) != 0))
@@ -243,6 +239,34 @@
 	run_retry(run, KWB_ITEM_RETRY_NS, "upstream_error");
 }
 
+/* Learns how the length hints of items go with the numbers of their events. */
+static void
+note_length(struct item_run *run)
+{
+	uint64_t *per_unit = &run->batch->batches->hint_per_unit;
+	uint64_t sample = run->item->length_hint / run->last_event;
+
+	*per_unit = *per_unit != 0 ? (*per_unit * 15 + sample) / 16 : sample;
+}
+
+/* Counts what the item's last move has won or lost, by what was expected. */
+static void
+settle_move(const struct item_run *run)
+{
+	uint64_t now_ns = kwb_clock_now_ns();
+	bool won = run->unmoved_end_ns > now_ns;
+	uint64_t ms = (won ? run->unmoved_end_ns - now_ns
+			   : now_ns - run->unmoved_end_ns) /
+	    KWB_MS_NS;
+
+	if (run->unmoved_end_ns == 0)
+		return;
+	kwb_metric_add(
+	    won ? KWB_METRIC_MOVES_WON_MS : KWB_METRIC_MOVES_LOST_MS, ms);
+	kwb_log(KWB_LOG_INFO, "item", "event=moved_end id=%s gain_ms=%s%llu",
+	    run->item->id, won ? "" : "-", (unsigned long long)ms);
+}
+
 static void
 exchange_on_done(struct kwb_exchange *exchange, int error)
 {
@@ -266,6 +290,8 @@
 			return;
 		}
 		run_log(run, "text_whole", "answered");
+		note_length(run);
+		settle_move(run);
 		run_stop(run);
 		run->text_complete_ns = kwb_clock_now_ns();
 		run_request_score(run);
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -26,6 +26,16 @@
     [KWB_METRIC_STORE_DETOURS] = "kwb_store_detours_total",
     [KWB_METRIC_UPSTREAMS_LEAVING] = "kwb_upstreams_leaving_total",
     [KWB_METRIC_RELAYED_BYTES] = "kwb_relayed_bytes_total",
+    [KWB_METRIC_MOVES] = "kwb_moves_total",
+    [KWB_METRIC_MOVES_WON_MS] = "kwb_moves_won_ms_total",
+    [KWB_METRIC_MOVES_LOST_MS] = "kwb_moves_lost_ms_total",
+    [KWB_METRIC_CONNS_FIRST] = "kwb_conns_first_total",
+    [KWB_METRIC_CONNS_BUSY] = "kwb_conns_busy_total",
+    [KWB_METRIC_CONNS_NOT_REPEATABLE] = "kwb_conns_not_repeatable_total",
+    [KWB_METRIC_CONNS_CUT] = "kwb_conns_after_cut_total",
+    [KWB_METRIC_CONNS_CLOSED] = "kwb_conns_after_close_total",
+    [KWB_METRIC_CONNS_RESET] = "kwb_conns_after_reset_total",
+    [KWB_METRIC_CONNS_IDLE] = "kwb_conns_after_idle_total",
     [KWB_METRIC_LISTS_REVISION] = "kwb_lists_revision",
 };
 static _Atomic uint64_t values[KWB_METRIC_COUNT];
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -68,12 +68,8 @@
 record_load(
     struct kwb_upstream *upstream, const struct kwb_upstream_answer *answer)
 {
-	if (!answer->has_load)
-		return;
-	upstream->reported_load = answer->running + answer->waiting;
-	upstream->in_flight_at_report = upstream->in_flight;
-	upstream->reported_ns = kwb_clock_now_ns();
-	if (answer->slots != 0)
+	kwb_upstream_record_report(upstream, answer);
+	if (answer->has_load && answer->slots != 0)
 		upstream->status.slots = answer->slots;
 }
 
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -20,10 +20,20 @@
 	TAILQ_ENTRY(kwb_pooled_conn) entry;
 };
 
+/* Notes why a connection ends; the one opened after it is logged with that. */
+static void
+pooled_note_end(const struct kwb_pooled_conn *pooled, enum kwb_conn_cause why)
+{
+	if (pooled->client->history != NULL)
+		kwb_conn_history_end(
+		    pooled->client->history, &pooled->address, why);
+}
+
 /* Closes an idle connection and frees it. */
 static void
-pooled_close_idle(struct kwb_pooled_conn *pooled)
+pooled_close_idle(struct kwb_pooled_conn *pooled, enum kwb_conn_cause why)
 {
+	pooled_note_end(pooled, why);
 	TAILQ_REMOVE(&pooled->client->idle_conns, pooled, entry);
 	pooled->client->idle_count--;
 	kwb_conn_finish(&pooled->conn);
@@ -76,12 +86,13 @@
  * would run at a time at which nobody wants it any more.
  */
 static void
-exchange_abort(struct kwb_exchange *exchange)
+exchange_abort(struct kwb_exchange *exchange, enum kwb_conn_cause why)
 {
 	struct kwb_pooled_conn *pooled = exchange_detach_conn(exchange);
 
 	if (pooled == NULL)
 		return;
+	pooled_note_end(pooled, why);
 	kwb_conn_reset(&pooled->conn);
 	free(pooled);
 }
@@ -95,6 +106,7 @@
 
 	if (idle_ns == 0 || client->idle_count >= KWB_IDLE_CONNS_MAX ||
 	    evbuffer_get_length(bufferevent_get_input(pooled->conn.bev)) > 0) {
+		pooled_note_end(pooled, KWB_CONN_CLOSED);
 		kwb_conn_finish(&pooled->conn);
 		free(pooled);
 		return;
@@ -109,7 +121,10 @@
 static void
 exchange_end(struct kwb_exchange *exchange, int error)
 {
-	exchange_abort(exchange);
+	exchange_abort(exchange,
+	    error == KWB_ERR_NET_STALE || error == KWB_ERR_NET_CLOSED
+		? KWB_CONN_CLOSED
+		: KWB_CONN_RESET);
 	exchange->ops->on_done(exchange, error);
 }
 
@@ -121,7 +136,7 @@
 
 	if (exchange == NULL) {
 		/* An answer without a request; it may never end. */
-		pooled_close_idle(pooled);
+		pooled_close_idle(pooled, KWB_CONN_RESET);
 		return;
 	}
 	if (exchange->max_silence_ns != 0)
@@ -158,7 +173,8 @@
 	uint64_t idle_ns = idle_limit_ns(&conn->message);
 
 	if (exchange == NULL) {
-		pooled_close_idle(pooled); /* answer without a request */
+		/* An answer without a request. */
+		pooled_close_idle(pooled, KWB_CONN_RESET);
 		return;
 	}
 	kwb_message_finish(&exchange->answer);
@@ -175,7 +191,9 @@
 	struct kwb_exchange *exchange = pooled->exchange;
 
 	if (exchange == NULL) {
-		pooled_close_idle(pooled);
+		pooled_close_idle(pooled,
+		    error == KWB_ERR_NET_CLOSED ? KWB_CONN_CLOSED
+						: KWB_CONN_RESET);
 		return;
 	}
 	if (error == KWB_ERR_NET_RESET || error == KWB_ERR_NET_CLOSED)
@@ -250,8 +268,25 @@
 	return NULL;
 }
 
+static void
+pooled_note_open(const struct kwb_pooled_conn *pooled, bool wants_new)
+{
+	enum kwb_conn_cause cause;
+
+	if (pooled->client->history == NULL)
+		return;
+	cause = kwb_conn_history_open(
+	    pooled->client->history, &pooled->address, wants_new);
+	kwb_metric_add(
+	    (enum kwb_metric)(KWB_METRIC_CONNS_FIRST + (int)cause), 1);
+	kwb_log(KWB_LOG_INFO, "conn", "event=opened to=%s:%u cause=%s",
+	    pooled->address.ip, pooled->address.port,
+	    kwb_conn_cause_name(cause));
+}
+
 static struct kwb_pooled_conn *
-pooled_new(struct kwb_client *client, const struct kwb_address *address)
+pooled_new(struct kwb_client *client, const struct kwb_address *address,
+    bool wants_new)
 {
 	struct kwb_pooled_conn *pooled = calloc(1, sizeof(*pooled));
 
@@ -267,6 +302,7 @@
 	pooled->conn.body_max_bytes = client->answer_max_bytes;
 	pooled->conn.body_budget = &client->body_budget;
 	client->opened_count++;
+	pooled_note_open(pooled, wants_new);
 	return pooled;
 }
 
@@ -285,7 +321,7 @@
 		pooled = client_take_idle(client, address);
 	exchange->is_conn_reused = pooled != NULL;
 	if (pooled == NULL)
-		pooled = pooled_new(client, address);
+		pooled = pooled_new(client, address, exchange->wants_new_conn);
 	if (pooled == NULL) {
 		evbuffer_drain(request, evbuffer_get_length(request));
 		exchange_arm_timer(exchange);
@@ -313,7 +349,7 @@
 void
 kwb_exchange_finish(struct kwb_exchange *exchange)
 {
-	exchange_abort(exchange);
+	exchange_abort(exchange, KWB_CONN_CUT);
 	kwb_message_finish(&exchange->answer);
 }
 
@@ -337,7 +373,7 @@
 	for (; pooled != NULL; pooled = next) {
 		next = TAILQ_NEXT(pooled, entry);
 		if (pooled->idle_deadline_ns <= now_ns)
-			pooled_close_idle(pooled);
+			pooled_close_idle(pooled, KWB_CONN_IDLE);
 	}
 	kwb_timer_arm(client->sweep_timer, now_ns + KWB_IDLE_SWEEP_NS);
 }
@@ -367,7 +403,7 @@
 
 	for (; pooled != NULL; pooled = next) {
 		next = TAILQ_NEXT(pooled, entry);
-		pooled_close_idle(pooled);
+		pooled_close_idle(pooled, KWB_CONN_CUT);
 	}
 	event_free(client->sweep_timer);
 }
@@ -396,6 +432,6 @@
 	for (; pooled != NULL; pooled = next) {
 		next = TAILQ_NEXT(pooled, entry);
 		if (pooled_is_to(pooled, address))
-			pooled_close_idle(pooled);
+			pooled_close_idle(pooled, KWB_CONN_CUT);
 	}
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -269,6 +269,7 @@
 	TAILQ_INIT(&node->callers);
 	kwb_registry_init(&node->registry);
 	code = kwb_client_init(&node->client, base);
+	node->client.history = &node->conn_history;
 	if (code != 0)
 		return code;
 	node->forward = (struct kwb_forward_env){.base = base,
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -16,8 +16,8 @@
 #define LOAD_COST 0.6 /* a full upstream, against an empty one */
 
 /* Requests there: of this node, and of others by a recent report. */
-static uint32_t
-load_of(const struct kwb_upstream *upstream, uint64_t now_ns)
+uint32_t
+kwb_upstream_load(const struct kwb_upstream *upstream, uint64_t now_ns)
 {
 	uint32_t others = 0;
 
@@ -95,7 +95,7 @@
 		return true;
 	if (criteria->spare_divisor != 0)
 		spare = upstream->status.slots / criteria->spare_divisor;
-	return load_of(upstream, criteria->now_ns) + spare <
+	return kwb_upstream_load(upstream, criteria->now_ns) + spare <
 	    upstream->status.slots;
 }
 
@@ -150,12 +150,29 @@
 	return reference_ns ? (double)reference_ns : 1.0;
 }
 
+/*
+ * The time that a generation takes there, as a multiple of its usual time. An
+ * upstream's own speed outlives its last measurement, so one that is slow by
+ * nature isn't taken for an average one after a pause.
+ */
+static double
+run_cost(const struct kwb_pick_criteria *criteria,
+    const struct kwb_upstream *upstream, double reference_ns)
+{
+	struct kwb_pace_view view;
+
+	kwb_upstream_view_pace(
+	    upstream, (uint64_t)reference_ns, criteria->now_ns, &view);
+	return (double)kwb_pace_run_ns(&view, criteria->units) /
+	    ((double)criteria->units * reference_ns);
+}
+
 static double
 cost_of(const struct kwb_pick_criteria *criteria,
     const struct kwb_upstream *upstream, double reference_ns)
 {
 	uint32_t slots = upstream->status.slots ? upstream->status.slots : 1;
-	uint32_t load = load_of(upstream, criteria->now_ns);
+	uint32_t load = kwb_upstream_load(upstream, criteria->now_ns);
 	double pace = has_recent_pace(upstream, criteria->now_ns)
 	    ? (double)upstream->pace_ns / reference_ns
 	    : 1.0;
@@ -163,6 +180,10 @@
 
 	if (criteria->model == NULL && pace < KWB_PACE_NOISE_RATIO)
 		pace = 1.0;
+	if (criteria->units != 0) {
+		cost = run_cost(criteria, upstream, reference_ns);
+		pace = 1.0;
+	}
 	if (criteria->client != NULL &&
 	    !kwb_client_has_idle(criteria->client, &upstream->status.address))
 		cost += KWB_CONNECT_COST;
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -59,6 +59,9 @@
 {
 	upstream->reported_load = 0;
 	upstream->reported_ns = 0;
+	upstream->slowness_percent = 0;
+	upstream->usual_percent = 0;
+	upstream->slow_since_ns = 0;
 	upstream->failures = 0;
 	upstream->suspect_until_ns = 0;
 	upstream->prober = NULL;
@@ -288,6 +291,47 @@
 		upstream->baseline_pace_ns +=
 		    (upstream->pace_ns - upstream->baseline_pace_ns) /
 		    KWB_BASELINE_PACE_DIVISOR;
+	if (upstream->pace_ns * 100 <=
+	    upstream->baseline_pace_ns * KWB_SLOW_PERCENT)
+		upstream->slow_since_ns = 0;
+	else if (upstream->slow_since_ns == 0)
+		upstream->slow_since_ns = now_ns;
+}
+
+void
+kwb_upstream_record_report(
+    struct kwb_upstream *upstream, const struct kwb_upstream_answer *answer)
+{
+	uint32_t percent = answer->slowness_percent;
+
+	if (!answer->has_load)
+		return;
+	upstream->reported_load = answer->running + answer->waiting;
+	upstream->in_flight_at_report = upstream->in_flight;
+	upstream->reported_ns = kwb_clock_now_ns();
+	upstream->slowness_percent = percent;
+	if (percent != 0 &&
+	    (upstream->usual_percent == 0 || percent < upstream->usual_percent))
+		upstream->usual_percent = percent;
+}
+
+void
+kwb_upstream_view_pace(const struct kwb_upstream *upstream, uint64_t service_ns,
+    uint64_t now_ns, struct kwb_pace_view *view)
+{
+	memset(view, 0, sizeof(*view));
+	view->usual_ns = upstream->baseline_pace_ns;
+	view->recent_ns = upstream->pace_ns;
+	view->recent_age_ns = now_ns - upstream->pace_updated_ns;
+	if (upstream->slow_since_ns != 0)
+		view->slow_ns =
+		    upstream->pace_updated_ns - upstream->slow_since_ns;
+	view->percent = upstream->slowness_percent;
+	view->usual_percent = upstream->usual_percent;
+	view->percent_age_ns = now_ns - upstream->reported_ns;
+	view->service_ns = service_ns;
+	view->load = kwb_upstream_load(upstream, now_ns);
+	view->slots = upstream->status.slots;
 }
 
 /* The lower median is not moved by one slow upstream or one wrong value. */
