--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -15,6 +15,22 @@
 	    run->batch->batches->hint_per_unit, run->last_event);
 }
 
+/*
+ * Where a text must come from one version of the weights, the version that has
+ * made its events so far; 0 for any.
+ */
+static uint64_t
+version_to_go_on_with(const struct item_run *run)
+{
+	const struct kwb_route_entry *route;
+
+	if (run->versions_count == 0)
+		return 0;
+	route = kwb_node_config_find_route(
+	    *run_env(run)->config, run->batch->record.host, run->item->target);
+	return route != NULL && route->single_version ? run->versions[0] : 0;
+}
+
 /* Best upstream with a free slot, other than the current one; or NULL. */
 static struct kwb_upstream *
 run_pick_upstream(const struct item_run *run, const char *service)
@@ -26,6 +42,7 @@
 	    .failure_domain = run_env(run)->forward->failure_domain,
 	    .model = batch->spec.model,
 	    .min_version = batch->spec.min_version,
+	    .version = version_to_go_on_with(run),
 	    .affinity_id = batch->groups[run->group].upstream_id,
 	    .exclude = &current,
 	    .exclude_count = current != NULL,
@@ -102,15 +119,6 @@
 	return kwb_move_pays(&terms);
 }
 
-static bool
-is_single_version(const struct item_run *run)
-{
-	const struct kwb_route_entry *route = kwb_node_config_find_route(
-	    *run_env(run)->config, run->batch->record.host, run->item->target);
-
-	return route != NULL && route->single_version;
-}
-
 /* Why a running item should move to that candidate; NULL to stay. */
 static const char *
 reason_to_move(const struct item_run *run, const struct kwb_upstream *candidate,
@@ -128,7 +136,7 @@
 		input.best_pace_ns =
 		    kwb_registry_median_pace(run_env(run)->forward->registry,
 			candidate->status.service, now_ns);
-	if (!is_single_version(run)) {
+	if (version_to_go_on_with(run) == 0) {
 		if (!run_gains_by_move(run, candidate, now_ns))
 			return NULL;
 		return is_loading ? "weights_change" : "slow_upstream";
@@ -287,6 +295,8 @@
 	const struct kwb_route_entry *route = kwb_node_config_find_route(
 	    *env->config, run->batch->record.host, run->item->target);
 	struct kwb_upstream *upstream;
+	const char *service;
+	uint64_t version;
 	uint64_t seed = 0;
 	const char *c;
 
@@ -296,8 +306,15 @@
 	}
 	for (c = run->item->id; *c != '\0'; c++)
 		seed = seed * 31 + (unsigned char)*c;
-	upstream =
-	    run_pick_upstream(run, kwb_route_entry_pick_service(route, seed));
+	service = kwb_route_entry_pick_service(route, seed);
+	version = version_to_go_on_with(run);
+	if (version != 0 &&
+	    !kwb_registry_has_version(env->forward->registry, service,
+		run->batch->spec.model, version)) {
+		run_log(run, "begins_anew", "version_gone");
+		run_reset_text(run);
+	}
+	upstream = run_pick_upstream(run, service);
 	if (upstream == NULL)
 		return false;
 	run_start(run, upstream, route);
