--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -164,8 +164,10 @@
 #define KWB_MOVE_CHECK_NS (200 * KWB_MS_NS) /* between checks of items */
 /* So late a check shows that this process stood still, not an upstream. */
 #define KWB_CHECK_DELAY_NS (300 * KWB_MS_NS)
-#define KWB_MOVES_MAX 4		  /* of one item */
-#define KWB_MOVE_MARGIN_DIVISOR 10 /* a move gains this part of its estimate */
+#define KWB_MOVES_MAX 4			/* of one item */
+#define KWB_READ_SAMPLE_MIN_TOKENS 1000 /* shorter prompts show no speed */
+#define KWB_READ_RISE_DIVISOR 64	/* a slower reading counts by 1/64 */
+#define KWB_MOVE_MARGIN_DIVISOR 6 /* a move gains this part of its estimate */
 #define KWB_MOVE_GAIN_MIN_NS (100 * KWB_MS_NS) /* and at least so much */
 #define KWB_MOVE_START_NS (40 * KWB_MS_NS)     /* connects, reads all again */
 #define KWB_OVERRUN_DIVISOR 2 /* a text beyond its hint goes on for half */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -952,6 +952,8 @@
 	uint64_t pace_ns;	   /* smoothed; 0 when not measured */
 	uint64_t pace_updated_ns;  /* when it was last measured */
 	uint64_t baseline_pace_ns; /* pace without slow phases; 0 likewise */
+	uint64_t unread_tokens; /* of prompts of this node there, to be read */
+	uint64_t read_ns_per_token; /* of a prompt; 0 when not measured */
 	uint64_t slow_since_ns; /* when pace left its baseline; 0 if near it */
 	uint64_t backoff_until_ns; /* avoided until then, after a refusal */
 	/* Model whose weights are kept current here, "" for none. */
@@ -1022,6 +1024,9 @@
     uint64_t now_ns); /* requests there, of all nodes, as far as known */
 void kwb_upstream_record_report(struct kwb_upstream *upstream,
     const struct kwb_upstream_answer *answer); /* load and slowness, if told */
+/* A prompt was read in that time, with what was read before it. */
+void kwb_upstream_record_read(
+    struct kwb_upstream *upstream, uint64_t tokens, uint64_t taken_ns);
 /* What is known of its pace; service_ns: median pace of its service. */
 void kwb_upstream_view_pace(const struct kwb_upstream *upstream,
     uint64_t service_ns, uint64_t now_ns, struct kwb_pace_view *view);
@@ -1047,6 +1052,7 @@
 	const struct kwb_client *client; /* prefers open connections, or NULL */
 	/* Units of work it has; chosen by its expected end. 0: by cost. */
 	uint64_t units;
+	uint64_t prompt_tokens; /* to be read where they aren't cached */
 	uint64_t now_ns;
 	uint64_t random; /* 64 random bits */
 };
@@ -1348,9 +1354,10 @@
 	struct kwb_message headers; /* of its request; no body */
 	char *body;
 	size_t body_bytes;
-	uint64_t tokens;      /* of work, as the submission states */
-	uint64_t length_hint; /* expected output tokens; 0 unknown */
-	char *score_id;	      /* of the reward call; NULL when not scored */
+	uint64_t tokens;	/* of work, as the submission states */
+	uint64_t prompt_tokens; /* 0 unknown */
+	uint64_t length_hint;	/* expected output tokens; 0 unknown */
+	char *score_id;		/* of the reward call; NULL when not scored */
 	char *score_host;
 	char *score_target;
 	char *score_body;
--- a/include/kwb_placement.h
+++ b/include/kwb_placement.h
@@ -27,11 +27,20 @@
 	uint64_t service_ns;
 	uint32_t load; /* requests there, without the one to be placed */
 	uint32_t slots;
+	uint64_t unread_tokens;	    /* of prompts that are read there first */
+	uint64_t read_ns_per_token; /* of a prompt; 0 unknown */
 };
 
 /* Time that units of work take there if they start now; pure. */
 uint64_t kwb_pace_run_ns(const struct kwb_pace_view *view, uint64_t units);
 
+/*
+ * What a prompt of so many tokens that aren't cached there costs: the time
+ * until it is read, and by how much it holds up what runs there; pure.
+ */
+uint64_t kwb_prompt_cost_ns(
+    const struct kwb_pace_view *view, uint64_t prompt_tokens);
+
 /* What decides whether a run that could move does. */
 struct kwb_move_terms {
 	uint64_t stay_ns;	/* until its end where it runs */
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -47,6 +47,7 @@
 	uint64_t version;	/* of the weights that generate now */
 	uint64_t versions[ITEM_VERSIONS_MAX]; /* of the events so far */
 	uint64_t started_ns;		      /* at this upstream */
+	uint64_t unread_tokens; /* of its prompt, until its first event */
 	/* When it would have ended without its last move; 0 for no move. */
 	uint64_t unmoved_end_ns;
 	uint64_t not_before_ns; /* earliest next start, or request of reward */
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -49,6 +49,7 @@
 	    .needs_free_slot = true,
 	    .client = run_env(run)->forward->client,
 	    .units = run_units_left(run),
+	    .prompt_tokens = run->item->prompt_tokens,
 	    .now_ns = kwb_clock_now_ns(),
 	    .random = (uint64_t)random(),
 	};
@@ -103,16 +104,27 @@
 	return stay_ns;
 }
 
-/*
- * Whether an item ends sooner if it moves to that candidate, with its prompt
- * and text read again, which takes about as long as an event.
- */
+/* Until the candidate has read its prompt and its text. */
+static uint64_t
+run_read_ns(const struct item_run *run, const struct kwb_upstream *candidate,
+    uint64_t now_ns)
+{
+	struct kwb_pace_view view;
+
+	kwb_upstream_view_pace(candidate, 0, now_ns, &view);
+	return kwb_prompt_cost_ns(&view,
+	    run->item->prompt_tokens +
+		run->last_event * run->batch->batches->hint_per_unit);
+}
+
+/* Whether an item ends sooner if it moves to that candidate. */
 static bool
 run_gains_by_move(const struct item_run *run,
     const struct kwb_upstream *candidate, uint64_t now_ns)
 {
 	struct kwb_move_terms terms = {.stay_ns = run_stay_ns(run, now_ns),
-	    .move_ns = run_time_at(run, candidate, now_ns) + KWB_MOVE_START_NS,
+	    .move_ns = run_time_at(run, candidate, now_ns) +
+		run_read_ns(run, candidate, now_ns) + KWB_MOVE_START_NS,
 	    .step_least_ns = run->batch->least_time_ns,
 	    .moves = run->moves};
 
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -21,13 +21,22 @@
 {
 	kwb_log(KWB_LOG_INFO, "item",
 	    "event=%s id=%s batch=%s group=%s upstream=%s events=%llu "
-	    "version=%llu hint=%llu reason=%s",
+	    "version=%llu hint=%llu prompt=%llu reason=%s",
 	    event, run->item->id, run->batch->record.id,
 	    run->item->group ? run->item->group : "-",
 	    run->upstream ? run->upstream->status.id : "-",
 	    (unsigned long long)run->last_event,
 	    (unsigned long long)run->version,
-	    (unsigned long long)run->item->length_hint, reason);
+	    (unsigned long long)run->item->length_hint,
+	    (unsigned long long)run->item->prompt_tokens, reason);
+}
+
+/* Its prompt isn't waiting to be read any more. */
+static void
+forget_unread(struct item_run *run)
+{
+	run->upstream->unread_tokens -= run->unread_tokens;
+	run->unread_tokens = 0;
 }
 
 void
@@ -36,6 +45,7 @@
 	if (run->upstream != NULL) {
 		kwb_exchange_finish(&run->exchange);
 		kwb_sse_parser_finish(&run->events);
+		forget_unread(run);
 		kwb_upstream_end(
 		    run_env(run)->forward->registry, run->upstream, run);
 		run->upstream = NULL;
@@ -119,6 +129,15 @@
 		run->versions[run->versions_count++] = run->version;
 }
 
+/* The first event has come. */
+static void
+note_prompt_read(struct item_run *run, uint64_t now_ns)
+{
+	kwb_upstream_record_read(
+	    run->upstream, run->unread_tokens, now_ns - run->started_ns);
+	forget_unread(run);
+}
+
 /* Appends an event to the text; those that it has already are ignored. */
 static void
 run_on_event(void *context, const struct kwb_sse_event *event)
@@ -147,6 +166,8 @@
 	if (run->last_event_ns != 0)
 		kwb_upstream_record_pace(
 		    run->upstream, now_ns - run->last_event_ns);
+	else
+		note_prompt_read(run, now_ns);
 	run->last_event_ns = now_ns;
 	run->last_event++;
 	add_version(run);
@@ -361,6 +382,10 @@
 	run->last_event_ns = 0;
 	run->started_ns = kwb_clock_now_ns();
 	kwb_sse_parser_init(&run->events, env->codec->version_field);
+	if (strcmp(batch->groups[run->group].upstream_id,
+		upstream->status.id) != 0)
+		run->unread_tokens = run->item->prompt_tokens;
+	upstream->unread_tokens += run->unread_tokens;
 	kwb_upstream_begin(upstream, run);
 	kwb_text_copy(batch->groups[run->group].upstream_id, KWB_NAME_MAX_BYTES,
 	    upstream->status.id);
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -154,6 +154,15 @@
 	return reference_ns ? (double)reference_ns : 1.0;
 }
 
+/* Whether it has read the request's prompt, as far as is known. */
+static bool
+has_prompt(const struct kwb_pick_criteria *criteria,
+    const struct kwb_upstream *upstream)
+{
+	return criteria->affinity_id != NULL &&
+	    strcmp(criteria->affinity_id, upstream->status.id) == 0;
+}
+
 /*
  * The time that a generation takes there, as a multiple of its usual time. An
  * upstream's own speed outlives its last measurement, so one that is slow by
@@ -164,11 +173,14 @@
     const struct kwb_upstream *upstream, double reference_ns)
 {
 	struct kwb_pace_view view;
+	uint64_t run_ns;
 
 	kwb_upstream_view_pace(
 	    upstream, (uint64_t)reference_ns, criteria->now_ns, &view);
-	return (double)kwb_pace_run_ns(&view, criteria->units) /
-	    ((double)criteria->units * reference_ns);
+	run_ns = kwb_pace_run_ns(&view, criteria->units) +
+	    kwb_prompt_cost_ns(&view,
+		has_prompt(criteria, upstream) ? 0 : criteria->prompt_tokens);
+	return (double)run_ns / ((double)criteria->units * reference_ns);
 }
 
 static double
@@ -197,8 +209,7 @@
 	    strcmp(criteria->failure_domain, upstream->status.failure_domain) !=
 		0)
 		cost += REMOTE_DOMAIN_COST;
-	if (criteria->affinity_id != NULL &&
-	    strcmp(criteria->affinity_id, upstream->status.id) != 0)
+	if (criteria->affinity_id != NULL && !has_prompt(criteria, upstream))
 		cost += criteria->model != NULL ? PREFIX_MISS_COST
 						: SHARED_PREFIX_MISS_COST;
 	return cost * pace;
--- a/src/upstream/place.c
+++ b/src/upstream/place.c
@@ -51,6 +51,21 @@
 	    (100 * slots + KWB_LOAD_PERCENT * view->load) / (100 * slots);
 }
 
+/*
+ * An upstream reads prompts in turn, between the events of what it generates.
+ * So a short prompt keeps off upstreams that have long ones to read, and long
+ * ones keep off each other and off upstreams with much to hold up.
+ */
+uint64_t
+kwb_prompt_cost_ns(const struct kwb_pace_view *view, uint64_t prompt_tokens)
+{
+	uint64_t slots = view->slots ? view->slots : 1;
+
+	return view->read_ns_per_token *
+	    (view->unread_tokens + prompt_tokens +
+		prompt_tokens * view->load / slots);
+}
+
 /*
  * Both ends are estimates, so a move has to gain a part of what it estimates.
  * A run that ends before the rest of its step does gains its trainer nothing.
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -62,6 +62,7 @@
 	upstream->slowness_percent = 0;
 	upstream->usual_percent = 0;
 	upstream->slow_since_ns = 0;
+	upstream->read_ns_per_token = 0;
 	upstream->failures = 0;
 	upstream->suspect_until_ns = 0;
 	upstream->prober = NULL;
@@ -329,6 +330,25 @@
 		upstream->usual_percent = percent;
 }
 
+/* The shortest times are those without a queue before the prompt. */
+void
+kwb_upstream_record_read(
+    struct kwb_upstream *upstream, uint64_t tokens, uint64_t taken_ns)
+{
+	uint64_t *known = &upstream->read_ns_per_token;
+	uint64_t sample;
+
+	if (tokens < KWB_READ_SAMPLE_MIN_TOKENS ||
+	    taken_ns <= upstream->baseline_pace_ns)
+		return;
+	/* The first event takes its own time, too. */
+	sample = (taken_ns - upstream->baseline_pace_ns) / tokens;
+	if (*known == 0 || sample < *known)
+		*known = sample;
+	else
+		*known += (sample - *known) / KWB_READ_RISE_DIVISOR;
+}
+
 void
 kwb_upstream_view_pace(const struct kwb_upstream *upstream, uint64_t service_ns,
     uint64_t now_ns, struct kwb_pace_view *view)
@@ -346,6 +366,8 @@
 	view->service_ns = service_ns;
 	view->load = kwb_upstream_load(upstream, now_ns);
 	view->slots = upstream->status.slots;
+	view->unread_tokens = upstream->unread_tokens;
+	view->read_ns_per_token = upstream->read_ns_per_token;
 }
 
 /* The lower median is not moved by one slow upstream or one wrong value. */
