--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -170,6 +170,7 @@
 #define KWB_MOVE_MARGIN_DIVISOR 6 /* a move gains this part of its estimate */
 #define KWB_MOVE_GAIN_MIN_NS (100 * KWB_MS_NS) /* and at least so much */
 #define KWB_MOVE_START_NS (40 * KWB_MS_NS)     /* connects, reads all again */
+#define KWB_STEP_SLACK 1      /* times its least time until it is due */
 #define KWB_OVERRUN_DIVISOR 2 /* a text beyond its hint goes on for half */
 #define KWB_MOVE_MIN_NS (300 * KWB_MS_NS)   /* at an upstream before a move */
 #define KWB_CHECKPOINT_NS (500 * KWB_MS_NS) /* between writes of texts */
--- a/include/kwb_placement.h
+++ b/include/kwb_placement.h
@@ -49,6 +49,8 @@
 	uint32_t moves;		/* of this run so far */
 };
 
+/* Whether a step that takes at least least_ns is due too soon; pure. */
+bool kwb_step_is_urgent(uint64_t least_ns, uint64_t left_ns);
 bool kwb_move_pays(const struct kwb_move_terms *terms); /* pure */
 
 /* Units of work that a generation still has to do; pure. */
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -135,6 +135,7 @@
 void run_finish(struct item_run *run);	  /* stops it and frees its text */
 
 /* score.c: the reward of an item */
+uint64_t run_time_left_ns(const struct item_run *run); /* until it is due */
 void run_request_score(struct item_run *run);
 
 /* pump.c: upstreams for items */
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -131,6 +131,15 @@
 	return kwb_move_pays(&terms);
 }
 
+/* Upstreams that report their slowness are known well enough in any case. */
+static bool
+is_step_urgent(const struct item_run *run)
+{
+	return run->upstream->slowness_percent == 0 &&
+	    kwb_step_is_urgent(
+		run->batch->least_time_ns, run_time_left_ns(run));
+}
+
 /* Why a running item should move to that candidate; NULL to stay. */
 static const char *
 reason_to_move(const struct item_run *run, const struct kwb_upstream *candidate,
@@ -148,7 +157,7 @@
 		input.best_pace_ns =
 		    kwb_registry_median_pace(run_env(run)->forward->registry,
 			candidate->status.service, now_ns);
-	if (version_to_go_on_with(run) == 0) {
+	if (version_to_go_on_with(run) == 0 && !is_step_urgent(run)) {
 		if (!run_gains_by_move(run, candidate, now_ns))
 			return NULL;
 		return is_loading ? "weights_change" : "slow_upstream";
@@ -223,7 +232,8 @@
 	candidate = run_pick_upstream(run, run->upstream->status.service);
 	if (candidate == NULL)
 		return;
-	if (queued && !run_gains_by_move(run, candidate, now_ns))
+	if (queued && !is_step_urgent(run) &&
+	    !run_gains_by_move(run, candidate, now_ns))
 		return;
 	if (queued) {
 		run_move(run, candidate, "queued");
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -35,8 +35,8 @@
 }
 
 /* Time until the trainer's step is due, 0 when it is over. */
-static uint64_t
-time_left_ns(const struct item_run *run)
+uint64_t
+run_time_left_ns(const struct item_run *run)
 {
 	const struct kwb_batch_env *env = run_env(run);
 	const struct kwb_batch_record *record = &run->batch->record;
@@ -65,7 +65,7 @@
 	};
 	struct kwb_score_input input = {
 	    .waited_ns = now_ns - run->text_complete_ns,
-	    .left_ns = time_left_ns(run)};
+	    .left_ns = run_time_left_ns(run)};
 
 	input.has_spare_slot =
 	    kwb_upstream_pick(env->forward->registry, &criteria) != NULL;
--- a/src/upstream/place.c
+++ b/src/upstream/place.c
@@ -80,6 +80,13 @@
 	    terms->stay_ns;
 }
 
+/* A step that would come late takes whatever makes it sooner. */
+bool
+kwb_step_is_urgent(uint64_t least_ns, uint64_t left_ns)
+{
+	return least_ns > left_ns;
+}
+
 /*
  * A text that has outgrown its hint goes on for a part of its length so far:
  * lengths vary by orders of magnitude.
