--- a/include/kwb.h
+++ b/include/kwb.h
@@ -177,9 +177,11 @@
 	KWB_METRIC_CONTROL_BYTES,     /* sent to peers, apart from requests */
 	KWB_METRIC_STORE_DETOURS,     /* switches to a path through a peer */
 	KWB_METRIC_UPSTREAMS_LEAVING, /* upstreams that said that they leave */
-	KWB_METRIC_RELAYED_BYTES,     /* between peers and the store */
-	KWB_METRIC_MOVES,	      /* of running items to other upstreams */
-	KWB_METRIC_MOVES_WON_MS,      /* by moves, as expected before them */
+	KWB_METRIC_KEYS_UNKNOWN,  /* requests with no key, or no valid one */
+	KWB_METRIC_KEYS_UNPROVED, /* not admitted: config may be outdated */
+	KWB_METRIC_RELAYED_BYTES, /* between peers and the store */
+	KWB_METRIC_MOVES,	  /* of running items to other upstreams */
+	KWB_METRIC_MOVES_WON_MS,  /* by moves, as expected before them */
 	KWB_METRIC_MOVES_LOST_MS,
 	/* Connections to upstreams, in the order of enum kwb_conn_cause. */
 	KWB_METRIC_CONNS_FIRST,
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -105,6 +105,18 @@
 #define KWB_RELAY_BUFFER_BYTES 65536 /* of a connection, in each direction */
 #define KWB_RELAY_IDLE_S 5	     /* longer than a feed waits */
 
+/* Keys of workspaces */
+#define KWB_ACCESS_MARGIN_DIVISOR                                              \
+	20			  /* of revoke-ms, for clocks that differ      \
+				   */
+#define KWB_ACCESS_WAIT_DIVISOR 4 /* of revoke-ms: longest wait of a feed */
+/* A feed that is unanswered for so long after its wait is asked again. */
+#define KWB_ACCESS_LATE_NS (600 * KWB_MS_NS)
+/* A request waits so long for the store's word on its key. */
+#define KWB_ACCESS_WAIT_NS (300 * KWB_MS_NS)
+/* Between questions for unknown keys; bounds what callers can cause. */
+#define KWB_ACCESS_ASK_NS (100 * KWB_MS_NS)
+
 /* Upstreams of the shared platform */
 /*
  * A unit of work is a plain request or one event of a generation. Its pace is
@@ -170,7 +182,6 @@
 #define KWB_MOVE_MARGIN_DIVISOR 6 /* a move gains this part of its estimate */
 #define KWB_MOVE_GAIN_MIN_NS (100 * KWB_MS_NS) /* and at least so much */
 #define KWB_MOVE_START_NS (40 * KWB_MS_NS)     /* connects, reads all again */
-#define KWB_STEP_SLACK 1      /* times its least time until it is due */
 #define KWB_OVERRUN_DIVISOR 2 /* a text beyond its hint goes on for half */
 #define KWB_MOVE_MIN_NS (300 * KWB_MS_NS)   /* at an upstream before a move */
 #define KWB_CHECKPOINT_NS (500 * KWB_MS_NS) /* between writes of texts */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -14,6 +14,7 @@
 #include <sys/queue.h>
 
 #include "kwb.h"
+#include "kwb_access.h"
 #include "kwb_placement.h"
 
 struct bufferevent;
@@ -582,6 +583,13 @@
 	uint32_t failures;	  /* in a row */
 	bool synced;		  /* a whole read has been completed */
 	bool reading;		  /* a whole read is in progress */
+	/* Boot times: of the call in progress, or its whole read; of proof. */
+	uint64_t sent_ns;
+	uint64_t proof_ns;  /* up to then all changes were reported; or 0 */
+	uint32_t asked_ms;  /* wait of the feed in progress; 0 for none */
+	uint32_t wait_ms;   /* longest wait of a feed */
+	bool is_proof_kept; /* after a failure a feed does not wait */
+	void (*on_proof)(void *context); /* after a rise of proof_ns, or NULL */
 };
 
 /* Starts to read the table; returns KWB_ERR_MEMORY on failure. */
@@ -595,6 +603,14 @@
 bool kwb_follower_is_current(
     const struct kwb_follower *follower, uint64_t age_ns);
 
+/*
+ * From now on feeds wait for wait_ms at most, and not at all after a failure,
+ * so that proof_ns stays recent while the store answers.
+ */
+void kwb_follower_keep_proof(struct kwb_follower *follower, uint32_t wait_ms);
+/* Asks for changes until now, unless such a question is on its way. */
+void kwb_follower_ask(struct kwb_follower *follower);
+
 /*
  * Asks again if the call in progress has waited for min_wait_ns, for an owner
  * that knows of changes it was not told of: a connection may have gone silent.
@@ -851,7 +867,7 @@
 	uint32_t run_deadline_ms;   /* time for a whole batch */
 	uint32_t item_ttl_ms;	    /* after which an item may be given up */
 	uint32_t max_attempts;	    /* of one request, the first included */
-	uint32_t priority;	    /* not used */
+	uint32_t priority;	    /* 0 is the highest */
 	struct kwb_route_split *splits; /* at least one */
 	uint32_t splits_count;
 };
@@ -886,10 +902,11 @@
 	struct kwb_workspace *workspaces;
 	uint32_t workspaces_count;
 	bool has_workspaces; /* requests need a key, except on public routes */
-	uint32_t max_header_bytes;  /* of a request's head */
-	uint64_t max_body_bytes;    /* of a request's body */
-	uint32_t header_timeout_ms; /* for a request's head to arrive */
-	uint32_t idle_timeout_ms;   /* of a connection between requests */
+	struct kwb_access_keys keys; /* of the workspaces */
+	uint32_t max_header_bytes;   /* of a request's head */
+	uint64_t max_body_bytes;     /* of a request's body */
+	uint32_t header_timeout_ms;  /* for a request's head to arrive */
+	uint32_t idle_timeout_ms;    /* of a connection between requests */
 };
 
 void kwb_node_config_finish(struct kwb_node_config *config); /* frees it */
@@ -1598,7 +1615,8 @@
 	void *context;
 	struct kwb_batches *batches;
 	struct kwb_store_call call;
-	struct kwb_batch_record record; /* caller sets id, host, target */
+	struct kwb_batch_record record; /* caller sets id, host, target,
+					   workspace */
 	struct kwb_batch_spec spec;
 	const char *body; /* as submitted; must outlive the operation */
 	size_t body_bytes;
@@ -1618,10 +1636,11 @@
 	void *context;
 	struct kwb_batches *batches;
 	struct kwb_store_call call;
-	struct event *timer;		/* retries */
-	struct kwb_batch_record record; /* caller sets id */
-	uint64_t deadline_ns;		/* no retry after it */
-	bool reading;			/* a retry was scheduled */
+	struct event *timer;		    /* retries */
+	struct kwb_batch_record record;	    /* caller sets id */
+	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
+	uint64_t deadline_ns;		    /* no retry after it */
+	bool reading;			    /* a retry was scheduled */
 	int error; /* 0, KWB_ERR_STORE_MISSING, or why it isn't certain */
 };
 
@@ -1638,8 +1657,10 @@
 	struct kwb_store_call call;
 	struct event *timer; /* polls and retries */
 	char batch[KWB_KEY_MAX_BYTES];
-	char item[KWB_KEY_MAX_BYTES]; /* "" for results */
-	uint32_t after;		      /* first position wanted */
+	char item[KWB_KEY_MAX_BYTES];	    /* "" for results */
+	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
+	char owner[KWB_NAME_MAX_BYTES]; /* workspace of the batch, once known */
+	uint32_t after;			/* first position wanted */
 	uint64_t wait_deadline_ns; /* an empty list is held back until then */
 	uint64_t deadline_ns;	   /* no retry after it */
 	uint32_t total;		   /* items of the batch */
@@ -1805,6 +1826,8 @@
 	struct evconnlistener *ready_listener;
 	struct evconnlistener *metrics_listener; /* NULL for none */
 	struct kwb_caller_list callers;		 /* open connections */
+	struct kwb_access access;		 /* keys of workspaces */
+	struct kwb_caller_list waiting_callers;	 /* for the store's word */
 	struct event *timer;			 /* every KWB_NODE_CHECK_NS */
 	uint64_t incarnation;	   /* start in ms of the wall clock */
 	uint64_t stop_deadline_ns; /* of a stop; 0 while not stopping */
--- a/tests/platform/decisions_placement.c
+++ b/tests/platform/decisions_placement.c
@@ -123,6 +123,8 @@
 	};
 	unsigned i;
 
+	CU_ASSERT(kwb_step_is_urgent(2000 * MS, 1900 * MS));
+	CU_ASSERT(!kwb_step_is_urgent(2000 * MS, 2100 * MS));
 	for (i = 0; i < COUNT(cases); i++)
 		if (kwb_move_pays(&cases[i].terms) != cases[i].pays)
 			CU_FAIL(cases[i].name);
