--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -106,16 +106,15 @@
 #define KWB_RELAY_IDLE_S 5	     /* longer than a feed waits */
 
 /* Keys of workspaces */
-#define KWB_ACCESS_MARGIN_DIVISOR                                              \
-	20			  /* of revoke-ms, for clocks that differ      \
-				   */
-#define KWB_ACCESS_WAIT_DIVISOR 4 /* of revoke-ms: longest wait of a feed */
+/* Of revoke-ms: margin for clocks that differ. */
+#define KWB_ACCESS_MARGIN_DIVISOR 20
+#define KWB_ACCESS_WAIT_DIVISOR 6 /* of revoke-ms: longest wait of a feed */
 /* A feed that is unanswered for so long after its wait is asked again. */
 #define KWB_ACCESS_LATE_NS (600 * KWB_MS_NS)
 /* A request waits so long for the store's word on its key. */
 #define KWB_ACCESS_WAIT_NS (300 * KWB_MS_NS)
 /* Between questions for unknown keys; bounds what callers can cause. */
-#define KWB_ACCESS_ASK_NS (100 * KWB_MS_NS)
+#define KWB_ACCESS_ASK_NS (150 * KWB_MS_NS)
 
 /* Upstreams of the shared platform */
 /*
@@ -269,6 +268,38 @@
 #define KWB_PEER_TRIP_NS (1000 * KWB_MS_NS)   /* not chosen after failures */
 #define KWB_PEER_TRIP_FAILURES 3 /* in a row, before it is not chosen */
 
+/* Duties */
+#define KWB_USAGE_WINDOWS_MAX 16      /* rows of a node that may wait */
+#define KWB_USAGE_ROW_ENTRIES_MAX 600 /* workspaces in a row; 50 KB */
+/* A node's counts wait at least so long, and longer in a larger fleet. */
+#define KWB_USAGE_WRITE_MIN_NS (500 * KWB_MS_NS)
+#define KWB_USAGE_WRITE_NS_PER_NODE (20 * KWB_MS_NS) /* 50 writes a second */
+/* Of the writes after a window's end, which are over in 2 s. */
+#define KWB_USAGE_FINAL_NS_PER_NODE (5 * KWB_MS_NS)
+#define KWB_USAGE_FINAL_MAX_NS (2000 * KWB_MS_NS)
+/* A report is decided after this part of the time until it is due. */
+#define KWB_USAGE_DECIDE_PERCENT 25
+/* Nodes write what they have this long after an outage of the store. */
+#define KWB_USAGE_RECOVERY_MS 1000
+/* An empty window that is overdue for so long is not reported. */
+#define KWB_USAGE_STALE_MS 60000
+#define KWB_DUTY_TIMEOUT_NS (1000 * KWB_MS_NS) /* of a call */
+/* The delay before a call is made again doubles from MIN to MAX. */
+#define KWB_DUTY_RETRY_MIN_NS (200 * KWB_MS_NS)
+#define KWB_DUTY_RETRY_MAX_NS (1600 * KWB_MS_NS)
+#define KWB_DUTY_TRIES_MAX 100	  /* then a report is given up */
+#define KWB_SCALE_SUBJECTS_MAX 64 /* scaled services in failure domains */
+#define KWB_SCALE_PERIOD_NS (1000 * KWB_MS_NS) /* between decisions */
+/* A report of load counts for so long, and longer in a larger fleet. */
+#define KWB_SCALE_REPORT_NS (5000 * KWB_MS_NS)
+#define KWB_SCALE_FILL_PERCENT 70      /* of the slots, at the load as it is */
+#define KWB_SCALE_LOSS_FILL_PERCENT 90 /* after a failure domain is lost */
+/* No decrease for so long after the load last needed the number, and no order
+ * again. Added to it is how long an upstream takes to boot. */
+#define KWB_SCALE_DOWN_NS (10000 * KWB_MS_NS)
+#define KWB_SCALE_REPEAT_NS (10000 * KWB_MS_NS)
+#define KWB_SCALE_STEP_DIVISOR 4 /* of the number, in one decrease */
+
 /* Weights */
 #define KWB_LEASE_MS 6000 /* lost when not renewed */
 #define KWB_LEASE_RENEW_NS (2000 * KWB_MS_NS)
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2074,6 +2074,7 @@
 
 /* Of the other files of this program; each returns how many it has added. */
 extern unsigned access_tests_add(CU_pSuite suite);
+extern unsigned duty_tests_add(CU_pSuite suite);
 extern unsigned placement_tests_add(CU_pSuite suite);
 
 int
@@ -2129,6 +2130,7 @@
 		if (CU_add_test(suite, tests[i].name, tests[i].run) == NULL)
 			return 1;
 	count += access_tests_add(suite);
+	count += duty_tests_add(suite);
 	count += placement_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
