--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -16,6 +16,7 @@
 #include "kwb.h"
 #include "kwb_access.h"
 #include "kwb_memory.h"
+#include "kwb_placement.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -208,6 +209,7 @@
 	uint64_t opened_count;		    /* connections opened so far */
 	uint32_t conns_count;		    /* open now */
 	uint32_t conns_max;		    /* 0: no limit */
+	struct kwb_conn_history *history;   /* of those to upstreams, or NULL */
 	uint64_t answer_max_bytes;	    /* a longer body is an error */
 	struct kwb_body_budget body_budget; /* of all answers being read */
 };
@@ -978,12 +980,17 @@
 	uint64_t reported_ns;	      /* when it was reported; 0 for never */
 	uint32_t shared_load;	      /* as any node has last reported it */
 	uint64_t shared_ms;	      /* store's clock then; 0 for never */
+	uint32_t slowness_percent;    /* reported then, 100 usual; 0 none */
+	uint32_t usual_percent;	      /* lowest reported in this life */
 	uint32_t failures;	      /* in a row */
 	uint64_t suspect_until_ns;    /* avoided until then, after failures */
 	const void *prober;	   /* request that probes it; NULL for none */
 	uint64_t pace_ns;	   /* smoothed; 0 when not measured */
 	uint64_t pace_updated_ns;  /* when it was last measured */
 	uint64_t baseline_pace_ns; /* pace without slow phases; 0 likewise */
+	uint64_t unread_tokens; /* of prompts of this node there, to be read */
+	uint64_t read_ns_per_token; /* of a prompt; 0 when not measured */
+	uint64_t slow_since_ns; /* when pace left its baseline; 0 if near it */
 	uint64_t backoff_until_ns; /* avoided until then, after a refusal */
 	/* Model whose weights are kept current here, "" for none. */
 	char assigned_model[KWB_NAME_MAX_BYTES];
@@ -1049,6 +1056,20 @@
     struct kwb_upstream *upstream, uint64_t now_ns); /* may make it suspect */
 void kwb_upstream_record_pace(struct kwb_upstream *upstream,
     uint64_t taken_ns); /* time that a unit of work took */
+uint32_t kwb_upstream_load(const struct kwb_upstream *upstream,
+    uint64_t now_ns); /* requests there, of all nodes, as far as known */
+void kwb_upstream_record_report(struct kwb_upstream *upstream,
+    const struct kwb_upstream_answer *answer); /* load and slowness, if told */
+/* Whether it has told in this life how long work takes there at the moment. */
+bool kwb_upstream_reports_slowness(const struct kwb_upstream *upstream);
+bool kwb_registry_reports_slowness(const struct kwb_registry *registry,
+    const char *service); /* whether any upstream of the service does */
+/* A prompt was read in that time, with what was read before it. */
+void kwb_upstream_record_read(
+    struct kwb_upstream *upstream, uint64_t tokens, uint64_t taken_ns);
+/* What is known of its pace; service_ns: median pace of its service. */
+void kwb_upstream_view_pace(const struct kwb_upstream *upstream,
+    uint64_t service_ns, uint64_t now_ns, struct kwb_pace_view *view);
 bool kwb_registry_has_version(const struct kwb_registry *registry,
     const char *service, const char *model,
     uint64_t version); /* at an upstream that takes requests */
@@ -1069,6 +1090,9 @@
 	bool needs_free_slot;	 /* only upstreams with a free slot */
 	uint32_t spare_divisor;	 /* slots / this must stay free; 0 for none */
 	const struct kwb_client *client; /* prefers open connections, or NULL */
+	/* Units of work it has; chosen by its expected end. 0: by cost. */
+	uint64_t units;
+	uint64_t prompt_tokens; /* to be read where they aren't cached */
 	uint64_t now_ns;
 	uint64_t random; /* 64 random bits */
 };
@@ -1159,8 +1183,10 @@
 	uint32_t running;	 /* requests there */
 	uint32_t waiting;	 /* requests there */
 	uint32_t slots;		 /* requests that it runs at a time */
-	uint64_t version;	 /* of the weights, 0 when absent */
-	uint64_t keep_alive_ms;	 /* unused */
+	uint32_t
+	    slowness_percent;	/* of the time work usually takes; 0 absent */
+	uint64_t version;	/* of the weights, 0 when absent */
+	uint64_t keep_alive_ms; /* unused */
 };
 
 enum kwb_item_state { KWB_ITEM_COMPLETED, KWB_ITEM_ERRORED };
@@ -1375,9 +1401,10 @@
 	struct kwb_message headers; /* of its request; no body */
 	char *body;
 	size_t body_bytes;
-	uint64_t tokens;      /* of work, as the submission states */
-	uint64_t length_hint; /* expected output tokens; 0 unknown */
-	char *score_id;	      /* of the reward call; NULL when not scored */
+	uint64_t tokens;	/* of work, as the submission states */
+	uint64_t prompt_tokens; /* 0 unknown */
+	uint64_t length_hint;	/* expected output tokens; 0 unknown */
+	char *score_id;		/* of the reward call; NULL when not scored */
 	char *score_host;
 	char *score_target;
 	char *score_body;
@@ -1561,10 +1588,11 @@
 	struct event *dispatch_timer;	  /* starts items */
 	struct event *owner_timer; /* claims batches without living owner */
 	bool dispatch_armed;
-	uint64_t move_checked_ns;	 /* last check of the running items */
-	uint64_t check_seen_ns;		 /* when a check was last due */
-	bool handing_over;		 /* starts and claims nothing more */
-	struct kwb_store_call heartbeat; /* writes the own one */
+	uint64_t hint_per_unit;	  /* of the texts so far, smoothed; 0 unknown */
+	uint64_t move_checked_ns; /* last check of the running items */
+	uint64_t check_seen_ns;	  /* when a check was last due */
+	bool handing_over;	  /* starts and claims nothing more */
+	struct kwb_store_call heartbeat;       /* writes the own one */
 	struct kwb_store_call heartbeats_read; /* those of all nodes */
 	struct kwb_node_heartbeat *heartbeats;
 	uint32_t heartbeats_count;
@@ -1811,7 +1839,8 @@
 	struct kwb_store *store;
 	const struct kwb_message_codec *codec;
 	const struct kwb_document_schema *schema;
-	struct kwb_client client;	/* connections to upstreams */
+	struct kwb_client client; /* connections to upstreams */
+	struct kwb_conn_history conn_history;
 	struct kwb_registry registry;	/* upstreams listed in the store */
 	struct kwb_forward_env forward; /* what all forwards share */
 	struct kwb_prefix_map prefixes; /* of prompts read by upstreams */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -303,6 +303,7 @@
 	code = kwb_client_init(&node->client, base);
 	if (code == 0)
 		code = node_init_limits(node);
+	node->client.history = &node->conn_history;
 	if (code != 0)
 		return code;
 	node->forward = (struct kwb_forward_env){.base = base,
