--- a/include/kwb_room.h
+++ b/include/kwb_room.h
@@ -69,11 +69,8 @@
 /* Rank of a request; workspace: the name of the one that asks, "" for none. */
 uint32_t kwb_room_rank(const struct kwb_node_config *config,
     const char *workspace, const struct kwb_route_entry *route);
-/*
- * Priority of a request in an upstream's queue: that of its kind, a
- * KWB_PRIORITY_ constant, which a rank behind the first moves back by one.
- */
-int32_t kwb_room_priority(int32_t kind_priority, uint32_t rank);
+/* Priority of a caller's request in an upstream's queue, by its rank. */
+int32_t kwb_room_priority(uint32_t rank);
 /*
  * When a refused request should come back: once a place is expected, and not
  * all at the same time. left_ns: until its deadline.
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -106,53 +106,6 @@
 	records_update(batches, &record);
 }
 
-/* Rank of a batch; one that has waited for long counts as the first. */
-static uint32_t
-batch_rank(const struct kwb_batch *batch)
-{
-	const struct kwb_batch_env *env = batch->batches->env;
-	const struct kwb_batch_record *record = &batch->record;
-	const struct kwb_route_entry *route;
-	struct kwb_room_claim claim = {
-	    .since_ns = record->accepted_ms * KWB_MS_NS};
-
-	if (*env->config == NULL || !(*env->config)->has_workspaces)
-		return 0;
-	route = kwb_node_config_find_route(
-	    *env->config, record->host, record->target);
-	if (route == NULL)
-		return 0;
-	claim.deadline_ns = claim.since_ns + route->run_deadline_ms * KWB_MS_NS;
-	if (kwb_room_is_overdue(
-		&claim, kwb_store_now_ms(env->store) * KWB_MS_NS))
-		return 0;
-	return kwb_room_rank(*env->config, record->workspace, route);
-}
-
-/* Starts items of the batches in order of their ranks. */
-static bool
-dispatch_batches(struct kwb_batches *batches)
-{
-	struct kwb_batch *batch;
-	bool has_waiting = false;
-	uint32_t next = 0;
-	uint32_t rank;
-
-	do {
-		rank = next;
-		next = UINT32_MAX;
-		TAILQ_FOREACH (batch, &batches->running, entry) {
-			uint32_t other = batch_rank(batch);
-
-			if (other == rank)
-				has_waiting |= batch_dispatch(batch);
-			else if (other > rank && other < next)
-				next = other;
-		}
-	} while (next != UINT32_MAX);
-	return has_waiting;
-}
-
 static void
 dispatch_on_timer(int fd, short what, void *context)
 {
@@ -171,7 +124,8 @@
 	 */
 	if (kwb_clock_now_ns() - batches->env->store->last_answer_ns <
 	    KWB_DISPATCH_STORE_AGE_NS)
-		has_waiting = dispatch_batches(batches);
+		TAILQ_FOREACH (batch, &batches->running, entry)
+			has_waiting |= batch_dispatch(batch);
 	if (kwb_clock_now_ns() - batches->move_checked_ns >=
 	    KWB_MOVE_CHECK_NS) {
 		batches->move_checked_ns = kwb_clock_now_ns();
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -284,14 +284,12 @@
 };
 
 static int32_t
-run_priority(const struct item_run *run, const struct kwb_route_entry *route)
+run_priority(const struct item_run *run)
 {
 	struct kwb_item_rank rank;
 
 	run_get_rank(run, &rank);
-	return kwb_room_priority(kwb_item_priority(&rank),
-	    kwb_room_rank(
-		*run_env(run)->config, run->batch->record.workspace, route));
+	return kwb_item_priority(&rank);
 }
 
 void
@@ -312,7 +310,7 @@
 	    .expect_upstream_id = upstream->status.id,
 	    .deadline_ns = kwb_clock_now_ns() + left_ms * KWB_MS_NS,
 	    .resume_after = run->last_event,
-	    .priority = run_priority(run, route)};
+	    .priority = run_priority(run)};
 	struct evbuffer *out = evbuffer_new();
 	int code;
 
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -114,8 +114,7 @@
 	forward->rank =
 	    kwb_room_rank(caller->node->config, forward->workspace, route);
 	if (caller->node->config->has_workspaces)
-		forward->request.priority =
-		    kwb_room_priority(KWB_PRIORITY_CALLER, forward->rank);
+		forward->request.priority = kwb_room_priority(forward->rank);
 	kwb_forward_start(forward);
 }
 
--- a/src/room/rank.c
+++ b/src/room/rank.c
@@ -27,11 +27,12 @@
 }
 
 /*
- * One step, so that no kind of request of a first rank passes the kind before
- * it: a started item of any rank goes before a new one of the first.
+ * One step, so that interactive requests of any rank go before items, which
+ * have no rank there: an upstream that preempts a running item for an urgent
+ * one loses its work.
  */
 int32_t
-kwb_room_priority(int32_t kind_priority, uint32_t rank)
+kwb_room_priority(uint32_t rank)
 {
-	return rank > 0 ? kind_priority + 1 : kind_priority;
+	return rank > 0 ? KWB_PRIORITY_CALLER + 1 : KWB_PRIORITY_CALLER;
 }
