--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -164,6 +164,9 @@
 #define KWB_ROOM_RANKS_MAX 4	/* ranks in the metrics; the last is the rest */
 #define KWB_ROOM_RETURN_MIN_NS                                                 \
 	(50 * KWB_MS_NS) /* until a refused one returns */
+/* A node without config: usual time to get one, and to reach another node. */
+#define KWB_ROOM_RETURN_CONFIG_NS (500 * KWB_MS_NS)
+#define KWB_ROOM_RETURN_ELSEWHERE_NS (50 * KWB_MS_NS)
 /* Callers wait for at most a third of the time that they have left. */
 #define KWB_ROOM_RETURN_DIVISOR 3
 
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1790,7 +1790,8 @@
 	struct kwb_access access;		 /* keys of workspaces */
 	struct kwb_caller_list waiting_callers;	 /* for the store's word */
 	struct event *timer;			 /* every KWB_NODE_CHECK_NS */
-	uint64_t incarnation;	   /* start in ms of the wall clock */
+	uint64_t incarnation; /* start in ms of the wall clock */
+	uint64_t started_ns;
 	uint64_t stop_deadline_ns; /* of a stop; 0 while not stopping */
 	uint64_t stop_started_ns;
 	uint32_t busy_callers_count; /* with a request in progress */
--- a/include/kwb_room.h
+++ b/include/kwb_room.h
@@ -78,6 +78,12 @@
 uint64_t kwb_room_return_ns(
     uint64_t expected_ns, uint64_t left_ns, uint64_t random);
 
+/*
+ * When a request should come back that was refused because this node has no
+ * config yet. waited_ns: how long the store has not answered.
+ */
+uint64_t kwb_room_return_unready_ns(uint64_t waited_ns);
+
 /* ---- Shares of workspaces ------------------------------------------------ */
 
 struct kwb_room_share {
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -79,6 +79,17 @@
 	caller_finish_request(caller);
 }
 
+/* How long the store has not answered since the start of this node. */
+static uint64_t
+store_silence_ns(const struct kwb_node *node)
+{
+	uint64_t since_ns = node->store->last_answer_ns > node->started_ns
+	    ? node->store->last_answer_ns
+	    : node->started_ns;
+
+	return kwb_clock_now_ns() - since_ns;
+}
+
 /* Seconds until a caller should retry; below 0 where that would not help. */
 static double
 retry_after_s(const struct kwb_caller *caller, uint16_t status)
@@ -89,7 +100,11 @@
 		return 0.05; /* another node will serve it */
 	if (caller->forward != NULL && caller->forward->return_ns != 0)
 		return (double)caller->forward->return_ns / 1e9;
-	return caller->node->config == NULL ? 0.5 : 0.2;
+	if (caller->node->config != NULL)
+		return 0.2;
+	return (double)kwb_room_return_unready_ns(
+		   store_silence_ns(caller->node)) /
+	    1e9;
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -279,6 +279,7 @@
 	node->on_stopped = on_stopped;
 	node->context = context;
 	node->incarnation = kwb_clock_wall_ms();
+	node->started_ns = kwb_clock_now_ns();
 	TAILQ_INIT(&node->callers);
 	TAILQ_INIT(&node->waiting_callers);
 	node->access = (struct kwb_access){.settings = settings,
--- a/src/room/admission.c
+++ b/src/room/admission.c
@@ -96,3 +96,15 @@
 		after_ns = latest_ns;
 	return after_ns > KWB_MS_NS ? after_ns : KWB_MS_NS;
 }
+
+/*
+ * Answers a restart of nodes while the store is away: a caller that returns
+ * reaches another node, which may have a config. While the store answers, this
+ * node gets its own.
+ */
+uint64_t
+kwb_room_return_unready_ns(uint64_t waited_ns)
+{
+	return waited_ns >= KWB_STORE_SILENT_NS ? KWB_ROOM_RETURN_ELSEWHERE_NS
+						: KWB_ROOM_RETURN_CONFIG_NS;
+}
