--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -164,9 +164,10 @@
 #define KWB_ROOM_RANKS_MAX 4	/* ranks in the metrics; the last is the rest */
 #define KWB_ROOM_RETURN_MIN_NS                                                 \
 	(50 * KWB_MS_NS) /* until a refused one returns */
-/* A node without config: usual time to get one, and to reach another node. */
+/* In which a node gets its config, while the store answers. */
 #define KWB_ROOM_RETURN_CONFIG_NS (500 * KWB_MS_NS)
-#define KWB_ROOM_RETURN_ELSEWHERE_NS (50 * KWB_MS_NS)
+/* Part of its time left after which a caller tries another node. */
+#define KWB_ROOM_RETURN_ELSEWHERE_DIVISOR 16
 /* Callers wait for at most a third of the time that they have left. */
 #define KWB_ROOM_RETURN_DIVISOR 3
 
--- a/include/kwb_room.h
+++ b/include/kwb_room.h
@@ -80,9 +80,10 @@
 
 /*
  * When a request should come back that was refused because this node has no
- * config yet. waited_ns: how long the store has not answered.
+ * config yet. silence_ns: how long the store has not answered; left_ns: until
+ * the request's deadline.
  */
-uint64_t kwb_room_return_unready_ns(uint64_t waited_ns);
+uint64_t kwb_room_return_unready_ns(uint64_t silence_ns, uint64_t left_ns);
 
 /* ---- Shares of workspaces ------------------------------------------------ */
 
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -94,6 +94,8 @@
 static double
 retry_after_s(const struct kwb_caller *caller, uint16_t status)
 {
+	uint64_t left_ns = KWB_CALL_TIMEOUT_MS * KWB_MS_NS;
+
 	if (status != 503 && status != 429)
 		return -1;
 	if (caller->node->stop_deadline_ns != 0)
@@ -102,8 +104,11 @@
 		return (double)caller->forward->return_ns / 1e9;
 	if (caller->node->config != NULL)
 		return 0.2;
+	if (caller->call.deadline_ns != 0)
+		left_ns = kwb_clock_remaining_ms(caller->call.deadline_ns) *
+		    KWB_MS_NS;
 	return (double)kwb_room_return_unready_ns(
-		   store_silence_ns(caller->node)) /
+		   store_silence_ns(caller->node), left_ns) /
 	    1e9;
 }
 
--- a/src/room/admission.c
+++ b/src/room/admission.c
@@ -98,13 +98,19 @@
 }
 
 /*
- * Answers a restart of nodes while the store is away: a caller that returns
- * reaches another node, which may have a config. While the store answers, this
- * node gets its own.
+ * Answers a restart of nodes while the store is away. A caller that returns
+ * reaches another node, which may have a config; one with much time left does
+ * better to wait for the store, as it may need that. While the store answers,
+ * this node gets its own config.
  */
 uint64_t
-kwb_room_return_unready_ns(uint64_t waited_ns)
+kwb_room_return_unready_ns(uint64_t silence_ns, uint64_t left_ns)
 {
-	return waited_ns >= KWB_STORE_SILENT_NS ? KWB_ROOM_RETURN_ELSEWHERE_NS
-						: KWB_ROOM_RETURN_CONFIG_NS;
+	uint64_t after_ns = left_ns / KWB_ROOM_RETURN_ELSEWHERE_DIVISOR;
+
+	if (silence_ns < KWB_STORE_SILENT_NS ||
+	    after_ns > KWB_ROOM_RETURN_CONFIG_NS)
+		return KWB_ROOM_RETURN_CONFIG_NS;
+	return after_ns > KWB_ROOM_RETURN_MIN_NS ? after_ns
+						 : KWB_ROOM_RETURN_MIN_NS;
 }
--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -322,9 +322,16 @@
 		CU_ASSERT(slices[i] > 50 && slices[i] < 150);
 	CU_ASSERT(kwb_room_return_ns(expected_ns, 90 * KWB_MS_NS, 7) <=
 	    30 * KWB_MS_NS);
-	/* A node that can't get a config sends callers to others soon. */
-	CU_ASSERT(kwb_room_return_unready_ns(KWB_STORE_SILENT_NS) <
-	    kwb_room_return_unready_ns(KWB_STORE_SILENT_NS - 1));
+	/* A node without config and store sends those on that can't wait. */
+	CU_ASSERT_EQUAL(kwb_room_return_unready_ns(
+			    KWB_STORE_SILENT_NS - 1, 800 * KWB_MS_NS),
+	    KWB_ROOM_RETURN_CONFIG_NS);
+	CU_ASSERT_EQUAL(
+	    kwb_room_return_unready_ns(KWB_STORE_SILENT_NS, 800 * KWB_MS_NS),
+	    KWB_ROOM_RETURN_MIN_NS);
+	CU_ASSERT_EQUAL(
+	    kwb_room_return_unready_ns(KWB_STORE_SILENT_NS, 12000 * KWB_MS_NS),
+	    KWB_ROOM_RETURN_CONFIG_NS);
 }
 
 static void
