--- a/Makefile
+++ b/Makefile
@@ -105,6 +105,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS)
 
 $(B)/tests/platform/decisions: $(B)/tests/platform/decisions.o \
+		$(B)/tests/platform/decisions_access.o \
 		$(B)/tests/platform/decisions_room.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2026,6 +2026,7 @@
 }
 
 /* Of the other files of this program; each returns how many it has added. */
+extern unsigned access_tests_add(CU_pSuite suite);
 extern unsigned room_tests_add(CU_pSuite suite);
 
 int
@@ -2078,6 +2079,7 @@
 	for (i = 0; i < COUNT(tests); i++)
 		if (CU_add_test(suite, tests[i].name, tests[i].run) == NULL)
 			return 1;
+	count += access_tests_add(suite);
 	count += room_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
