--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -155,6 +155,14 @@
 #define KWB_ROOM_TRIES_MAX 32		  /* without a place, in one pass */
 /* A reported load beyond so many times an upstream's slots is not believed. */
 #define KWB_ROOM_LOAD_SLOTS_MAX 8
+/* Requests of a node at a service, in thousandths, until it is crowded. */
+#define KWB_ROOM_LIMIT_MAX_MILLI 256000
+#define KWB_ROOM_LIMIT_MIN_MILLI 1000
+/* An answer after this part of the time that its request had is late. */
+#define KWB_ROOM_LATE_DIVISOR 2
+/* How long an upstream's word that others wait there counts. */
+#define KWB_ROOM_CROWDED_NS (1000 * KWB_MS_NS)
+#define KWB_ROOM_SERVICES_MAX 16 /* with a limit; others have none */
 /* A request that has waited this part of its time goes first, */
 #define KWB_ROOM_OVERDUE_DIVISOR 2
 #define KWB_ROOM_OVERDUE_NS (2000 * KWB_MS_NS)	  /* or for so long */
--- a/include/kwb_room.h
+++ b/include/kwb_room.h
@@ -34,6 +34,35 @@
 void kwb_room_measure(const struct kwb_registry *registry, const char *service,
     uint64_t now_ns, struct kwb_room_places *places);
 
+/*
+ * How many requests this node has at a service, and may have. Load reports of
+ * single upstreams are soon old, as each node sees few of their answers; how
+ * long the answers of the whole service take is known better.
+ */
+struct kwb_room_limit {
+	uint32_t in_flight;
+	uint32_t limit_milli; /* thousandths of a request */
+	uint64_t taken_ns;    /* by recent answers, smoothed; 0 unknown */
+	uint64_t answered_ns; /* time of the last answer */
+	uint64_t crowded_ns;  /* last time that an upstream said others wait */
+};
+
+/* How a request that has started ended. */
+struct kwb_room_outcome {
+	uint64_t taken_ns;
+	uint64_t had_ns;   /* from its start to its deadline */
+	bool is_refused;   /* the upstream was full */
+	bool has_others;   /* it said that others wait there */
+	bool is_timed_out; /* no answer before the deadline */
+};
+
+void kwb_room_limit_init(struct kwb_room_limit *limit);
+/* Adapts the limit to an outcome; in_flight still counts that request. */
+void kwb_room_limit_update(struct kwb_room_limit *limit,
+    const struct kwb_room_outcome *outcome, uint64_t now_ns);
+/* Whether one more request may start. */
+bool kwb_room_limit_has_room(const struct kwb_room_limit *limit);
+
 enum kwb_room_verdict {
 	KWB_ROOM_START, /* there is a place, or nothing is known */
 	KWB_ROOM_WAIT,	/* a place comes in time */
@@ -43,6 +72,7 @@
 /* Input of kwb_room_admit(). */
 struct kwb_room_admission {
 	struct kwb_room_places room;
+	const struct kwb_room_limit *limit; /* NULL for none */
 	uint32_t ahead; /* requests that wait in this node and go first */
 	uint64_t now_ns;
 	uint64_t deadline_ns;
@@ -130,8 +160,10 @@
 	const char *id;	       /* for the log */
 	uint32_t rank;
 	uint64_t deadline_ns;
-	bool may_have_run; /* must not be refused */
-	bool is_stream;	   /* lasts longer than the pace of its service */
+	bool may_have_run;		/* must not be refused */
+	struct kwb_room_service *place; /* that it has since its start */
+	uint64_t started_ns;
+	bool is_stream; /* lasts longer than the pace of its service */
 	/* State. */
 	uint64_t since_ns;
 	uint64_t pass; /* of the queue, that has tried it last */
@@ -141,6 +173,11 @@
 
 TAILQ_HEAD(kwb_room_waiter_list, kwb_room_waiter);
 
+struct kwb_room_service {
+	char name[KWB_NAME_MAX_BYTES];
+	struct kwb_room_limit limit;
+};
+
 struct kwb_room_rank_total {
 	uint64_t started;
 	uint64_t wait_ns;
@@ -154,6 +191,8 @@
 	bool is_enabled; /* else requests are not queued here */
 	bool is_draining;
 	uint64_t pass;
+	struct kwb_room_service services[KWB_ROOM_SERVICES_MAX];
+	uint32_t services_count;
 	struct kwb_room_shares shares;
 	struct kwb_room_rank_total ranks[KWB_ROOM_RANKS_MAX];
 };
@@ -167,6 +206,12 @@
 void kwb_room_enter(struct kwb_room *room, struct kwb_room_waiter *waiter);
 /* Takes a waiter out, if it is in the queue. */
 void kwb_room_leave(struct kwb_room *room, struct kwb_room_waiter *waiter);
+/*
+ * A request that has started has ended, if it has: its place is free. outcome:
+ * NULL when it tells nothing, as its caller has left.
+ */
+void kwb_room_end(struct kwb_room *room, struct kwb_room_waiter *waiter,
+    const struct kwb_room_outcome *outcome);
 /* A place may be free: tries the waiters in order, on the loop's next turn. */
 void kwb_room_wake(struct kwb_room *room);
 /* Appends metrics by rank and by workspace, with a bounded number of labels. */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -12,7 +12,8 @@
 
 static void forward_retry(struct kwb_forward *forward);
 static void forward_arm_timer(struct kwb_forward *forward);
-static void room_leave(struct kwb_forward *forward);
+static void room_leave(
+    struct kwb_forward *forward, bool is_timed_out, bool is_refused);
 
 static void
 forward_log(const struct kwb_forward *forward, const char *event,
@@ -40,11 +41,22 @@
 		kwb_room_wake(attempt->forward->env->room);
 }
 
+/* Gives back the place, or takes it out of the queue. */
 static void
-room_leave(struct kwb_forward *forward)
+room_leave(struct kwb_forward *forward, bool is_timed_out, bool is_refused)
 {
-	if (forward->env->room != NULL)
-		kwb_room_leave(forward->env->room, &forward->waiter);
+	const struct kwb_room_waiter *waiter = &forward->waiter;
+	struct kwb_room_outcome outcome = {
+	    .taken_ns = kwb_clock_now_ns() - waiter->started_ns,
+	    .had_ns = forward->deadline_ns - waiter->started_ns,
+	    .is_refused = is_refused,
+	    .has_others = forward->has_others,
+	    .is_timed_out = is_timed_out};
+
+	if (forward->env->room == NULL)
+		return;
+	kwb_room_leave(forward->env->room, &forward->waiter);
+	kwb_room_end(forward->env->room, &forward->waiter, &outcome);
 }
 
 static bool
@@ -63,7 +75,7 @@
 	forward->reason = reason;
 	attempt_end(&forward->attempts[0]);
 	attempt_end(&forward->attempts[1]);
-	room_leave(forward);
+	room_leave(forward, outcome != KWB_FORWARD_ANSWERED, false);
 	event_del(forward->timer);
 	if (outcome == KWB_FORWARD_ANSWERED && forward->prompt != NULL)
 		kwb_prefix_map_set(forward->env->prefixes, forward->service,
@@ -175,6 +187,7 @@
 
 	forward->env->codec->parse_answer(message, &answer);
 	record_load(upstream, &answer);
+	forward->has_others = answer.has_load && answer.waiting > 0;
 	if (!is_answer_to_request(forward, &answer)) {
 		attempt_failed(attempt, false, "answer_of_another_request");
 		return;
@@ -524,6 +537,7 @@
 static void
 forward_enter_room(struct kwb_forward *forward)
 {
+	room_leave(forward, false, true); /* when it was refused before */
 	forward->waiter = (struct kwb_room_waiter){.ops = &waiter_ops,
 	    .service = forward->service,
 	    .workspace = forward->workspace,
@@ -637,7 +651,7 @@
 	forward->done = true;
 	attempt_end(&forward->attempts[0]);
 	attempt_end(&forward->attempts[1]);
-	room_leave(forward);
+	room_leave(forward, true, false);
 	if (forward->timer != NULL)
 		event_del(forward->timer);
 }
--- a/src/room/admission.c
+++ b/src/room/admission.c
@@ -51,8 +51,9 @@
 	places->pace_ns = kwb_registry_median_pace(registry, service, now_ns);
 }
 
-uint64_t
-kwb_room_expected_wait_ns(const struct kwb_room_admission *input)
+/* Until the upstreams have a place, by their reports. */
+static uint64_t
+upstreams_wait_ns(const struct kwb_room_admission *input)
 {
 	const struct kwb_room_places *room = &input->room;
 
@@ -65,18 +66,45 @@
 	    room->places;
 }
 
+/* Until this node may start one more there, by the time of its answers. */
+static uint64_t
+limit_wait_ns(const struct kwb_room_admission *input)
+{
+	const struct kwb_room_limit *limit = input->limit;
+
+	if (limit == NULL ||
+	    (input->ahead == 0 && kwb_room_limit_has_room(limit)))
+		return 0;
+	return (input->ahead + 1) * limit->taken_ns * 1000 / limit->limit_milli;
+}
+
+uint64_t
+kwb_room_expected_wait_ns(const struct kwb_room_admission *input)
+{
+	uint64_t upstreams_ns = upstreams_wait_ns(input);
+	uint64_t limit_ns = limit_wait_ns(input);
+
+	return upstreams_ns > limit_ns ? upstreams_ns : limit_ns;
+}
+
 enum kwb_room_verdict
 kwb_room_admit(const struct kwb_room_admission *input)
 {
 	const struct kwb_room_places *room = &input->room;
+	bool is_limited =
+	    input->limit != NULL && !kwb_room_limit_has_room(input->limit);
 	uint64_t needed_ns = kwb_room_expected_wait_ns(input) + room->pace_ns;
 
-	if (input->ahead == 0 && (room->free_places > 0 || room->places == 0))
+	if (is_limited && input->limit->taken_ns > room->pace_ns)
+		needed_ns += input->limit->taken_ns - room->pace_ns;
+	if (input->ahead == 0 && !is_limited &&
+	    (room->free_places > 0 || room->places == 0))
 		return KWB_ROOM_START;
-	if (room->pace_ns != 0 &&
+	if ((room->pace_ns != 0 || is_limited) &&
 	    input->now_ns + needed_ns > input->deadline_ns)
 		return KWB_ROOM_REFUSE;
-	return input->ahead == 0 ? KWB_ROOM_START : KWB_ROOM_WAIT;
+	return input->ahead == 0 && !is_limited ? KWB_ROOM_START
+						: KWB_ROOM_WAIT;
 }
 
 /*
--- a/src/room/queue.c
+++ b/src/room/queue.c
@@ -55,11 +55,32 @@
 	return ahead;
 }
 
+/* Streams have no limit, as an answer takes as long as its text is. */
+static struct kwb_room_service *
+service_of(struct kwb_room *room, const struct kwb_room_waiter *waiter)
+{
+	struct kwb_room_service *service;
+	uint32_t i;
+
+	if (waiter->is_stream)
+		return NULL;
+	for (i = 0; i < room->services_count; i++)
+		if (strcmp(room->services[i].name, waiter->service) == 0)
+			return &room->services[i];
+	if (room->services_count == KWB_ROOM_SERVICES_MAX)
+		return NULL;
+	service = &room->services[room->services_count++];
+	kwb_text_copy(service->name, sizeof(service->name), waiter->service);
+	kwb_room_limit_init(&service->limit);
+	return service;
+}
+
 /* Refuses a request that can't be served in time; false when it can. */
 static bool
 refuse_hopeless(
     struct kwb_room *room, struct kwb_room_waiter *waiter, uint64_t now_ns)
 {
+	const struct kwb_room_service *service = service_of(room, waiter);
 	struct kwb_room_admission input = {
 	    .ahead = count_ahead(room, waiter, now_ns),
 	    .now_ns = now_ns,
@@ -71,6 +92,8 @@
 	kwb_room_measure(room->registry, waiter->service, now_ns, &input.room);
 	if (waiter->is_stream)
 		input.room.pace_ns = 0;
+	if (service != NULL)
+		input.limit = &service->limit;
 	if (kwb_room_admit(&input) != KWB_ROOM_REFUSE)
 		return false;
 	expected_ns = kwb_room_expected_wait_ns(&input);
@@ -89,14 +112,24 @@
 	uint32_t rank = waiter->rank < KWB_ROOM_RANKS_MAX
 	    ? waiter->rank
 	    : KWB_ROOM_RANKS_MAX - 1;
+	struct kwb_room_service *service = service_of(room, waiter);
 	uint64_t wait_ns = now_ns - waiter->since_ns;
 	bool was_waiting = waiter->is_waiting;
 	char workspace[KWB_NAME_MAX_BYTES];
 
 	/* A waiter that has started may be gone after the call. */
 	kwb_text_copy(workspace, sizeof(workspace), waiter->workspace);
+	if (service != NULL && !kwb_room_limit_has_room(&service->limit))
+		return false;
 	kwb_room_leave(room, waiter);
+	waiter->place = service;
+	waiter->started_ns = now_ns;
+	if (service != NULL)
+		service->limit.in_flight++;
 	if (!waiter->ops->start(waiter)) {
+		waiter->place = NULL;
+		if (service != NULL)
+			service->limit.in_flight--;
 		if (was_waiting) {
 			TAILQ_INSERT_TAIL(&room->waiters, waiter, entry);
 			waiter->is_waiting = true;
@@ -218,6 +251,22 @@
 	room->waiting_count--;
 }
 
+void
+kwb_room_end(struct kwb_room *room, struct kwb_room_waiter *waiter,
+    const struct kwb_room_outcome *outcome)
+{
+	struct kwb_room_service *service = waiter->place;
+
+	if (service == NULL)
+		return;
+	waiter->place = NULL;
+	if (outcome != NULL)
+		kwb_room_limit_update(
+		    &service->limit, outcome, kwb_clock_now_ns());
+	service->limit.in_flight--;
+	kwb_room_wake(room);
+}
+
 void
 kwb_room_wake(struct kwb_room *room)
 {
