--- a/src/room/limit.c
+++ b/src/room/limit.c
@@ -52,8 +52,11 @@
 			limit->limit_milli = KWB_ROOM_LIMIT_MAX_MILLI;
 		return;
 	}
-	if (!is_crowded(limit, now_ns))
+	/* Once for all that were there together. */
+	if (!is_crowded(limit, now_ns) ||
+	    now_ns - outcome->taken_ns < limit->lowered_ns)
 		return;
+	limit->lowered_ns = now_ns;
 	if (limit->limit_milli > has_milli)
 		limit->limit_milli = has_milli;
 	limit->limit_milli -= limit->limit_milli / 8;
