--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -392,6 +392,74 @@
 	kwb_registry_finish(&registry);
 }
 
+static struct kwb_room_outcome
+answer_after(uint32_t taken_ms, bool has_others)
+{
+	return (struct kwb_room_outcome){.taken_ns = taken_ms * KWB_MS_NS,
+	    .had_ns = DEADLINE_MS * KWB_MS_NS,
+	    .has_others = has_others};
+}
+
+/* Answers are late: fewer at a time if others wait there, not otherwise. */
+static void
+test_room_limit(void)
+{
+	struct kwb_room_outcome late = answer_after(700, false);
+	struct kwb_room_outcome soon = answer_after(30, true);
+	uint64_t now_ns = 5000 * KWB_MS_NS;
+	struct kwb_room_limit limit;
+	uint32_t lowered_milli;
+	uint32_t i;
+
+	kwb_room_limit_init(&limit);
+	limit.in_flight = 8;
+	for (i = 0; i < 20; i++)
+		kwb_room_limit_update(&limit, &late, now_ns += KWB_MS_NS);
+	CU_ASSERT_EQUAL(limit.limit_milli, KWB_ROOM_LIMIT_MAX_MILLI);
+	late.has_others = true;
+	kwb_room_limit_update(&limit, &late, now_ns += KWB_MS_NS);
+	CU_ASSERT_EQUAL(limit.limit_milli, 7000);
+	CU_ASSERT(!kwb_room_limit_has_room(&limit));
+	/* Those that were there at the same time tell nothing more. */
+	kwb_room_limit_update(&limit, &late, now_ns += KWB_MS_NS);
+	CU_ASSERT_EQUAL(limit.limit_milli, 7000);
+	for (i = 0; i < 40; i++)
+		kwb_room_limit_update(&limit, &late, now_ns += late.taken_ns);
+	CU_ASSERT_EQUAL(limit.limit_milli, KWB_ROOM_LIMIT_MIN_MILLI);
+	limit.in_flight = 0;
+	CU_ASSERT(kwb_room_limit_has_room(&limit));
+	/* One more for each round of answers in time. */
+	lowered_milli = limit.limit_milli;
+	kwb_room_limit_update(&limit, &soon, now_ns += KWB_MS_NS);
+	CU_ASSERT_EQUAL(limit.limit_milli, lowered_milli + 1000);
+	kwb_room_limit_update(&limit, &soon, now_ns += KWB_MS_NS);
+	CU_ASSERT_EQUAL(limit.limit_milli, lowered_milli + 1500);
+}
+
+/* At the limit a request waits, or is refused if answers take too long. */
+static void
+test_room_limit_admits(void)
+{
+	struct kwb_room_limit limit;
+	struct kwb_room_admission input = {.limit = &limit,
+	    .now_ns = 1000 * KWB_MS_NS,
+	    .deadline_ns = 1800 * KWB_MS_NS};
+
+	kwb_room_limit_init(&limit);
+	limit.limit_milli = 2000;
+	limit.in_flight = 1;
+	limit.taken_ns = 700 * KWB_MS_NS;
+	CU_ASSERT_EQUAL(kwb_room_admit(&input), KWB_ROOM_START);
+	limit.in_flight = 2;
+	CU_ASSERT_EQUAL(kwb_room_admit(&input), KWB_ROOM_REFUSE);
+	CU_ASSERT_EQUAL(
+	    kwb_room_expected_wait_ns(&input), 350 * KWB_MS_NS);
+	limit.taken_ns = 200 * KWB_MS_NS;
+	CU_ASSERT_EQUAL(kwb_room_admit(&input), KWB_ROOM_WAIT);
+	input.ahead = 8;
+	CU_ASSERT_EQUAL(kwb_room_admit(&input), KWB_ROOM_REFUSE);
+}
+
 /* A request in the queue; it starts once there is a place. */
 struct queued {
 	struct kwb_room_waiter waiter; /* first, so that it can be cast */
@@ -465,6 +533,39 @@
 	event_base_free(base);
 }
 
+/* A place is given back once, also when its request ends in two ways. */
+static void
+test_room_place_is_given_back(void)
+{
+	const struct kwb_room_outcome soon = answer_after(30, false);
+	static const struct kwb_room_waiter_ops ops = {
+	    .start = queued_start, .refuse = queued_refuse};
+	struct event_base *base = event_base_new();
+	struct kwb_registry registry;
+	struct queued queued = {.waiter = {.ops = &ops,
+				    .service = "s",
+				    .workspace = "w",
+				    .id = "id"}};
+	struct kwb_room room;
+
+	queue_places = 1;
+	kwb_registry_init(&registry);
+	CU_ASSERT_EQUAL_FATAL(kwb_room_init(&room, base, &registry), 0);
+	queued.waiter.deadline_ns = kwb_clock_now_ns() + 800 * KWB_MS_NS;
+	kwb_room_enter(&room, &queued.waiter);
+	CU_ASSERT_EQUAL(room.services[0].limit.in_flight, 1);
+	kwb_room_end(&room, &queued.waiter, &soon);
+	kwb_room_end(&room, &queued.waiter, &soon);
+	CU_ASSERT_EQUAL(room.services[0].limit.in_flight, 0);
+	/* Nor does a request hold one that no upstream takes. */
+	kwb_room_enter(&room, &queued.waiter);
+	CU_ASSERT_EQUAL(room.services[0].limit.in_flight, 0);
+	kwb_room_leave(&room, &queued.waiter);
+	kwb_room_finish(&room);
+	kwb_registry_finish(&registry);
+	event_base_free(base);
+}
+
 unsigned room_tests_add(CU_pSuite suite);
 
 /* Returns the number of tests added. */
@@ -482,6 +583,9 @@
 	    {"room_returns_are_spread", test_room_returns_are_spread},
 	    {"room_shares_are_bounded", test_room_shares_are_bounded},
 	    {"room_load_reports", test_room_load_reports},
+	    {"room_limit", test_room_limit},
+	    {"room_limit_admits", test_room_limit_admits},
+	    {"room_place_is_given_back", test_room_place_is_given_back},
 	    {"room_queue", test_room_queue}};
 	unsigned i;
 
