--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -250,8 +250,25 @@
 	kwb_batch_read_start(read);
 }
 
+<<<<<<< HEAD
 /* Answers a request that its key does not admit; the answer says it hasn't run.
  */
+=======
+/*
+ * A stopping node takes requests on open connections, but none that may be cut
+ * off by the end of its process.
+ */
+static bool
+is_too_late_in_stop(
+    const struct kwb_caller *caller, const struct kwb_route_entry *route)
+{
+	const struct kwb_node *node = caller->node;
+
+	return node->stop_deadline_ns != 0 &&
+	    request_deadline_ns(caller, route) > node->stop_deadline_ns;
+}
+
+>>>>>>> main
 static void
 refuse_key(struct kwb_caller *caller, enum kwb_access_verdict verdict,
     const struct kwb_access_request *request)
@@ -344,6 +361,10 @@
 			answer_error(caller, 400, "no_submission");
 		return;
 	}
+	if (is_too_late_in_stop(caller, route)) {
+		answer_error(caller, 503, "stopping");
+		return;
+	}
 	serve_forward(caller, route);
 }
 
