--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -179,12 +179,8 @@
 
 	forward->env->codec->parse_answer(message, &answer);
 	record_load(upstream, &answer);
-<<<<<<< HEAD
 	forward->has_others = answer.has_load && answer.waiting > 0;
-	if (!is_answer_to_request(forward, &answer)) {
-=======
 	if (!kwb_answer_is_to_request(&answer, forward->request.id)) {
->>>>>>> main
 		attempt_failed(attempt, false, "answer_of_another_request");
 		return;
 	}
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -250,10 +250,6 @@
 	kwb_batch_read_start(read);
 }
 
-<<<<<<< HEAD
-/* Answers a request that its key does not admit; the answer says it hasn't run.
- */
-=======
 /*
  * A stopping node takes requests on open connections, but none that may be cut
  * off by the end of its process.
@@ -268,7 +264,8 @@
 	    request_deadline_ns(caller, route) > node->stop_deadline_ns;
 }
 
->>>>>>> main
+/* Answers a request that its key does not admit; the answer says it hasn't run.
+ */
 static void
 refuse_key(struct kwb_caller *caller, enum kwb_access_verdict verdict,
     const struct kwb_access_request *request)
--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -452,8 +452,7 @@
 	CU_ASSERT_EQUAL(kwb_room_admit(&input), KWB_ROOM_START);
 	limit.in_flight = 2;
 	CU_ASSERT_EQUAL(kwb_room_admit(&input), KWB_ROOM_REFUSE);
-	CU_ASSERT_EQUAL(
-	    kwb_room_expected_wait_ns(&input), 350 * KWB_MS_NS);
+	CU_ASSERT_EQUAL(kwb_room_expected_wait_ns(&input), 350 * KWB_MS_NS);
 	limit.taken_ns = 200 * KWB_MS_NS;
 	CU_ASSERT_EQUAL(kwb_room_admit(&input), KWB_ROOM_WAIT);
 	input.ahead = 8;
@@ -542,10 +541,9 @@
 	    .start = queued_start, .refuse = queued_refuse};
 	struct event_base *base = event_base_new();
 	struct kwb_registry registry;
-	struct queued queued = {.waiter = {.ops = &ops,
-				    .service = "s",
-				    .workspace = "w",
-				    .id = "id"}};
+	struct queued queued = {
+	    .waiter = {
+		.ops = &ops, .service = "s", .workspace = "w", .id = "id"}};
 	struct kwb_room room;
 
 	queue_places = 1;
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -54,12 +54,9 @@
  *   $ raw NODE TEXT               sends TEXT, with _ for a space and \n for a
  *       line end; prints as "call" does
  *   $ submit NODE BATCH [items=N] [size=N] [events=N] [min=V] [target=N]
-<<<<<<< HEAD
  *       [path=PATH] [item-key=KEY]   key=KEY as for "call", for all of these;
  *       item-key=: in the headers of its items
-=======
- *       [path=PATH] [header=NAME:VALUE]   of its items; \r and \n in VALUE
->>>>>>> main
+ *       [header=NAME:VALUE]   of its items; \r and \n in VALUE
  *   $ results NODE BATCH          all results, by item
  *   $ results-size NODE BATCH     their number and length only
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
@@ -581,23 +578,14 @@
 		    option_number(script, "events", 4));
 		kwb_base64_encode(&body, text, strlen(text));
 		json_array_append_new(requests,
-<<<<<<< HEAD
-		    json_pack("{s:s, s:s, s:{s:s, s:s*, s:s*}, s:s, s:i, s:s, "
-			      "s:{s:s, s:s, s:s, s:s}}",
-			"id", id, "path", path, "headers", "Model", "m",
-			"aPI-kEY", item_key, "Tenant",
-			item_key ? "forged" : NULL, "body", body.data, "tokens",
-			100, "group", group, "scorer", "id", score, "hostname",
-			HOST, "path", "/score/x", "body", "c2NvcmU="));
-=======
-		    json_pack("{s:s, s:s, s:{s:s, s:s}, s:s, s:i, s:s, "
-			      "s:{s:s, s:s, s:s, s:s}}",
+		    json_pack("{s:s, s:s, s:{s:s, s:s, s:s*, s:s*}, s:s, s:i, "
+			      "s:s, s:{s:s, s:s, s:s, s:s}}",
 			"id", id, "path", path, "headers", "Model", "m", header,
-			header + strlen(header) + 1, "body", body.data,
+			header + strlen(header) + 1, "aPI-kEY", item_key,
+			"Tenant", item_key ? "forged" : NULL, "body", body.data,
 			"tokens", 100, "group", group, "scorer", "id", score,
 			"hostname", HOST, "path", "/score/x", "body",
 			"c2NvcmU="));
->>>>>>> main
 		kwb_buf_finish(&body);
 	}
 	document =
