--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1309,6 +1309,7 @@
 	uint32_t sent_count; /* attempts that may have run */
 	uint64_t retry_ns;   /* when to pick an upstream again; 0 for never */
 	struct kwb_room_waiter waiter; /* in the room of the node */
+	bool is_refused;	       /* the last upstream was full */
 	bool has_others; /* by the last answer, others wait there */
 	bool done;
 	bool streaming; /* not used */
--- a/include/kwb_room.h
+++ b/include/kwb_room.h
@@ -43,7 +43,7 @@
 	uint32_t in_flight;
 	uint32_t limit_milli; /* thousandths of a request */
 	uint64_t taken_ns;    /* by recent answers, smoothed; 0 unknown */
-	uint64_t answered_ns; /* time of the last answer */
+	uint32_t late_milli;  /* part of recent answers that were late */
 	uint64_t lowered_ns;  /* when the limit was last lowered */
 	uint64_t crowded_ns;  /* last time that an upstream said others wait */
 };
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -12,8 +12,7 @@
 
 static void forward_retry(struct kwb_forward *forward);
 static void forward_arm_timer(struct kwb_forward *forward);
-static void room_leave(
-    struct kwb_forward *forward, bool is_timed_out, bool is_refused);
+static void room_leave(struct kwb_forward *forward, bool is_answered);
 
 static void
 forward_log(const struct kwb_forward *forward, const char *event,
@@ -41,22 +40,29 @@
 		kwb_room_wake(attempt->forward->env->room);
 }
 
-/* Gives back the place, or takes it out of the queue. */
+/*
+ * Gives back the place, or takes the request out of the queue. A failure or a
+ * caller that leaves early tells nothing of the room of the service.
+ */
 static void
-room_leave(struct kwb_forward *forward, bool is_timed_out, bool is_refused)
+room_leave(struct kwb_forward *forward, bool is_answered)
 {
-	const struct kwb_room_waiter *waiter = &forward->waiter;
+	struct kwb_room *room = forward->env->room;
+	struct kwb_room_waiter *waiter = &forward->waiter;
 	struct kwb_room_outcome outcome = {
 	    .taken_ns = kwb_clock_now_ns() - waiter->started_ns,
 	    .had_ns = forward->deadline_ns - waiter->started_ns,
-	    .is_refused = is_refused,
+	    .is_refused = forward->is_refused,
 	    .has_others = forward->has_others,
-	    .is_timed_out = is_timed_out};
+	    .is_timed_out = !is_answered};
+	bool is_known = is_answered || forward->is_refused ||
+	    outcome.taken_ns >= outcome.had_ns / KWB_ROOM_LATE_DIVISOR;
 
-	if (forward->env->room == NULL)
+	if (room == NULL)
 		return;
-	kwb_room_leave(forward->env->room, &forward->waiter);
-	kwb_room_end(forward->env->room, &forward->waiter, &outcome);
+	kwb_room_leave(room, waiter);
+	kwb_room_end(room, waiter, is_known ? &outcome : NULL);
+	forward->is_refused = false;
 }
 
 static bool
@@ -75,7 +81,7 @@
 	forward->reason = reason;
 	attempt_end(&forward->attempts[0]);
 	attempt_end(&forward->attempts[1]);
-	room_leave(forward, outcome != KWB_FORWARD_ANSWERED, false);
+	room_leave(forward, outcome == KWB_FORWARD_ANSWERED);
 	event_del(forward->timer);
 	if (outcome == KWB_FORWARD_ANSWERED && forward->prompt != NULL)
 		kwb_prefix_map_set(forward->env->prefixes, forward->service,
@@ -153,6 +159,7 @@
 	uint64_t now_ns = kwb_clock_now_ns();
 
 	upstream->backoff_until_ns = now_ns + KWB_REFUSED_BACKOFF_NS;
+	attempt->forward->is_refused = answer->status != 421;
 	if (answer->status == 421)
 		upstream->backoff_until_ns =
 		    now_ns + KWB_MISDIRECTED_BACKOFF_NS;
@@ -529,7 +536,7 @@
 static void
 forward_enter_room(struct kwb_forward *forward)
 {
-	room_leave(forward, false, true); /* when it was refused before */
+	room_leave(forward, false); /* where it was tried before */
 	forward->waiter = (struct kwb_room_waiter){.ops = &waiter_ops,
 	    .service = forward->service,
 	    .workspace = forward->workspace,
@@ -643,7 +650,7 @@
 	forward->done = true;
 	attempt_end(&forward->attempts[0]);
 	attempt_end(&forward->attempts[1]);
-	room_leave(forward, true, false);
+	room_leave(forward, false);
 	if (forward->timer != NULL)
 		event_del(forward->timer);
 }
--- a/src/room/limit.c
+++ b/src/room/limit.c
@@ -25,6 +25,26 @@
 	    now_ns - limit->crowded_ns < KWB_ROOM_CROWDED_NS;
 }
 
+static bool
+is_late(const struct kwb_room_outcome *outcome)
+{
+	return outcome->is_timed_out || outcome->is_refused ||
+	    outcome->taken_ns >= outcome->had_ns / KWB_ROOM_LATE_DIVISOR;
+}
+
+/* The last value counts a quarter: one slow request says little. */
+static void
+smooth_outcomes(
+    struct kwb_room_limit *limit, const struct kwb_room_outcome *outcome)
+{
+	uint32_t late_milli = is_late(outcome) ? ONE_MILLI : 0;
+
+	if (limit->taken_ns == 0)
+		limit->taken_ns = outcome->taken_ns;
+	limit->taken_ns = (limit->taken_ns * 3 + outcome->taken_ns) / 4;
+	limit->late_milli = (limit->late_milli * 3 + late_milli) / 4;
+}
+
 /*
  * Additive increase, multiplicative decrease, as in TCP: nodes that don't know
  * of each other come to equal parts. What the node has there now counts, as a
@@ -38,14 +58,8 @@
 
 	if (outcome->is_refused || outcome->has_others)
 		limit->crowded_ns = now_ns;
-	if (limit->taken_ns == 0 ||
-	    now_ns - limit->answered_ns >= KWB_ROOM_CROWDED_NS)
-		limit->taken_ns = outcome->taken_ns;
-	else
-		limit->taken_ns = (limit->taken_ns * 3 + outcome->taken_ns) / 4;
-	limit->answered_ns = now_ns;
-	if (!outcome->is_timed_out && !outcome->is_refused &&
-	    outcome->taken_ns < outcome->had_ns / KWB_ROOM_LATE_DIVISOR) {
+	smooth_outcomes(limit, outcome);
+	if (!is_late(outcome)) {
 		limit->limit_milli +=
 		    ONE_MILLI * ONE_MILLI / limit->limit_milli;
 		if (limit->limit_milli > KWB_ROOM_LIMIT_MAX_MILLI)
@@ -53,7 +67,7 @@
 		return;
 	}
 	/* Once for all that were there together. */
-	if (!is_crowded(limit, now_ns) ||
+	if (limit->late_milli < ONE_MILLI / 2 || !is_crowded(limit, now_ns) ||
 	    now_ns - outcome->taken_ns < limit->lowered_ns)
 		return;
 	limit->lowered_ns = now_ns;
--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -417,6 +417,12 @@
 		kwb_room_limit_update(&limit, &late, now_ns += KWB_MS_NS);
 	CU_ASSERT_EQUAL(limit.limit_milli, KWB_ROOM_LIMIT_MAX_MILLI);
 	late.has_others = true;
+	/* One that takes long among many that don't is no sign either. */
+	for (i = 0; i < 8; i++)
+		kwb_room_limit_update(&limit, &soon, now_ns += KWB_MS_NS);
+	kwb_room_limit_update(&limit, &late, now_ns += KWB_MS_NS);
+	CU_ASSERT_EQUAL(limit.limit_milli, KWB_ROOM_LIMIT_MAX_MILLI);
+	kwb_room_limit_update(&limit, &late, now_ns += KWB_MS_NS);
 	kwb_room_limit_update(&limit, &late, now_ns += KWB_MS_NS);
 	CU_ASSERT_EQUAL(limit.limit_milli, 7000);
 	CU_ASSERT(!kwb_room_limit_has_room(&limit));
