Room: a service without places doesn't hold up another; shares found once a request

Waiters were tried in one order for all services, and a pass ended after 32 tries without a place, so that requests of a service with room could wait behind those of a full one. A pass leaves a service out after its first failed try now. Looking up a workspace for each comparison of waiters is gone as well.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -151,8 +151,7 @@
 
 /* Room */
 #define KWB_ROOM_PASS_NS (15 * KWB_MS_NS) /* between tries of the waiters */
-#define KWB_ROOM_WAITERS_MAX 1024	  /* requests that wait in a node */
-#define KWB_ROOM_TRIES_MAX 32		  /* without a place, in one pass */
+#define KWB_ROOM_WAITERS_MAX 256	  /* requests that wait in a node */
 /* A reported load beyond so many times an upstream's slots is not believed. */
 #define KWB_ROOM_LOAD_SLOTS_MAX 8
 /* Requests of a node at a service, in thousandths, until it is crowded. */
--- a/include/kwb_room.h
+++ b/include/kwb_room.h
@@ -131,12 +131,15 @@
 	uint32_t count;
 };
 
-/* Counts a start; a workspace gets an entry while there are any left. */
-void kwb_room_shares_add(
+/* Index of a workspace's entry, which it gets while there are any left. */
+uint32_t kwb_room_shares_index(
     struct kwb_room_shares *shares, const char *workspace, uint64_t now_ns);
-/* Places that a workspace had lately, in thousandths. */
-uint32_t kwb_room_shares_get(const struct kwb_room_shares *shares,
-    const char *workspace, uint64_t now_ns);
+/* Counts a start. */
+void kwb_room_shares_add(
+    struct kwb_room_shares *shares, uint32_t index, uint64_t now_ns);
+/* Places that the workspaces of an entry had lately, in thousandths. */
+uint32_t kwb_room_shares_get(
+    const struct kwb_room_shares *shares, uint32_t index, uint64_t now_ns);
 
 /* ---- Queue --------------------------------------------------------------- */
 
@@ -167,7 +170,8 @@
 	bool is_stream; /* lasts longer than the pace of its service */
 	/* State. */
 	uint64_t since_ns;
-	uint64_t pass; /* of the queue, that has tried it last */
+	uint32_t share; /* index of its workspace's share */
+	uint64_t pass;	/* of the queue, that has tried it last */
 	bool is_waiting;
 	TAILQ_ENTRY(kwb_room_waiter) entry;
 };
--- a/src/room/queue.c
+++ b/src/room/queue.c
@@ -30,7 +30,7 @@
 {
 	return (struct kwb_room_claim){.rank = waiter->rank,
 	    .share_milli =
-		kwb_room_shares_get(&room->shares, waiter->workspace, now_ns),
+		kwb_room_shares_get(&room->shares, waiter->share, now_ns),
 	    .since_ns = waiter->since_ns,
 	    .deadline_ns = waiter->deadline_ns};
 }
@@ -77,23 +77,21 @@
 
 /* Refuses a request that can't be served in time; false when it can. */
 static bool
-refuse_hopeless(
-    struct kwb_room *room, struct kwb_room_waiter *waiter, uint64_t now_ns)
+refuse_hopeless(struct kwb_room *room, struct kwb_room_waiter *waiter,
+    const struct kwb_room_places *places, uint32_t ahead, uint64_t now_ns)
 {
 	const struct kwb_room_service *service = service_of(room, waiter);
-	struct kwb_room_admission input = {
-	    .ahead = count_ahead(room, waiter, now_ns),
+	struct kwb_room_admission input = {.room = *places,
+	    .limit = service != NULL ? &service->limit : NULL,
+	    .ahead = ahead,
 	    .now_ns = now_ns,
 	    .deadline_ns = waiter->deadline_ns};
 	uint64_t expected_ns;
 
 	if (waiter->may_have_run)
 		return false;
-	kwb_room_measure(room->registry, waiter->service, now_ns, &input.room);
 	if (waiter->is_stream)
 		input.room.pace_ns = 0;
-	if (service != NULL)
-		input.limit = &service->limit;
 	if (kwb_room_admit(&input) != KWB_ROOM_REFUSE)
 		return false;
 	expected_ns = kwb_room_expected_wait_ns(&input);
@@ -115,10 +113,8 @@
 	struct kwb_room_service *service = service_of(room, waiter);
 	uint64_t wait_ns = now_ns - waiter->since_ns;
 	bool was_waiting = waiter->is_waiting;
-	char workspace[KWB_NAME_MAX_BYTES];
+	uint32_t share = waiter->share;
 
-	/* A waiter that has started may be gone after the call. */
-	kwb_text_copy(workspace, sizeof(workspace), waiter->workspace);
 	if (service != NULL && !kwb_room_limit_has_room(&service->limit))
 		return false;
 	kwb_room_leave(room, waiter);
@@ -126,6 +122,7 @@
 	waiter->started_ns = now_ns;
 	if (service != NULL)
 		service->limit.in_flight++;
+	/* A waiter that has started may be gone after the call. */
 	if (!waiter->ops->start(waiter)) {
 		waiter->place = NULL;
 		if (service != NULL)
@@ -137,7 +134,7 @@
 		}
 		return false;
 	}
-	kwb_room_shares_add(&room->shares, workspace, now_ns);
+	kwb_room_shares_add(&room->shares, share, now_ns);
 	room->ranks[rank].started++;
 	room->ranks[rank].wait_ns += wait_ns;
 	kwb_histogram_observe(KWB_HISTOGRAM_ROOM, wait_ns);
@@ -165,24 +162,44 @@
 	return best;
 }
 
+/*
+ * No waiter of that service can start in this pass. Those that can't be served
+ * even if they were the next are refused.
+ */
+static void
+pass_over(struct kwb_room *room, const char *service_name, uint64_t now_ns)
+{
+	char service[KWB_NAME_MAX_BYTES];
+	struct kwb_room_places places;
+	struct kwb_room_waiter *waiter;
+	struct kwb_room_waiter *next;
+
+	kwb_text_copy(service, sizeof(service), service_name);
+	kwb_room_measure(room->registry, service, now_ns, &places);
+	for (waiter = TAILQ_FIRST(&room->waiters); waiter != NULL;
+	     waiter = next) {
+		next = TAILQ_NEXT(waiter, entry);
+		if (strcmp(waiter->service, service) != 0)
+			continue;
+		waiter->pass = room->pass;
+		refuse_hopeless(room, waiter, &places, 0, now_ns);
+	}
+}
+
 static void
 room_drain(struct kwb_room *room)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
 	struct kwb_room_waiter *waiter;
-	uint32_t failed = 0;
 
 	if (room->is_draining)
 		return;
 	room->is_draining = true;
 	room->pass++;
-	while (failed < KWB_ROOM_TRIES_MAX &&
-	    (waiter = next_waiter(room, now_ns)) != NULL) {
+	while ((waiter = next_waiter(room, now_ns)) != NULL) {
 		waiter->pass = room->pass;
-		if (refuse_hopeless(room, waiter, now_ns))
-			continue;
 		if (!start_waiter(room, waiter, now_ns))
-			failed++;
+			pass_over(room, waiter->service, now_ns);
 	}
 	room->is_draining = false;
 	if (!TAILQ_EMPTY(&room->waiters))
@@ -218,12 +235,17 @@
 kwb_room_enter(struct kwb_room *room, struct kwb_room_waiter *waiter)
 {
 	uint64_t now_ns = kwb_clock_now_ns();
+	struct kwb_room_places places;
+	uint32_t ahead;
 
 	waiter->since_ns = now_ns;
-	if (refuse_hopeless(room, waiter, now_ns))
+	waiter->share =
+	    kwb_room_shares_index(&room->shares, waiter->workspace, now_ns);
+	ahead = count_ahead(room, waiter, now_ns);
+	kwb_room_measure(room->registry, waiter->service, now_ns, &places);
+	if (refuse_hopeless(room, waiter, &places, ahead, now_ns))
 		return;
-	if (count_ahead(room, waiter, now_ns) == 0 &&
-	    start_waiter(room, waiter, now_ns))
+	if (ahead == 0 && start_waiter(room, waiter, now_ns))
 		return;
 	if (room->waiting_count >= KWB_ROOM_WAITERS_MAX &&
 	    !waiter->may_have_run) {
--- a/src/room/share.c
+++ b/src/room/share.c
@@ -9,20 +9,31 @@
 
 #define START_MILLI 1000 /* what one start adds */
 
-static const struct kwb_room_share *
-share_find(const struct kwb_room_shares *shares, const char *workspace)
+uint32_t
+kwb_room_shares_index(
+    struct kwb_room_shares *shares, const char *workspace, uint64_t now_ns)
 {
+	struct kwb_room_share *share;
 	uint32_t i;
 
+	if (shares->count == 0)
+		shares->count = 1;
 	for (i = 1; i < shares->count; i++)
 		if (strcmp(shares->entries[i].workspace, workspace) == 0)
-			return &shares->entries[i];
-	return shares->count > 0 ? &shares->entries[0] : NULL;
+			return i;
+	if (workspace[0] == '\0' || shares->count == KWB_ROOM_SHARES_MAX)
+		return 0;
+	share = &shares->entries[shares->count++];
+	kwb_text_copy(share->workspace, sizeof(share->workspace), workspace);
+	share->halved_ns = now_ns;
+	return i;
 }
 
-static uint32_t
-share_recent_milli(const struct kwb_room_share *share, uint64_t now_ns)
+uint32_t
+kwb_room_shares_get(
+    const struct kwb_room_shares *shares, uint32_t index, uint64_t now_ns)
 {
+	const struct kwb_room_share *share = &shares->entries[index];
 	uint64_t halvings =
 	    (now_ns - share->halved_ns) / KWB_ROOM_SHARE_HALF_NS;
 
@@ -31,36 +42,13 @@
 
 void
 kwb_room_shares_add(
-    struct kwb_room_shares *shares, const char *workspace, uint64_t now_ns)
+    struct kwb_room_shares *shares, uint32_t index, uint64_t now_ns)
 {
-	struct kwb_room_share *share;
-	uint64_t past_ns;
+	struct kwb_room_share *share = &shares->entries[index];
 
-	if (shares->count == 0)
-		shares->count = 1;
-	share = (struct kwb_room_share *)share_find(shares, workspace);
-	if (share == &shares->entries[0] && workspace[0] != '\0' &&
-	    shares->count < KWB_ROOM_SHARES_MAX) {
-		share = &shares->entries[shares->count++];
-		kwb_text_copy(
-		    share->workspace, sizeof(share->workspace), workspace);
-		share->halved_ns = now_ns;
-	}
-	past_ns = now_ns - share->halved_ns;
-	share->recent_milli = share_recent_milli(share, now_ns) + START_MILLI;
-	share->halved_ns = now_ns - past_ns % KWB_ROOM_SHARE_HALF_NS;
+	share->recent_milli =
+	    kwb_room_shares_get(shares, index, now_ns) + START_MILLI;
+	share->halved_ns =
+	    now_ns - (now_ns - share->halved_ns) % KWB_ROOM_SHARE_HALF_NS;
 	share->started++;
 }
-
-uint32_t
-kwb_room_shares_get(const struct kwb_room_shares *shares, const char *workspace,
-    uint64_t now_ns)
-{
-	const struct kwb_room_share *share = share_find(shares, workspace);
-
-	if (share == NULL ||
-	    (share == &shares->entries[0] &&
-		shares->count < KWB_ROOM_SHARES_MAX && workspace[0] != '\0'))
-		return 0;
-	return share_recent_milli(share, now_ns);
-}
--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -36,6 +36,12 @@
 
 static struct load load;
 
+static uint32_t
+share_of(struct kwb_room_shares *shares, const char *workspace)
+{
+	return kwb_room_shares_index(shares, workspace, 0);
+}
+
 static void
 load_begin(uint32_t places)
 {
@@ -59,8 +65,8 @@
 claim_of(const struct caller *caller, uint64_t now_ns)
 {
 	return (struct kwb_room_claim){.rank = caller->rank,
-	    .share_milli =
-		kwb_room_shares_get(&load.shares, caller->workspace, now_ns),
+	    .share_milli = kwb_room_shares_get(&load.shares,
+		share_of(&load.shares, caller->workspace), now_ns),
 	    .since_ns = caller->at_ms * KWB_MS_NS,
 	    .deadline_ns = (caller->at_ms + caller->deadline_ms) * KWB_MS_NS};
 }
@@ -140,8 +146,8 @@
 			caller->state = CALLER_SERVED;
 			caller->started_ms = now_ms;
 			load.busy_until_ms[i] = now_ms + WORK_MS;
-			kwb_room_shares_add(
-			    &load.shares, caller->workspace, now_ns);
+			kwb_room_shares_add(&load.shares,
+			    share_of(&load.shares, caller->workspace), now_ns);
 		}
 	}
 }
@@ -343,15 +349,18 @@
 
 	for (i = 0; i < 2 * KWB_ROOM_SHARES_MAX; i++) {
 		snprintf(name, sizeof(name), "w%u", i);
-		kwb_room_shares_add(&shares, name, 0);
+		kwb_room_shares_add(&shares, share_of(&shares, name), 0);
 	}
 	CU_ASSERT_EQUAL(shares.count, KWB_ROOM_SHARES_MAX);
-	CU_ASSERT_EQUAL(kwb_room_shares_get(&shares, "w0", 0), 1000);
 	CU_ASSERT_EQUAL(
-	    kwb_room_shares_get(&shares, "w0", KWB_ROOM_SHARE_HALF_NS), 500);
-	CU_ASSERT(kwb_room_shares_get(&shares, name, 0) > 1000);
-	CU_ASSERT_EQUAL(
-	    kwb_room_shares_get(&shares, "w0", 100 * KWB_ROOM_SHARE_HALF_NS),
+	    kwb_room_shares_get(&shares, share_of(&shares, "w0"), 0), 1000);
+	CU_ASSERT_EQUAL(kwb_room_shares_get(&shares, share_of(&shares, "w0"),
+			    KWB_ROOM_SHARE_HALF_NS),
+	    500);
+	CU_ASSERT(
+	    kwb_room_shares_get(&shares, share_of(&shares, name), 0) > 1000);
+	CU_ASSERT_EQUAL(kwb_room_shares_get(&shares, share_of(&shares, "w0"),
+			    100 * KWB_ROOM_SHARE_HALF_NS),
 	    0);
 }
 
@@ -538,6 +547,44 @@
 	event_base_free(base);
 }
 
+/* A service without places doesn't keep requests of another one waiting. */
+static void
+test_room_services(void)
+{
+	static const struct kwb_room_waiter_ops ops = {
+	    .start = queued_start, .refuse = queued_refuse};
+	struct event_base *base = event_base_new();
+	struct kwb_registry registry;
+	struct queued queued[41] = {0};
+	struct kwb_room room;
+	size_t i;
+
+	queue_places = queue_turn = 0;
+	kwb_registry_init(&registry);
+	CU_ASSERT_EQUAL_FATAL(kwb_room_init(&room, base, &registry), 0);
+	for (i = 0; i < COUNT(queued); i++) {
+		queued[i].waiter = (struct kwb_room_waiter){.ops = &ops,
+		    .service = i < 40 ? "full" : "s",
+		    .workspace = "w",
+		    .id = "id",
+		    .rank = i < 40 ? 0 : 3,
+		    .deadline_ns = kwb_clock_now_ns() + 60000 * KWB_MS_NS};
+		kwb_room_enter(&room, &queued[i].waiter);
+	}
+	room.services[0].limit.limit_milli = KWB_ROOM_LIMIT_MIN_MILLI;
+	room.services[0].limit.in_flight = 1;
+	queue_places = 40;
+	kwb_room_wake(&room);
+	event_base_loop(base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(queued[40].turn, 1);
+	CU_ASSERT_EQUAL(room.waiting_count, 40);
+	for (i = 0; i < 40; i++)
+		kwb_room_leave(&room, &queued[i].waiter);
+	kwb_room_finish(&room);
+	kwb_registry_finish(&registry);
+	event_base_free(base);
+}
+
 /* A place is given back once, also when its request ends in two ways. */
 static void
 test_room_place_is_given_back(void)
@@ -590,6 +637,7 @@
 	    {"room_limit", test_room_limit},
 	    {"room_limit_admits", test_room_limit_admits},
 	    {"room_place_is_given_back", test_room_place_is_given_back},
+	    {"room_services", test_room_services},
 	    {"room_queue", test_room_queue}};
 	unsigned i;
 
