--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -60,6 +60,7 @@
  *   $ results-size NODE BATCH     their number and length only
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
  *   $ metrics NODE                their types
+ *   $ upstreams NODE              kwb-nodectl's word on how it sees each
  *
  * What the servers got; ID is that of a request or item:
  *   $ arrivals SERVER             requests that it ran
@@ -1195,6 +1196,35 @@
 	kwb_buf_printf(&script->out, "exit %d\n", WEXITSTATUS(status));
 }
 
+static void
+run_upstreams(struct script *script)
+{
+	const struct kwb_address *metrics =
+	    &testbed_node(&script->testbed, script->words[1])->settings.metrics;
+	char address[KWB_NAME_MAX_BYTES + 8];
+	const json_t *entry;
+	json_t *list;
+	int status = 0;
+	FILE *file;
+	size_t i;
+
+	snprintf(address, sizeof(address), "%s:%u", metrics->ip, metrics->port);
+	script->words[1] = (char *)"--output=json";
+	script->words[2] = (char *)"node";
+	script->words[3] = address;
+	script->words_count = 4;
+	file = run_nodectl(script, &status);
+	list = file != NULL ? json_loadf(file, 0, NULL) : NULL;
+	json_array_foreach (list, i, entry)
+		kwb_buf_printf(&script->out, "%s %s\n",
+		    json_string_value(json_object_get(entry, "upstream")),
+		    json_string_value(json_object_get(entry, "state")));
+	json_decref(list);
+	if (file != NULL)
+		fclose(file);
+	kwb_buf_printf(&script->out, "exit %d\n", WEXITSTATUS(status));
+}
+
 /* Prints spans of half a second or more, in whole seconds. */
 static void
 run_trace(struct script *script)
@@ -1446,7 +1476,8 @@
 	    {"rows", run_rows}, {"silent-part", run_silent_part},
 	    {"wait-rows", run_wait_rows}, {"objects", run_objects},
 	    {"results-size", run_results_size}, {"running", run_totals},
-	    {"ctl", run_ctl}, {"trace", run_trace}, {"resumed", run_resumed},
+	    {"ctl", run_ctl}, {"upstreams", run_upstreams},
+	    {"trace", run_trace}, {"resumed", run_resumed},
 	    {"repeated-events", run_repeated_events}, {"explain", run_explain},
 	    {"proxy", run_proxy}, {"freeze", run_freeze}, {"path", run_path},
 	    {"entry", run_entry}, {"retries", run_retries}, {"pace", run_pace},
