--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # Sources of kwb-node, which runs on the users' platform and links only these.
 NODE_SRC = $(wildcard src/net/*.c src/store/*.c src/upstream/*.c \
 	src/forward/*.c src/batch/*.c src/duty/*.c src/node/*.c src/peer/*.c \
-	src/access/*.c src/memory/*.c \
+	src/access/*.c src/memory/*.c src/room/*.c \
 	platform/*.c) \
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
 	src/weights/mover_look.c src/weights/mover_order.c \
@@ -31,7 +31,8 @@
 TRACE_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard src/trace/*.c))
 
 LIB_SRC = $(filter-out src/net/% src/store/% src/upstream/% src/forward/% \
-	src/batch/% src/duty/% src/node/% src/peer/% src/access/% src/memory/% src/trace/% src/route/node_config.c src/route/config_check.c \
+	src/batch/% src/duty/% src/node/% src/peer/% src/access/% src/memory/% src/room/% src/trace/% \
+	src/route/node_config.c src/route/config_check.c \
 	src/route/config_compare.c src/weights/homes.c \
 	src/weights/mover.c src/weights/mover_look.c src/weights/mover_order.c src/core/base64.c src/core/timer.c src/core/index.c, \
 	$(wildcard src/*/*.c))
@@ -118,7 +119,8 @@
 		$(B)/tests/platform/decisions_duty.o \
 		$(B)/tests/platform/decisions_access.o \
 		$(B)/tests/platform/decisions_memory.o \
-		$(B)/tests/platform/decisions_placement.o $(TRACE_OBJ) \
+		$(B)/tests/platform/decisions_placement.o \
+		$(B)/tests/platform/decisions_room.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -203,6 +203,8 @@
 	KWB_METRIC_CONNS_CLOSED,
 	KWB_METRIC_CONNS_RESET,
 	KWB_METRIC_CONNS_IDLE,
+	KWB_METRIC_ROOM_QUEUED,	   /* requests that had to wait for a place */
+	KWB_METRIC_ROOM_REFUSED,   /* requests without a place in time */
 	KWB_METRIC_LISTS_REVISION, /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
@@ -219,6 +221,8 @@
 	KWB_HISTOGRAM_UPSTREAM, /* a forwarded attempt, to its last byte */
 	KWB_HISTOGRAM_ITEM,	/* an item, from its submission to its result */
 	KWB_HISTOGRAM_STORE,	/* a call to the store other than a feed */
+	KWB_HISTOGRAM_ROOM,	/* a request's wait for a place */
+	KWB_HISTOGRAM_RETURN,	/* the time after which refused ones return */
 	KWB_HISTOGRAM_COUNT
 };
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -185,6 +185,34 @@
 #define KWB_ENTRY_BODIES_MAX_BYTES (48u << 20)
 #define KWB_FIRST_FRAME_MAX_BYTES 65536
 #define KWB_LOOP_RECEIVE_MAX_BYTES (64u << 20) /* frames not yet whole */
+/* Room */
+#define KWB_ROOM_PASS_NS (15 * KWB_MS_NS) /* between tries of the waiters */
+#define KWB_ROOM_WAITERS_MAX 256	  /* requests that wait in a node */
+/* A reported load beyond so many times an upstream's slots is not believed. */
+#define KWB_ROOM_LOAD_SLOTS_MAX 8
+/* Requests of a node at a service, in thousandths, until it is crowded. */
+#define KWB_ROOM_LIMIT_MAX_MILLI 256000
+#define KWB_ROOM_LIMIT_MIN_MILLI 1000
+/* An answer after this part of the time that its request had is late. */
+#define KWB_ROOM_LATE_DIVISOR 2
+/* How long an upstream's word that others wait there counts. */
+#define KWB_ROOM_CROWDED_NS (1000 * KWB_MS_NS)
+#define KWB_ROOM_SERVICES_MAX 16 /* with a limit; others have none */
+/* A request that has waited this part of its time goes first, */
+#define KWB_ROOM_OVERDUE_DIVISOR 2
+#define KWB_ROOM_OVERDUE_NS (2000 * KWB_MS_NS)	  /* or for so long */
+#define KWB_ROOM_SHARE_HALF_NS (1000 * KWB_MS_NS) /* halves a recent share */
+#define KWB_ROOM_SHARES_MAX 128 /* workspaces with their own */
+#define KWB_ROOM_LABELS_MAX 16	/* workspaces in the metrics */
+#define KWB_ROOM_RANKS_MAX 4	/* ranks in the metrics; the last is the rest */
+#define KWB_ROOM_RETURN_MIN_NS                                                 \
+	(50 * KWB_MS_NS) /* until a refused one returns */
+/* In which a node gets its config, while the store answers. */
+#define KWB_ROOM_RETURN_CONFIG_NS (500 * KWB_MS_NS)
+/* Part of its time left after which a caller tries another node. */
+#define KWB_ROOM_RETURN_ELSEWHERE_DIVISOR 16
+/* Callers wait for at most a third of the time that they have left. */
+#define KWB_ROOM_RETURN_DIVISOR 3
 
 /* Batches */
 #define KWB_ITEM_TTL_MS 30000		    /* when no route names one */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -17,6 +17,7 @@
 #include "kwb_access.h"
 #include "kwb_memory.h"
 #include "kwb_placement.h"
+#include "kwb_room.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -1314,6 +1315,7 @@
 	const char *failure_domain; /* of this node */
 	struct kwb_prefix_map *prefixes;
 	struct kwb_usage_meter *usage; /* NULL: requests are not counted */
+	struct kwb_room *room;	       /* where requests wait; NULL for none */
 };
 
 /* The request at one upstream. */
@@ -1343,6 +1345,9 @@
 	bool idempotent;     /* may run more than once */
 	bool returns_errors; /* a 5xx answer is returned, not retried */
 	bool resumes;	     /* a broken stream goes on at another upstream */
+	/* Whose share of a service's places it takes; NULL: of workspace. */
+	const char *share_workspace;
+	uint32_t rank; /* among requests that wait; 0 goes first */
 	uint32_t max_attempts;
 	uint64_t deadline_ns;
 	uint64_t hedge_ns; /* when to try a second upstream; 0 for never */
@@ -1354,6 +1359,9 @@
 	uint32_t tried_count;
 	uint32_t sent_count; /* attempts that may have run */
 	uint64_t retry_ns;   /* when to pick an upstream again; 0 for never */
+	struct kwb_room_waiter waiter; /* in the room of the node */
+	bool is_refused;	       /* the last upstream was full */
+	bool has_others; /* by the last answer, others wait there */
 	bool done;
 	bool is_counted; /* in the usage of its workspace */
 	bool streaming;	 /* not used */
@@ -1366,8 +1374,10 @@
 	uint64_t last_event; /* id of the last event passed to the caller */
 	/* Outcome. */
 	enum kwb_forward_outcome outcome;
-	const char *reason;	   /* for the log, and for the caller */
-	struct kwb_message answer; /* or its head, when streamed */
+	const char *reason; /* for the log, and for the caller */
+	uint64_t
+	    return_ns; /* after which a refused one may return; 0 unknown */
+	struct kwb_message answer;	      /* or its head, when streamed */
 	char upstream_id[KWB_NAME_MAX_BYTES]; /* of the one that answered */
 };
 
@@ -1843,6 +1853,7 @@
 	struct kwb_conn_history conn_history;
 	struct kwb_registry registry;	/* upstreams listed in the store */
 	struct kwb_forward_env forward; /* what all forwards share */
+	struct kwb_room room;		/* requests that wait for a place */
 	struct kwb_prefix_map prefixes; /* of prompts read by upstreams */
 	struct kwb_batch_env batch_env; /* for batches and weight_updater */
 	struct kwb_batches batches;
@@ -1868,7 +1879,8 @@
 	struct kwb_access access;	     /* keys of workspaces */
 	struct kwb_caller_list waiting_callers; /* for the store's word */
 	struct event *timer;			/* every KWB_NODE_CHECK_NS */
-	uint64_t incarnation;	   /* start in ms of the wall clock */
+	uint64_t incarnation; /* start in ms of the wall clock */
+	uint64_t started_ns;
 	uint64_t stop_deadline_ns; /* of a stop; 0 while not stopping */
 	uint64_t stop_started_ns;
 	uint32_t busy_callers_count; /* with a request in progress */
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -80,29 +80,51 @@
 	caller_finish_request(caller);
 }
 
-/* Seconds until a caller should retry; NULL where a retry would not help. */
-static const char *
-retry_after(const struct kwb_node *node, uint16_t status)
+/* How long the store has not answered since the start of this node. */
+static uint64_t
+store_silence_ns(const struct kwb_node *node)
 {
+	uint64_t since_ns = node->store->last_answer_ns > node->started_ns
+	    ? node->store->last_answer_ns
+	    : node->started_ns;
+
+	return kwb_clock_now_ns() - since_ns;
+}
+
+/* Seconds until a caller should retry; below 0 where that would not help. */
+static double
+retry_after_s(const struct kwb_caller *caller, uint16_t status)
+{
+	uint64_t left_ns = KWB_CALL_TIMEOUT_MS * KWB_MS_NS;
+
 	if (status != 503 && status != 429)
-		return NULL;
-	if (node->stop_deadline_ns != 0)
-		return "0.05"; /* another node will serve it */
-	return node->config == NULL ? "0.5" : "0.2";
+		return -1;
+	if (caller->node->stop_deadline_ns != 0)
+		return 0.05; /* another node will serve it */
+	if (caller->forward != NULL && caller->forward->return_ns != 0)
+		return (double)caller->forward->return_ns / 1e9;
+	if (caller->node->config != NULL)
+		return 0.2;
+	if (caller->call.deadline_ns != 0)
+		left_ns = kwb_clock_remaining_ms(caller->call.deadline_ns) *
+		    KWB_MS_NS;
+	return (double)kwb_room_return_unready_ns(
+		   store_silence_ns(caller->node), left_ns) /
+	    1e9;
 }
 
 void
 answer_error(struct kwb_caller *caller, uint16_t status, const char *reason)
 {
 	struct evbuffer *out = kwb_conn_output(&caller->conn);
-	const char *after = retry_after(caller->node, status);
+	double after_s = retry_after_s(caller, status);
 	char body[KWB_NAME_MAX_BYTES + 16];
 	int length =
 	    snprintf(body, sizeof(body), "{\"error\":\"%.63s\"}", reason);
 
 	write_status_line(caller, status);
-	if (after != NULL)
-		evbuffer_add_printf(out, "Retry-After: %s\r\n", after);
+	if (after_s >= 0)
+		evbuffer_add_printf(out, "Retry-After: %.3g\r\n", after_s);
 	evbuffer_add_printf(out,
 	    "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n",
 	    length);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -43,6 +43,7 @@
 	free(node->config);
 	node->config = config;
 	node->access.is_config_unread = false;
+	node->room.is_enabled = config->has_workspaces;
 	kwb_metric_set(KWB_METRIC_LISTS_REVISION, config->version);
 	kwb_log(KWB_LOG_INFO, "node",
 	    "event=config version=%llu routes=%u services=%u workspaces=%u "
@@ -294,6 +295,7 @@
 	node->on_stopped = on_stopped;
 	node->context = context;
 	node->incarnation = kwb_clock_wall_ms();
+	node->started_ns = kwb_clock_now_ns();
 	TAILQ_INIT(&node->callers);
 	TAILQ_INIT(&node->waiting_callers);
 	node->access = (struct kwb_access){.settings = settings,
@@ -304,6 +306,8 @@
 	if (code == 0)
 		code = node_init_limits(node);
 	node->client.history = &node->conn_history;
+	if (code == 0)
+		code = kwb_room_init(&node->room, base, &node->registry);
 	if (code != 0)
 		return code;
 	node->forward = (struct kwb_forward_env){.base = base,
@@ -311,7 +315,8 @@
 	    .registry = &node->registry,
 	    .codec = codec,
 	    .failure_domain = settings->failure_domain,
-	    .prefixes = &node->prefixes};
+	    .prefixes = &node->prefixes,
+	    .room = &node->room};
 	node->batch_env = (struct kwb_batch_env){.base = base,
 	    .store = store,
 	    .forward = &node->forward,
@@ -376,6 +381,7 @@
 	kwb_batches_finish(&node->batches);
 	event_free(node->timer);
 	event_free(node->memory_timer);
+	kwb_room_finish(&node->room);
 	kwb_client_finish(&node->client);
 	kwb_registry_finish(&node->registry);
 	if (node->config != NULL)
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2077,6 +2077,7 @@
 extern unsigned access_tests_add(CU_pSuite suite);
 extern unsigned duty_tests_add(CU_pSuite suite);
 extern unsigned placement_tests_add(CU_pSuite suite);
+extern unsigned room_tests_add(CU_pSuite suite);
 
 int
 main(void)
@@ -2134,6 +2135,7 @@
 	count += access_tests_add(suite);
 	count += duty_tests_add(suite);
 	count += placement_tests_add(suite);
+	count += room_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
 	CU_basic_show_failures(CU_get_failure_list());
