--- a/include/kwb.h
+++ b/include/kwb.h
@@ -188,10 +188,6 @@
 	KWB_METRIC_BODIES_REFUSED,     /* for want of memory */
 	KWB_METRIC_HOLDERS_CLOSED,     /* stalled clients that gave way */
 	KWB_METRIC_CALLERS_REFUSED,    /* or closed for want of descriptors */
-	KWB_METRIC_MEMORY_CALLS,       /* gauge: bytes of bodies of calls */
-	KWB_METRIC_MEMORY_BATCHES,     /* gauge: of submissions and batches */
-	KWB_METRIC_MEMORY_ANSWERS,     /* gauge: of answers not yet read */
-	KWB_METRIC_CALLERS_OPEN,       /* gauge: connections of callers */
 	KWB_METRIC_MOVES,	       /* of running items to other upstreams */
 	KWB_METRIC_MOVES_WON_MS,       /* by moves, as expected before them */
 	KWB_METRIC_MOVES_LOST_MS,
@@ -205,6 +201,10 @@
 	KWB_METRIC_CONNS_IDLE,
 	KWB_METRIC_ROOM_QUEUED,	   /* requests that had to wait for a place */
 	KWB_METRIC_ROOM_REFUSED,   /* requests without a place in time */
+	KWB_METRIC_MEMORY_CALLS,   /* gauge: bytes of bodies of calls */
+	KWB_METRIC_MEMORY_BATCHES, /* gauge: of submissions and batches */
+	KWB_METRIC_MEMORY_ANSWERS, /* gauge: of answers not yet read */
+	KWB_METRIC_CALLERS_OPEN,   /* gauge: connections of callers */
 	KWB_METRIC_LISTS_REVISION, /* gauge: lists or config in force */
 	KWB_METRIC_COUNT
 };
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -36,10 +36,6 @@
     [KWB_METRIC_BODIES_REFUSED] = "kwb_bodies_refused_total",
     [KWB_METRIC_HOLDERS_CLOSED] = "kwb_holders_closed_total",
     [KWB_METRIC_CALLERS_REFUSED] = "kwb_callers_refused_total",
-    [KWB_METRIC_MEMORY_CALLS] = "kwb_memory_calls_bytes",
-    [KWB_METRIC_MEMORY_BATCHES] = "kwb_memory_batches_bytes",
-    [KWB_METRIC_MEMORY_ANSWERS] = "kwb_memory_answers_bytes",
-    [KWB_METRIC_CALLERS_OPEN] = "kwb_callers_open",
     [KWB_METRIC_MOVES] = "kwb_moves_total",
     [KWB_METRIC_MOVES_WON_MS] = "kwb_moves_won_ms_total",
     [KWB_METRIC_MOVES_LOST_MS] = "kwb_moves_lost_ms_total",
@@ -52,6 +48,10 @@
     [KWB_METRIC_CONNS_IDLE] = "kwb_conns_after_idle_total",
     [KWB_METRIC_ROOM_QUEUED] = "kwb_room_queued_total",
     [KWB_METRIC_ROOM_REFUSED] = "kwb_room_refused_total",
+    [KWB_METRIC_MEMORY_CALLS] = "kwb_memory_calls_bytes",
+    [KWB_METRIC_MEMORY_BATCHES] = "kwb_memory_batches_bytes",
+    [KWB_METRIC_MEMORY_ANSWERS] = "kwb_memory_answers_bytes",
+    [KWB_METRIC_CALLERS_OPEN] = "kwb_callers_open",
     [KWB_METRIC_LISTS_REVISION] = "kwb_lists_revision",
 };
 static _Atomic uint64_t values[KWB_METRIC_COUNT];
