--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -173,9 +173,8 @@
 #define KWB_CONN_INPUT_BYTES 16384	       /* read ahead from a caller */
 #define KWB_CONN_BYTES 8192	      /* of a connection, apart from bodies */
 #define KWB_ANSWER_UNREAD_BYTES 65536 /* then no further request is read */
-#define KWB_STREAM_UNREAD_BYTES                                                \
-	(256u << 10)		     /* then its upstream isn't read           \
-				      */
+/* While so much of a stream is unread, its upstream isn't read either. */
+#define KWB_STREAM_UNREAD_BYTES (256u << 10)
 #define KWB_FDS_FOR_FILES 200	     /* of the limit in the settings */
 #define KWB_FDS_OWN 16		     /* of the kernel's limit */
 #define KWB_RELAY_SOCKETS_DIVISOR 20 /* sockets for a pair of a relay */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -934,6 +934,9 @@
 const struct kwb_service *kwb_node_config_find_service(
     const struct kwb_node_config *config,
     const char *name); /* by name; NULL for none */
+const struct kwb_workspace *kwb_node_config_find_workspace(
+    const struct kwb_node_config *config,
+    const char *name); /* by name; NULL for none */
 const char *kwb_route_entry_pick_service(const struct kwb_route_entry *route,
     uint64_t random); /* one of its services by weight; "" for none */
 
@@ -1375,8 +1378,7 @@
 	/* Outcome. */
 	enum kwb_forward_outcome outcome;
 	const char *reason; /* for the log, and for the caller */
-	uint64_t
-	    return_ns; /* after which a refused one may return; 0 unknown */
+	uint64_t return_ns; /* a refused one may return after it; 0 unknown */
 	struct kwb_message answer;	      /* or its head, when streamed */
 	char upstream_id[KWB_NAME_MAX_BYTES]; /* of the one that answered */
 };
--- a/src/room/rank.c
+++ b/src/room/rank.c
@@ -2,28 +2,16 @@
  * The rank of a request by its workspace and route, and what it means in the
  * queues of upstreams.
  */
-#include <string.h>
-
 #include "kwb_node.h"
 
-static const struct kwb_workspace *
-find_workspace(const struct kwb_node_config *config, const char *name)
-{
-	uint32_t i;
-
-	for (i = 0; i < config->workspaces_count; i++)
-		if (strcmp(config->workspaces[i].name, name) == 0)
-			return &config->workspaces[i];
-	return NULL;
-}
-
 uint32_t
 kwb_room_rank(const struct kwb_node_config *config, const char *workspace,
     const struct kwb_route_entry *route)
 {
 	if (!config->has_workspaces)
 		return 0;
-	return kwb_access_rank(find_workspace(config, workspace), route);
+	return kwb_access_rank(
+	    kwb_node_config_find_workspace(config, workspace), route);
 }
 
 /*
--- a/src/route/config_compare.c
+++ b/src/route/config_compare.c
@@ -193,17 +193,6 @@
 	return code;
 }
 
-static const struct kwb_workspace *
-find_workspace(const struct kwb_node_config *config, const char *name)
-{
-	uint32_t i;
-
-	for (i = 0; i < config->workspaces_count; i++)
-		if (strcmp(config->workspaces[i].name, name) == 0)
-			return &config->workspaces[i];
-	return NULL;
-}
-
 static int
 compare_workspace(const struct kwb_workspace *from,
     const struct kwb_workspace *to, uint32_t index,
@@ -240,7 +229,8 @@
 					 : "requests need no key any more");
 	for (i = 0; code == 0 && i < next->workspaces_count; i++) {
 		workspace = &next->workspaces[i];
-		other = find_workspace(current, workspace->name);
+		other =
+		    kwb_node_config_find_workspace(current, workspace->name);
 		code = other != NULL
 		    ? compare_workspace(other, workspace, i, findings)
 		    : kwb_findings_add(findings, KWB_FINDING_CHANGE,
@@ -249,7 +239,8 @@
 	}
 	for (i = 0; code == 0 && i < current->workspaces_count; i++) {
 		workspace = &current->workspaces[i];
-		if (find_workspace(next, workspace->name) == NULL)
+		if (kwb_node_config_find_workspace(next, workspace->name) ==
+		    NULL)
 			code = kwb_findings_add(findings, KWB_FINDING_CHANGE,
 			    KWB_OBJECT_WORKSPACE, i, KWB_FIELD_REMOVED,
 			    "%s is removed: its keys stop", workspace->name);
--- a/src/route/node_config.c
+++ b/src/route/node_config.c
@@ -68,6 +68,18 @@
 	return NULL;
 }
 
+const struct kwb_workspace *
+kwb_node_config_find_workspace(
+    const struct kwb_node_config *config, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->workspaces_count; i++)
+		if (strcmp(config->workspaces[i].name, name) == 0)
+			return &config->workspaces[i];
+	return NULL;
+}
+
 const char *
 kwb_route_entry_pick_service(
     const struct kwb_route_entry *route, uint64_t random)
