Only a check that its timer brings late is taken for a pause of the node

What is compared now is when the timer was to fire. Scripts paused, stall, queued, straggler, queued_items_move and idle_owner: 6 passed, twice; decisions 85 passed.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1501,8 +1501,8 @@
 
 bool kwb_item_is_stalled(
     const struct kwb_stall_input *input); /* its upstream has stopped; pure */
-/* Whether checks stopped for so long that silence shows nothing; pure. */
-bool kwb_check_was_delayed(uint64_t last_ns, uint64_t now_ns);
+/* Whether a check is so late that silence shows nothing; pure. */
+bool kwb_check_was_delayed(uint64_t due_ns, uint64_t now_ns);
 bool kwb_item_is_queued(
     const struct kwb_stall_input *input); /* it waits for a slot; pure */
 
@@ -1602,7 +1602,7 @@
 	bool dispatch_armed;
 	uint64_t hint_per_unit;	  /* of the texts so far, smoothed; 0 unknown */
 	uint64_t move_checked_ns; /* last check of the running items */
-	uint64_t check_seen_ns;	  /* when a check was last due */
+	uint64_t dispatch_due_ns; /* when dispatch_timer is to fire */
 	bool handing_over;	  /* starts and claims nothing more */
 	struct kwb_store_call heartbeat;       /* writes the own one */
 	struct kwb_store_call heartbeats_read; /* those of all nodes */
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -112,7 +112,9 @@
 	struct kwb_batches *batches = context;
 	struct kwb_batch *batch;
 	bool has_waiting = false;
-	uint64_t now_ns;
+	uint64_t now_ns = kwb_clock_now_ns();
+	bool was_delayed =
+	    kwb_check_was_delayed(batches->dispatch_due_ns, now_ns);
 
 	(void)fd;
 	(void)what;
@@ -129,11 +131,7 @@
 			has_waiting |= batch_dispatch(batch);
 	now_ns = kwb_clock_now_ns();
 	if (now_ns - batches->move_checked_ns >= KWB_MOVE_CHECK_NS) {
-		bool was_delayed =
-		    kwb_check_was_delayed(batches->check_seen_ns, now_ns);
-
 		batches->move_checked_ns = now_ns;
-		batches->check_seen_ns = now_ns;
 		TAILQ_FOREACH (batch, &batches->running, entry)
 			if (!was_delayed)
 				batch_check_running(batch);
@@ -142,15 +140,21 @@
 	}
 	if (!batches->dispatch_armed && !TAILQ_EMPTY(&batches->running)) {
 		batches->dispatch_armed = true;
-		kwb_timer_arm(batches->dispatch_timer,
-		    kwb_clock_now_ns() +
-			(has_waiting ? KWB_DISPATCH_NS : KWB_MOVE_CHECK_NS));
+		batches->dispatch_due_ns = now_ns +
+		    (has_waiting ? KWB_DISPATCH_NS : KWB_MOVE_CHECK_NS);
+		kwb_timer_arm(
+		    batches->dispatch_timer, batches->dispatch_due_ns);
 	}
 }
 
+/* One that is overdue already stays so: it tells of a pause of the process. */
 void
 kwb_batches_dispatch(struct kwb_batches *batches)
 {
+	uint64_t now_ns = kwb_clock_now_ns();
+
+	if (!batches->dispatch_armed || now_ns < batches->dispatch_due_ns)
+		batches->dispatch_due_ns = now_ns;
 	batches->dispatch_armed = true;
 	kwb_timer_arm(batches->dispatch_timer, 0);
 }
--- a/src/batch/item.c
+++ b/src/batch/item.c
@@ -77,9 +77,9 @@
  * meanwhile are read: all upstreams then seem to have been silent.
  */
 bool
-kwb_check_was_delayed(uint64_t last_ns, uint64_t now_ns)
+kwb_check_was_delayed(uint64_t due_ns, uint64_t now_ns)
 {
-	return now_ns - last_ns >= KWB_MOVE_CHECK_NS + KWB_CHECK_DELAY_NS;
+	return now_ns >= due_ns + KWB_CHECK_DELAY_NS;
 }
 
 /*
