--- a/review/stand-2/world.c
+++ b/review/stand-2/world.c
@@ -222,7 +222,7 @@
 }
 
 unsigned
-world_node_resident_mb(const struct world_node *node)
+world_node_peak_mb(const struct world_node *node)
 {
 	char path[64], line[256];
 	unsigned long kilobytes = 0;
@@ -231,7 +231,7 @@
 	snprintf(path, sizeof(path), "/proc/%d/status", (int)node->pid);
 	file = fopen(path, "r");
 	while (file != NULL && fgets(line, sizeof(line), file) != NULL)
-		sscanf(line, "VmRSS: %lu kB", &kilobytes);
+		sscanf(line, "VmHWM: %lu kB", &kilobytes);
 	if (file != NULL)
 		fclose(file);
 	return (unsigned)(kilobytes / 1024);
--- a/review/stand-2/world.h
+++ b/review/stand-2/world.h
@@ -65,7 +65,8 @@
 void world_node_wait_ready(struct world *world, struct world_node *node);
 /* Whether the process still runs; its exit status otherwise. */
 bool world_node_runs(struct world *world, struct world_node *node, int *status);
-unsigned world_node_resident_mb(const struct world_node *node);
+/* The most memory that was resident. */
+unsigned world_node_peak_mb(const struct world_node *node);
 
 /* Sends a request on a new connection and runs until its end, at most ms. */
 void world_call_run(struct world *world, struct world_call *call,
