--- a/review/stand-2/world.c
+++ b/review/stand-2/world.c
@@ -270,19 +270,17 @@
 static const struct kwb_exchange_ops call_ops = {.on_done = call_on_done};
 
 void
-world_call_run(struct world *world, struct world_call *call,
+world_call_start(struct world *world, struct world_call *call,
     const struct kwb_address *to, const char *method, const char *target,
-    const char *headers, const void *body, size_t body_bytes, unsigned ms)
+    const char *headers, const void *body, size_t body_bytes)
 {
 	struct evbuffer *out = evbuffer_new();
-	uint64_t end_ms = world_now_ms(world) + ms;
-	struct kwb_message *answer;
-	const char *receipt;
 
 	memset(call, 0, sizeof(*call));
 	call->exchange.ops = &call_ops;
 	call->exchange.context = call;
 	call->exchange.wants_new_conn = true;
+	call->started_ms = world_now_ms(world);
 	evbuffer_add_printf(out,
 	    "%s %s HTTP/1.1\r\nHost: " WORLD_HOST "\r\n%sContent-Length: "
 	    "%zu\r\n\r\n",
@@ -292,8 +290,14 @@
 		&call->exchange, &world->testbed.client, to, out) != 0)
 		call->done = true;
 	evbuffer_free(out);
-	while (!call->done && world_now_ms(world) < end_ms)
-		testbed_run_for(&world->testbed, 1);
+}
+
+void
+world_call_take(struct world_call *call)
+{
+	struct kwb_message *answer;
+	const char *receipt;
+
 	if (!call->done || call->error != 0)
 		return;
 	answer = kwb_exchange_answer(&call->exchange);
@@ -305,6 +309,20 @@
 	    answer->body.used_bytes);
 }
 
+void
+world_call_run(struct world *world, struct world_call *call,
+    const struct kwb_address *to, const char *method, const char *target,
+    const char *headers, const void *body, size_t body_bytes, unsigned ms)
+{
+	uint64_t end_ms = world_now_ms(world) + ms;
+
+	world_call_start(
+	    world, call, to, method, target, headers, body, body_bytes);
+	while (!call->done && world_now_ms(world) < end_ms)
+		testbed_run_for(&world->testbed, 1);
+	world_call_take(call);
+}
+
 void
 world_call_finish(struct world_call *call)
 {
--- a/review/stand-2/world.h
+++ b/review/stand-2/world.h
@@ -43,6 +43,7 @@
 	struct kwb_exchange exchange;
 	bool done;
 	int error;
+	uint64_t started_ms;
 	unsigned status; /* 0: no whole answer */
 	char receipt[96];
 	struct kwb_buf body;
@@ -68,6 +69,11 @@
 /* The most memory that was resident. */
 unsigned world_node_peak_mb(const struct world_node *node);
 
+/* Sends a request on a new connection; world_call_take() once it is done. */
+void world_call_start(struct world *world, struct world_call *call,
+    const struct kwb_address *to, const char *method, const char *target,
+    const char *headers, const void *body, size_t body_bytes);
+void world_call_take(struct world_call *call);
 /* Sends a request on a new connection and runs until its end, at most ms. */
 void world_call_run(struct world *world, struct world_call *call,
     const struct kwb_address *to, const char *method, const char *target,
