--- a/review/stand-2/world.c
+++ b/review/stand-2/world.c
@@ -41,6 +41,7 @@
 	memset(world, 0, sizeof(*world));
 	signal(SIGPIPE, SIG_IGN);
 	world->memory_mb = 290;
+	world->status_s = 120;
 	world->has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
 	world->started_ns = kwb_clock_now_ns();
 	world->record = argc > 1 ? fopen(argv[1], "w") : NULL;
@@ -156,7 +157,7 @@
 	    "bounds.loss-slack-ms=200\nbounds.config-apply-ms=2000\n"
 	    "bounds.downgrade-slack-ms=250\nbounds.partition-slack-ms=5000\n"
 	    "bounds.recover-s=12\nbounds.pass-ms=120\nbounds.retry-after-s=0\n"
-	    "bounds.finish-s=10\nbounds.status-s=120\nbounds.cancel-ms=3000\n"
+	    "bounds.finish-s=10\nbounds.status-s=%u\nbounds.cancel-ms=3000\n"
 	    "bounds.settle-ms=1000\nbounds.quota-overshoot=0.1\n"
 	    "bounds.fencing-enforced=true\nbounds.lease-ms=3000\n"
 	    "bounds.thaw-ms=300\nplatform.addr=%s:%u\nplatform.form=table\n"
@@ -166,7 +167,7 @@
 	    "platform.history-s=20\nplatform.blob-bytes=8388608\n"
 	    "platform.blob-ms=25.0\nplatform.blob-mb-s=80.0\n",
 	    node->name, node->ip, node->ip, PORT_FRONT, node->ip, PORT_READY,
-	    node->ip, PORT_CONTROL, world->memory_mb,
+	    node->ip, PORT_CONTROL, world->memory_mb, world->status_s,
 	    world->testbed.store.port.address.ip,
 	    world->testbed.store.port.address.port);
 	fclose(file);
--- a/review/stand-2/world.h
+++ b/review/stand-2/world.h
@@ -32,6 +32,7 @@
 	struct world_node nodes[WORLD_NODES_MAX];
 	unsigned nodes_count;
 	unsigned memory_mb; /* of each node */
+	unsigned status_s;  /* bounds.status-s */
 	FILE *record;
 	struct event *heartbeat; /* liveness reports of all servers */
 	uint64_t started_ns;
