--- a/review/stand-2/world.c
+++ b/review/stand-2/world.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -191,6 +192,8 @@
 	write_settings(world, node, settings);
 	node->pid = fork();
 	if (node->pid == 0) {
+		/* Ends with this process, should that abort. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		out = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		dup2(out, STDOUT_FILENO);
 		dup2(out, STDERR_FILENO);
