A late copy of an answer passes for no later sending of its request

Cause: answers were bound to requests by the id alone. An id names a request, not one sending of it. A failed call was sent again on the kept connection on which the second copy of its answer was due, and the copy passed for the next answer. The connection then went back to the pool with the true answer still to come.

Evidence: the server's record has three answers of 500 and two copies; the node counted four. A stand-in that sends copies shows the same for items, callers' requests, streams, refusals without an id, and an order for weights that took the copy of a report for "it has them already".

Why this works: one place, the client of connections, binds an answer to a sending. A connection carries each id once, an empty one included, so an answer with the id of an earlier request of the connection is certainly a copy: it is dropped, costs no attempt and marks no upstream, and the request waits on. A connection is kept only after an answer that names its request.

--- a/include/kwb.h
+++ b/include/kwb.h
@@ -195,10 +195,12 @@
 	KWB_METRIC_CONNS_FIRST,
 	KWB_METRIC_CONNS_BUSY,
 	KWB_METRIC_CONNS_NOT_REPEATABLE,
+	KWB_METRIC_CONNS_SAME_ID,
 	KWB_METRIC_CONNS_CUT,
 	KWB_METRIC_CONNS_CLOSED,
 	KWB_METRIC_CONNS_RESET,
 	KWB_METRIC_CONNS_IDLE,
+	KWB_METRIC_LATE_ANSWERS,   /* dropped: to earlier requests */
 	KWB_METRIC_ROOM_QUEUED,	   /* requests that had to wait for a place */
 	KWB_METRIC_ROOM_REFUSED,   /* requests without a place in time */
 	KWB_METRIC_MEMORY_CALLS,   /* gauge: bytes of bodies of calls */
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -56,6 +56,7 @@
 #define KWB_IDLE_DEFAULT_MS 2000
 #define KWB_IDLE_MARGIN_MS 700	/* closed this long before the server would */
 #define KWB_IDLE_CONNS_MAX 512	/* idle connections of a node */
+#define KWB_CONN_IDS_MAX 64	/* requests that a connection remembers */
 #define KWB_CONN_PASTS_MAX 1024 /* addresses remembered; 24 KB */
 /* Between checks for connections that were idle for too long. */
 #define KWB_IDLE_SWEEP_NS (500 * KWB_MS_NS)
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -213,6 +213,7 @@
 	struct kwb_conn_history *history;   /* of those to upstreams, or NULL */
 	uint64_t answer_max_bytes;	    /* a longer body is an error */
 	struct kwb_body_budget body_budget; /* of all answers being read */
+	const char *id_header; /* in which an answer repeats a request's id */
 };
 
 struct kwb_exchange;
@@ -234,8 +235,8 @@
 
 /*
  * One request and its answer; its memory is the caller's. Zero it and set ops,
- * context, deadline_ns, max_silence_ns, is_streaming, wants_new_conn and
- * has_no_body before the start.
+ * context, request_id, deadline_ns, max_silence_ns, is_streaming,
+ * wants_new_conn and has_no_body before the start.
  */
 struct kwb_exchange {
 	const struct kwb_exchange_ops *ops;
@@ -247,6 +248,13 @@
 	uint64_t silence_deadline_ns; /* of the next bytes; 0: none */
 	uint64_t max_silence_ns;      /* between bytes; 0: no limit */
 	uint64_t connect_deadline_ns;
+	/*
+	 * Binds the answer to this sending: it goes to a connection that has
+	 * not carried this id, and answers to ids that the connection carried
+	 * earlier are dropped. "" for a request without an id; NULL: the server
+	 * answers each request once. Must stay valid until on_done.
+	 */
+	const char *request_id;
 	bool is_streaming;	   /* calls on_data as body bytes arrive */
 	bool wants_new_conn;	   /* takes no kept connection */
 	bool is_conn_reused;	   /* was sent on a kept connection */
@@ -1233,6 +1241,7 @@
  */
 struct kwb_message_codec {
 	const char *version_field; /* of events: version of the weights */
+	const char *id_header; /* in which an answer repeats a request's id */
 	/* Parses the head of a client's request; never fails. */
 	void (*parse_request)(
 	    const struct kwb_message *message, struct kwb_request_head *head);
--- a/include/kwb_placement.h
+++ b/include/kwb_placement.h
@@ -61,6 +61,7 @@
 	KWB_CONN_FIRST,		 /* to an address not connected to before */
 	KWB_CONN_BUSY,		 /* more are in use there than ever before */
 	KWB_CONN_NOT_REPEATABLE, /* the request must not meet an old one */
+	KWB_CONN_SAME_ID,	 /* the idle ones have carried its id */
 	/* Replaces an earlier one, the last of which ended for this reason: */
 	KWB_CONN_CUT,	 /* this node gave its request up */
 	KWB_CONN_CLOSED, /* its server closed it, or asked for that */
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -375,6 +375,7 @@
 	memset(&run->exchange, 0, sizeof(run->exchange));
 	run->exchange.ops = &exchange_ops;
 	run->exchange.context = run;
+	run->exchange.request_id = run->item->id;
 	run->exchange.max_silence_ns = KWB_STREAM_IDLE_NS;
 	run->upstream = upstream;
 	run->incarnation_ms = upstream->status.incarnation_ms;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -412,6 +412,7 @@
 	attempt->exchange.context = attempt;
 	attempt->exchange.deadline_ns =
 	    forward->deadline_ns + KWB_FORWARD_MARGIN_NS;
+	attempt->exchange.request_id = forward->request.id;
 	attempt->exchange.wants_new_conn = !forward->idempotent;
 	if (forward->resumes)
 		attempt->exchange.max_silence_ns = KWB_STREAM_IDLE_NS;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -1,7 +1,12 @@
 /*
  * Requests to servers and their answers, over a pool of connections that carry
  * one exchange at a time. A connection returns to the pool only after a whole
- * answer with no bytes behind it.
+ * answer to its request with no bytes behind it.
+ *
+ * A server may send a second copy of an answer just ahead of a later one on the
+ * same connection. An id names a request, which may be sent more than once, so
+ * a connection carries each id once: an answer with the id of an earlier
+ * request of the connection is then certainly a copy, and is dropped.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -15,8 +20,11 @@
 	struct kwb_conn conn;
 	struct kwb_client *client;
 	struct kwb_address address;
-	struct kwb_exchange *exchange; /* NULL while idle */
-	uint64_t idle_deadline_ns;     /* closed unless used before */
+	struct kwb_exchange *exchange;	     /* NULL while idle */
+	uint64_t idle_deadline_ns;	     /* closed unless used before */
+	uint64_t sent_ids[KWB_CONN_IDS_MAX]; /* hashes, of the newest ones */
+	uint32_t sent_count;		     /* requests with or without id */
+	bool is_dropping; /* what is read is a copy of an earlier answer */
 	TAILQ_ENTRY(kwb_pooled_conn) entry;
 };
 
@@ -55,6 +63,66 @@
 	    strcmp(pooled->address.ip, address->ip) == 0;
 }
 
+static bool
+pooled_has_sent(const struct kwb_pooled_conn *pooled, const char *id)
+{
+	uint64_t hash = kwb_text_hash(id, 0);
+	uint32_t i;
+
+	for (i = 0; i < pooled->sent_count && i < KWB_CONN_IDS_MAX; i++)
+		if (pooled->sent_ids[i] == hash)
+			return true;
+	return false;
+}
+
+static void
+pooled_note_sent(struct kwb_pooled_conn *pooled, const char *id)
+{
+	pooled->sent_ids[pooled->sent_count++ % KWB_CONN_IDS_MAX] =
+	    kwb_text_hash(id, 0);
+}
+
+static bool
+exchange_checks_ids(const struct kwb_exchange *exchange)
+{
+	return exchange->request_id != NULL &&
+	    exchange->client->id_header != NULL;
+}
+
+/* Whether the answer names the request, or neither has an id. */
+static bool
+exchange_is_named_by(
+    const struct kwb_exchange *exchange, const struct kwb_message *answer)
+{
+	const char *id;
+
+	if (!exchange_checks_ids(exchange))
+		return true;
+	id = kwb_message_header(answer, exchange->client->id_header);
+	return strcmp(id != NULL ? id : "", exchange->request_id) == 0;
+}
+
+/*
+ * Whether this is a copy of the answer to an earlier request of the connection.
+ * An error without an id is none: that may be a refusal by whoever took the
+ * connection.
+ */
+static bool
+pooled_reads_late_answer(const struct kwb_pooled_conn *pooled)
+{
+	const struct kwb_exchange *exchange = pooled->exchange;
+	const struct kwb_message *answer = &pooled->conn.message;
+	const char *id;
+
+	if (!exchange_checks_ids(exchange) ||
+	    exchange_is_named_by(exchange, answer))
+		return false;
+	id = kwb_message_header(answer, exchange->client->id_header);
+	if (id == NULL && answer->status >= 400)
+		return false;
+	return pooled_has_sent(pooled, id != NULL ? id : "");
+}
+
 /*
  * How long a connection may stay idle: the time in the server's Keep-Alive
  * header, or a default, less a margin; 0: close it.
@@ -149,6 +217,16 @@
 		pooled_close_idle(pooled, KWB_CONN_RESET);
 		return;
 	}
+	if (pooled_reads_late_answer(pooled)) {
+		pooled->is_dropping = true;
+		conn->is_streaming = true;
+		kwb_metric_add(KWB_METRIC_LATE_ANSWERS, 1);
+		kwb_log(KWB_LOG_WARN, "conn",
+		    "event=late_answer from=%s:%u id=%s status=%u",
+		    pooled->address.ip, pooled->address.port,
+		    exchange->request_id, conn->message.status);
+		return;
+	}
 	if (exchange->max_silence_ns != 0)
 		exchange->silence_deadline_ns =
 		    kwb_clock_now_ns() + exchange->max_silence_ns;
@@ -164,6 +242,10 @@
 	struct kwb_pooled_conn *pooled = conn->context;
 	struct kwb_exchange *exchange = pooled->exchange;
 
+	if (pooled->is_dropping) {
+		conn->message.body.used_bytes = 0;
+		return;
+	}
 	if (exchange->max_silence_ns != 0)
 		exchange->silence_deadline_ns =
 		    kwb_clock_now_ns() + exchange->max_silence_ns;
@@ -187,6 +269,14 @@
 		pooled_close_idle(pooled, KWB_CONN_RESET);
 		return;
 	}
+	if (pooled->is_dropping) {
+		pooled->is_dropping = false;
+		conn->is_head_reported = false;
+		kwb_conn_read_next(conn);
+		return;
+	}
+	/* After an answer that names no request, a copy couldn't be told. */
+	keep = keep && exchange_is_named_by(exchange, &conn->message);
 	kwb_message_finish(&exchange->answer);
 	exchange->answer = conn->message;
 	kwb_message_init(&conn->message);
@@ -207,7 +297,8 @@
 		return;
 	}
 	if (error == KWB_ERR_NET_RESET || error == KWB_ERR_NET_CLOSED)
-		error = exchange->is_conn_reused && !conn->is_head_reported
+		error = exchange->is_conn_reused &&
+			(!conn->is_head_reported || pooled->is_dropping)
 		    ? KWB_ERR_NET_STALE
 		    : error;
 	exchange_end(exchange, error);
@@ -261,25 +352,32 @@
 							: KWB_ERR_NET_CONNECT);
 }
 
+/* has_sent_id: whether an idle one was left out for the request's id. */
 static struct kwb_pooled_conn *
-client_take_idle(struct kwb_client *client, const struct kwb_address *address)
+client_take_idle(struct kwb_client *client, const struct kwb_address *address,
+    const char *request_id, bool *has_sent_id)
 {
 	struct kwb_pooled_conn *pooled;
 	uint64_t now_ns = kwb_clock_now_ns();
 
 	TAILQ_FOREACH (pooled, &client->idle_conns, entry) {
-		if (pooled_is_to(pooled, address) &&
-		    pooled->idle_deadline_ns > now_ns) {
-			TAILQ_REMOVE(&client->idle_conns, pooled, entry);
-			client->idle_count--;
-			return pooled;
+		if (!pooled_is_to(pooled, address) ||
+		    pooled->idle_deadline_ns <= now_ns)
+			continue;
+		if (request_id != NULL && pooled_has_sent(pooled, request_id)) {
+			*has_sent_id = true;
+			continue;
 		}
+		TAILQ_REMOVE(&client->idle_conns, pooled, entry);
+		client->idle_count--;
+		return pooled;
 	}
 	return NULL;
 }
 
 static void
-pooled_note_open(const struct kwb_pooled_conn *pooled, bool wants_new)
+pooled_note_open(
+    const struct kwb_pooled_conn *pooled, bool wants_new, bool has_sent_id)
 {
 	enum kwb_conn_cause cause;
 
@@ -287,6 +385,8 @@
 		return;
 	cause = kwb_conn_history_open(
 	    pooled->client->history, &pooled->address, wants_new);
+	if (has_sent_id)
+		cause = KWB_CONN_SAME_ID;
 	kwb_metric_add(
 	    (enum kwb_metric)(KWB_METRIC_CONNS_FIRST + (int)cause), 1);
 	kwb_log(KWB_LOG_INFO, "conn", "event=opened to=%s:%u cause=%s",
@@ -296,7 +396,7 @@
 
 static struct kwb_pooled_conn *
 pooled_new(struct kwb_client *client, const struct kwb_address *address,
-    bool wants_new)
+    bool wants_new, bool has_sent_id)
 {
 	struct kwb_pooled_conn *pooled;
 
@@ -322,7 +422,7 @@
 	pooled->conn.body_budget = &client->body_budget;
 	client->opened_count++;
 	client->conns_count++;
-	pooled_note_open(pooled, wants_new);
+	pooled_note_open(pooled, wants_new, has_sent_id);
 	return pooled;
 }
 
@@ -331,6 +431,7 @@
     const struct kwb_address *address, struct evbuffer *request)
 {
 	struct kwb_pooled_conn *pooled = NULL;
+	bool has_sent_id = false;
 
 	exchange->client = client;
 	exchange->timer =
@@ -338,10 +439,12 @@
 	if (exchange->timer == NULL)
 		return KWB_ERR_MEMORY;
 	if (!exchange->wants_new_conn)
-		pooled = client_take_idle(client, address);
+		pooled = client_take_idle(
+		    client, address, exchange->request_id, &has_sent_id);
 	exchange->is_conn_reused = pooled != NULL;
 	if (pooled == NULL)
-		pooled = pooled_new(client, address, exchange->wants_new_conn);
+		pooled = pooled_new(
+		    client, address, exchange->wants_new_conn, has_sent_id);
 	if (pooled == NULL) {
 		evbuffer_drain(request, evbuffer_get_length(request));
 		exchange_arm_timer(exchange);
@@ -349,6 +452,8 @@
 	}
 	exchange->pooled = pooled;
 	pooled->exchange = exchange;
+	if (exchange->request_id != NULL)
+		pooled_note_sent(pooled, exchange->request_id);
 	pooled->conn.has_no_body = exchange->has_no_body;
 	evbuffer_add_buffer(kwb_conn_output(&pooled->conn), request);
 	exchange->connect_deadline_ns =
--- a/src/net/conn_history.c
+++ b/src/net/conn_history.c
@@ -10,6 +10,7 @@
     [KWB_CONN_FIRST] = "first",
     [KWB_CONN_BUSY] = "busy",
     [KWB_CONN_NOT_REPEATABLE] = "not_repeatable",
+    [KWB_CONN_SAME_ID] = "same_id",
     [KWB_CONN_CUT] = "cut",
     [KWB_CONN_CLOSED] = "closed",
     [KWB_CONN_RESET] = "reset",
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -306,6 +306,7 @@
 	if (code == 0)
 		code = node_init_limits(node);
 	node->client.history = &node->conn_history;
+	node->client.id_header = codec->id_header;
 	if (code == 0)
 		code = kwb_room_init(&node->room, base, &node->registry);
 	if (code != 0)
--- a/src/weights/mover_order.c
+++ b/src/weights/mover_order.c
@@ -156,6 +156,7 @@
 	memset(&replica->exchange, 0, sizeof(replica->exchange));
 	replica->exchange.ops = &exchange_ops;
 	replica->exchange.context = replica;
+	replica->exchange.request_id = "";
 	replica->incarnation_ms = upstream->status.incarnation_ms;
 	replica->exchange.deadline_ns =
 	    kwb_clock_now_ns() + KWB_ORDER_TIMEOUT_MS * KWB_MS_NS;
--- a/tests/platform/port.c
+++ b/tests/platform/port.c
@@ -17,6 +17,8 @@
 	TAILQ_REMOVE(&session->listener->sessions, session, entry);
 	if (session->timer != NULL)
 		event_free(session->timer);
+	if (session->late_copy != NULL)
+		evbuffer_free(session->late_copy);
 	kwb_conn_finish(&session->conn);
 	free(session);
 }
@@ -112,7 +114,7 @@
 http_session_answer(struct http_session *session, unsigned status,
     const char *headers, const void *body, size_t body_bytes)
 {
-	struct evbuffer *out = kwb_conn_output(&session->conn);
+	struct evbuffer *out = evbuffer_new();
 
 	evbuffer_add_printf(out,
 	    "HTTP/1.1 %u %s\r\n%sKeep-Alive: timeout=10\r\n"
@@ -120,5 +122,13 @@
 	    status, http_status_str((enum http_status)status), headers,
 	    body_bytes);
 	evbuffer_add(out, body, body_bytes);
+	if (session->keeps_copy) {
+		session->late_copy = evbuffer_new();
+		evbuffer_add(session->late_copy, evbuffer_pullup(out, -1),
+		    evbuffer_get_length(out));
+	}
+	session->keeps_copy = false;
+	evbuffer_add_buffer(kwb_conn_output(&session->conn), out);
+	evbuffer_free(out);
 	kwb_conn_read_next(&session->conn);
 }
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -18,6 +18,8 @@
  *   $ pace SERVER MS              time between two events of its streams
  *   $ fault SERVER FAULT [N [FAULT]]   see server_fault_names; for N requests
  *       only, and then for one
+ *   $ copies SERVER N             its next N answers are sent again, each ahead
+ *       of the next answer on its connection
  *   $ heartbeat SERVER, $ drain SERVER, $ remove SERVER    its row
  *   $ leave SERVER, $ stay SERVER    whether its answers say that it leaves
  *   $ restart SERVER              under its id: it leaves no more, is reborn
@@ -62,6 +64,7 @@
  *   $ end NODE BATCH, $ item NODE BATCH ITEM
  *   $ metrics NODE                their types
  *   $ upstreams NODE              kwb-nodectl's word on how it sees each
+ *   $ weights NODE SERVER         version that it takes the server to have
  *
  * What the servers got; ID is that of a request or item:
  *   $ arrivals SERVER             requests that it ran
@@ -1218,6 +1221,18 @@
 	kwb_buf_printf(&script->out, "exit %d\n", WEXITSTATUS(status));
 }
 
+static void
+run_weights(struct script *script)
+{
+	const struct testbed_node *node =
+	    testbed_node(&script->testbed, script->words[1]);
+	const struct kwb_upstream *upstream =
+	    kwb_registry_find(&node->node.registry, script->words[2]);
+
+	kwb_buf_printf(&script->out, "version %llu\n",
+	    (unsigned long long)kwb_upstream_version(upstream, "m"));
+}
+
 static void
 run_upstreams(struct script *script)
 {
@@ -1398,6 +1413,13 @@
 	    (unsigned)atoi(script->words[2]);
 }
 
+static void
+run_copies(struct script *script)
+{
+	testbed_server(&script->testbed, script->words[1])->copies_remaining =
+	    (unsigned)atoi(script->words[2]);
+}
+
 static void
 run_server_change(struct script *script)
 {
@@ -1540,11 +1562,12 @@
 	    {"wait-rows", run_wait_rows}, {"objects", run_objects},
 	    {"results-size", run_results_size}, {"running", run_totals},
 	    {"ctl", run_ctl}, {"upstreams", run_upstreams},
-	    {"trace", run_trace}, {"resumed", run_resumed},
-	    {"repeated-events", run_repeated_events}, {"explain", run_explain},
-	    {"proxy", run_proxy}, {"freeze", run_freeze}, {"path", run_path},
-	    {"entry", run_entry}, {"retries", run_retries}, {"pace", run_pace},
-	    {"concurrent-calls", run_concurrent_calls},
+	    {"weights", run_weights}, {"trace", run_trace},
+	    {"resumed", run_resumed}, {"repeated-events", run_repeated_events},
+	    {"explain", run_explain}, {"proxy", run_proxy},
+	    {"freeze", run_freeze}, {"path", run_path}, {"entry", run_entry},
+	    {"retries", run_retries}, {"pace", run_pace},
+	    {"copies", run_copies}, {"concurrent-calls", run_concurrent_calls},
 	    {"priority", run_priority}, {"detours", run_detours},
 	    {"use", run_use}, {"duty", run_duty}, {"deaf", run_duty},
 	    {"believe", run_duty}, {"reported", run_duty},
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -315,6 +315,23 @@
 		evbuffer_add_printf(out, "%zx\r\n%s\r\n", strlen(text), text);
 }
 
+/* The copy of a stream has one event, which the stream didn't have. */
+static void
+stream_keep_copy(struct http_session *session, const struct stream *stream)
+{
+	const char *event = "id: 1\ndata: copied\n\n";
+
+	if (!session->keeps_copy)
+		return;
+	session->keeps_copy = false;
+	session->late_copy = evbuffer_new();
+	evbuffer_add_printf(session->late_copy,
+	    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: stamp-copy\r\n"
+	    "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    stream->run->id, strlen(event), event);
+}
+
 static void
 stream_on_timer(int fd, short what, void *context)
 {
@@ -345,6 +362,7 @@
 	}
 	if (stream->next_event > stream->event_count) {
 		evbuffer_add_printf(out, "0\r\n\r\n");
+		stream_keep_copy(session, stream);
 		session->listener->on_close(session);
 		kwb_conn_read_next(&session->conn);
 		return;
@@ -485,6 +503,22 @@
 	http_session_answer(session, 200, headers, text, (size_t)length);
 }
 
+/* Sends the late copy of an earlier answer, and plans one of this one. */
+static void
+send_late_copy(struct http_session *session)
+{
+	struct testbed_server *server = session->listener->context;
+
+	if (session->late_copy != NULL) {
+		evbuffer_add_buffer(
+		    kwb_conn_output(&session->conn), session->late_copy);
+		evbuffer_free(session->late_copy);
+		session->late_copy = NULL;
+	}
+	session->keeps_copy = server->copies_remaining > 0;
+	server->copies_remaining -= session->keeps_copy;
+}
+
 static void
 server_on_request(struct http_session *session)
 {
@@ -494,6 +528,7 @@
 	enum server_fault fault;
 	char headers[512];
 
+	send_late_copy(session);
 	if (strcmp(target, "/order") == 0) {
 		serve_order(session);
 		return;
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -34,6 +34,8 @@
 	struct http_listener *listener;
 	struct event *timer; /* for an answer in pieces; NULL until then */
 	void *handler_state; /* of the request in work; NULL if none */
+	bool keeps_copy;     /* of its answer, once that is sent */
+	struct evbuffer *late_copy; /* goes ahead of the next answer; or NULL */
 	TAILQ_ENTRY(http_session) entry;
 };
 
@@ -222,6 +224,7 @@
 	unsigned cut_count;	      /* answers that were cut anywhere */
 	enum server_fault fault_then; /* of one request after these */
 	unsigned orders_accepted;     /* so far */
+	unsigned copies_remaining;    /* answers that are sent again, late */
 };
 
 /* Starts a server whose fields are set and publishes it. */
