An item without a place holds up none that could start

Cause: batch_dispatch() ended its pass at the first waiting item without a place. Items of a split wait for different services, those of a single-version route for different versions. Besides, the service of an item came from its id alone, so that an item of a lost service waited for ever; callers' requests and rewards of such a route were refused or waited where the draw fell on it.

Why this works: a pass goes on behind an item without a place and remembers the full places, so that later items for the same one cost a comparison. Of a split only services with an upstream in use are chosen; the configuration in force allows all of them. After a second an item takes any service of its route that has a free slot. Routes of items are looked up once a configuration.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -233,7 +233,9 @@
 #define KWB_QUEUED_PACES 4 /* so many usual event gaps, if that is longer */
 #define KWB_QUEUED_BACKOFF_NS (600 * KWB_MS_NS) /* then avoided so long */
 #define KWB_STALL_PACES 10 /* so many usual event gaps, if that is longer */
-#define KWB_MOVE_CHECK_NS (200 * KWB_MS_NS) /* between checks of items */
+#define KWB_WAIT_LOG_NS (1000 * KWB_MS_NS)   /* between lines of a batch */
+#define KWB_SPLIT_WAIT_NS (1000 * KWB_MS_NS) /* for one service of a split */
+#define KWB_MOVE_CHECK_NS (200 * KWB_MS_NS)  /* between checks of items */
 /* So late a check shows that this process stood still, not an upstream. */
 #define KWB_CHECK_DELAY_NS (300 * KWB_MS_NS)
 #define KWB_MOVES_MAX 4			/* of one item */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -947,6 +947,12 @@
     const char *name); /* by name; NULL for none */
 const char *kwb_route_entry_pick_service(const struct kwb_route_entry *route,
     uint64_t random); /* one of its services by weight; "" for none */
+/* Sets of splits: bit I stands for split I, later ones are always in them. */
+#define KWB_SPLIT_BITS 64
+bool kwb_splits_contain(uint64_t splits, uint32_t index);
+/* Likewise, from a set of splits; from all where that has no weight. */
+const char *kwb_route_entry_pick_among(
+    const struct kwb_route_entry *route, uint64_t splits, uint64_t random);
 
 /* ---- Upstreams: registry and choice -------------------------------------- */
 
@@ -1111,6 +1117,15 @@
 
 struct kwb_upstream *kwb_upstream_pick(const struct kwb_registry *registry,
     const struct kwb_pick_criteria *criteria); /* cheapest; NULL for none */
+/*
+ * Splits whose service has an upstream that takes requests and is not suspect,
+ * or is due to be probed. Its other slots may all be in use.
+ */
+uint64_t kwb_registry_usable_splits(const struct kwb_registry *registry,
+    const struct kwb_route_entry *route, uint64_t now_ns);
+/* One of the usable services of a route, by weight. */
+const char *kwb_registry_pick_service(const struct kwb_registry *registry,
+    const struct kwb_route_entry *route, uint64_t random);
 
 /* The upstream that last read a prompt prefix. */
 struct kwb_prefix_entry {
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -18,7 +18,8 @@
 #define OBJECT_PREFIX '@' /* of a value that is the name of an object */
 #define OBJECT_NAME_BYTES (2 * KWB_KEY_MAX_BYTES + 32) /* of batch and item */
 #define ITEM_VERSIONS_MAX 8
-#define CHUNKS_MAX 40 /* of texts, written in one transaction */
+#define CHUNKS_MAX 40	       /* of texts, written in one transaction */
+#define DISPATCH_PLACES_MAX 32 /* full ones that a pass remembers */
 
 enum item_state {
 	ITEM_WAITING, /* for an upstream */
@@ -47,6 +48,7 @@
 	uint64_t version;	/* of the weights that generate now */
 	uint64_t versions[ITEM_VERSIONS_MAX]; /* of the events so far */
 	uint64_t started_ns;		      /* at this upstream */
+	uint64_t waiting_since_ns;
 	uint64_t unread_tokens; /* of its prompt, until its first event */
 	/* When it would have ended without its last move; 0 for no move. */
 	uint64_t unmoved_end_ns;
@@ -65,6 +67,9 @@
 	bool result_in_object; /* too long for a row */
 	bool stream_broken;    /* an event is missing or of wrong weights */
 	bool score_active;     /* a request of the reward has been started */
+	/* Found last, for the config of that version. */
+	const struct kwb_route_entry *route;
+	uint64_t route_config_version;
 };
 
 struct batch_group {
@@ -74,6 +79,19 @@
 	char upstream_id[KWB_NAME_MAX_BYTES]; /* that read its prompt last */
 };
 
+/* What is found out while waiting items are tried; see dispatch_run(). */
+struct dispatch_pass {
+	uint64_t now_ns;
+	const struct kwb_route_entry *route; /* of usable_splits; or NULL */
+	uint64_t usable_splits;
+	/* Where nothing more can start. */
+	struct {
+		const char *service;
+		uint64_t version; /* that the text must go on with, or 0 */
+	} full[DISPATCH_PLACES_MAX];
+	uint32_t full_count;
+};
+
 /* A batch that this node runs. */
 struct kwb_batch {
 	struct kwb_batches *batches;
@@ -89,14 +107,15 @@
 	struct kwb_store_call result_object_call; /* stores a long result */
 	struct item_run *result_object_run;	  /* whose result that is */
 	uint64_t checkpoint_started_ns;		  /* of the last one */
-	uint64_t load_retry_ns; /* when a failed load is repeated; 0 none */
-	bool loaded;		/* spec, listed items and texts are known */
-	bool listing;		/* a transaction that lists is in progress */
-	bool in_doubt;		/* listed items have to be read before more */
-	bool handing_over;	/* nothing runs any more */
-	bool config_behind;	/* it waited for the config of its acceptor */
-	bool closing;		/* is complete or released, and will be freed */
-	uint32_t listed;	/* items with a result: the next position */
+	uint64_t waits_logged_ns; /* when items were last without a place */
+	uint64_t load_retry_ns;	  /* when a failed load is repeated; 0 none */
+	bool loaded;		  /* spec, listed items and texts are known */
+	bool listing;		  /* a transaction that lists is in progress */
+	bool in_doubt;		  /* listed items have to be read before more */
+	bool handing_over;	  /* nothing runs any more */
+	bool config_behind;	  /* it waited for the config of its acceptor */
+	bool closing;	 /* is complete or released, and will be freed */
+	uint32_t listed; /* items with a result: the next position */
 	uint32_t hand_over_next; /* next run whose text is written */
 	TAILQ_ENTRY(kwb_batch) entry;
 };
@@ -124,6 +143,8 @@
 
 /* run.c: an item at an upstream */
 const struct kwb_batch_env *run_env(const struct item_run *run);
+const struct kwb_route_entry *run_route(
+    struct item_run *run); /* by the config in force; or NULL */
 void run_log(const struct item_run *run, const char *event, const char *reason);
 bool run_is_past_ttl(const struct item_run *run); /* may be given up */
 void run_ready(struct item_run *run, enum kwb_item_state result,
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -151,6 +151,7 @@
 	for (i = 0; i < batch->spec.items_count; i++) {
 		batch->runs[i].batch = batch;
 		batch->runs[i].item = &batch->spec.items[i];
+		batch->runs[i].waiting_since_ns = kwb_clock_now_ns();
 		batch->runs[i].group =
 		    group_find_or_add(batch, batch->spec.items[i].group);
 		group = &batch->groups[batch->runs[i].group];
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -20,20 +20,19 @@
  * made its events so far; 0 for any.
  */
 static uint64_t
-version_to_go_on_with(const struct item_run *run)
+version_to_go_on_with(struct item_run *run)
 {
 	const struct kwb_route_entry *route;
 
 	if (run->versions_count == 0)
 		return 0;
-	route = kwb_node_config_find_route(
-	    *run_env(run)->config, run->batch->record.host, run->item->target);
+	route = run_route(run);
 	return route != NULL && route->single_version ? run->versions[0] : 0;
 }
 
 /* Best upstream with a free slot, other than the current one; or NULL. */
 static struct kwb_upstream *
-run_pick_upstream(const struct item_run *run, const char *service)
+run_pick_upstream(struct item_run *run, const char *service)
 {
 	const struct kwb_batch *batch = run->batch;
 	const struct kwb_upstream *current = run->upstream;
@@ -136,8 +135,8 @@
 
 /* Why a running item should move to that candidate; NULL to stay. */
 static const char *
-reason_to_move(const struct item_run *run, const struct kwb_upstream *candidate,
-    uint64_t now_ns)
+reason_to_move(
+    struct item_run *run, const struct kwb_upstream *candidate, uint64_t now_ns)
 {
 	bool is_loading = kwb_upstream_is_loading(
 	    run->upstream, run->batch->spec.model, now_ns);
@@ -187,8 +186,7 @@
 run_move(
     struct item_run *run, struct kwb_upstream *candidate, const char *reason)
 {
-	const struct kwb_route_entry *route = kwb_node_config_find_route(
-	    *run_env(run)->config, run->batch->record.host, run->item->target);
+	const struct kwb_route_entry *route = run_route(run);
 
 	if (route == NULL)
 		return;
@@ -304,38 +302,99 @@
 	return kwb_item_rank_compare(&left, &right);
 }
 
-/* Starts one waiting item; false when no upstream has a free slot. */
 static bool
-dispatch_run(struct item_run *run)
+pass_is_full(
+    const struct dispatch_pass *pass, const char *service, uint64_t version)
+{
+	uint32_t i;
+
+	for (i = 0; i < pass->full_count; i++)
+		if (pass->full[i].version == version &&
+		    strcmp(pass->full[i].service, service) == 0)
+			return true;
+	return pass->full_count == DISPATCH_PLACES_MAX;
+}
+
+/* Starts the item at the service; false when no upstream there takes it. */
+static bool
+run_try_service(
+    struct item_run *run, const char *service, struct dispatch_pass *pass)
 {
-	const struct kwb_batch_env *env = run_env(run);
-	const struct kwb_route_entry *route = kwb_node_config_find_route(
-	    *env->config, run->batch->record.host, run->item->target);
+	uint64_t version = version_to_go_on_with(run);
 	struct kwb_upstream *upstream;
-	const char *service;
-	uint64_t version;
-	uint64_t seed = 0;
-	const char *c;
 
-	if (route == NULL) {
-		run_ready(run, KWB_ITEM_ERRORED, "route_removed");
+	if (pass_is_full(pass, service, version))
+		return false;
+	upstream = run_pick_upstream(run, service);
+	if (upstream != NULL) {
+		run_start(run, upstream, pass->route);
 		return true;
 	}
+	pass->full[pass->full_count].service = service;
+	pass->full[pass->full_count].version = version;
+	pass->full_count++;
+	return false;
+}
+
+/* The service of an item that may go to several, the same each time. */
+static const char *
+run_pick_service(const struct item_run *run, const struct dispatch_pass *pass)
+{
+	uint64_t seed = 0;
+	const char *c;
+
 	for (c = run->item->id; *c != '\0'; c++)
 		seed = seed * 31 + (unsigned char)*c;
-	service = kwb_route_entry_pick_service(route, seed);
-	version = version_to_go_on_with(run);
-	if (version != 0 &&
-	    !kwb_registry_has_version(env->forward->registry, service,
-		run->batch->spec.model, version)) {
-		run_log(run, "begins_anew", "version_gone");
-		run_reset_text(run);
+	return kwb_route_entry_pick_among(
+	    pass->route, pass->usable_splits, seed);
+}
+
+/* A text that no upstream of the service can go on with begins anew. */
+static void
+run_check_version(
+    struct item_run *run, const char *service, const struct dispatch_pass *pass)
+{
+	uint64_t version = version_to_go_on_with(run);
+
+	if (version == 0 || pass_is_full(pass, service, version) ||
+	    kwb_registry_has_version(run_env(run)->forward->registry, service,
+		run->batch->spec.model, version))
+		return;
+	run_log(run, "begins_anew", "version_gone");
+	run_reset_text(run);
+}
+
+/*
+ * Starts one waiting item if an upstream has a free slot for it. Items wait for
+ * different places, those of the services that their route is split between and
+ * of the versions that their texts have: one that finds none must not hold up
+ * the others. One that has waited for long takes any service of its route.
+ */
+static void
+dispatch_run(struct item_run *run, struct dispatch_pass *pass)
+{
+	const struct kwb_route_entry *route = run_route(run);
+	const char *service;
+	uint32_t i;
+
+	if (route == NULL) {
+		run_ready(run, KWB_ITEM_ERRORED, "route_removed");
+		return;
 	}
-	upstream = run_pick_upstream(run, service);
-	if (upstream == NULL)
-		return false;
-	run_start(run, upstream, route);
-	return true;
+	if (route != pass->route)
+		pass->usable_splits = kwb_registry_usable_splits(
+		    run_env(run)->forward->registry, route, pass->now_ns);
+	pass->route = route;
+	service = run_pick_service(run, pass);
+	run_check_version(run, service, pass);
+	if (run_try_service(run, service, pass) ||
+	    pass->now_ns - run->waiting_since_ns < KWB_SPLIT_WAIT_NS)
+		return;
+	for (i = 0; i < route->splits_count; i++)
+		if (route->splits[i].weight > 0 &&
+		    kwb_splits_contain(pass->usable_splits, i) &&
+		    run_try_service(run, route->splits[i].service, pass))
+			return;
 }
 
 /*
@@ -360,11 +419,32 @@
 	return true;
 }
 
+/* Says now and then for which places items of the batch wait. */
+static void
+log_waits(
+    struct kwb_batch *batch, const struct dispatch_pass *pass, uint32_t tried)
+{
+	uint32_t i;
+
+	if (pass->full_count == 0 ||
+	    pass->now_ns - batch->waits_logged_ns < KWB_WAIT_LOG_NS)
+		return;
+	batch->waits_logged_ns = pass->now_ns;
+	for (i = 0; i < pass->full_count; i++)
+		kwb_log(KWB_LOG_INFO, "batch",
+		    "event=items_wait batch=%s tried=%u service=%s "
+		    "version=%llu usable=%llx",
+		    batch->record.id, tried, pass->full[i].service,
+		    (unsigned long long)pass->full[i].version,
+		    (unsigned long long)pass->usable_splits);
+}
+
 bool
 batch_dispatch(struct kwb_batch *batch)
 {
 	struct item_run **waiting;
 	uint64_t now_ns = kwb_clock_now_ns();
+	struct dispatch_pass pass = {.now_ns = now_ns};
 	uint32_t count = 0;
 	bool has_waiting = false;
 	uint32_t i;
@@ -391,8 +471,8 @@
 	}
 	qsort(waiting, count, sizeof(struct item_run *), compare_runs);
 	for (i = 0; i < count; i++)
-		if (!dispatch_run(waiting[i]))
-			break;
+		dispatch_run(waiting[i], &pass);
 	free(waiting);
+	log_waits(batch, &pass, count);
 	return has_waiting;
 }
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -16,6 +16,18 @@
 	return run->batch->batches->env;
 }
 
+const struct kwb_route_entry *
+run_route(struct item_run *run)
+{
+	const struct kwb_node_config *config = *run_env(run)->config;
+
+	if (run->route == NULL || run->route_config_version != config->version)
+		run->route = kwb_node_config_find_route(
+		    config, run->batch->record.host, run->item->target);
+	run->route_config_version = config->version;
+	return run->route;
+}
+
 void
 run_log(const struct item_run *run, const char *event, const char *reason)
 {
@@ -53,8 +65,10 @@
 	if (run->score_active)
 		kwb_forward_finish(&run->score);
 	run->score_active = false;
-	if (run->state == ITEM_RUNNING)
-		run->state = ITEM_WAITING;
+	if (run->state != ITEM_RUNNING)
+		return;
+	run->state = ITEM_WAITING;
+	run->waiting_since_ns = kwb_clock_now_ns();
 }
 
 void
@@ -222,8 +236,7 @@
 	}
 	if (run->versions_count < 2)
 		return;
-	route = kwb_node_config_find_route(
-	    *run_env(run)->config, run->batch->record.host, run->item->target);
+	route = run_route(run);
 	if (route != NULL && route->single_version) {
 		/* Events of two versions must not be mixed: begins anew. */
 		run_reset_text(run);
@@ -235,8 +248,7 @@
 static void
 handle_refusal(struct item_run *run, const struct kwb_upstream_answer *answer)
 {
-	const struct kwb_route_entry *route = kwb_node_config_find_route(
-	    *run_env(run)->config, run->batch->record.host, run->item->target);
+	const struct kwb_route_entry *route = run_route(run);
 	uint64_t now_ns = kwb_clock_now_ns();
 
 	if (answer->status == 422) {
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -105,7 +105,8 @@
 			run_ready(run, KWB_ITEM_ERRORED, "item_ttl");
 		return;
 	}
-	service = kwb_route_entry_pick_service(route, (uint64_t)random());
+	service = kwb_registry_pick_service(
+	    env->forward->registry, route, (uint64_t)random());
 	if (score_must_wait(run, service)) {
 		run->not_before_ns = now_ns; /* at the next dispatch */
 		return;
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -102,7 +102,8 @@
 	    forward->workspace, sizeof(forward->workspace), caller->workspace);
 	forward->request.workspace = forward->workspace;
 	kwb_text_copy(forward->service, sizeof(forward->service),
-	    kwb_route_entry_pick_service(route, (uint64_t)random()));
+	    kwb_registry_pick_service(
+		&caller->node->registry, route, (uint64_t)random()));
 	forward->idempotent = route->kind == KWB_ROUTE_IDEMPOTENT ||
 	    (is_streaming && route->resumable);
 	forward->resumes = is_streaming && route->resumable;
--- a/src/route/node_config.c
+++ b/src/route/node_config.c
@@ -80,22 +80,51 @@
 	return NULL;
 }
 
-const char *
-kwb_route_entry_pick_service(
-    const struct kwb_route_entry *route, uint64_t random)
+bool
+kwb_splits_contain(uint64_t splits, uint32_t index)
+{
+	return index >= KWB_SPLIT_BITS || (splits >> index & 1) != 0;
+}
+
+static uint64_t
+sum_weights(const struct kwb_route_entry *route, uint64_t splits)
 {
 	uint64_t sum = 0;
 	uint32_t i;
 
 	for (i = 0; i < route->splits_count; i++)
-		sum += route->splits[i].weight;
+		if (kwb_splits_contain(splits, i))
+			sum += route->splits[i].weight;
+	return sum;
+}
+
+const char *
+kwb_route_entry_pick_among(
+    const struct kwb_route_entry *route, uint64_t splits, uint64_t random)
+{
+	uint64_t sum = sum_weights(route, splits);
+	uint32_t i;
+
+	if (sum == 0) {
+		splits = UINT64_MAX;
+		sum = sum_weights(route, splits);
+	}
 	if (sum == 0)
 		return route->splits_count > 0 ? route->splits[0].service : "";
 	random %= sum;
-	for (i = 0; i + 1 < route->splits_count; i++) {
+	for (i = 0; i < route->splits_count; i++) {
+		if (!kwb_splits_contain(splits, i))
+			continue;
 		if (random < route->splits[i].weight)
 			break;
 		random -= route->splits[i].weight;
 	}
 	return route->splits[i].service;
 }
+
+const char *
+kwb_route_entry_pick_service(
+    const struct kwb_route_entry *route, uint64_t random)
+{
+	return kwb_route_entry_pick_among(route, UINT64_MAX, random);
+}
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -120,6 +120,47 @@
 	    upstream->prober == NULL;
 }
 
+static bool
+is_service_usable(
+    const struct kwb_registry *registry, const char *service, uint64_t now_ns)
+{
+	uint32_t i;
+
+	for (i = 0; i < registry->count; i++)
+		if (kwb_upstream_takes_requests(registry->upstreams[i]) &&
+		    is_healthy_enough(
+			registry->upstreams[i], HEALTH_PROBE, now_ns) &&
+		    strcmp(registry->upstreams[i]->status.service, service) ==
+			0)
+			return true;
+	return false;
+}
+
+uint64_t
+kwb_registry_usable_splits(const struct kwb_registry *registry,
+    const struct kwb_route_entry *route, uint64_t now_ns)
+{
+	uint64_t usable = 0;
+	uint32_t i;
+
+	if (route->splits_count < 2)
+		return UINT64_MAX;
+	for (i = 0; i < route->splits_count && i < KWB_SPLIT_BITS; i++)
+		if (is_service_usable(
+			registry, route->splits[i].service, now_ns))
+			usable |= (uint64_t)1 << i;
+	return usable;
+}
+
+const char *
+kwb_registry_pick_service(const struct kwb_registry *registry,
+    const struct kwb_route_entry *route, uint64_t random)
+{
+	return kwb_route_entry_pick_among(route,
+	    kwb_registry_usable_splits(registry, route, kwb_clock_now_ns()),
+	    random);
+}
+
 static bool
 has_recent_pace(const struct kwb_upstream *upstream, uint64_t now_ns)
 {
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -29,7 +29,7 @@
  *       "deep" stands for arrays nested 100000 times
  *   $ route NAME KIND PREFIX SERVICE [host=H] [attempts=N] [timeout=MS]
  *       [target=MS] [ttl=S] [single=1] [resumable=1] [sticky=1]
- *       [split=SERVICE:WEIGHT] [public=1] [priority=N]
+ *       [split=SERVICE:WEIGHT[,...]] [public=1] [priority=N]
  *   $ unroute NAME                leaves a route out from the next config on
  *   $ workspace NAME KEYS         adds it, or gives it these keys instead,
  *       separated by commas, from the next config on
@@ -755,6 +755,23 @@
 	testbed_server_open(server, &script->testbed);
 }
 
+/* From "SERVICE:WEIGHT,SERVICE:WEIGHT". */
+static json_t *
+parse_splits(const char *text)
+{
+	json_t *splits = json_array();
+	const char *colon;
+
+	while ((colon = strchr(text, ':')) != NULL) {
+		json_array_append_new(splits,
+		    json_pack("{s:s%, s:i}", "service", text,
+			(size_t)(colon - text), "weight", atoi(colon + 1)));
+		text = colon + strcspn(colon, ",");
+		text += *text == ',';
+	}
+	return splits;
+}
+
 static void
 run_route(struct script *script)
 {
@@ -774,12 +791,9 @@
 	    option_number(script, "sticky", 0), "public",
 	    option_number(script, "public", 0), "priority",
 	    option_number(script, "priority", 0));
-	const char *colon = split ? strchr(split, ':') : NULL;
 
-	if (colon != NULL)
-		json_object_set_new(route, "split",
-		    json_pack("[{s:s%, s:i}]", "service", split,
-			(size_t)(colon - split), "weight", atoi(colon + 1)));
+	if (split != NULL)
+		json_object_set_new(route, "split", parse_splits(split));
 	json_array_append_new(script->routes, route);
 }
 
