A text of an item has an end

Callers saw (report of another operator): a faulty server sent bytes without end, the machine that had called it kept them all and ran out of memory.

Cause: an event was limited, the events of a text were not. Each one is progress, so neither the silence limit nor the check for stalls ended the stream, and texts were in no account of memory.

Why this works: a text ends at 1 MB, which fits no page of results, and at 64 KB while the account is overdrawn. Texts are charged to the account. The upstream has failed then, and the text begins anew elsewhere.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -64,6 +64,9 @@
 #define KWB_ANSWER_MAX_BYTES (9u << 20)
 /* Bodies of all answers being read; a node has 160 MB of memory. */
 #define KWB_ANSWER_BUDGET_BYTES (16u << 20)
+/* A longer text fits no page of results. */
+#define KWB_ITEM_TEXT_MAX_BYTES (1u << 20)
+#define KWB_ITEM_TEXT_SMALL_BYTES 65536	   /* taken when memory is short, too */
 #define KWB_SSE_EVENT_MAX_BYTES (1u << 20) /* one server-sent event */
 /* The deadlines of an exchange are checked at least this often. */
 #define KWB_EXCHANGE_CHECK_NS (250 * KWB_MS_NS)
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -66,7 +66,8 @@
 	bool resumed;	       /* its text comes from restored chunks */
 	bool result_in_object; /* too long for a row */
 	bool stream_broken;    /* an event is missing or of wrong weights */
-	bool score_active;     /* a request of the reward has been started */
+	bool text_too_long; /* for one item, or for the memory that is left */
+	bool score_active;  /* a request of the reward has been started */
 	/* Found last, for the config of that version. */
 	const struct kwb_route_entry *route;
 	uint64_t route_config_version;
@@ -155,6 +156,9 @@
     const struct kwb_route_entry *route); /* or resumes it */
 void run_stop(struct item_run *run);	  /* leaves its upstream */
 void run_finish(struct item_run *run);	  /* stops it and frees its text */
+int run_add_text(struct item_run *run, const char *data,
+    size_t bytes); /* an event; 0 or KWB_ERR_MEMORY; charges the account */
+void run_free_text(struct item_run *run);
 
 /* score.c: the reward of an item */
 void run_request_score(struct item_run *run);
--- a/src/batch/partial.c
+++ b/src/batch/partial.c
@@ -39,7 +39,7 @@
 void
 run_reset_text(struct item_run *run)
 {
-	run->text.used_bytes = 0;
+	run_free_text(run);
 	run->last_event = 0;
 	run->versions_count = 0;
 	run->saved_chunk = (struct kwb_text_chunk){0};
@@ -174,9 +174,7 @@
 	}
 	if (!kwb_text_chunk_follows(&chunk, &run->saved_chunk))
 		return;
-	if ((run->saved_chunk.last_event > 0 &&
-		kwb_buf_add(&run->text, "\n", 1) != 0) ||
-	    kwb_buf_add(&run->text, text,
+	if (run_add_text(run, text,
 		row->value_bytes - (size_t)(text - row->value)) != 0) {
 		run_reset_text(run);
 		return;
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -75,11 +75,55 @@
 run_finish(struct item_run *run)
 {
 	run_stop(run);
-	kwb_buf_finish(&run->text);
+	run_free_text(run);
 	free(run->receipt);
 	run->receipt = NULL;
 }
 
+int
+run_add_text(struct item_run *run, const char *data, size_t bytes)
+{
+	struct kwb_memory *memory = run_env(run)->memory;
+	size_t before_bytes = run->text.used_bytes;
+	int code = 0;
+
+	if (run->last_event > 0)
+		code = kwb_buf_add(&run->text, "\n", 1);
+	if (code == 0)
+		code = kwb_buf_add(&run->text, data, bytes);
+	if (memory != NULL)
+		kwb_memory_charge(memory, KWB_MEMORY_BATCHES,
+		    run->text.used_bytes - before_bytes);
+	return code;
+}
+
+void
+run_free_text(struct item_run *run)
+{
+	struct kwb_memory *memory = run_env(run)->memory;
+
+	if (memory != NULL)
+		kwb_memory_release(
+		    memory, KWB_MEMORY_BATCHES, run->text.used_bytes);
+	kwb_buf_finish(&run->text);
+}
+
+/*
+ * Whether the text may grow. An upstream may send events without end; while
+ * memory is short, the long texts end before the process does.
+ */
+static bool
+text_may_grow(const struct item_run *run, size_t bytes)
+{
+	const struct kwb_memory *memory = run_env(run)->memory;
+	size_t grown_bytes = run->text.used_bytes + bytes;
+
+	if (grown_bytes > KWB_ITEM_TEXT_MAX_BYTES)
+		return false;
+	return memory == NULL || grown_bytes <= KWB_ITEM_TEXT_SMALL_BYTES ||
+	    !kwb_memory_is_over(memory);
+}
+
 /* By the clock of the store: when the item may be given up. */
 static uint64_t
 ttl_deadline_ms(const struct item_run *run)
@@ -164,16 +208,18 @@
 		kwb_upstream_set_version(
 		    run->upstream, run->batch->spec.model, event->version);
 	}
-	if (run->stream_broken ||
+	if (run->stream_broken || run->text_too_long ||
 	    (event->has_id && event->id <= run->last_event))
 		return;
 	if (event->has_id && event->id != run->last_event + 1) {
 		run->stream_broken = true;
 		return;
 	}
-	if ((run->last_event > 0 && kwb_buf_add(&run->text, "\n", 1) != 0) ||
-	    kwb_buf_add(&run->text, event->data.data, event->data.used_bytes) !=
-		0) {
+	if (!text_may_grow(run, event->data.used_bytes + 1)) {
+		run->text_too_long = true;
+		return;
+	}
+	if (run_add_text(run, event->data.data, event->data.used_bytes) != 0) {
 		run->stream_broken = true;
 		return;
 	}
@@ -226,6 +272,12 @@
 	if (kwb_sse_parser_feed(&run->events,
 		&kwb_exchange_answer(exchange)->body, run_on_event, run) != 0)
 		run->stream_broken = true;
+	if (run->text_too_long) {
+		kwb_upstream_record_failure(run->upstream, kwb_clock_now_ns());
+		run_reset_text(run);
+		run_retry(run, KWB_ITEM_RETRY_NS, "text_too_long");
+		return;
+	}
 	if (run->version < run->batch->spec.min_version) {
 		run_retry(run, 0, "weights_too_old");
 		return;
@@ -393,6 +445,7 @@
 	run->incarnation_ms = upstream->status.incarnation_ms;
 	run->state = ITEM_RUNNING;
 	run->stream_broken = false;
+	run->text_too_long = false;
 	run->last_event_ns = 0;
 	run->started_ns = kwb_clock_now_ns();
 	kwb_sse_parser_init(&run->events, env->codec->version_field);
--- a/tests/platform/crowd.c
+++ b/tests/platform/crowd.c
@@ -410,15 +410,14 @@
 
 /* An ordinary caller: tries again until the answer has that status. */
 static bool
-is_answered(const struct kwb_address *to, const char *path, size_t body_bytes,
+is_answered_to(const struct kwb_address *to, const char *path, const char *body,
     unsigned status, struct subject *subject)
 {
 	static const struct kwb_exchange_ops ops = {.on_done = ask_on_done};
 	uint64_t end_ns = kwb_clock_now_ns() + PATIENCE_MS * KWB_MS_NS;
+	size_t body_bytes = strlen(body);
 	bool is_answered = false;
-	char *body = calloc(1, body_bytes + 1);
 
-	memset(body, 'b', body_bytes);
 	while (!is_answered && !subject->has_ended &&
 	    kwb_clock_now_ns() < end_ns) {
 		struct evbuffer *request = evbuffer_new();
@@ -447,6 +446,18 @@
 		if (!is_answered)
 			testbed_run_for(&testbed, RETRY_MS);
 	}
+	return is_answered;
+}
+
+static bool
+is_answered(const struct kwb_address *to, const char *path, size_t body_bytes,
+    unsigned status, struct subject *subject)
+{
+	char *body = calloc(1, body_bytes + 1);
+	bool is_answered;
+
+	memset(body, 'b', body_bytes);
+	is_answered = is_answered_to(to, path, body, status, subject);
 	free(body);
 	return is_answered;
 }
@@ -667,6 +678,77 @@
 	testbed_finish(&testbed);
 }
 
+#define ENDLESS_ITEMS 64
+#define ENDLESS_MS 6000
+
+/* Submits a batch of items for route gen; whether it is taken. */
+static bool
+submit_items(const struct kwb_address *to, struct subject *subject)
+{
+	struct kwb_buf body;
+	bool is_taken;
+	unsigned i;
+
+	kwb_buf_init(&body);
+	kwb_buf_printf(&body, "{\"model\":\"m\",\"requests\":[");
+	for (i = 0; i < ENDLESS_ITEMS; i++)
+		kwb_buf_printf(&body,
+		    "%s{\"id\":\"i%u\",\"path\":\"/gen/1\",\"tokens\":9,"
+		    "\"headers\":{\"Model\":\"m\"},\"body\":\"eA==\"}",
+		    i > 0 ? "," : "", i);
+	kwb_buf_printf(&body, "]}");
+	is_taken = is_answered_to(to, "/gen/b", body.data, 202, subject);
+	kwb_buf_finish(&body);
+	return is_taken;
+}
+
+/* Model servers that answer each item without end. */
+static void
+play_endless(const char *name, enum server_fault fault)
+{
+	const struct crowd crowd = {.fds_max = FDS_MANY};
+	struct subject subject = {0};
+	struct kwb_address to;
+	unsigned long peak_kb;
+	bool taken, small;
+	char text[160];
+	char server[8];
+	unsigned i;
+
+	testbed_init(&testbed);
+	stage_server("s1", "shop", SERVER_FAULT_NONE);
+	for (i = 0; i < 4; i++) {
+		snprintf(server, sizeof(server), "e%u", i);
+		testbed_server(&testbed, server)->is_model_server = true;
+		stage_server(server, "none", fault);
+	}
+	stage_configure(BODY_MAX);
+	subject.pid = node_start(&crowd, &to);
+	taken = submit_items(&to, &subject);
+	for (i = 0; i < ENDLESS_MS / 10; i++) {
+		testbed_run_for(&testbed, 10);
+		subject_look(&subject);
+	}
+	small = is_answered(&to, "/web/a", 100, 200, &subject);
+	peak_kb = resident_peak_kb(subject.pid);
+	snprintf(text, sizeof(text),
+	    "%s, %lu MB of %u, batch %s, small request %s",
+	    subject.has_ended ? "ENDED" : "lives", peak_kb >> 10, MEMORY_MB,
+	    taken ? "taken" : "NOT TAKEN", small ? "answered" : "NOT ANSWERED");
+	if (subject.has_ended)
+		print_log_end();
+	report(name,
+	    !subject.has_ended && taken && small &&
+		peak_kb < MEMORY_MB * 1024ul,
+	    text);
+	if (!subject.has_ended) {
+		kill(subject.pid, SIGKILL);
+		waitpid(subject.pid, NULL, 0);
+	}
+	node_remove_files();
+	testbed_finish(&testbed);
+}
+
 /* ---- Entry and agent ----------------------------------------------------- */
 
 static const char lists_text[] =
@@ -757,6 +839,14 @@
 int
 main(int argc, char **argv)
 {
+	static const struct {
+		const char *name;
+		enum server_fault fault;
+	} endless[] = {{"endless_events", SERVER_FAULT_ENDLESS_EVENTS},
+	    {"endless_interim", SERVER_FAULT_ENDLESS_INTERIM},
+	    {"endless_lines", SERVER_FAULT_ENDLESS_LINE},
+	    {"endless_bodies", SERVER_FAULT_ENDLESS_BODY},
+	    {"endless_heads", SERVER_FAULT_ENDLESS_HEAD}};
 	size_t i;
 
 	signal(SIGPIPE, SIG_IGN);
@@ -767,6 +857,9 @@
 			play_node(&node_crowds[i]);
 	if (is_wanted("calm", argc, argv))
 		play_calm();
+	for (i = 0; i < sizeof(endless) / sizeof(endless[0]); i++)
+		if (is_wanted(endless[i].name, argc, argv))
+			play_endless(endless[i].name, endless[i].fault);
 	if (is_wanted("entry", argc, argv))
 		play_own(&entry_crowd, "entry-1");
 	if (is_wanted("agent", argc, argv))
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -52,6 +52,8 @@
  *       within disconnect=, which is 8000 if not given
  *   $ concurrent-calls NODE PATH [calls=N] [mb=N]  how many end, and whether
  *       the memory of the process grows by less than mb=
+ *   $ begin-calls NODE PATH N     calls that go on beside the next commands
+ *   $ end-calls                   their clients leave
  *   $ read-late NODE PATH KB MS   a call with a body of that size, whose answer,
  *       the body again, is read after MS; how much of it comes
  *   $ raw NODE TEXT               sends TEXT, with _ for a space and \n for a
@@ -161,7 +163,7 @@
     "stream-no-length", "cut-no-length", "error-text", "error-page",
     "restart-stream", "cut-head", "cut-status", "cut-anywhere", "wrong-422",
     "endless-head", "endless-body", "endless-chunk-size", "endless-line",
-    "comments-only", NULL};
+    "comments-only", "endless-events", "endless-interim", "endless-slow", NULL};
 
 /* Returns the index of a name in a list; exits if it isn't there. */
 static int
@@ -388,6 +390,44 @@
 
 #define CONCURRENT_CALLS_MAX 200
 
+static struct call begun_calls[CONCURRENT_CALLS_MAX];
+static unsigned begun_count;
+
+static void
+run_begin_calls(struct script *script)
+{
+	struct testbed_node *node =
+	    testbed_node(&script->testbed, script->words[1]);
+	unsigned count = (unsigned)atoi(script->words[3]);
+	struct evbuffer *request;
+	char headers[128];
+	struct call *call;
+
+	for (; count > 0 && begun_count < CONCURRENT_CALLS_MAX; count--) {
+		call = &begun_calls[begun_count++];
+		memset(call, 0, sizeof(*call));
+		snprintf(headers, sizeof(headers),
+		    "Host: " HOST "\r\nAttempt-Id: begun%u\r\n", begun_count);
+		request =
+		    request_new("POST", script->words[2], headers, "x", 1);
+		call->exchange.ops = &call_ops;
+		call->exchange.context = call;
+		call->exchange.wants_new_conn = true;
+		if (kwb_exchange_start(&call->exchange, &script->testbed.client,
+			&node->settings.listen, request) != 0)
+			abort();
+		evbuffer_free(request);
+	}
+}
+
+static void
+run_end_calls(struct script *script)
+{
+	(void)script;
+	while (begun_count > 0)
+		kwb_exchange_finish(&begun_calls[--begun_count].exchange);
+}
+
 /* Prints how many concurrent calls end, and whether memory stays in bounds. */
 static void
 run_concurrent_calls(struct script *script)
@@ -1564,6 +1604,7 @@
 	    {"set-version", run_set_version}, {"node", run_node},
 	    {"stop", run_stop}, {"ready", run_ready}, {"call", run_call},
 	    {"raw", run_raw}, {"read-late", run_read_late},
+	    {"begin-calls", run_begin_calls}, {"end-calls", run_end_calls},
 	    {"submit", run_submit}, {"results", run_results}, {"end", run_end},
 	    {"item", run_item}, {"store", run_store}, {"fault", run_fault},
 	    {"drain", run_server_change}, {"remove", run_server_change},
--- a/tests/platform/server.c
+++ b/tests/platform/server.c
@@ -263,6 +263,21 @@
 	    kwb_clock_now_ns() + COMMENT_INTERVAL_MS * KWB_MS_NS);
 }
 
+#define ENDLESS_EVENT_BYTES 1000
+#define ENDLESS_FAST_WRITES 160 /* then slow ones; 5 MB */
+
+/* After the first writes, a byte at a time. */
+static void
+endless_slow_down(struct http_session *session)
+{
+	if (session->endless_event++ < ENDLESS_FAST_WRITES) {
+		kwb_timer_arm(session->timer, kwb_clock_now_ns() + KWB_MS_NS);
+		return;
+	}
+	session->endless_fault = SERVER_FAULT_COMMENTS_ONLY;
+	session_start_timer(session, comment_on_timer, 0);
+}
+
 static void
 endless_on_timer(int fd, short what, void *context)
 {
@@ -273,8 +288,21 @@
 	(void)fd;
 	(void)what;
 	memset(bytes, '1', sizeof(bytes));
-	if (evbuffer_get_length(out) < sizeof(bytes))
-		evbuffer_add(out, bytes, sizeof(bytes));
+	while (evbuffer_get_length(out) < sizeof(bytes)) {
+		if (session->endless_fault == SERVER_FAULT_ENDLESS_EVENTS)
+			evbuffer_add_printf(out, "id: %u\ndata: %.*s\n\n",
+			    ++session->endless_event, ENDLESS_EVENT_BYTES,
+			    bytes);
+		else if (session->endless_fault == SERVER_FAULT_ENDLESS_INTERIM)
+			evbuffer_add_printf(
+			    out, "HTTP/1.1 103 Early Hints\r\n\r\n");
+		else
+			evbuffer_add(out, bytes, sizeof(bytes));
+	}
+	if (session->endless_fault == SERVER_FAULT_ENDLESS_SLOW) {
+		endless_slow_down(session);
+		return;
+	}
 	kwb_timer_arm(session->timer, kwb_clock_now_ns() + KWB_MS_NS);
 }
 
@@ -287,14 +315,24 @@
 
 	if (fault < SERVER_FAULT_ENDLESS_HEAD)
 		return false;
+	session->endless_fault = (int)fault;
+	session->endless_event = 0;
 	format_common_headers(headers, sizeof(headers), session, true);
-	evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n%s%s", headers,
-	    fault == SERVER_FAULT_ENDLESS_HEAD	     ? "X-Long: "
-		: fault == SERVER_FAULT_ENDLESS_BODY ? "\r\n"
-		: fault == SERVER_FAULT_ENDLESS_CHUNK_SIZE
-		? "Transfer-Encoding: chunked\r\n\r\n1;"
-		: "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
-		  "\r\nid: 1\ndata: ");
+	if (fault == SERVER_FAULT_ENDLESS_EVENTS)
+		evbuffer_add_printf(out,
+		    "HTTP/1.1 200 OK\r\n%sWeight-Versions: 1\r\n"
+		    "Content-Type: text/event-stream\r\n\r\n",
+		    headers);
+	else if (fault != SERVER_FAULT_ENDLESS_INTERIM)
+		evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n%s%s", headers,
+		    fault == SERVER_FAULT_ENDLESS_HEAD ? "X-Long: "
+			: fault == SERVER_FAULT_ENDLESS_BODY ||
+			    fault == SERVER_FAULT_ENDLESS_SLOW
+			? "\r\n"
+			: fault == SERVER_FAULT_ENDLESS_CHUNK_SIZE
+			? "Transfer-Encoding: chunked\r\n\r\n1;"
+			: "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+			  "\r\nid: 1\ndata: ");
 	session_start_timer(session,
 	    fault == SERVER_FAULT_COMMENTS_ONLY ? comment_on_timer
 						: endless_on_timer,
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -36,6 +36,8 @@
 	void *handler_state; /* of the request in work; NULL if none */
 	bool keeps_copy;     /* of its answer, once that is sent */
 	struct evbuffer *late_copy; /* goes ahead of the next answer; or NULL */
+	int endless_fault;	    /* enum server_fault of an endless answer */
+	unsigned endless_event;	    /* the last one in its stream */
 	TAILQ_ENTRY(http_session) entry;
 };
 
@@ -174,7 +176,10 @@
 	SERVER_FAULT_ENDLESS_BODY, /* a body that never ends */
 	SERVER_FAULT_ENDLESS_CHUNK_SIZE, /* a chunk size line that never ends */
 	SERVER_FAULT_ENDLESS_LINE,	 /* a stream's line that never ends */
-	SERVER_FAULT_COMMENTS_ONLY /* a stream of comments, one each 100 ms */
+	SERVER_FAULT_COMMENTS_ONLY,  /* a stream of comments, one each 100 ms */
+	SERVER_FAULT_ENDLESS_EVENTS, /* a stream of 1000-byte events */
+	SERVER_FAULT_ENDLESS_INTERIM, /* answers with status 103 only */
+	SERVER_FAULT_ENDLESS_SLOW /* a body of 5 MB, then a byte each 100 ms */
 };
 
 /* An execution of a request by a fake server. */
