The longest answer gives way when answers need more memory than they share

Callers saw: a whole answer of one server was refused as too large while answers of another one, which never end, held the memory that all answers share. The sound server counted as failed.

Cause: whichever connection asked for bytes beyond the budget was ended, not the one that held most of them.

Why this works: the longest body is dropped and its connection closed, on a later turn of the loop, as its owner may finish the connection that is being read. The asking one ends only if it is the longest itself.

New log line: conn event=answer_evicted.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -113,12 +113,21 @@
  */
 struct kwb_conn;
 
-/* Limit on the bytes of bodies that several connections buffer together. */
+TAILQ_HEAD(kwb_budgeted_conns, kwb_conn);
+
+/*
+ * Limit on the bytes of bodies that several connections buffer together. At
+ * the limit the longest body is dropped, and its connection is closed with
+ * KWB_ERR_NET_BODY_SIZE: one that never ends takes no room from others.
+ */
 struct kwb_body_budget {
 	uint64_t bytes; /* buffered now */
 	uint64_t max_bytes;
+	struct kwb_budgeted_conns conns; /* those that buffer any */
 };
 
+void kwb_body_budget_init(struct kwb_body_budget *budget, uint64_t max_bytes);
+
 /* Each callback may call kwb_conn_finish(). */
 struct kwb_conn_ops {
 	/* The head is parsed; may set conn->is_streaming. May be NULL. */
@@ -152,12 +161,14 @@
 	uint64_t body_max_bytes;	     /* 0: no limit */
 	struct kwb_body_budget *body_budget; /* shared; NULL: no limit */
 	uint64_t budgeted_bytes; /* share of this connection in the budget */
-	bool is_server;		 /* parses requests */
+	TAILQ_ENTRY(kwb_conn) budget_entry; /* while it has a share */
+	bool is_server;			    /* parses requests */
 	bool is_streaming;	 /* body bytes are reported as they arrive */
 	bool has_no_body;	 /* set before an answer to HEAD is read */
 	bool is_in_header_value; /* a header value is being collected */
 	bool has_head; /* head parsed, message not yet reported as whole */
 	bool is_body_too_large; /* by its Content-Length or the budget */
+	bool is_evicted;	/* its body was dropped for the budget */
 	bool is_head_reported;	/* on_head was called for this message */
 	bool is_complete;	/* message is whole; parsing is paused */
 	bool is_connected;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -527,7 +527,7 @@
 	client->base = base;
 	TAILQ_INIT(&client->idle_conns);
 	client->answer_max_bytes = KWB_ANSWER_MAX_BYTES;
-	client->body_budget.max_bytes = KWB_ANSWER_BUDGET_BYTES;
+	kwb_body_budget_init(&client->body_budget, KWB_ANSWER_BUDGET_BYTES);
 	client->sweep_timer =
 	    kwb_timer_new(base, client_on_sweep_timer, client);
 	if (client->sweep_timer == NULL)
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -134,26 +134,79 @@
 	return conn->has_no_body ? 1 : 0; /* 1: no body follows */
 }
 
+void
+kwb_body_budget_init(struct kwb_body_budget *budget, uint64_t max_bytes)
+{
+	budget->bytes = 0;
+	budget->max_bytes = max_bytes;
+	TAILQ_INIT(&budget->conns);
+}
+
 /* Gives back its share when the body was passed on or is dropped. */
 static void
 budget_release(struct kwb_conn *conn)
 {
-	if (conn->body_budget != NULL)
-		conn->body_budget->bytes -= conn->budgeted_bytes;
+	if (conn->budgeted_bytes == 0)
+		return;
+	conn->body_budget->bytes -= conn->budgeted_bytes;
+	TAILQ_REMOVE(&conn->body_budget->conns, conn, budget_entry);
 	conn->budgeted_bytes = 0;
 }
 
-/* False when the budget is used up; this connection has to end then. */
+/*
+ * Drops the body of a connection. Its owner hears of it on a later turn of the
+ * loop, as it may finish other connections, the one being parsed included.
+ */
+static void
+conn_evict(struct kwb_conn *conn, uint64_t for_bytes)
+{
+	kwb_log(KWB_LOG_WARN, "conn",
+	    "event=answer_evicted bytes=%llu for_bytes=%llu budget_bytes=%llu",
+	    (unsigned long long)conn->budgeted_bytes,
+	    (unsigned long long)for_bytes,
+	    (unsigned long long)conn->body_budget->max_bytes);
+	budget_release(conn);
+	kwb_buf_finish(&conn->message.body);
+	conn->is_evicted = true;
+	bufferevent_disable(conn->bev, EV_READ);
+	bufferevent_trigger_event(
+	    conn->bev, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* False when the budget is used up and no other body is longer. */
+static bool
+budget_make_room(struct kwb_conn *conn, uint64_t wanted_bytes)
+{
+	struct kwb_conn *longest = NULL;
+	struct kwb_conn *other;
+
+	TAILQ_FOREACH (other, &conn->body_budget->conns, budget_entry)
+		if (longest == NULL ||
+		    other->budgeted_bytes > longest->budgeted_bytes)
+			longest = other;
+	if (longest == NULL || longest == conn ||
+	    longest->budgeted_bytes <= wanted_bytes)
+		return false;
+	conn_evict(longest, wanted_bytes);
+	return true;
+}
+
+/* False when this connection has to end. */
 static bool
 budget_reserve(struct kwb_conn *conn, size_t length)
 {
-	if (conn->body_budget == NULL)
+	struct kwb_body_budget *budget = conn->body_budget;
+
+	if (budget == NULL || length == 0)
 		return true;
-	if (conn->body_budget->bytes + length > conn->body_budget->max_bytes) {
-		conn->is_body_too_large = true;
-		return false;
-	}
-	conn->body_budget->bytes += length;
+	while (budget->bytes + length > budget->max_bytes)
+		if (!budget_make_room(conn, conn->budgeted_bytes + length)) {
+			conn->is_body_too_large = true;
+			return false;
+		}
+	if (conn->budgeted_bytes == 0)
+		TAILQ_INSERT_TAIL(&budget->conns, conn, budget_entry);
+	budget->bytes += length;
 	conn->budgeted_bytes += length;
 	return true;
 }
@@ -296,6 +349,8 @@
 	bool is_finished = false;
 
 	(void)bev;
+	if (conn->is_evicted)
+		return;
 	if (conn->is_closing || conn->is_held || conn->is_complete) {
 		conn_stop_full_input(conn);
 		return;
@@ -340,6 +395,10 @@
 	bool is_finished = false;
 
 	(void)bev;
+	if (conn->is_evicted) {
+		conn->ops->on_close(conn, KWB_ERR_NET_BODY_SIZE);
+		return;
+	}
 	if (what & BEV_EVENT_CONNECTED) {
 		conn->is_connected = true;
 		return;
