An agent ends a stream that goes on beyond what was asked

Shown here for kwb-agent: one line without end, and tokens beyond max_tokens. After 1.5 s no run had ended and the agent had grown by more than 32 MB.

Cause: lines and generations were gathered without a limit until the time of the run was over.

Why this works: a line ends at 1 MB, a generation at max_tokens. The run is partial with the tokens so far, and event=endless_stream is logged.

--- a/fakes/fake-engine.c
+++ b/fakes/fake-engine.c
@@ -76,6 +76,7 @@
 	NO_VERSIONS,
 	LOAD_LAG_MS,
 	STUCK,
+	ENDLESS,
 	RUNNING,
 	MOST,
 	TOKENS,
@@ -87,6 +88,8 @@
 
 /*
  * fail_swap is the number of coming swaps that fail; stuck stops generating;
+ * endless makes all answers go on until the client leaves: 1 with a line that
+ * never ends, 2 with tokens beyond max_tokens;
  * no_versions leaves versions out of the stream; ignore_fence obeys orders with
  * an outdated fencing token, too. most is the highest number of running
  * sequences so far, orders_old counts orders with an outdated fencing token.
@@ -104,6 +107,7 @@
     [NO_VERSIONS] = {"no_versions", 0},
     [LOAD_LAG_MS] = {"load_lag_ms", 0},
     [STUCK] = {"stuck", 0},
+    [ENDLESS] = {"endless", 0},
     [RUNNING] = {"running", 0},
     [MOST] = {"most", 0},
     [TOKENS] = {"tokens", 0},
@@ -170,6 +174,28 @@
 	return 0;
 }
 
+#define ENDLESS_CHUNK_BYTES 16384
+
+/* Sends until the client leaves. */
+static void
+send_endlessly(struct mg_connection *connection, bool has_lines)
+{
+	static const char token[] = "data: {\"token\":\"a\",\"version\":1}\n\n";
+	char chunk[ENDLESS_CHUNK_BYTES];
+	size_t used_bytes = 0;
+
+	memset(chunk, 'a', sizeof(chunk));
+	for (; has_lines && used_bytes + sizeof(token) <= sizeof(chunk);
+	     used_bytes += sizeof(token) - 1)
+		memcpy(chunk + used_bytes, token, sizeof(token) - 1);
+	if (!has_lines)
+		used_bytes = sizeof(chunk);
+	while (controls[ENDLESS].value != 0 &&
+	    mg_send_chunk(connection, chunk, (unsigned)used_bytes) >= 0)
+		continue;
+	mg_close_connection(connection);
+}
+
 static int
 completions_on_request(struct mg_connection *connection, void *context)
 {
@@ -218,6 +244,11 @@
 	json_decref(root);
 	kwb_cond_init(&sequence.token_ready);
 	mg_send_http_ok(connection, "text/event-stream", -1);
+	if (controls[ENDLESS].value != 0) {
+		send_endlessly(connection, controls[ENDLESS].value == 2);
+		pthread_cond_destroy(&sequence.token_ready);
+		return 200;
+	}
 
 	pthread_mutex_lock(&lock);
 	controls[STARTED].value++;
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -46,7 +46,8 @@
 #define KWB_PROGRESS_PERIOD_NS (50 * KWB_MS_NS)
 
 /* HTTP */
-#define KWB_HTTP_BODY_MAX_BYTES (8u << 20) /* of an answer */
+#define KWB_STREAM_LINE_MAX_BYTES (1u << 20) /* of an engine's stream */
+#define KWB_HTTP_BODY_MAX_BYTES (8u << 20)   /* of an answer */
 /* A whole exchange, unless the request has its own timeout. */
 #define KWB_HTTP_TIMEOUT_MS 2000
 #define KWB_CONNECT_TIMEOUT_MS 500 /* until a connection is established */
--- a/src/agent/upstream.c
+++ b/src/agent/upstream.c
@@ -23,6 +23,7 @@
 	uint64_t assumed_version; /* for events that name no version */
 	bool is_version_assumed;  /* for at least one token */
 	bool is_finished;	  /* the last event has been received */
+	bool is_endless;	  /* it has gone on beyond all that was asked */
 };
 
 static char *print_generate_body(const struct job *job);
@@ -228,6 +229,28 @@
 	return text;
 }
 
+/* Ends a stream that would go on until there is no memory left. */
+static void
+stream_set_endless(struct stream *stream)
+{
+	if (stream->is_endless)
+		return;
+	stream->is_endless = true;
+	kwb_log(KWB_LOG_WARN, "agent",
+	    "event=endless_stream key=%s line_bytes=%zu tokens=%u",
+	    stream->job->key, stream->line.used_bytes,
+	    stream->job->tokens.count);
+}
+
+static void
+stream_add_to_line(struct stream *stream, const char *data, size_t bytes)
+{
+	if (stream->line.used_bytes + bytes > KWB_STREAM_LINE_MAX_BYTES)
+		stream_set_endless(stream);
+	else
+		kwb_buf_add(&stream->line, data, bytes);
+}
+
 /* Splits received data into lines; false ends the request. */
 static bool
 stream_on_data(void *context, const char *data, size_t length_bytes)
@@ -235,17 +258,18 @@
 	struct stream *stream = context;
 	const char *newline;
 
-	while ((newline = memchr(data, '\n', length_bytes)) != NULL) {
+	while (!stream->is_endless &&
+	    (newline = memchr(data, '\n', length_bytes)) != NULL) {
 		size_t part_bytes = (size_t)(newline - data);
 
-		kwb_buf_add(&stream->line, data, part_bytes);
+		stream_add_to_line(stream, data, part_bytes);
 		stream_parse_line(stream, kwb_buf_text(&stream->line));
 		stream->line.used_bytes = 0;
 		data += part_bytes + 1;
 		length_bytes -= part_bytes + 1;
 	}
-	kwb_buf_add(&stream->line, data, length_bytes);
-	return !atomic_load(&stream->job->cancelled);
+	stream_add_to_line(stream, data, length_bytes);
+	return !stream->is_endless && !atomic_load(&stream->job->cancelled);
 }
 
 static bool
@@ -290,10 +314,15 @@
 stream_add_token(struct stream *stream, const char *text, uint64_t version)
 {
 	struct job *job = stream->job;
-	struct journal_shard *shard =
-	    journal_lock(&stream->agent->journal, job->key);
+	uint32_t max_tokens = job->frame->run->max_tokens;
 	uint64_t now_ns = kwb_clock_now_ns();
+	struct journal_shard *shard;
 
+	if (max_tokens != 0 && job->tokens.count >= max_tokens) {
+		stream_set_endless(stream);
+		return;
+	}
+	shard = journal_lock(&stream->agent->journal, job->key);
 	kwb_tokens_add(&job->tokens, text, version);
 	kwb_metric_add(KWB_METRIC_TOKENS, 1);
 	if (now_ns >= job->next_progress_ns || !job_is_sample(job)) {
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -56,6 +56,8 @@
 static void check_attempt_fencing(void);
 static void check_silent_links(void);
 static void check_cut_answers(void);
+static void check_endless_answers(void);
+static void check_endless_streams(struct cluster *cluster);
 static void check_share_in_outage(struct cluster *cluster);
 static uint32_t units_held(const Kwb__Wire__Status *status, const char *plan);
 static void check_malformed_frames(void);
@@ -85,6 +87,8 @@
 	check_share_in_outage(&world);
 	check_malformed_frames();
 	check_cut_answers();
+	check_endless_answers();
+	check_endless_streams(&world);
 	cluster_stop(&world);
 	printf("contract tests: %u passed, %u failed\n", passed, failed);
 	return failed > 0;
@@ -487,6 +491,150 @@
 	close(answer.listen_fd);
 }
 
+struct endless_answer {
+	int listen_fd;
+	const char *begin;
+	const char *unit; /* over and over */
+};
+
+/* Thread: answers one request with the begin and units until that fails. */
+static void *
+endless_answer_run(void *argument)
+{
+	const struct endless_answer *answer = argument;
+	char request[4096];
+	int fd = accept(answer->listen_fd, NULL, NULL);
+	const char *bytes = answer->begin;
+
+	if (recv(fd, request, sizeof(request), 0) > 0)
+		while (send(fd, bytes, strlen(bytes), MSG_NOSIGNAL) >= 0)
+			bytes = answer->unit;
+	close(fd);
+	return NULL;
+}
+
+#define ENDLESS_LIMIT_MS 1500 /* well before the request's own time is over */
+
+/* Guards against an answer without end that is kept until memory runs out. */
+static void
+check_endless_answers(void)
+{
+	static const struct {
+		const char *name;
+		const char *begin;
+		const char *unit;
+	} cases[] = {
+	    {"headers without end", "HTTP/1.1 200 OK\r\n", "X-A: aaaaaaaa\r\n"},
+	    {"a header without end",
+		"HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaaaaaa"},
+	    {"interim answers without end", "HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n"},
+	    {"a body without end", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaa"},
+	};
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t address_bytes = sizeof(address);
+	struct endless_answer answer;
+	char url[64];
+	size_t i;
+
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	answer.listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (bind(answer.listen_fd, (struct sockaddr *)&address,
+		sizeof(address)) != 0 ||
+	    listen(answer.listen_fd, 1) != 0 ||
+	    getsockname(answer.listen_fd, (struct sockaddr *)&address,
+		&address_bytes) != 0)
+		perror("listen");
+	snprintf(
+	    url, sizeof(url), "http://127.0.0.1:%u/", ntohs(address.sin_port));
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct kwb_http_request request = {.method = "GET",
+		    .url = url,
+		    .timeout_ms = 60000,
+		    .needs_new_connection = true};
+		uint64_t begin_ns = kwb_clock_now_ns();
+		struct kwb_http_answer got;
+		pthread_t thread;
+		int error;
+
+		answer.begin = cases[i].begin;
+		answer.unit = cases[i].unit;
+		pthread_create(&thread, NULL, endless_answer_run, &answer);
+		error = kwb_http_do(&request, &got);
+		pthread_join(thread, NULL);
+		check(error != 0 &&
+			kwb_clock_now_ns() <
+			    begin_ns + ENDLESS_LIMIT_MS * KWB_MS_NS,
+		    "an answer ends", cases[i].name);
+		kwb_http_answer_finish(&got);
+	}
+	close(answer.listen_fd);
+}
+
+static unsigned long
+resident_peak_kb(pid_t pid)
+{
+	unsigned long kilobytes = 0;
+	char path[64], line[256];
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	file = fopen(path, "r");
+	while (file != NULL && fgets(line, sizeof(line), file) != NULL)
+		sscanf(line, "VmHWM: %lu kB", &kilobytes);
+	if (file != NULL)
+		fclose(file);
+	return kilobytes;
+}
+
+#define ENDLESS_GROWTH_KB (32ul * 1024)
+
+/* Guards against an engine's stream without end that an agent keeps whole. */
+static void
+check_endless_streams(struct cluster *cluster)
+{
+	static const char *const names[] = {
+	    "a line without end", "tokens without end"};
+	pid_t agent = cluster_find_process(cluster, "llm-1")->pid;
+	unsigned long before_kb, peak_kb;
+	Kwb__Wire__Frame *answer;
+	struct client client;
+	uint32_t i;
+
+	client_open(&client, LLM_AGENT_PORT_OFFSET);
+	for (i = 0; i < 2; i++) {
+		Kwb__Wire__Run run = KWB__WIRE__RUN__INIT;
+		KWB_FRAME_DECLARE(run_frame, RUN, run, run);
+		char key[16];
+
+		snprintf(key, sizeof(key), "endless%u", i);
+		cluster_set_control(cluster, "engine-1", "endless", i + 1);
+		before_kb = resident_peak_kb(agent);
+		run.request = 100 + i;
+		run.key = key;
+		run.plan = "quotes";
+		run.model = "m";
+		run.prompt = "p";
+		run.max_tokens = 50;
+		run.budget_ms = 6000;
+		run.priority = 1;
+		run.lists_revision = client.revision;
+		run.agent_incarnation = client.incarnation;
+		client_send(&client, &run_frame);
+		answer = client_wait_frame(&client, KWB__WIRE__FRAME__BODY_DONE,
+		    100 + i, ENDLESS_LIMIT_MS);
+		check(
+		    answer != NULL && answer->done->outcome != KWB_OUTCOME_RAN,
+		    "a stream is ended", names[i]);
+		kwb_frame_free(answer);
+		cluster_set_control(cluster, "engine-1", "endless", 0);
+		peak_kb = resident_peak_kb(agent);
+		check(peak_kb - before_kb < ENDLESS_GROWTH_KB,
+		    "and is not kept", names[i]);
+	}
+	client_close(&client);
+}
+
 /*
  * While the table is down, a raised allowance gives an agent no more units:
  * other agents might take the same ones. Once it is back, the agent takes them.
