A planned stop answers every request that it has read

Cause: at its deadline a stop closed all connections, and before that it looked at whole requests and unread answers only.

Why this works: a stop waits for arriving requests, too. At its deadline what is left gets its final answer, 503 only if no upstream has had it; later requests are refused, and answers have half a second to be written. A stream that has begun is cut, so that it can't look whole.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -301,9 +301,10 @@
 #define KWB_READY_STORE_AGE_NS (5000 * KWB_MS_NS)
 /* Shortest stop: the load balancer checks the node three times meanwhile. */
 #define KWB_STOP_MIN_NS (3000 * KWB_MS_NS)
-#define KWB_STOP_MARGIN_MS 1200 /* from the end of a stop to SIGKILL */
-#define KWB_LOG_FLUSH_NS (100 * KWB_MS_NS) /* between flushes of the buffer */
-#define KWB_LOG_BUFFER_BYTES 65536	   /* of lines not yet written */
+#define KWB_STOP_MARGIN_MS 1200 /* from the deadline of a stop to SIGKILL */
+#define KWB_STOP_WRITE_NS (500 * KWB_MS_NS) /* for answers at the deadline */
+#define KWB_LOG_FLUSH_NS (100 * KWB_MS_NS)  /* between flushes of the buffer */
+#define KWB_LOG_BUFFER_BYTES 65536	    /* of lines not yet written */
 /* Of warnings and errors, and of other lines; more are dropped and counted. */
 #define KWB_LOG_LINES_PER_S 400
 
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1920,6 +1920,7 @@
 	uint64_t started_ns;
 	uint64_t stop_deadline_ns; /* of a stop; 0 while not stopping */
 	uint64_t stop_started_ns;
+	bool has_answered_all;	     /* at the deadline of the stop */
 	uint32_t busy_callers_count; /* with a request in progress */
 	void (*on_stopped)(void *context);
 	void *context;
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -111,6 +111,10 @@
 /* Appends a JSON list of all upstreams as this node sees them. */
 int inspect_upstreams(const struct kwb_node *node, struct kwb_buf *out);
 
+/* stop.c */
+/* Whether a stop is done; at its deadline answers what is left. */
+bool node_check_stop(struct kwb_node *node, uint64_t now_ns);
+
 /* node.c */
 /* Its rows are read, the store answers, and it is not stopping. */
 bool node_is_ready(const struct kwb_node *node);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -168,27 +168,16 @@
 	    KWB_READY_STORE_AGE_NS;
 }
 
-/* Whether a caller has not yet read all of its answer. */
-static bool
-has_unread_answer(const struct kwb_node *node)
+/* The end of a stop is not found later than it comes. */
+static void
+node_arm_timer(struct kwb_node *node, uint64_t now_ns)
 {
-	struct kwb_caller *caller;
-
-	TAILQ_FOREACH (caller, &node->callers, entry)
-		if (evbuffer_get_length(kwb_conn_output(&caller->conn)) > 0)
-			return true;
-	return false;
-}
+	uint64_t check_ns = now_ns + KWB_NODE_CHECK_NS;
 
-/* At the deadline, or earlier when no request and no batch is left. */
-static bool
-can_finish_stop(const struct kwb_node *node, uint64_t now_ns)
-{
-	if (now_ns >= node->stop_deadline_ns)
-		return true;
-	return now_ns - node->stop_started_ns >= KWB_STOP_MIN_NS &&
-	    node->busy_callers_count == 0 && !has_unread_answer(node) &&
-	    kwb_batches_is_idle(&node->batches);
+	if (node->stop_deadline_ns > now_ns &&
+	    node->stop_deadline_ns < check_ns)
+		check_ns = node->stop_deadline_ns;
+	kwb_timer_arm(node->timer, check_ns);
 }
 
 static void
@@ -204,7 +193,7 @@
 	kwb_access_keep_proof(&node->access);
 	node->batches.fleet_nodes = kwb_peers_estimate_nodes(&node->peers);
 	kwb_duties_check(&node->duties, node->batches.fleet_nodes);
-	if (node->stop_deadline_ns != 0 && can_finish_stop(node, now_ns)) {
+	if (node->stop_deadline_ns != 0 && node_check_stop(node, now_ns)) {
 		kwb_log(KWB_LOG_INFO, "node",
 		    "event=stopped after_ms=%llu busy=%u",
 		    (unsigned long long)((now_ns - node->stop_started_ns) /
@@ -213,7 +202,7 @@
 		node->on_stopped(node->context);
 		return;
 	}
-	kwb_timer_arm(node->timer, now_ns + KWB_NODE_CHECK_NS);
+	node_arm_timer(node, now_ns);
 }
 
 /* A heartbeat may have been lost on the silent path: sends one at once. */
@@ -341,27 +330,6 @@
 	return code;
 }
 
-void
-kwb_node_stop(struct kwb_node *node)
-{
-	uint64_t now_ns = kwb_clock_now_ns();
-
-	if (node->stop_deadline_ns != 0)
-		return;
-	node->stop_started_ns = now_ns;
-	node->stop_deadline_ns = now_ns +
-	    (uint64_t)(node->settings->grace_ms > KWB_STOP_MARGIN_MS
-		    ? node->settings->grace_ms - KWB_STOP_MARGIN_MS
-		    : 0) *
-		KWB_MS_NS;
-	kwb_log(KWB_LOG_INFO, "node", "event=stopping busy=%u grace_ms=%u",
-	    node->busy_callers_count, node->settings->grace_ms);
-	kwb_relay_stop(&node->relay);
-	kwb_duties_stop(&node->duties);
-	kwb_weight_updater_step_down(&node->weight_updater);
-	kwb_batches_hand_over(&node->batches);
-}
-
 void
 kwb_node_finish(struct kwb_node *node)
 {
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -408,6 +408,10 @@
 	caller->route[0] = '\0';
 	caller->workspace[0] = '\0';
 	caller->arrived_ns = kwb_boot_now_ns();
+	if (caller->node->has_answered_all) {
+		answer_error(caller, 503, "stopping");
+		return;
+	}
 	if (caller->node->config == NULL) {
 		answer_error(caller, 503, "no_config_yet");
 		return;
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -52,8 +52,11 @@
  *       within disconnect=, which is 8000 if not given
  *   $ concurrent-calls NODE PATH [calls=N] [mb=N]  how many end, and whether
  *       the memory of the process grows by less than mb=
- *   $ begin-calls NODE PATH N     calls that go on beside the next commands
- *   $ end-calls                   their clients leave
+ *   $ begin-calls NODE PATH N [stream=1]   calls that go on beside the next
+ *       commands
+ *   $ end-calls                   what they got; the clients of others leave
+ *   $ begin-body NODE PATH        sends a request but for its last byte
+ *   $ end-body NODE               sends that; prints the status line
  *   $ read-late NODE PATH KB MS   a call with a body of that size, whose answer,
  *       the body again, is read after MS; how much of it comes
  *   $ raw NODE TEXT               sends TEXT, with _ for a space and \n for a
@@ -406,6 +409,7 @@
 	for (; count > 0 && begun_count < CONCURRENT_CALLS_MAX; count--) {
 		call = &begun_calls[begun_count++];
 		memset(call, 0, sizeof(*call));
+		call->is_streaming = option_number(script, "stream", 0) != 0;
 		snprintf(headers, sizeof(headers),
 		    "Host: " HOST "\r\nAttempt-Id: begun%u\r\n", begun_count);
 		request =
@@ -423,9 +427,25 @@
 static void
 run_end_calls(struct script *script)
 {
-	(void)script;
-	while (begun_count > 0)
-		kwb_exchange_finish(&begun_calls[--begun_count].exchange);
+	unsigned i;
+
+	for (i = 0; i < begun_count; i++) {
+		struct call *call = &begun_calls[i];
+		struct kwb_message *answer =
+		    kwb_exchange_answer(&call->exchange);
+
+		if (!call->done)
+			kwb_buf_printf(&script->out, "no end\n");
+		else if (call->error != 0)
+			kwb_buf_printf(
+			    &script->out, "%s\n", kwb_error_name(call->error));
+		else
+			kwb_buf_printf(&script->out, "%u %s\n", answer->status,
+			    kwb_buf_text(&answer->body));
+		kwb_exchange_finish(&call->exchange);
+		kwb_buf_finish(&call->received);
+	}
+	begun_count = 0;
 }
 
 /* Prints how many concurrent calls end, and whether memory stays in bounds. */
@@ -581,6 +601,51 @@
 	kwb_buf_finish(&bytes);
 }
 
+static int begun_body = -1; /* its connection */
+
+static void
+run_begin_body(struct script *script)
+{
+	const struct kwb_address *to =
+	    &testbed_node(&script->testbed, script->words[1])->settings.listen;
+	struct sockaddr_in in = {
+	    .sin_family = AF_INET, .sin_port = htons(to->port)};
+	char text[256];
+
+	begun_body = socket(AF_INET, SOCK_STREAM, 0);
+	inet_pton(AF_INET, to->ip, &in.sin_addr);
+	snprintf(text, sizeof(text),
+	    "POST %s HTTP/1.1\r\nHost: " HOST "\r\nAttempt-Id: body\r\n"
+	    "Content-Length: 2\r\n\r\nx",
+	    script->words[2]);
+	if (connect(begun_body, (struct sockaddr *)&in, sizeof(in)) != 0 ||
+	    write(begun_body, text, strlen(text)) < 0)
+		perror("begin-body");
+	testbed_run_for(&script->testbed, 50);
+}
+
+static void
+run_end_body(struct script *script)
+{
+	struct testbed_node *node =
+	    testbed_node(&script->testbed, script->words[1]);
+	uint64_t end_ns = kwb_clock_now_ns() + CALL_TIMEOUT_MS * KWB_MS_NS;
+	char text[512] = "";
+	ssize_t length = 0;
+
+	if (!node->is_running)
+		testbed_node_kill(node); /* its process has ended */
+	if (send(begun_body, "y", 1, MSG_NOSIGNAL) == 1 &&
+	    wait_readable(script, begun_body, end_ns))
+		length = read(begun_body, text, sizeof(text) - 1);
+	text[length > 0 ? length : 0] = '\0';
+	text[strcspn(text, "\r\n")] = '\0';
+	kwb_buf_printf(
+	    &script->out, "%s\n", text[0] != '\0' ? text : "no answer");
+	close(begun_body);
+	begun_body = -1;
+}
+
 /* ---- Batches
  * --------------------------------------------------------------------- */
 
@@ -1605,6 +1670,7 @@
 	    {"stop", run_stop}, {"ready", run_ready}, {"call", run_call},
 	    {"raw", run_raw}, {"read-late", run_read_late},
 	    {"begin-calls", run_begin_calls}, {"end-calls", run_end_calls},
+	    {"begin-body", run_begin_body}, {"end-body", run_end_body},
 	    {"submit", run_submit}, {"results", run_results}, {"end", run_end},
 	    {"item", run_item}, {"store", run_store}, {"fault", run_fault},
 	    {"drain", run_server_change}, {"remove", run_server_change},
