An entry that drains closes connections with their next answers

Cause: answers of a draining entry left connections open, and it ended in the first moment without a request in progress, with one arriving.

Why this works: each answer of a draining entry closes its connection, so that the next request goes where the balancer sends it, and the entry ends after 0.3 s without a request.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -11,6 +11,7 @@
 
 #define LOOP_PAUSE_NS (50 * KWB_MS_NS)	    /* between passes of a loop */
 #define BALANCER_WAIT_NS (2000 * KWB_MS_NS) /* for it to see /health */
+#define QUIET_NS (300 * KWB_MS_NS)	    /* without a request, at the end */
 
 static void *membership_run(void *argument);
 static void read_lists(struct kwb_entry *entry);
@@ -83,7 +84,9 @@
 	atomic_store(&entry->draining, true);
 	while (kwb_clock_now_ns() < deadline_ns &&
 	    (kwb_clock_now_ns() < balancer_until_ns ||
-		atomic_load(&entry->active) > 0))
+		atomic_load(&entry->active) > 0 ||
+		kwb_clock_now_ns() <
+		    atomic_load(&entry->last_request_ns) + QUIET_NS))
 		kwb_clock_sleep_ns(LOOP_PAUSE_NS);
 	atomic_store(&entry->stopping, true);
 	http_stop(entry);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -147,9 +147,10 @@
 	_Atomic uint32_t vms_changes;	 /* counts its updates */
 	_Atomic uint32_t demand_changes; /* counts changes of demand and lead */
 	pthread_mutex_t vms_lock;
-	_Atomic uint32_t active;       /* HTTP requests for plans */
-	_Atomic uint64_t bodies_bytes; /* reserved for their bodies */
-	_Atomic uint32_t active_pulls; /* streams of steps among them */
+	_Atomic uint32_t active;	  /* HTTP requests for plans */
+	_Atomic uint64_t last_request_ns; /* when the newest of these began */
+	_Atomic uint64_t bodies_bytes;	  /* reserved for their bodies */
+	_Atomic uint32_t active_pulls;	  /* streams of steps among them */
 	_Atomic bool draining;	  /* /health fails; requests are still served */
 	_Atomic bool stopping;	  /* tells the threads to end */
 	_Atomic bool leading;	  /* any plan in any failure domain */
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -116,6 +116,7 @@
 	struct kwb_entry *entry = context;
 	uint32_t active = atomic_fetch_add(&entry->active, 1) + 1;
 
+	atomic_store(&entry->last_request_ns, kwb_clock_now_ns());
 	snprintf(exchange.id, sizeof(exchange.id), "%s-%" PRIx64,
 	    entry->settings->vm, atomic_fetch_add(&entry->registry.next_id, 1));
 	kwb_buf_init(&exchange.body);
@@ -384,6 +385,22 @@
 	return 200;
 }
 
+/*
+ * Closes the connections of an entry that drains with their next answers, as a
+ * request on a connection that is open at the end would get none.
+ */
+const char *
+http_connection_header(struct mg_connection *connection)
+{
+	const struct kwb_entry *entry =
+	    mg_get_user_data(mg_get_context(connection));
+
+	if (!atomic_load(&entry->draining))
+		return "";
+	mg_disable_connection_keep_alive(connection);
+	return "Connection: close\r\n";
+}
+
 /* Sends a whole answer. Each line of headers must end with CR LF. */
 void
 http_send(struct mg_connection *connection, int status,
@@ -392,8 +409,8 @@
 {
 	mg_printf(connection,
 	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
-	    "%s\r\n",
+	    "%s%s\r\n",
 	    status, mg_get_response_code_text(connection, status), content_type,
-	    length_bytes, headers);
+	    length_bytes, http_connection_header(connection), headers);
 	mg_write(connection, text, length_bytes);
 }
--- a/src/entry/http.h
+++ b/src/entry/http.h
@@ -26,6 +26,7 @@
 
 /* http.c: deadlines and answers. */
 uint64_t http_deadline(struct exchange *exchange, uint32_t default_ms);
+const char *http_connection_header(struct mg_connection *connection);
 void http_send(struct mg_connection *connection, int status,
     const char *content_type, const char *headers, const char *text,
     size_t length_bytes);
--- a/src/entry/http_completion.c
+++ b/src/entry/http_completion.c
@@ -102,8 +102,8 @@
 			mg_printf(connection,
 			    "HTTP/1.1 200 OK\r\nContent-Type: "
 			    "text/event-stream\r\nX-Kwb-Request: %s\r\n"
-			    "Transfer-Encoding: chunked\r\n\r\n",
-			    exchange->id);
+			    "Transfer-Encoding: chunked\r\n%s\r\n",
+			    exchange->id, http_connection_header(connection));
 		has_begun = true;
 		completion_send_tokens(exchange, generation, sent);
 		sent = generation->tokens.count;
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -57,6 +57,7 @@
 static void check_silent_links(void);
 static void check_cut_answers(void);
 static void check_endless_answers(void);
+static void check_stop_under_load(struct cluster *cluster);
 static void check_endless_streams(struct cluster *cluster);
 static void check_share_in_outage(struct cluster *cluster);
 static uint32_t units_held(const Kwb__Wire__Status *status, const char *plan);
@@ -89,6 +90,7 @@
 	check_cut_answers();
 	check_endless_answers();
 	check_endless_streams(&world);
+	check_stop_under_load(&world);
 	cluster_stop(&world);
 	printf("contract tests: %u passed, %u failed\n", passed, failed);
 	return failed > 0;
@@ -635,6 +637,93 @@
 	client_close(&client);
 }
 
+/* A client that uses a connection for as long as it may. */
+struct stop_client {
+	pthread_t thread;
+	struct sockaddr_in to;
+	unsigned answered;
+	unsigned cut_off; /* sent whole, and no byte of an answer came */
+	bool was_told;	  /* to close: its next request goes elsewhere */
+};
+
+#define STOP_CLIENTS 16
+#define STOP_REQUEST                                                           \
+	"POST /v1/plans/orders/call/stop HTTP/1.1\r\nHost: a\r\n"              \
+	"Content-Length: 1\r\n\r\nx"
+
+static void *
+stop_client_run(void *argument)
+{
+	struct stop_client *client = argument;
+	uint64_t end_ns = kwb_clock_now_ns() + 20000 * KWB_MS_NS;
+	char answer[4096];
+	int fd = -1;
+
+	while (kwb_clock_now_ns() < end_ns) {
+		ssize_t length;
+
+		if (fd < 0) {
+			fd = socket(AF_INET, SOCK_STREAM, 0);
+			if (connect(fd, (struct sockaddr *)&client->to,
+				sizeof(client->to)) != 0)
+				break;
+		}
+		if (send(fd, STOP_REQUEST, strlen(STOP_REQUEST), MSG_NOSIGNAL) <
+		    0) {
+			close(fd);
+			fd = -1;
+			continue;
+		}
+		length = recv(fd, answer, sizeof(answer) - 1, 0);
+		if (length > 0) {
+			client->answered++;
+			answer[length] = '\0';
+			kwb_clock_sleep_ns(3 * KWB_MS_NS);
+			if (strstr(answer, "Connection: close") == NULL)
+				continue;
+			client->was_told = true;
+			break;
+		} else {
+			client->cut_off++;
+		}
+		close(fd);
+		fd = -1;
+	}
+	if (fd >= 0)
+		close(fd);
+	return NULL;
+}
+
+/* Guards against requests that come at the end of a stop and get no answer. */
+static void
+check_stop_under_load(struct cluster *cluster)
+{
+	static struct stop_client clients[STOP_CLIENTS];
+	unsigned answered = 0, cut_off = 0, told = 0, i;
+
+	for (i = 0; i < STOP_CLIENTS; i++) {
+		clients[i].to.sin_family = AF_INET;
+		clients[i].to.sin_port = htons(
+		    (uint16_t)cluster_find_process(cluster, "entry-1")->port);
+		inet_pton(AF_INET, "127.0.0.1", &clients[i].to.sin_addr);
+		pthread_create(
+		    &clients[i].thread, NULL, stop_client_run, &clients[i]);
+	}
+	kwb_clock_sleep_ns(300 * KWB_MS_NS);
+	cluster_signal_process(cluster, "entry-1", SIGTERM);
+	for (i = 0; i < STOP_CLIENTS; i++) {
+		pthread_join(clients[i].thread, NULL);
+		answered += clients[i].answered;
+		cut_off += clients[i].cut_off;
+		told += clients[i].was_told;
+	}
+	check(answered > 0 && cut_off == 0, "a stop cuts no request off", "");
+	check(told == STOP_CLIENTS, "clients are told to close", "");
+	check(cluster_wait_process(cluster, "entry-1", 25000) == 0,
+	    "the entry ends", "");
+	cluster_start_process(cluster, "entry-1");
+}
+
 /*
  * While the table is down, a raised allowance gives an agent no more units:
  * other agents might take the same ones. Once it is back, the agent takes them.
