Soak: reports may wait for the next holder of the duties

Trace: each call of the holder, n2, met a fault of the interface from 2 s to 7 s; n2 was stopped then and released the lease at 7.1 s. Without fences the next holder waits for a whole lease (3 s) from when it has read the release, so its first report was due after the check. The check stays; where nothing was reported yet and fences aren't enforced, it comes after that hand-over.

--- a/tests/platform/soak.c
+++ b/tests/platform/soak.c
@@ -44,6 +44,12 @@
 #define REVOKE_MS 1500
 #define DUTY_FAULT_PERIOD_MS 700
 #define REPORTS_MS 2600 /* until the last window is reported */
+/*
+ * The holder of the duties may have stopped last. Without fences the next one
+ * waits for a whole lease from when it has read the release, and reads it six
+ * times a lease.
+ */
+#define HAND_OVER_MS (LEASE_MS + LEASE_MS / 6)
 
 struct node {
 	char name[16];
@@ -980,6 +986,16 @@
 	duty->fault_remaining = (unsigned)rand_r(&soak->duty_random_state) % 3;
 }
 
+static bool
+has_reports(const struct soak *soak)
+{
+	json_t *sums = testbed_duty_sum(&soak->testbed.duty);
+	bool has_any = json_integer_value(json_object_get(sums, "w1")) > 0;
+
+	json_decref(sums);
+	return has_any;
+}
+
 /*
  * A window has one report, no token is used by two holders, and no more is
  * reported than servers ran; less, as killed nodes lose their newest counts.
@@ -1216,6 +1232,8 @@
 	check_batches(&soak);
 	check_weight_orders(&soak);
 	testbed_run_for(&soak.testbed, REPORTS_MS);
+	if (!soak.is_fencing_enforced && !has_reports(&soak))
+		testbed_run_for(&soak.testbed, HAND_OVER_MS);
 	check_duties(&soak);
 	for (i = 0; i < soak.batches_count; i++)
 		ended_count += soak.batches[i].is_ended;
