Streams don't wait behind plain requests at their limit

Callers saw: a stream waited for a place though an upstream was free, as long as plain requests of the same service waited ahead of it for their limit.

Plain requests have a limit of their own.

Evidence: decisions "room_streams" (the stream had not started before). Why this works: only plain requests are passed over with a plain one; a stream is tried itself.

--- a/src/room/queue.c
+++ b/src/room/queue.c
@@ -163,11 +163,13 @@
 }
 
 /*
- * No waiter of that service can start in this pass. Those that can't be served
+ * No waiter of that service can start in this pass, but for streams behind a
+ * plain request, as only plain ones have a limit. Those that can't be served
  * even if they were the next are refused.
  */
 static void
-pass_over(struct kwb_room *room, const char *service_name, uint64_t now_ns)
+pass_over(struct kwb_room *room, const char *service_name, bool was_stream,
+    uint64_t now_ns)
 {
 	char service[KWB_NAME_MAX_BYTES];
 	struct kwb_room_places places;
@@ -179,7 +181,8 @@
 	for (waiter = TAILQ_FIRST(&room->waiters); waiter != NULL;
 	     waiter = next) {
 		next = TAILQ_NEXT(waiter, entry);
-		if (strcmp(waiter->service, service) != 0)
+		if (strcmp(waiter->service, service) != 0 ||
+		    (waiter->is_stream && !was_stream))
 			continue;
 		waiter->pass = room->pass;
 		refuse_hopeless(room, waiter, &places, 0, now_ns);
@@ -199,7 +202,8 @@
 	while ((waiter = next_waiter(room, now_ns)) != NULL) {
 		waiter->pass = room->pass;
 		if (!start_waiter(room, waiter, now_ns))
-			pass_over(room, waiter->service, now_ns);
+			pass_over(
+			    room, waiter->service, waiter->is_stream, now_ns);
 	}
 	room->is_draining = false;
 	if (!TAILQ_EMPTY(&room->waiters))
--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -585,6 +585,44 @@
 	event_base_free(base);
 }
 
+/* Plain requests at their limit keep no stream of their service waiting. */
+static void
+test_room_streams(void)
+{
+	static const struct kwb_room_waiter_ops ops = {
+	    .start = queued_start, .refuse = queued_refuse};
+	struct event_base *base = event_base_new();
+	struct kwb_registry registry;
+	struct queued queued[3] = {0};
+	struct kwb_room room;
+	size_t i;
+
+	queue_places = queue_turn = 0;
+	kwb_registry_init(&registry);
+	CU_ASSERT_EQUAL_FATAL(kwb_room_init(&room, base, &registry), 0);
+	for (i = 0; i < COUNT(queued); i++) {
+		queued[i].waiter = (struct kwb_room_waiter){.ops = &ops,
+		    .service = "s",
+		    .workspace = "w",
+		    .id = "id",
+		    .is_stream = i == 2,
+		    .deadline_ns = kwb_clock_now_ns() + 60000 * KWB_MS_NS};
+		kwb_room_enter(&room, &queued[i].waiter);
+	}
+	room.services[0].limit.limit_milli = KWB_ROOM_LIMIT_MIN_MILLI;
+	room.services[0].limit.in_flight = 1;
+	queue_places = 3;
+	kwb_room_wake(&room);
+	event_base_loop(base, EVLOOP_ONCE);
+	CU_ASSERT_EQUAL(queued[2].turn, 1);
+	CU_ASSERT_EQUAL(room.waiting_count, 2);
+	for (i = 0; i < COUNT(queued); i++)
+		kwb_room_leave(&room, &queued[i].waiter);
+	kwb_room_finish(&room);
+	kwb_registry_finish(&registry);
+	event_base_free(base);
+}
+
 /* A place is given back once, also when its request ends in two ways. */
 static void
 test_room_place_is_given_back(void)
@@ -638,6 +676,7 @@
 	    {"room_limit_admits", test_room_limit_admits},
 	    {"room_place_is_given_back", test_room_place_is_given_back},
 	    {"room_services", test_room_services},
+	    {"room_streams", test_room_streams},
 	    {"room_queue", test_room_queue}};
 	unsigned i;
 
