Items: a shortage of memory is no failure of the upstream; fewer log lines

A text that ends because this node is short of memory must not make its upstream suspect. event=score_failed is logged for answers of 500 only: others are logged by the forward already, each 0.1 s while a service is full.

--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -108,6 +108,14 @@
 	kwb_buf_finish(&run->text);
 }
 
+static bool
+is_memory_short(const struct item_run *run)
+{
+	const struct kwb_memory *memory = run_env(run)->memory;
+
+	return memory != NULL && kwb_memory_is_over(memory);
+}
+
 /*
  * Whether the text may grow. An upstream may send events without end; while
  * memory is short, the long texts end before the process does.
@@ -115,13 +123,12 @@
 static bool
 text_may_grow(const struct item_run *run, size_t bytes)
 {
-	const struct kwb_memory *memory = run_env(run)->memory;
 	size_t grown_bytes = run->text.used_bytes + bytes;
 
 	if (grown_bytes > KWB_ITEM_TEXT_MAX_BYTES)
 		return false;
-	return memory == NULL || grown_bytes <= KWB_ITEM_TEXT_SMALL_BYTES ||
-	    !kwb_memory_is_over(memory);
+	return grown_bytes <= KWB_ITEM_TEXT_SMALL_BYTES ||
+	    !is_memory_short(run);
 }
 
 /* By the clock of the store: when the item may be given up. */
@@ -273,7 +280,10 @@
 		&kwb_exchange_answer(exchange)->body, run_on_event, run) != 0)
 		run->stream_broken = true;
 	if (run->text_too_long) {
-		kwb_upstream_record_failure(run->upstream, kwb_clock_now_ns());
+		/* A shortage of this node is no failure of the upstream. */
+		if (!is_memory_short(run))
+			kwb_upstream_record_failure(
+			    run->upstream, kwb_clock_now_ns());
 		run_reset_text(run);
 		run_retry(run, KWB_ITEM_RETRY_NS, "text_too_long");
 		return;
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -24,13 +24,13 @@
 	}
 	route = kwb_node_config_find_route(*run_env(run)->config,
 	    run->item->score_host, run->item->score_target);
-	if (answer.status == 500)
+	if (answer.status == 500) {
 		run->score_errors++;
-	kwb_log(KWB_LOG_INFO, "item",
-	    "event=score_failed id=%s batch=%s score=%s status=%u errors=%u "
-	    "reason=%s",
-	    run->item->id, run->batch->record.id, run->item->score_id,
-	    answer.status, run->score_errors, forward->reason);
+		kwb_log(KWB_LOG_INFO, "item",
+		    "event=score_failed id=%s batch=%s score=%s errors=%u",
+		    run->item->id, run->batch->record.id, run->item->score_id,
+		    run->score_errors);
+	}
 	if (route != NULL && run->score_errors >= route->max_attempts) {
 		run_ready(run, KWB_ITEM_ERRORED, "score_failed_too_often");
 		return;
