--- a/tests/contract.c
+++ b/tests/contract.c
@@ -437,6 +437,24 @@
 	return NULL;
 }
 
+/* Listens on a free port of loopback; returns the socket and prints its URL. */
+static int
+listen_on_loopback(char *url, size_t capacity)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t address_bytes = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+	    listen(fd, 1) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &address_bytes) != 0)
+		perror("listen");
+	snprintf(
+	    url, capacity, "http://127.0.0.1:%u/", ntohs(address.sin_port));
+	return fd;
+}
+
 /* Guards against an answer cut off in its head that is taken for a whole one.
  */
 static void
@@ -459,22 +477,11 @@
 	    {"whole", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true},
 	    {"whole without a length", "HTTP/1.1 200 OK\r\n\r\nabc", true},
 	};
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t address_bytes = sizeof(address);
 	struct cut_answer answer;
 	char url[64];
 	size_t i;
 
-	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-	answer.listen_fd = socket(AF_INET, SOCK_STREAM, 0);
-	if (bind(answer.listen_fd, (struct sockaddr *)&address,
-		sizeof(address)) != 0 ||
-	    listen(answer.listen_fd, 1) != 0 ||
-	    getsockname(answer.listen_fd, (struct sockaddr *)&address,
-		&address_bytes) != 0)
-		perror("listen");
-	snprintf(
-	    url, sizeof(url), "http://127.0.0.1:%u/", ntohs(address.sin_port));
+	answer.listen_fd = listen_on_loopback(url, sizeof(url));
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		struct kwb_http_request request = {
 		    .method = "GET", .url = url, .needs_new_connection = true};
@@ -533,22 +540,11 @@
 		"HTTP/1.1 100 Continue\r\n\r\n"},
 	    {"a body without end", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaa"},
 	};
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t address_bytes = sizeof(address);
 	struct endless_answer answer;
 	char url[64];
 	size_t i;
 
-	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-	answer.listen_fd = socket(AF_INET, SOCK_STREAM, 0);
-	if (bind(answer.listen_fd, (struct sockaddr *)&address,
-		sizeof(address)) != 0 ||
-	    listen(answer.listen_fd, 1) != 0 ||
-	    getsockname(answer.listen_fd, (struct sockaddr *)&address,
-		&address_bytes) != 0)
-		perror("listen");
-	snprintf(
-	    url, sizeof(url), "http://127.0.0.1:%u/", ntohs(address.sin_port));
+	answer.listen_fd = listen_on_loopback(url, sizeof(url));
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		struct kwb_http_request request = {.method = "GET",
 		    .url = url,
