Answers with a status that no answer can have end as broken

Callers got such an answer as it stood: status 000 of a server came through as "HTTP/1.1 0 <unknown>" with the server's body and receipt, and so did 099 and 20; non-idempotent requests and streams alike. An item took it for a refusal, and the connection went on being used.

Cause: http_parser stores whatever digits stand in the status line, as few as one, and on_headers_complete() took parser->status_code unseen. Nothing that reads answers looks at more than classes of statuses.

kwb_http_syntax checks the bytes of a head ahead of the parser, in kwb_conn, which all answers of a node pass. The status line must be that of RFC 9112, 4, with a status from 100 to 599: RFC 9110, 15 calls others invalid, 600 to 999 included. 101 answers an Upgrade, which no node sends. Other versions than HTTP/1.x have other messages (RFC 9110, 2.5). Two blanks ahead of the status, which a recipient may accept (RFC 9112, 4), are refused: a server that writes them writes no status line. A broken answer ends with KWB_ERR_NET_MALFORMED like other bytes that are no HTTP: the connection is reset, the failure counts against the server, idempotent requests are tried again, others get 502, and "conn: event=malformed_answer" tells the reason.

Bad digits, a sign and an unasked 101 were refused by the parser already.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	src/route/node_config.c src/weights/homes.c src/weights/mover.c \
 	src/weights/mover_look.c src/weights/mover_order.c \
 	$(addprefix src/core/,base64.c buf.c clock.c completion.c error.c faults.c index.c log.c \
-	metrics.c timer.c address.c)
+	metrics.c timer.c address.c http_syntax.c)
 NODE_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/ctl%.c,$(NODE_SRC)))
 # What only kwb-nodectl uses: the check of a configuration.
 CHECK_OBJ = $(addprefix $(B)/,src/route/config_check.o src/route/config_compare.o \
@@ -120,7 +120,8 @@
 		$(B)/tests/platform/decisions_access.o \
 		$(B)/tests/platform/decisions_memory.o \
 		$(B)/tests/platform/decisions_placement.o \
-		$(B)/tests/platform/decisions_room.o $(TRACE_OBJ) \
+		$(B)/tests/platform/decisions_room.o \
+		$(B)/tests/platform/decisions_syntax.o $(TRACE_OBJ) \
 		$(filter-out $(B)/platform/main.o,$(NODE_OBJ))
 	$(CC) $(LDFLAGS) -o $@ $^ $(NODE_LIBS) -lcunit
 
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -15,6 +15,7 @@
 
 #include "kwb.h"
 #include "kwb_access.h"
+#include "kwb_http_syntax.h"
 #include "kwb_memory.h"
 #include "kwb_placement.h"
 #include "kwb_room.h"
@@ -155,6 +156,7 @@
 	void *context;		 /* of the owner */
 	struct bufferevent *bev; /* the socket, with buffers */
 	struct http_parser parser;
+	struct kwb_http_syntax syntax;	     /* checked ahead of the parser */
 	struct kwb_message message;	     /* the one being read */
 	uint32_t head_bytes;		     /* of target and headers so far */
 	uint32_t head_max_bytes;	     /* 0: no limit */
@@ -201,6 +203,8 @@
 void kwb_conn_resume(struct kwb_conn *conn);
 /* Reads no more; calls on_close with 0 once all output is written. */
 void kwb_conn_close_when_written(struct kwb_conn *conn);
+/* Why what was read is malformed, after KWB_ERR_NET_MALFORMED; for the log. */
+const char *kwb_conn_fault(const struct kwb_conn *conn);
 /* Buffer of the bytes to send. */
 struct evbuffer *kwb_conn_output(struct kwb_conn *conn);
 
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -284,6 +284,18 @@
 	exchange->ops->on_done(exchange, 0);
 }
 
+static void
+pooled_log_fault(const struct kwb_pooled_conn *pooled)
+{
+	const char *id = pooled->exchange->request_id;
+
+	kwb_log(KWB_LOG_WARN, "conn",
+	    "event=malformed_answer from=%s:%u id=%s reason=%s",
+	    pooled->address.ip, pooled->address.port,
+	    id != NULL && id[0] != '\0' ? id : "-",
+	    kwb_conn_fault(&pooled->conn));
+}
+
 static void
 pooled_on_close(struct kwb_conn *conn, int error)
 {
@@ -301,6 +313,8 @@
 			(!conn->is_head_reported || pooled->is_dropping)
 		    ? KWB_ERR_NET_STALE
 		    : error;
+	if (error == KWB_ERR_NET_MALFORMED)
+		pooled_log_fault(pooled);
 	exchange_end(exchange, error);
 }
 
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -271,6 +271,14 @@
 	return !*is_finished;
 }
 
+const char *
+kwb_conn_fault(const struct kwb_conn *conn)
+{
+	return conn->syntax.fault != NULL
+	    ? conn->syntax.fault
+	    : http_errno_name(HTTP_PARSER_ERRNO(&conn->parser));
+}
+
 static int
 conn_parse_error(const struct kwb_conn *conn)
 {
@@ -292,6 +300,48 @@
 	conn->ops->on_close(conn, error);
 }
 
+/* What follows the head that was parsed. */
+static void
+syntax_go_on(struct kwb_conn *conn)
+{
+	if (conn->is_complete)
+		return; /* kwb_conn_read_next() begins the next one */
+	if (conn->has_head)
+		kwb_http_syntax_go_on(&conn->syntax, KWB_SYNTAX_BODY);
+	else
+		kwb_http_syntax_init(&conn->syntax, conn->is_server);
+}
+
+/*
+ * Parses bytes until a message is whole, those only whose syntax is right.
+ * Returns the number of bytes parsed; *is_broken: nothing can follow them.
+ */
+static size_t
+conn_parse(
+    struct kwb_conn *conn, const char *bytes, size_t length, bool *is_broken)
+{
+	struct kwb_http_syntax *syntax = &conn->syntax;
+	enum http_errno error = HPE_OK;
+	size_t sound_bytes;
+	size_t at = 0;
+
+	while (at < length && error == HPE_OK && syntax->fault == NULL) {
+		sound_bytes = conn->is_server
+		    ? length - at
+		    : kwb_http_syntax_check(syntax, bytes + at, length - at);
+		if (sound_bytes == 0)
+			break; /* 0 bytes are the end of input for the parser */
+		at += http_parser_execute(
+		    &conn->parser, &parser_settings, bytes + at, sound_bytes);
+		error = HTTP_PARSER_ERRNO(&conn->parser);
+		if (error == HPE_OK && syntax->state == KWB_SYNTAX_HEAD_END)
+			syntax_go_on(conn);
+	}
+	*is_broken =
+	    (error != HPE_OK && error != HPE_PAUSED) || syntax->fault != NULL;
+	return at;
+}
+
 /* Parses the input until a message is whole; the rest waits. */
 static void
 conn_process(struct kwb_conn *conn, bool *is_finished)
@@ -299,7 +349,7 @@
 	struct evbuffer *input = bufferevent_get_input(conn->bev);
 	struct evbuffer_iovec span;
 	size_t parsed_bytes;
-	enum http_errno parser_error;
+	bool is_broken;
 
 	conn->is_finished = is_finished;
 	while (!conn->is_complete && !conn->is_held &&
@@ -314,13 +364,12 @@
 			conn->is_held = true;
 			break;
 		}
-		parsed_bytes = http_parser_execute(&conn->parser,
-		    &parser_settings, span.iov_base, span.iov_len);
-		parser_error = HTTP_PARSER_ERRNO(&conn->parser);
+		parsed_bytes =
+		    conn_parse(conn, span.iov_base, span.iov_len, &is_broken);
 		evbuffer_drain(input, parsed_bytes);
 		if (!conn_report(conn, is_finished))
 			return;
-		if (parser_error != HPE_OK && parser_error != HPE_PAUSED) {
+		if (is_broken) {
 			conn_fail(conn, conn_parse_error(conn));
 			if (!*is_finished)
 				conn->is_finished = NULL;
@@ -431,6 +480,7 @@
 	if (conn->bev == NULL)
 		return KWB_ERR_MEMORY;
 	kwb_message_init(&conn->message);
+	kwb_http_syntax_init(&conn->syntax, is_server);
 	http_parser_init(
 	    &conn->parser, is_server ? HTTP_REQUEST : HTTP_RESPONSE);
 	conn->parser.data = conn;
@@ -509,6 +559,7 @@
 	conn->is_streaming = false;
 	conn->head_bytes = 0;
 	http_parser_pause(&conn->parser, 0);
+	kwb_http_syntax_init(&conn->syntax, conn->is_server);
 	budget_release(conn);
 	kwb_message_clear(&conn->message);
 	if (conn->message.body.capacity_bytes > KWB_BODY_KEEP_BYTES)
--- a/tests/fuzz/exchange.h
+++ b/tests/fuzz/exchange.h
@@ -76,6 +76,7 @@
 		fuzz.conn.is_server = false;
 		http_parser_init(&fuzz.conn.parser, HTTP_RESPONSE);
 		fuzz.conn.parser.data = &fuzz.conn;
+		kwb_http_syntax_init(&fuzz.conn.syntax, false);
 	}
 	chunk_bytes = data[0] == 0 ? CHUNK_MAX_BYTES : data[0];
 	for (i = 0; i < EVENT_LOOP_ROUNDS_MAX && offset < length_bytes &&
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -2078,6 +2078,7 @@
 extern unsigned duty_tests_add(CU_pSuite suite);
 extern unsigned placement_tests_add(CU_pSuite suite);
 extern unsigned room_tests_add(CU_pSuite suite);
+extern unsigned syntax_tests_add(CU_pSuite suite);
 
 int
 main(void)
@@ -2136,6 +2137,7 @@
 	count += duty_tests_add(suite);
 	count += placement_tests_add(suite);
 	count += room_tests_add(suite);
+	count += syntax_tests_add(suite);
 	CU_basic_set_mode(CU_BRM_SILENT);
 	CU_basic_run_tests();
 	CU_basic_show_failures(CU_get_failure_list());
--- /dev/null
+++ b/tests/platform/decisions_syntax.c
@@ -0,0 +1,105 @@
+/*
+ * Syntax of HTTP messages: what a head, its lines and chunks may be, and what
+ * is named as broken. Each message is checked whole and in two pieces, split at
+ * each byte.
+ */
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "kwb_http_syntax.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+struct syntax_case {
+	const char *text;
+	const char *fault; /* NULL: sound, and checked to its end */
+};
+
+/* As a reader of bytes does. */
+static void
+feed(struct kwb_http_syntax *syntax, const char *bytes, size_t length)
+{
+	size_t at = 0;
+
+	while (at < length && syntax->fault == NULL) {
+		if (syntax->state == KWB_SYNTAX_HEAD_END)
+			kwb_http_syntax_go_on(syntax, KWB_SYNTAX_BODY);
+		at += kwb_http_syntax_check(syntax, bytes + at, length - at);
+	}
+}
+
+static const char *
+name_of(const char *fault)
+{
+	return fault != NULL ? fault : "none";
+}
+
+static void
+check_cases(const struct syntax_case *cases, size_t count, bool is_request)
+{
+	struct kwb_http_syntax syntax;
+	size_t length;
+	size_t split;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		length = strlen(cases[i].text);
+		for (split = 0; split < length; split++) {
+			kwb_http_syntax_init(&syntax, is_request);
+			feed(&syntax, cases[i].text, split);
+			feed(&syntax, cases[i].text + split, length - split);
+			CU_ASSERT_STRING_EQUAL(
+			    name_of(syntax.fault), name_of(cases[i].fault));
+		}
+		if (strcmp(name_of(syntax.fault), name_of(cases[i].fault)) != 0)
+			printf("%s instead of %s: %s\n", name_of(syntax.fault),
+			    name_of(cases[i].fault), cases[i].text);
+	}
+}
+
+static void
+test_status_lines(void)
+{
+	static const struct syntax_case cases[] = {
+	    {"HTTP/1.1 200 OK\r\n\r\n", NULL},
+	    {"HTTP/1.0 100 \r\n\r\n", NULL},
+	    {"HTTP/1.1 599\r\n\r\n", NULL},
+	    {"HTTP/1.9 204 a\tb \xe4\r\n\r\n", NULL},
+	    {"\r\n\nHTTP/1.1 200 OK\r\n\r\n", NULL},
+	    {"HTTP/1.1 000 OK\r\n\r\n", "status"},
+	    {"HTTP/1.1 001 OK\r\n\r\n", "status"},
+	    {"HTTP/1.1 099 OK\r\n\r\n", "status"},
+	    {"HTTP/1.1 101 OK\r\n\r\n", "status"},
+	    {"HTTP/1.1 600 OK\r\n\r\n", "status"},
+	    {"HTTP/1.1 999 OK\r\n\r\n", "status"},
+	    {"HTTP/1.1 20 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.1 2\r\n\r\n", "status_line"},
+	    {"HTTP/1.1 20\r\n\r\n", "status_line"},
+	    {"HTTP/1.1\r\n\r\n", "status_line"},
+	    {"HTTP/1.1 2000 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.1 0200 OK\r\n\r\n", "status"},
+	    {"HTTP/1.1 +20 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.1 2x0 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.1  200 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.1\t200 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.1 200\tOK\r\n\r\n", "status_line"},
+	    {"HTTP/0.9 200 OK\r\n\r\n", "status_line"},
+	    {"HTTP/2.0 200 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.x 200 OK\r\n\r\n", "status_line"},
+	    {"HTTP/1.1 200 a\x01\x62\r\n\r\n", "reason_phrase"},
+	    {"HTTP/1.1 200 a\x7f\x62\r\n\r\n", "reason_phrase"},
+	    {"HTTP/1.1 200 OK\rX: y\r\n\r\n", "line_end"},
+	};
+
+	check_cases(cases, COUNT(cases), false);
+}
+
+extern unsigned syntax_tests_add(CU_pSuite suite);
+
+unsigned
+syntax_tests_add(CU_pSuite suite)
+{
+	CU_add_test(suite, "status_lines", test_status_lines);
+	return 1;
+}
--- a/tests/platform/port.c
+++ b/tests/platform/port.c
@@ -2,6 +2,7 @@
  * HTTP listener of the fake store and the fake servers.
  */
 #include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <stdlib.h>
@@ -19,6 +20,8 @@
 		event_free(session->timer);
 	if (session->late_copy != NULL)
 		evbuffer_free(session->late_copy);
+	if (session->rest != NULL)
+		evbuffer_free(session->rest);
 	kwb_conn_finish(&session->conn);
 	free(session);
 }
@@ -34,12 +37,84 @@
 	http_session_free(session);
 }
 
+#define RAW_ANSWER_PAUSE_MS 30 /* between its two pieces */
+
+static void
+raw_answer_end(struct http_session *session)
+{
+	if (session->listener->raw_answer.closes)
+		kwb_conn_close_when_written(&session->conn);
+	else
+		kwb_conn_read_next(&session->conn);
+}
+
+static void
+raw_answer_on_timer(int fd, short what, void *context)
+{
+	struct http_session *session = context;
+
+	(void)fd;
+	(void)what;
+	evbuffer_add_buffer(kwb_conn_output(&session->conn), session->rest);
+	raw_answer_end(session);
+}
+
+/* Writes the text of the answer to a request. */
+static void
+raw_answer_write(const struct http_session *session, struct evbuffer *out)
+{
+	const struct kwb_buf *text = &session->listener->raw_answer.text;
+	const char *id =
+	    kwb_message_header(&session->conn.message, "Attempt-Id");
+	size_t i;
+
+	for (i = 0; i < text->used_bytes; i++)
+		if (text->data[i] != '@')
+			evbuffer_add(out, text->data + i, 1);
+		else
+			evbuffer_add_printf(out,
+			    "Attempt-Id: %s\r\nServer-Stamp: stamp-%s\r\n",
+			    id ? id : "", id ? id : "");
+}
+
+/* Answers with the raw answer; false if the request gets another one. */
+static bool
+try_answer_raw(struct http_session *session)
+{
+	struct raw_answer *answer = &session->listener->raw_answer;
+	struct evbuffer *out = kwb_conn_output(&session->conn);
+
+	if (answer->remaining == 0 ||
+	    strncmp(kwb_message_target(&session->conn.message), answer->path,
+		strlen(answer->path)) != 0)
+		return false;
+	answer->remaining--;
+	answer->sent++;
+	if (answer->split_bytes == 0) {
+		raw_answer_write(session, out);
+		raw_answer_end(session);
+		return true;
+	}
+	if (session->rest == NULL)
+		session->rest = evbuffer_new();
+	raw_answer_write(session, session->rest);
+	evbuffer_remove_buffer(session->rest, out, answer->split_bytes);
+	if (session->timer != NULL)
+		event_free(session->timer);
+	session->timer = kwb_timer_new(
+	    session->listener->base, raw_answer_on_timer, session);
+	kwb_timer_arm(session->timer,
+	    kwb_clock_now_ns() + RAW_ANSWER_PAUSE_MS * KWB_MS_NS);
+	return true;
+}
+
 static void
 session_on_message(struct kwb_conn *conn)
 {
 	struct http_session *session = conn->context;
 
-	session->listener->on_request(session);
+	if (!try_answer_raw(session))
+		session->listener->on_request(session);
 }
 
 static void
@@ -108,6 +183,7 @@
 	listener->ev_listener = NULL;
 	while (!TAILQ_EMPTY(&listener->sessions))
 		http_session_free(TAILQ_FIRST(&listener->sessions));
+	kwb_buf_finish(&listener->raw_answer.text);
 }
 
 void
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -20,6 +20,14 @@
  *       only, and then for one
  *   $ copies SERVER N             its next N answers are sent again, each ahead
  *       of the next answer on its connection
+ *   $ answer NAME TEXT [n=N] [path=P] [split=BYTES] [close=1]   the next N
+ *       requests, or one, to a path that begins with P get TEXT from this
+ *       server, "store" or "duty", after BYTES of it the rest a while later,
+ *       and then a close; in TEXT, _ stands for a space, \n for a line end, \xHH
+ *       for a byte, and @ for the headers with the request's id and receipt
+ *   $ answered NAME               how many got it, after a second or once all N
+ *       did
+ *   $ connections NAME            open to it
  *   $ heartbeat SERVER, $ drain SERVER, $ remove SERVER    its row
  *   $ leave SERVER, $ stay SERVER    whether its answers say that it leaves
  *   $ restart SERVER              under its id: it leaves no more, is reborn
@@ -59,8 +67,8 @@
  *   $ end-body NODE               sends that; prints the status line
  *   $ read-late NODE PATH KB MS   a call with a body of that size, whose answer,
  *       the body again, is read after MS; how much of it comes
- *   $ raw NODE TEXT               sends TEXT, with _ for a space and \n for a
- *       line end; prints as "call" does
+ *   $ raw NODE TEXT               sends TEXT, which is written as for "answer";
+ *       prints as "call" does
  *   $ submit NODE BATCH [items=N] [size=N] [events=N] [min=V] [target=N]
  *       [path=PATH] [header=NAME:VALUE] [key=KEY]   header= of its items; \r
  *       and \n in VALUE; key= as for "call", also for those below
@@ -529,6 +537,80 @@
 	    request_new(method, target, headers, body, strlen(body)), 0);
 }
 
+/* Appends the bytes that a word of a script stands for. */
+static void
+add_raw_text(struct kwb_buf *out, const char *word)
+{
+	unsigned byte;
+	char bytes[1];
+
+	for (; *word != '\0'; word++)
+		if (strncmp(word, "\\n", 2) == 0) {
+			kwb_buf_add(out, "\r\n", 2);
+			word++;
+		} else if (sscanf(word, "\\x%2x", &byte) == 1) {
+			bytes[0] = (char)byte;
+			kwb_buf_add(out, bytes, 1);
+			word += 3;
+		} else {
+			kwb_buf_add(out, *word == '_' ? " " : word, 1);
+		}
+}
+
+static struct http_listener *
+listener_named(struct script *script, const char *name)
+{
+	struct testbed *testbed = &script->testbed;
+
+	if (strcmp(name, "store") == 0)
+		return &testbed->store.port;
+	if (strcmp(name, "duty") == 0)
+		return &testbed->duty.port;
+	return &testbed_server(testbed, name)->port;
+}
+
+static void
+run_answer(struct script *script)
+{
+	struct raw_answer *answer =
+	    &listener_named(script, script->words[1])->raw_answer;
+
+	answer->text.used_bytes = 0;
+	add_raw_text(&answer->text, script->words[2]);
+	kwb_text_copy(
+	    answer->path, sizeof(answer->path), option(script, "path", ""));
+	answer->remaining = option_number(script, "n", 1);
+	answer->sent = 0;
+	answer->split_bytes = option_number(script, "split", 0);
+	answer->closes = option_number(script, "close", 0) != 0;
+}
+
+static void
+run_answered(struct script *script)
+{
+	const struct raw_answer *answer =
+	    &listener_named(script, script->words[1])->raw_answer;
+	uint64_t end_ns = kwb_clock_now_ns() + 1000 * KWB_MS_NS;
+
+	while (answer->remaining > 0 && kwb_clock_now_ns() < end_ns)
+		testbed_run_for(&script->testbed, 2);
+	kwb_buf_printf(&script->out, "%u\n", answer->sent);
+}
+
+static void
+run_connections(struct script *script)
+{
+	const struct http_listener *listener =
+	    listener_named(script, script->words[1]);
+	const struct http_session *session;
+	unsigned count = 0;
+
+	testbed_run_for(&script->testbed, 20);
+	TAILQ_FOREACH (session, &listener->sessions, entry)
+		count++;
+	kwb_buf_printf(&script->out, "%u\n", count);
+}
+
 static void
 run_raw(struct script *script)
 {
@@ -536,15 +618,12 @@
 	    testbed_node(&script->testbed, script->words[1]);
 	struct evbuffer *out = evbuffer_new();
 	struct call call = {0};
-	const char *at;
+	struct kwb_buf text;
 
-	for (at = script->words[2]; *at != '\0'; at++)
-		if (at[0] == '\\' && at[1] == 'n') {
-			evbuffer_add(out, "\r\n", 2);
-			at++;
-		} else {
-			evbuffer_add(out, *at == '_' ? " " : at, 1);
-		}
+	kwb_buf_init(&text);
+	add_raw_text(&text, script->words[2]);
+	evbuffer_add(out, text.data, text.used_bytes);
+	kwb_buf_finish(&text);
 	call_run(&script->testbed, &call, &node->settings.listen, out, 6000);
 	print_answer(script, &call);
 	kwb_exchange_finish(&call.exchange);
@@ -1700,7 +1779,9 @@
 	    {"explain", run_explain}, {"proxy", run_proxy},
 	    {"freeze", run_freeze}, {"path", run_path}, {"entry", run_entry},
 	    {"retries", run_retries}, {"pace", run_pace},
-	    {"copies", run_copies}, {"concurrent-calls", run_concurrent_calls},
+	    {"copies", run_copies}, {"answer", run_answer},
+	    {"answered", run_answered}, {"connections", run_connections},
+	    {"concurrent-calls", run_concurrent_calls},
 	    {"priority", run_priority}, {"detours", run_detours},
 	    {"use", run_use}, {"duty", run_duty}, {"deaf", run_duty},
 	    {"believe", run_duty}, {"reported", run_duty},
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -38,16 +38,28 @@
 	struct evbuffer *late_copy; /* goes ahead of the next answer; or NULL */
 	int endless_fault;	    /* enum server_fault of an endless answer */
 	unsigned endless_event;	    /* the last one in its stream */
+	struct evbuffer *rest;	    /* of a raw answer; or NULL */
 	TAILQ_ENTRY(http_session) entry;
 };
 
 TAILQ_HEAD(http_session_list, http_session);
 
+/* An answer that is given byte by byte instead of the listener's own ones. */
+struct raw_answer {
+	struct kwb_buf text; /* "@" stands for the headers of a request's id */
+	char path[64];	     /* only to targets that begin so */
+	unsigned remaining;
+	unsigned sent;
+	size_t split_bytes; /* sent first, the rest later; 0: all at once */
+	bool closes;	    /* the connection, behind it */
+};
+
 struct http_listener {
 	struct event_base *base;
 	struct evconnlistener *ev_listener;
 	struct kwb_address address; /* that it listens on */
 	struct http_session_list sessions;
+	struct raw_answer raw_answer;
 	void (*on_request)(struct http_session *session);
 	/* frees handler_state; NULL if there is none to free */
 	void (*on_close)(struct http_session *session);
