Answers with a broken field in their head end as broken

Callers got such an answer: a line with a blank in its name was passed on, as was one that began with a blank. "Content-Length :", "Content Length:" and "Transfer-Encoding :" went unseen, so the body ran to the end of the connection: longer than the server's, or with its chunk sizes in it. An item was completed with the text of such a stream. A 429, 408 or 503 with such a line was believed that the request had not run, and a request that must not run twice was sent again.

Cause: the packaged http_parser is built without HTTP_PARSER_STRICT; its TOKEN() then takes a blank for a part of any name. A line that begins with a blank it adds to the value before, without the space that RFC 9112, 5.2 asks for.

kwb_http_syntax now checks each line of a head, interim ones included: a name is a token, directly followed by a colon, and a value has no control bytes but tabs (RFC 9112, 5.1; RFC 9110, 5.5). Folded lines are refused, one of the two things that RFC 9112, 5.2 lets a gateway do. An interim answer with such a line breaks the answer behind it: where its head ends is a guess. Bare LFs still end lines.

--- a/include/kwb_http_syntax.h
+++ b/include/kwb_http_syntax.h
@@ -14,9 +14,10 @@
 enum kwb_syntax_state {
 	KWB_SYNTAX_START, /* empty lines ahead of the message */
 	KWB_SYNTAX_START_LINE,
-	KWB_SYNTAX_START_LF,   /* a CR was read */
-	KWB_SYNTAX_FIELD,      /* its first byte, or the end of the head */
-	KWB_SYNTAX_FIELD_LINE, /* the rest; not checked */
+	KWB_SYNTAX_START_LF, /* a CR was read */
+	KWB_SYNTAX_FIELD,    /* its first byte, or the end of the head */
+	KWB_SYNTAX_FIELD_NAME,
+	KWB_SYNTAX_FIELD_VALUE,
 	KWB_SYNTAX_FIELD_LF,
 	KWB_SYNTAX_HEAD_LF,
 	KWB_SYNTAX_HEAD_END, /* nothing before kwb_http_syntax_go_on() */
@@ -31,7 +32,8 @@
 	const char *fault; /* the part that is broken, or NULL */
 };
 
-/* A byte of a field's value or a reason phrase (RFC 9110, 5.5). */
+/* Bytes of a token and of a field's value (RFC 9110, 5.6.2 and 5.5). */
+bool kwb_http_is_token_byte(char byte);
 bool kwb_http_is_value_byte(char byte);
 
 /*
--- a/src/core/http_syntax.c
+++ b/src/core/http_syntax.c
@@ -8,6 +8,8 @@
 #include "kwb.h"
 #include "kwb_http_syntax.h"
 
+#define TOKEN_MARKS "!#$%&'*+-.^_`|~" /* besides letters and digits */
+
 #define STATUS_LINE "HTTP/1.# ###" /* each "#" stands for a digit */
 #define STATUS_LINE_BYTES (sizeof(STATUS_LINE) - 1) /* may be all of it */
 #define STATUS_OFFSET (STATUS_LINE_BYTES - 3)
@@ -17,6 +19,13 @@
 #define STATUS_MAX 599
 #define STATUS_SWITCHING 101 /* answers a request for it, which none makes */
 
+bool
+kwb_http_is_token_byte(char byte)
+{
+	return isalnum((unsigned char)byte) ||
+	    (byte != '\0' && strchr(TOKEN_MARKS, byte) != NULL);
+}
+
 bool
 kwb_http_is_value_byte(char byte)
 {
@@ -106,17 +115,21 @@
 		syntax->state = KWB_SYNTAX_HEAD_END;
 		break;
 	default:
-		syntax->state = KWB_SYNTAX_FIELD_LINE;
+		expect(syntax, kwb_http_is_token_byte(byte),
+		    KWB_SYNTAX_FIELD_NAME, "field_name");
 	}
 }
 
 static void
-check_field_line(struct kwb_http_syntax *syntax, char byte)
+check_field_value(struct kwb_http_syntax *syntax, char byte)
 {
 	if (byte == '\r')
 		syntax->state = KWB_SYNTAX_FIELD_LF;
 	else if (byte == '\n')
 		syntax->state = KWB_SYNTAX_FIELD;
+	else
+		expect(syntax, kwb_http_is_value_byte(byte),
+		    KWB_SYNTAX_FIELD_VALUE, "field_value");
 }
 
 static void
@@ -139,8 +152,15 @@
 	case KWB_SYNTAX_FIELD:
 		check_field(syntax, byte);
 		break;
-	case KWB_SYNTAX_FIELD_LINE:
-		check_field_line(syntax, byte);
+	case KWB_SYNTAX_FIELD_NAME:
+		if (byte == ':')
+			syntax->state = KWB_SYNTAX_FIELD_VALUE;
+		else
+			expect(syntax, kwb_http_is_token_byte(byte),
+			    KWB_SYNTAX_FIELD_NAME, "field_name");
+		break;
+	case KWB_SYNTAX_FIELD_VALUE:
+		check_field_value(syntax, byte);
 		break;
 	case KWB_SYNTAX_HEAD_LF:
 		expect(syntax, byte == '\n', KWB_SYNTAX_HEAD_END, "line_end");
--- a/src/net/message.c
+++ b/src/net/message.c
@@ -2,7 +2,6 @@
  * One HTTP/1.1 message. One buffer holds the target and the headers, another
  * one the body.
  */
-#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -86,17 +85,13 @@
 	return &message->headers[message->headers_count++];
 }
 
-/* Bytes of a token (RFC 9110, 5.6.2) besides letters and digits. */
-#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
-
 bool
 kwb_text_is_token(const char *text)
 {
 	size_t i;
 
 	for (i = 0; text[i] != '\0'; i++)
-		if (!isalnum((unsigned char)text[i]) &&
-		    strchr(TOKEN_MARKS, text[i]) == NULL)
+		if (!kwb_http_is_token_byte(text[i]))
 			return false;
 	return i > 0;
 }
@@ -105,7 +100,7 @@
 kwb_text_is_field_value(const char *text)
 {
 	for (; *text != '\0'; text++)
-		if (iscntrl((unsigned char)*text) && *text != '\t')
+		if (!kwb_http_is_value_byte(*text))
 			return false;
 	return true;
 }
--- a/tests/platform/decisions_syntax.c
+++ b/tests/platform/decisions_syntax.c
@@ -95,11 +95,38 @@
 	check_cases(cases, COUNT(cases), false);
 }
 
+static void
+test_fields(void)
+{
+	static const struct syntax_case cases[] = {
+	    {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n\r\n", NULL},
+	    {"HTTP/1.1 200 OK\r\na:\r\nb: c\td \xff\r\n\r\nany\1bytes", NULL},
+	    {"HTTP/1.1 200 OK\na: b\n\n", NULL},
+	    {"HTTP/1.1 200 OK\r\nX A: b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\n X: b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\na: b\r\n\tX: b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\nX : b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\n : b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\n: b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\nX\1A: b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\nX\x7f: b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\nX\xe4: b\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\nX\r\n\r\n", "field_name"},
+	    {"HTTP/1.1 200 OK\r\nX: a\1b\r\n\r\n", "field_value"},
+	    {"HTTP/1.1 200 OK\r\nX: a\x7f\r\n\r\n", "field_value"},
+	    {"HTTP/1.1 200 OK\r\nX: a\rb\r\n\r\n", "line_end"},
+	    {"HTTP/1.1 200 OK\r\n\rX: a\r\n\r\n", "line_end"},
+	};
+
+	check_cases(cases, COUNT(cases), false);
+}
+
 extern unsigned syntax_tests_add(CU_pSuite suite);
 
 unsigned
 syntax_tests_add(CU_pSuite suite)
 {
 	CU_add_test(suite, "status_lines", test_status_lines);
-	return 1;
+	CU_add_test(suite, "fields", test_fields);
+	return 2;
 }
