Chunked answers whose lines are broken end as broken

Callers got such an answer with bytes missing: the two bytes behind a chunk's data were dropped whatever they were, as was a byte between a size and its data, and the answer went out as whole. A trailer with a broken name was skipped, and the answer taken as sound; a stream that ended so looked whole.

kwb_http_syntax follows the chunks as well: sizes, extensions, line ends and the lines of a trailer (RFC 9112, 7.1). A trailer is checked like a head, though its fields are dropped: behind a line that is none, the end of the message is a guess, and with it the next answer of the connection. Blanks behind a size, extensions with quotes and sound trailers are still accepted. Behind the head of a stream the caller sees a cut one.

--- a/include/kwb_http_syntax.h
+++ b/include/kwb_http_syntax.h
@@ -20,8 +20,15 @@
 	KWB_SYNTAX_FIELD_VALUE,
 	KWB_SYNTAX_FIELD_LF,
 	KWB_SYNTAX_HEAD_LF,
-	KWB_SYNTAX_HEAD_END, /* nothing before kwb_http_syntax_go_on() */
-	KWB_SYNTAX_BODY	     /* of any bytes; not checked */
+	KWB_SYNTAX_HEAD_END,   /* nothing before kwb_http_syntax_go_on() */
+	KWB_SYNTAX_BODY,       /* of any bytes; the parser knows its length */
+	KWB_SYNTAX_CHUNK_LINE, /* the first digit of the size */
+	KWB_SYNTAX_CHUNK_SIZE,
+	KWB_SYNTAX_CHUNK_EXTENSION,
+	KWB_SYNTAX_CHUNK_LF,
+	KWB_SYNTAX_CHUNK_DATA,
+	KWB_SYNTAX_CHUNK_DATA_CR,
+	KWB_SYNTAX_CHUNK_DATA_LF
 };
 
 struct kwb_http_syntax {
@@ -29,6 +36,7 @@
 	bool is_request;
 	uint8_t line_offset; /* in the status line, up to the reason phrase */
 	uint16_t status;
+	uint64_t chunk_left_bytes;
 	const char *fault; /* the part that is broken, or NULL */
 };
 
@@ -42,12 +50,13 @@
  */
 void kwb_http_syntax_init(struct kwb_http_syntax *syntax, bool is_request);
 /*
- * Goes on behind the head: with KWB_SYNTAX_BODY.
+ * Goes on behind the head: with KWB_SYNTAX_BODY, KWB_SYNTAX_CHUNK_LINE or,
+ * where another reader takes the chunks, KWB_SYNTAX_FIELD for a trailer.
  */
 void kwb_http_syntax_go_on(
     struct kwb_http_syntax *syntax, enum kwb_syntax_state next);
 /*
- * Checks bytes, up to the end of a head at most, and returns how
+ * Checks bytes, up to the end of a head or trailer at most, and returns how
  * many of them are sound. After a broken one syntax->fault is set; nothing may
  * follow.
  */
--- a/src/core/http_syntax.c
+++ b/src/core/http_syntax.c
@@ -1,6 +1,6 @@
 /*
  * Syntax of HTTP/1.1 messages, byte by byte. A line may end with a bare LF, as
- * RFC 9112, 2.2 permits.
+ * RFC 9112, 2.2 permits, but not those between chunks.
  */
 #include <ctype.h>
 #include <string.h>
@@ -132,6 +132,34 @@
 		    KWB_SYNTAX_FIELD_VALUE, "field_value");
 }
 
+static int
+hex_digit_value(char byte)
+{
+	if (isdigit((unsigned char)byte))
+		return byte - '0';
+	return isxdigit((unsigned char)byte)
+	    ? tolower((unsigned char)byte) - 'a' + 10
+	    : -1;
+}
+
+static void
+check_chunk_size(struct kwb_http_syntax *syntax, char byte)
+{
+	int digit = hex_digit_value(byte);
+
+	if (digit >= 0) {
+		expect(syntax, syntax->chunk_left_bytes <= UINT64_MAX >> 4,
+		    KWB_SYNTAX_CHUNK_SIZE, "chunk_size");
+		syntax->chunk_left_bytes =
+		    syntax->chunk_left_bytes << 4 | (unsigned)digit;
+	} else if (byte == '\r') {
+		syntax->state = KWB_SYNTAX_CHUNK_LF;
+	} else {
+		expect(syntax, byte == ';' || byte == ' ',
+		    KWB_SYNTAX_CHUNK_EXTENSION, "chunk_size");
+	}
+}
+
 static void
 check_byte(struct kwb_http_syntax *syntax, char byte)
 {
@@ -165,12 +193,56 @@
 	case KWB_SYNTAX_HEAD_LF:
 		expect(syntax, byte == '\n', KWB_SYNTAX_HEAD_END, "line_end");
 		break;
+	case KWB_SYNTAX_CHUNK_LINE:
+		syntax->chunk_left_bytes = 0;
+		expect(syntax, hex_digit_value(byte) >= 0,
+		    KWB_SYNTAX_CHUNK_SIZE, "chunk_size");
+		if (syntax->fault == NULL)
+			check_chunk_size(syntax, byte);
+		break;
+	case KWB_SYNTAX_CHUNK_SIZE:
+		check_chunk_size(syntax, byte);
+		break;
+	case KWB_SYNTAX_CHUNK_EXTENSION:
+		expect(syntax, byte == '\r' || kwb_http_is_value_byte(byte),
+		    byte == '\r' ? KWB_SYNTAX_CHUNK_LF
+				 : KWB_SYNTAX_CHUNK_EXTENSION,
+		    "chunk_extension");
+		break;
+	case KWB_SYNTAX_CHUNK_LF:
+		/* The last chunk is empty; a trailer or the end follows. */
+		expect(syntax, byte == '\n',
+		    syntax->chunk_left_bytes == 0 ? KWB_SYNTAX_FIELD
+						  : KWB_SYNTAX_CHUNK_DATA,
+		    "chunk_line_end");
+		break;
+	case KWB_SYNTAX_CHUNK_DATA_CR:
+		expect(syntax, byte == '\r', KWB_SYNTAX_CHUNK_DATA_LF,
+		    "chunk_end");
+		break;
+	case KWB_SYNTAX_CHUNK_DATA_LF:
+		expect(
+		    syntax, byte == '\n', KWB_SYNTAX_CHUNK_LINE, "chunk_end");
+		break;
 	case KWB_SYNTAX_HEAD_END:
 	case KWB_SYNTAX_BODY:
-		break;
+	case KWB_SYNTAX_CHUNK_DATA:
+		break; /* taken in runs */
 	}
 }
 
+/* Takes bytes of a chunk's data; returns how many. */
+static size_t
+take_chunk_data(struct kwb_http_syntax *syntax, size_t length)
+{
+	if (length > syntax->chunk_left_bytes)
+		length = (size_t)syntax->chunk_left_bytes;
+	syntax->chunk_left_bytes -= length;
+	if (syntax->chunk_left_bytes == 0)
+		syntax->state = KWB_SYNTAX_CHUNK_DATA_CR;
+	return length;
+}
+
 size_t
 kwb_http_syntax_check(
     struct kwb_http_syntax *syntax, const char *bytes, size_t length)
@@ -181,6 +253,10 @@
 		return length;
 	while (at < length && syntax->fault == NULL &&
 	    syntax->state != KWB_SYNTAX_HEAD_END) {
+		if (syntax->state == KWB_SYNTAX_CHUNK_DATA) {
+			at += take_chunk_data(syntax, length - at);
+			continue;
+		}
 		check_byte(syntax, bytes[at]);
 		at += syntax->fault == NULL;
 	}
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -307,7 +307,9 @@
 	if (conn->is_complete)
 		return; /* kwb_conn_read_next() begins the next one */
 	if (conn->has_head)
-		kwb_http_syntax_go_on(&conn->syntax, KWB_SYNTAX_BODY);
+		kwb_http_syntax_go_on(&conn->syntax,
+		    conn->parser.flags & F_CHUNKED ? KWB_SYNTAX_CHUNK_LINE
+						   : KWB_SYNTAX_BODY);
 	else
 		kwb_http_syntax_init(&conn->syntax, conn->is_server);
 }
--- a/tests/platform/decisions_syntax.c
+++ b/tests/platform/decisions_syntax.c
@@ -16,15 +16,18 @@
 	const char *fault; /* NULL: sound, and checked to its end */
 };
 
-/* As a reader of bytes does. */
+/* As a reader of bytes does: behind a head that names them come chunks. */
 static void
-feed(struct kwb_http_syntax *syntax, const char *bytes, size_t length)
+feed(struct kwb_http_syntax *syntax, const char *bytes, size_t length,
+    bool is_chunked)
 {
 	size_t at = 0;
 
 	while (at < length && syntax->fault == NULL) {
 		if (syntax->state == KWB_SYNTAX_HEAD_END)
-			kwb_http_syntax_go_on(syntax, KWB_SYNTAX_BODY);
+			kwb_http_syntax_go_on(syntax,
+			    is_chunked ? KWB_SYNTAX_CHUNK_LINE
+				       : KWB_SYNTAX_BODY);
 		at += kwb_http_syntax_check(syntax, bytes + at, length - at);
 	}
 }
@@ -39,16 +42,19 @@
 check_cases(const struct syntax_case *cases, size_t count, bool is_request)
 {
 	struct kwb_http_syntax syntax;
+	bool is_chunked;
 	size_t length;
 	size_t split;
 	size_t i;
 
 	for (i = 0; i < count; i++) {
 		length = strlen(cases[i].text);
+		is_chunked = strstr(cases[i].text, "chunked") != NULL;
 		for (split = 0; split < length; split++) {
 			kwb_http_syntax_init(&syntax, is_request);
-			feed(&syntax, cases[i].text, split);
-			feed(&syntax, cases[i].text + split, length - split);
+			feed(&syntax, cases[i].text, split, is_chunked);
+			feed(&syntax, cases[i].text + split, length - split,
+			    is_chunked);
 			CU_ASSERT_STRING_EQUAL(
 			    name_of(syntax.fault), name_of(cases[i].fault));
 		}
@@ -121,6 +127,35 @@
 	check_cases(cases, COUNT(cases), false);
 }
 
+#define CHUNKED_HEAD "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+static void
+test_chunks(void)
+{
+	static const struct syntax_case cases[] = {
+	    {CHUNKED_HEAD "0\r\n\r\n", NULL},
+	    {CHUNKED_HEAD "4\r\na\r\nb\r\n0A\r\n0123456789\r\n00\r\n\r\n",
+		NULL},
+	    {CHUNKED_HEAD "1;a=\"b\"\r\n1\r\n0 ;c\r\nX: y\r\n\r\n", NULL},
+	    {CHUNKED_HEAD "\r\n", "chunk_size"},
+	    {CHUNKED_HEAD "g\r\n", "chunk_size"},
+	    {CHUNKED_HEAD "-1\r\n", "chunk_size"},
+	    {CHUNKED_HEAD "1x\r\n1\r\n", "chunk_size"},
+	    {CHUNKED_HEAD "1\n1\r\n", "chunk_size"},
+	    {CHUNKED_HEAD "11112222333344445\r\n", "chunk_size"},
+	    {CHUNKED_HEAD "1;a\nb\r\n", "chunk_extension"},
+	    {CHUNKED_HEAD "1;a\1b\r\n", "chunk_extension"},
+	    {CHUNKED_HEAD "1\rx1\r\n", "chunk_line_end"},
+	    {CHUNKED_HEAD "4\r\ngoodxx0\r\n\r\n", "chunk_end"},
+	    {CHUNKED_HEAD "4\r\ngood\rx0\r\n\r\n", "chunk_end"},
+	    {CHUNKED_HEAD "4\r\ngood\n0\r\n\r\n", "chunk_end"},
+	    {CHUNKED_HEAD "0\r\nX A: y\r\n\r\n", "field_name"},
+	    {CHUNKED_HEAD "0\r\n\rx", "line_end"},
+	};
+
+	check_cases(cases, COUNT(cases), false);
+}
+
 extern unsigned syntax_tests_add(CU_pSuite suite);
 
 unsigned
@@ -128,5 +163,6 @@
 {
 	CU_add_test(suite, "status_lines", test_status_lines);
 	CU_add_test(suite, "fields", test_fields);
-	return 2;
+	CU_add_test(suite, "chunks", test_chunks);
+	return 3;
 }
