Answers in a transfer coding that isn't known end as broken

Callers got a coded body without the field that says so: "Transfer-Encoding: gzip", alone or with chunks, was read as bytes of any kind, and Transfer-Encoding belongs to one connection, so it isn't passed on.

Cause: http_parser looks only for "chunked" as the last coding, and on_headers_complete() asked for no more.

An answer may now be chunked, once, or not coded. No node asks for another coding with TE, so an upstream may send none (RFC 9112, 7.4), and what a node can't decode it can't pass on as the server's body (RFC 9112, 6.1).

Before: broken_chunks.txt printed "200 receipt coded" for the three codings.

--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <string.h>
+#include <strings.h>
 #include <unistd.h>
 
 #include "kwb_node.h"
@@ -108,6 +109,32 @@
 	return head_append(conn, at, length);
 }
 
+/* Whether a value names the one coding that the parser undoes. */
+static bool
+is_chunked_coding(const char *value)
+{
+	size_t length = strlen("chunked");
+
+	return strncasecmp(value, "chunked", length) == 0 &&
+	    value[length + strspn(value + length, " ")] == '\0';
+}
+
+/* Whether a body is chunked once at most, and transferred in no other way. */
+static bool
+is_coding_known(const struct kwb_message *message)
+{
+	uint32_t chunked_count = 0;
+	uint32_t i;
+
+	for (i = 0; i < message->headers_count; i++)
+		if (strcasecmp(kwb_message_header_name(message, i),
+			"Transfer-Encoding") == 0 &&
+		    (!is_chunked_coding(kwb_message_header_value(message, i)) ||
+			chunked_count++ > 0))
+			return false;
+	return true;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -125,6 +152,10 @@
 		return -1; /* no upgrade to another protocol */
 	if (!conn->is_server && message->status / 100 == 1)
 		return 0;
+	if (!conn->is_server && !is_coding_known(message)) {
+		conn->syntax.fault = "transfer_coding";
+		return -1;
+	}
 	conn->is_body_too_large = conn->body_max_bytes != 0 &&
 	    !conn->has_no_body && parser->content_length != UINT64_MAX &&
 	    parser->content_length > conn->body_max_bytes;
