Own interface: broken answers of engines, services and the platform are none

Callers of the own interface got such an answer as well: an engine's stream behind a head with a blank in a name was a whole generation, a service's status 600 or 999 was passed on, and so was a body of the first of two lengths. A revision in a broken head counted as the platform's.

Cause: libcurl refuses status 000, but takes other statuses up to 999, "HTTP/2.0", names with blanks and control bytes, "4, 5" and "+4" as lengths, and the last of several ways to tell a length.

request_on_header() gets each line of heads and trailers as it was sent, and now passes it to kwb_http_syntax, as connections of nodes do; two lengths, lengths that aren't numbers, or a length beside chunks are refused, as http_parser does (RFC 9112, 6.3). Returning 0 makes libcurl close the connection. The answer has no status then and counts as sent, so an agent reports a request as possibly run, polls count a failure, and a write to the platform is read back. libcurl undoes codings it knows and refuses others, so those stay with it.

--- a/fakes/fake-engine.c
+++ b/fakes/fake-engine.c
@@ -77,6 +77,7 @@
 	LOAD_LAG_MS,
 	STUCK,
 	ENDLESS,
+	BROKEN,
 	RUNNING,
 	MOST,
 	TOKENS,
@@ -89,7 +90,8 @@
 /*
  * fail_swap is the number of coming swaps that fail; stuck stops generating;
  * endless makes all answers go on until the client leaves: 1 with a line that
- * never ends, 2 with tokens beyond max_tokens;
+ * never ends, 2 with tokens beyond max_tokens; broken gives all answers a head
+ * with a blank in a name;
  * no_versions leaves versions out of the stream; ignore_fence obeys orders with
  * an outdated fencing token, too. most is the highest number of running
  * sequences so far, orders_old counts orders with an outdated fencing token.
@@ -108,6 +110,7 @@
     [LOAD_LAG_MS] = {"load_lag_ms", 0},
     [STUCK] = {"stuck", 0},
     [ENDLESS] = {"endless", 0},
+    [BROKEN] = {"broken", 0},
     [RUNNING] = {"running", 0},
     [MOST] = {"most", 0},
     [TOKENS] = {"tokens", 0},
@@ -196,6 +199,16 @@
 	mg_close_connection(connection);
 }
 
+static void
+send_broken(struct mg_connection *connection)
+{
+	mg_printf(connection,
+	    "HTTP/1.1 200 OK\r\nX A: b\r\nConnection: close\r\n\r\n"
+	    "data: {\"token\":\"a\",\"version\":1}\n\n"
+	    "data: {\"finish\":\"stop\"}\n\n");
+	mg_close_connection(connection);
+}
+
 static int
 completions_on_request(struct mg_connection *connection, void *context)
 {
@@ -243,6 +256,11 @@
 	sequence.prompt_words += 1 + sequence.next_index;
 	json_decref(root);
 	kwb_cond_init(&sequence.token_ready);
+	if (controls[BROKEN].value != 0) {
+		send_broken(connection);
+		pthread_cond_destroy(&sequence.token_ready);
+		return 200;
+	}
 	mg_send_http_ok(connection, "text/event-stream", -1);
 	if (controls[ENDLESS].value != 0) {
 		send_endlessly(connection, controls[ENDLESS].value == 2);
--- a/include/kwb.h
+++ b/include/kwb.h
@@ -508,10 +508,10 @@
 
 /*
  * Sends a request and waits for the answer, which must be finished also after
- * an error. Returns 0 for an answer of any status, KWB_ERR_PLATFORM_UNREACHABLE
- * for none, one cut off in its head or by its length, a timeout, an abort or a
- * body over KWB_HTTP_BODY_MAX_BYTES, or
- * KWB_ERR_MEMORY.
+ * an error. Returns 0 for an answer of any status from 200 to 599,
+ * KWB_ERR_PLATFORM_UNREACHABLE for none, a malformed one, one cut off in its
+ * head or by its length, a timeout, an abort or a body over
+ * KWB_HTTP_BODY_MAX_BYTES, or KWB_ERR_MEMORY.
  */
 int kwb_http_do(
     const struct kwb_http_request *request, struct kwb_http_answer *answer);
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -12,6 +12,7 @@
 #include <curl/curl.h>
 
 #include "kwb.h"
+#include "kwb_http_syntax.h"
 
 #define HEADER_MAX_BYTES 512 /* longer ones of an answer are ignored */
 
@@ -20,6 +21,9 @@
 	const struct kwb_http_request *request;
 	struct kwb_http_answer *answer;
 	bool has_head; /* the empty line that ends it has come */
+	struct kwb_http_syntax syntax; /* of what libcurl takes for a head */
+	bool has_length;	       /* the head names the body's length */
+	bool has_coding;	       /* or how it is transferred */
 };
 
 static pthread_key_t handle_key;
@@ -67,6 +71,7 @@
 
 	memset(answer, 0, sizeof(*answer));
 	kwb_buf_init(&answer->body);
+	kwb_http_syntax_init(&exchange.syntax, false);
 	if (curl == NULL)
 		return KWB_ERR_MEMORY;
 	if (request->content_type != NULL &&
@@ -75,6 +80,13 @@
 	headers = headers_create(request);
 	handle_prepare(curl, &exchange, headers);
 	code = curl_easy_perform(curl);
+	if (exchange.syntax.fault != NULL) {
+		kwb_log(KWB_LOG_WARN, "http",
+		    "event=malformed_answer url=%s reason=%s", request->url,
+		    exchange.syntax.fault);
+		answer->revision = 0;
+		code = CURLE_WEIRD_SERVER_REPLY;
+	}
 	/* libcurl takes a head that ends with its connection for whole. */
 	if (code == CURLE_OK && !exchange.has_head) {
 		kwb_log(KWB_LOG_WARN, "http", "event=head_cut_off url=%s",
@@ -225,6 +237,75 @@
 	return request->should_stop(request->context) ? 1 : 0;
 }
 
+/* The value of a field, up to the end of its line; NULL if it has another name.
+ */
+static const char *
+value_of(const char *name, const char *line, size_t length)
+{
+	size_t name_bytes = strlen(name);
+
+	return length > name_bytes && line[name_bytes] == ':' &&
+		strncasecmp(line, name, name_bytes) == 0
+	    ? line + name_bytes + 1
+	    : NULL;
+}
+
+static bool
+is_number(const char *value, const char *end)
+{
+	const char *digits;
+
+	while (value < end && (*value == ' ' || *value == '\t'))
+		value++;
+	for (digits = value; value < end && *value >= '0' && *value <= '9';)
+		value++;
+	if (value == digits)
+		return false;
+	while (value < end && strchr(" \t\r\n", *value) != NULL)
+		value++;
+	return value == end;
+}
+
+/*
+ * Whether the fields so far tell in one way where the body ends (RFC 9112,
+ * 6.3). libcurl would choose one of several, or read a part of a number.
+ */
+static bool
+is_framing_sound(struct exchange *exchange, const char *line, size_t length)
+{
+	const char *value = value_of("Content-Length", line, length);
+
+	if (value != NULL) {
+		if (exchange->has_length || !is_number(value, line + length))
+			return false;
+		exchange->has_length = true;
+	}
+	if (value_of("Transfer-Encoding", line, length) != NULL)
+		exchange->has_coding = true;
+	return !exchange->has_length || !exchange->has_coding;
+}
+
+/* Whether a line of a head or trailer is sound. */
+static bool
+is_line_sound(struct exchange *exchange, const char *line, size_t length)
+{
+	struct kwb_http_syntax *syntax = &exchange->syntax;
+	bool is_trailer;
+
+	if (syntax->state == KWB_SYNTAX_HEAD_END && syntax->status < 200) {
+		kwb_http_syntax_init(syntax, false); /* after an interim head */
+		exchange->has_length = false;
+		exchange->has_coding = false;
+	}
+	is_trailer = syntax->state == KWB_SYNTAX_HEAD_END;
+	if (is_trailer)
+		kwb_http_syntax_go_on(syntax, KWB_SYNTAX_FIELD);
+	if (kwb_http_syntax_check(syntax, line, length) == length &&
+	    !is_trailer && !is_framing_sound(exchange, line, length))
+		syntax->fault = "framing";
+	return syntax->fault == NULL;
+}
+
 static size_t
 request_on_header(char *data, size_t size, size_t count, void *context)
 {
@@ -233,6 +314,8 @@
 	size_t length = size * count;
 	char line[HEADER_MAX_BYTES];
 
+	if (!is_line_sound(exchange, data, length))
+		return 0;
 	if (length >= sizeof(line))
 		return length;
 	memcpy(line, data, length);
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include "../src/wire/wire.h"
@@ -56,8 +57,10 @@
 static void check_attempt_fencing(void);
 static void check_silent_links(void);
 static void check_cut_answers(void);
+static void check_broken_answers(void);
 static void check_endless_answers(void);
 static void check_stop_under_load(struct cluster *cluster);
+static void check_broken_stream(struct cluster *cluster);
 static void check_endless_streams(struct cluster *cluster);
 static void check_share_in_outage(struct cluster *cluster);
 static uint32_t units_held(const Kwb__Wire__Status *status, const char *plan);
@@ -88,7 +91,9 @@
 	check_share_in_outage(&world);
 	check_malformed_frames();
 	check_cut_answers();
+	check_broken_answers();
 	check_endless_answers();
+	check_broken_stream(&world);
 	check_endless_streams(&world);
 	check_stop_under_load(&world);
 	cluster_stop(&world);
@@ -500,6 +505,140 @@
 	close(answer.listen_fd);
 }
 
+#define CLOSE_WAIT_MS 2000
+
+struct raw_answer {
+	int listen_fd;
+	const char *bytes;
+	bool is_closed; /* by the client, while the connection is kept here */
+};
+
+/* Thread: answers one request with the bytes, and waits for the client. */
+static void *
+raw_answer_run(void *argument)
+{
+	struct raw_answer *answer = argument;
+	struct timeval limit = {.tv_sec = CLOSE_WAIT_MS / 1000};
+	char request[4096];
+	int fd = accept(answer->listen_fd, NULL, NULL);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (recv(fd, request, sizeof(request), 0) > 0 &&
+	    send(fd, answer->bytes, strlen(answer->bytes), MSG_NOSIGNAL) < 0)
+		perror("send");
+	answer->is_closed =
+	    recv(fd, request, sizeof(request), 0) == 0 || errno == ECONNRESET;
+	close(fd);
+	return NULL;
+}
+
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+
+/* Guards against a broken answer that is taken for one of the upstream's. */
+static void
+check_broken_answers(void)
+{
+	static const struct {
+		const char *name;
+		const char *bytes;
+		bool is_sound;
+	} cases[] = {
+	    {"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nno",
+		false},
+	    {"an unasked 101",
+		"HTTP/1.1 101 OK\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n",
+		false},
+	    {"status 600", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nno",
+		false},
+	    {"status 999", "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nno",
+		false},
+	    {"another version",
+		"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nno", false},
+	    {"a control byte in the reason",
+		"HTTP/1.1 200 a\1\r\nContent-Length: 2\r\n\r\nno", false},
+	    {"a blank in a name",
+		OK_LINE "X A: b\r\nContent-Length: 2\r\n\r\nno", false},
+	    {"a blank behind a name",
+		OK_LINE "X-A : b\r\nContent-Length: 2\r\n\r\nno", false},
+	    {"a blank ahead of a name",
+		OK_LINE "Content-Length: 2\r\n X: b\r\n\r\nno", false},
+	    {"a control byte in a name",
+		OK_LINE "X\1A: b\r\nContent-Length: 2\r\n\r\nno", false},
+	    {"a control byte in a value",
+		OK_LINE "X: a\1\r\nContent-Length: 2\r\n\r\nno", false},
+	    {"a blank behind the revision's name",
+		OK_LINE "ETag: 7\r\nETag : 8\r\nContent-Length: 2\r\n\r\nno",
+		false},
+	    {"a list of lengths", OK_LINE "Content-Length: 2, 3\r\n\r\nno",
+		false},
+	    {"a length with a sign", OK_LINE "Content-Length: +2\r\n\r\nno",
+		false},
+	    {"an empty length", OK_LINE "Content-Length:\r\n\r\nno", false},
+	    {"two lengths",
+		OK_LINE "Content-Length: 2\r\nContent-Length: 3\r\n\r\nno",
+		false},
+	    {"a length beside chunks",
+		OK_LINE "Content-Length: 2\r\n" CHUNKED
+			"\r\n2\r\nno\r\n0\r\n\r\n",
+		false},
+	    {"a blank behind the coding's name",
+		OK_LINE
+		"Transfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		false},
+	    {"a chunk that goes on", OK_LINE CHUNKED "\r\n2\r\nnoxx0\r\n\r\n",
+		false},
+	    {"a broken trailer",
+		OK_LINE CHUNKED "\r\n2\r\nno\r\n0\r\nX A: b\r\n\r\n", false},
+	    {"a broken interim answer",
+		"HTTP/1.1 103 OK\r\nX A: b\r\n\r\n" OK_LINE
+		"Content-Length: 2\r\n\r\nno",
+		false},
+	    {"no reason", "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", true},
+	    {"status 599, high bytes",
+		"HTTP/1.1 599 a\t\xff\r\nContent-Length:2 \r\n\r\nok", true},
+	    {"any token as a name",
+		OK_LINE
+		"!#$%&'*+-.^_`|~: a\tb\xff\r\nContent-Length: 2\r\n\r\nok",
+		true},
+	    {"an interim answer",
+		"HTTP/1.1 103 OK\r\nLink: a\r\nContent-Length: 0\r\n\r\n" OK_LINE
+		"Content-Length: 2\r\n\r\nok",
+		true},
+	    {"a sound trailer",
+		OK_LINE CHUNKED "\r\n2;a\r\nok\r\n0\r\nX-A: b\r\n\r\n", true},
+	};
+	struct raw_answer answer = {0};
+	char url[64];
+	size_t i;
+
+	answer.listen_fd = listen_on_loopback(url, sizeof(url));
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct kwb_http_request request = {.method = "GET",
+		    .url = url,
+		    .timeout_ms = 500,
+		    .needs_new_connection = cases[i].is_sound};
+		struct kwb_http_answer got;
+		pthread_t thread;
+		int error;
+
+		answer.bytes = cases[i].bytes;
+		pthread_create(&thread, NULL, raw_answer_run, &answer);
+		error = kwb_http_do(&request, &got);
+		pthread_join(thread, NULL);
+		if (cases[i].is_sound)
+			check(error == 0 && got.status >= 200 &&
+				strcmp(kwb_buf_text(&got.body), "ok") == 0,
+			    "an answer is taken with", cases[i].name);
+		else
+			check(error != 0 && got.sent && got.status == 0 &&
+				got.revision == 0 && answer.is_closed,
+			    "no answer is one with", cases[i].name);
+		kwb_http_answer_finish(&got);
+	}
+	close(answer.listen_fd);
+}
+
 struct endless_answer {
 	int listen_fd;
 	const char *begin;
@@ -587,6 +726,47 @@
 
 #define ENDLESS_GROWTH_KB (32ul * 1024)
 
+/* Has a sequence generated; returns the answer, or NULL if there is none. */
+static Kwb__Wire__Frame *
+generate(struct client *client, uint32_t request, char *key)
+{
+	Kwb__Wire__Run run = KWB__WIRE__RUN__INIT;
+	KWB_FRAME_DECLARE(run_frame, RUN, run, run);
+
+	run.request = request;
+	run.key = key;
+	run.plan = "quotes";
+	run.model = "m";
+	run.prompt = "p";
+	run.max_tokens = 50;
+	run.budget_ms = 6000;
+	run.priority = 1;
+	run.lists_revision = client->revision;
+	run.agent_incarnation = client->incarnation;
+	client_send(client, &run_frame);
+	return client_wait_frame(
+	    client, KWB__WIRE__FRAME__BODY_DONE, request, ENDLESS_LIMIT_MS);
+}
+
+/* Guards against an engine's broken answer that an agent takes for a text. */
+static void
+check_broken_stream(struct cluster *cluster)
+{
+	Kwb__Wire__Frame *answer;
+	struct client client;
+	char key[] = "broken";
+
+	client_open(&client, LLM_AGENT_PORT_OFFSET);
+	cluster_set_control(cluster, "engine-1", "broken", 1);
+	answer = generate(&client, 110, key);
+	check(answer != NULL && answer->done->outcome == KWB_OUTCOME_PARTIAL &&
+		answer->done->error == KWB_ERR_CALL_UPSTREAM,
+	    "a broken stream is none", "");
+	kwb_frame_free(answer);
+	cluster_set_control(cluster, "engine-1", "broken", 0);
+	client_close(&client);
+}
+
 /* Guards against an engine's stream without end that an agent keeps whole. */
 static void
 check_endless_streams(struct cluster *cluster)
@@ -601,26 +781,12 @@
 
 	client_open(&client, LLM_AGENT_PORT_OFFSET);
 	for (i = 0; i < 2; i++) {
-		Kwb__Wire__Run run = KWB__WIRE__RUN__INIT;
-		KWB_FRAME_DECLARE(run_frame, RUN, run, run);
 		char key[16];
 
 		snprintf(key, sizeof(key), "endless%u", i);
 		cluster_set_control(cluster, "engine-1", "endless", i + 1);
 		before_kb = resident_peak_kb(agent);
-		run.request = 100 + i;
-		run.key = key;
-		run.plan = "quotes";
-		run.model = "m";
-		run.prompt = "p";
-		run.max_tokens = 50;
-		run.budget_ms = 6000;
-		run.priority = 1;
-		run.lists_revision = client.revision;
-		run.agent_incarnation = client.incarnation;
-		client_send(&client, &run_frame);
-		answer = client_wait_frame(&client, KWB__WIRE__FRAME__BODY_DONE,
-		    100 + i, ENDLESS_LIMIT_MS);
+		answer = generate(&client, 100 + i, key);
 		check(
 		    answer != NULL && answer->done->outcome != KWB_OUTCOME_RAN,
 		    "a stream is ended", names[i]);
