Own interface: a second field of a trailer tells no length

What follows a final head is a trailer now, however many lines it has.

Before: "an answer is taken with: a sound trailer" failed with two fields.

--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -290,18 +290,17 @@
 is_line_sound(struct exchange *exchange, const char *line, size_t length)
 {
 	struct kwb_http_syntax *syntax = &exchange->syntax;
-	bool is_trailer;
 
-	if (syntax->state == KWB_SYNTAX_HEAD_END && syntax->status < 200) {
+	if (exchange->has_head && syntax->status < 200) {
 		kwb_http_syntax_init(syntax, false); /* after an interim head */
+		exchange->has_head = false;
 		exchange->has_length = false;
 		exchange->has_coding = false;
 	}
-	is_trailer = syntax->state == KWB_SYNTAX_HEAD_END;
-	if (is_trailer)
+	if (exchange->has_head && syntax->state == KWB_SYNTAX_HEAD_END)
 		kwb_http_syntax_go_on(syntax, KWB_SYNTAX_FIELD);
 	if (kwb_http_syntax_check(syntax, line, length) == length &&
-	    !is_trailer && !is_framing_sound(exchange, line, length))
+	    !exchange->has_head && !is_framing_sound(exchange, line, length))
 		syntax->fault = "framing";
 	return syntax->fault == NULL;
 }
@@ -323,8 +322,6 @@
 	line[strcspn(line, "\r\n")] = '\0';
 	if (line[0] == '\0')
 		exchange->has_head = true;
-	else if (strncmp(line, "HTTP/", 5) == 0)
-		exchange->has_head = false; /* a next head, behind a 100 */
 	if (strncasecmp(line, "ETag: ", 6) == 0)
 		answer->revision = strtoull(line + 6, NULL, 10);
 	if (strncasecmp(line, "Content-Type: ", 14) == 0)
--- a/tests/contract.c
+++ b/tests/contract.c
@@ -477,6 +477,8 @@
 		false},
 	    {"cut behind a 100", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200",
 		false},
+	    {"cut behind an interim head", "HTTP/1.1 100 Continue\r\n\r\n",
+		false},
 	    {"cut in the body",
 		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false},
 	    {"whole", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true},
@@ -606,7 +608,9 @@
 		"Content-Length: 2\r\n\r\nok",
 		true},
 	    {"a sound trailer",
-		OK_LINE CHUNKED "\r\n2;a\r\nok\r\n0\r\nX-A: b\r\n\r\n", true},
+		OK_LINE CHUNKED
+		"\r\n2;a\r\nok\r\n0\r\nX-A: b\r\nContent-Length: 9\r\n\r\n",
+		true},
 	};
 	struct raw_answer answer = {0};
 	char url[64];
