Requests with a broken field or chunk get 400

Clients' requests with "X A: b", "X-A : b" or "Content Length: 9" in their head were passed on as they stood; a server that stops to read the head at such a line gets the request without its body. A line that began with a blank went into the value of the field before, so that a Host named another site.

Both kinds are checked now (RFC 9112, 5.1 asks for 400; 5.2 allows it for folded lines). Chunks and trailers come with it. Servers of the test's own stand-ins read requests in the same way, so each request of a node is checked in all scripts, too.

--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -359,9 +359,8 @@
 	size_t at = 0;
 
 	while (at < length && error == HPE_OK && syntax->fault == NULL) {
-		sound_bytes = conn->is_server
-		    ? length - at
-		    : kwb_http_syntax_check(syntax, bytes + at, length - at);
+		sound_bytes =
+		    kwb_http_syntax_check(syntax, bytes + at, length - at);
 		if (sound_bytes == 0)
 			break; /* 0 bytes are the end of input for the parser */
 		at += http_parser_execute(
--- a/tests/fuzz/answer.c
+++ b/tests/fuzz/answer.c
@@ -8,13 +8,9 @@
 {
 	struct kwb_upstream_answer answer;
 	struct kwb_upstream_report report;
-	uint32_t i;
 
 	if (message->status < 200 || message->status > 599)
 		abort();
-	for (i = 0; i < message->headers_count; i++)
-		if (!kwb_text_is_token(kwb_message_header_name(message, i)))
-			abort();
 	platform_message_codec.parse_answer(message, &answer);
 	if (platform_message_codec.parse_report(message, &report) == 0 &&
 	    report.models_count > KWB_MODELS_MAX)
--- a/tests/fuzz/exchange.h
+++ b/tests/fuzz/exchange.h
@@ -27,7 +27,12 @@
 fuzz_on_message(struct kwb_conn *conn)
 {
 	struct fuzz_conn *fuzz = conn->context;
+	uint32_t i;
 
+	for (i = 0; i < conn->message.headers_count; i++)
+		if (!kwb_text_is_token(
+			kwb_message_header_name(&conn->message, i)))
+			abort();
 	fuzz->on_message(&conn->message);
 	kwb_conn_read_next(conn);
 }
--- a/tests/platform/decisions_syntax.c
+++ b/tests/platform/decisions_syntax.c
@@ -156,6 +156,20 @@
 	check_cases(cases, COUNT(cases), false);
 }
 
+static void
+test_requests(void)
+{
+	static const struct syntax_case cases[] = {
+	    {"GET /a HTTP/1.1\r\nHost: b\r\n\r\n", NULL},
+	    {"\r\nGET /a HTTP/1.1\n\n", NULL},
+	    {"GET /a HTTP/1.1\r\nX A: b\r\n\r\n", "field_name"},
+	    {"GET /a HTTP/1.1\r\n X: b\r\n\r\n", "field_name"},
+	    {"GET /a HTTP/1.1\r\nContent-Length : 1\r\n\r\n", "field_name"},
+	};
+
+	check_cases(cases, COUNT(cases), true);
+}
+
 extern unsigned syntax_tests_add(CU_pSuite suite);
 
 unsigned
@@ -164,5 +178,6 @@
 	CU_add_test(suite, "status_lines", test_status_lines);
 	CU_add_test(suite, "fields", test_fields);
 	CU_add_test(suite, "chunks", test_chunks);
-	return 3;
+	CU_add_test(suite, "request_syntax", test_requests);
+	return 4;
 }
