--- a/src/core/http_syntax.c
+++ b/src/core/http_syntax.c
@@ -5,7 +5,6 @@
 #include <ctype.h>
 #include <string.h>
 
-#include "kwb.h"
 #include "kwb_http_syntax.h"
 
 #define TOKEN_MARKS "!#$%&'*+-.^_`|~" /* besides letters and digits */
