A connection isn't parsed again after an error of the parser

Callers of a node close then (kwb_conn_close_when_written()), so none of its own owners gets there; the fuzz target does.

The parser's error is kept, as it was before conn_parse(), and so ends the second read as well.

--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -354,7 +354,7 @@
     struct kwb_conn *conn, const char *bytes, size_t length, bool *is_broken)
 {
 	struct kwb_http_syntax *syntax = &conn->syntax;
-	enum http_errno error = HPE_OK;
+	enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
 	size_t sound_bytes;
 	size_t at = 0;
 
