--- a/review/stand-3/scene.h
+++ b/review/stand-3/scene.h
@@ -11,7 +11,7 @@
 
 #include "../../tests/platform/stage.h"
 
-#define SCENE_NODES_MAX 8
+#define SCENE_NODES_MAX 16
 #define SCENE_EXIT_HELD 0
 #define SCENE_EXIT_BROKEN 1
 #define SCENE_EXIT_NOT_RUN 2
