Items no longer wait beside idle servers after all connections are cut

Callers saw: once all connections of a node to the servers of a service were reset or went silent at one moment, the node sent no item to any of them for 8 s, though they were idle and took new connections.

Cause: failures "in a row" were counted by request. One incident that ended eight requests at a server counted as eight failures, and each beyond the second doubles the time for which the server is avoided, 1 s to 8 s. Items, which need a free slot, never fall back on a suspect server.

Evidence: eight lines "event=suspect ... failures=2" to "failures=8" for each server within 2 ms, then only "event=items_wait", no "event=probe". The line names the time for which a server is avoided now.

Fix: a failure of a request that was sent before the last failure was known isn't counted against a suspect server, so the time grows with failed probes only. Items that would wait otherwise probe a suspect server at once, one at a time, the least urgent first; after a failed probe it is avoided for longer and longer, as before. While fewer than half of a service's servers are sound, each is probed again 0.25 s after its last failure. Idle connections to a server go with one that turned out to be silent.

Why it works: the first request after the incident decides, instead of the number of requests that the incident happened to end; and a path that fails as a whole is tried often enough to notice its return.

--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -131,6 +131,9 @@
 #define KWB_SUSPECT_FAILURES 2	 /* in a row make an upstream suspect */
 #define KWB_SUSPECT_NS (1000 * KWB_MS_NS)     /* first time it is avoided */
 #define KWB_SUSPECT_MAX_NS (8000 * KWB_MS_NS) /* longest, as it doubles */
+/* Between probes of one upstream while fewer than this part are sound. */
+#define KWB_PANIC_PROBE_NS (250 * KWB_MS_NS)
+#define KWB_PANIC_SOUND_PERCENT 50
 /* How long a measured pace counts, and its baseline, which changes slowly. */
 #define KWB_PACE_TTL_NS (4000 * KWB_MS_NS)
 #define KWB_BASELINE_PACE_TTL_NS (60000 * KWB_MS_NS)
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -978,7 +978,9 @@
  *
  * Pace is the time that a unit of work takes: a plain request, or one event of
  * a generation. An upstream is suspect after some failures in a row: it is
- * avoided for a while, then probed by one request.
+ * avoided for a while, then probed by one request. Each probe that fails
+ * doubles that while; what was sent before the last failure was known doesn't,
+ * as one incident ends many requests.
  */
 
 struct kwb_upstream_model {
@@ -1016,6 +1018,7 @@
 	uint32_t slowness_percent;    /* reported then, 100 usual; 0 none */
 	uint32_t usual_percent;	      /* lowest reported in this life */
 	uint32_t failures;	      /* in a row */
+	uint64_t failed_ns;	      /* when the last of them was known */
 	uint64_t suspect_until_ns;    /* avoided until then, after failures */
 	const void *prober;	   /* request that probes it; NULL for none */
 	uint64_t pace_ns;	   /* smoothed; 0 when not measured */
@@ -1085,8 +1088,13 @@
     const char *model, uint64_t now_ns); /* changes that model's weights */
 void kwb_upstream_record_success(
     struct kwb_upstream *upstream); /* an answer came: no longer suspect */
+/*
+ * A request that was sent at sent_ns has failed; may make the upstream suspect.
+ * A suspect one is avoided for longer only if the request was sent after the
+ * last failure was known.
+ */
 void kwb_upstream_record_failure(
-    struct kwb_upstream *upstream, uint64_t now_ns); /* may make it suspect */
+    struct kwb_upstream *upstream, uint64_t sent_ns, uint64_t now_ns);
 void kwb_upstream_record_pace(struct kwb_upstream *upstream,
     uint64_t taken_ns); /* time that a unit of work took */
 uint32_t kwb_upstream_load(const struct kwb_upstream *upstream,
@@ -1121,7 +1129,12 @@
 	uint32_t exclude_count;
 	const char *affinity_id; /* upstream that read the prompt, or NULL */
 	bool needs_free_slot;	 /* only upstreams with a free slot */
-	uint32_t spare_divisor;	 /* slots / this must stay free; 0 for none */
+	/*
+	 * With needs_free_slot, when nothing else is found: a suspect upstream
+	 * ahead of its time, after the first incident or in a panic.
+	 */
+	bool may_probe_early;
+	uint32_t spare_divisor; /* slots / this must stay free; 0 for none */
 	const struct kwb_client *client; /* prefers open connections, or NULL */
 	/* Units of work it has; chosen by its expected end. 0: by cost. */
 	uint64_t units;
@@ -1132,6 +1145,8 @@
 
 struct kwb_upstream *kwb_upstream_pick(const struct kwb_registry *registry,
     const struct kwb_pick_criteria *criteria); /* cheapest; NULL for none */
+/* Whether any upstream that takes requests is suspect. */
+bool kwb_registry_has_suspect(const struct kwb_registry *registry);
 /*
  * Splits whose service has an upstream that takes requests and is not suspect,
  * or is due to be probed. Its other slots may all be in use.
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -83,6 +83,7 @@
 /* What is found out while waiting items are tried; see dispatch_run(). */
 struct dispatch_pass {
 	uint64_t now_ns;
+	bool may_probe_early; /* suspect upstreams, ahead of their time */
 	const struct kwb_route_entry *route; /* of usable_splits; or NULL */
 	uint64_t usable_splits;
 	/* Where nothing more can start. */
@@ -150,6 +151,8 @@
 bool run_is_past_ttl(const struct item_run *run); /* may be given up */
 void run_ready(struct item_run *run, enum kwb_item_state result,
     const char *reason); /* for listing: its result is final */
+void run_note_failure(struct item_run *run,
+    int error); /* of its upstream, a KWB_ERR_ number; before run_retry() */
 void run_retry(struct item_run *run, uint64_t wait_ns,
     const char *reason); /* leaves its upstream and waits for another */
 void run_start(struct item_run *run, struct kwb_upstream *upstream,
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -32,7 +32,8 @@
 
 /* Best upstream with a free slot, other than the current one; or NULL. */
 static struct kwb_upstream *
-run_pick_upstream(struct item_run *run, const char *service)
+run_pick_upstream(
+    struct item_run *run, const char *service, bool may_probe_early)
 {
 	const struct kwb_batch *batch = run->batch;
 	const struct kwb_upstream *current = run->upstream;
@@ -47,6 +48,7 @@
 	    .exclude = &current,
 	    .exclude_count = current != NULL,
 	    .needs_free_slot = true,
+	    .may_probe_early = may_probe_early,
 	    .now_ns = kwb_clock_now_ns(),
 	    .random = (uint64_t)random(),
 	};
@@ -212,7 +214,7 @@
 	if (kwb_item_is_stalled(&stall)) {
 		/* An upstream where others get events has not failed. */
 		if (now_ns - run->upstream->pace_updated_ns >= KWB_STALL_NS)
-			kwb_upstream_record_failure(run->upstream, now_ns);
+			run_note_failure(run, KWB_ERR_NET_TIMEOUT);
 		run_retry(run, 0, "silent");
 		return;
 	}
@@ -222,7 +224,8 @@
 		    now_ns + KWB_QUEUED_BACKOFF_NS;
 	else if (run->last_event == 0)
 		return;
-	candidate = run_pick_upstream(run, run->upstream->status.service);
+	candidate =
+	    run_pick_upstream(run, run->upstream->status.service, false);
 	if (candidate == NULL)
 		return;
 	if (queued && kwb_upstream_reports_slowness(run->upstream) &&
@@ -325,7 +328,7 @@
 
 	if (pass_is_full(pass, service, version))
 		return false;
-	upstream = run_pick_upstream(run, service);
+	upstream = run_pick_upstream(run, service, pass->may_probe_early);
 	if (upstream != NULL) {
 		run_start(run, upstream, pass->route);
 		return true;
@@ -439,6 +442,24 @@
 		    (unsigned long long)pass->usable_splits);
 }
 
+/*
+ * Probes suspect upstreams with items that would wait otherwise. The least
+ * urgent ones go first, as an upstream that is dead costs a probe a second.
+ */
+static void
+dispatch_probes(
+    struct item_run **waiting, uint32_t count, struct dispatch_pass *pass)
+{
+	uint32_t i;
+
+	pass->may_probe_early = true;
+	pass->full_count = 0;
+	for (i = count; i-- > 0;)
+		if (waiting[i]->state == ITEM_WAITING &&
+		    waiting[i]->not_before_ns <= pass->now_ns)
+			dispatch_run(waiting[i], pass);
+}
+
 bool
 batch_dispatch(struct kwb_batch *batch)
 {
@@ -472,6 +493,9 @@
 	qsort(waiting, count, sizeof(struct item_run *), compare_runs);
 	for (i = 0; i < count; i++)
 		dispatch_run(waiting[i], &pass);
+	if (pass.full_count > 0 &&
+	    kwb_registry_has_suspect(batch->batches->env->forward->registry))
+		dispatch_probes(waiting, count, &pass);
 	free(waiting);
 	log_waits(batch, &pass, count);
 	return has_waiting;
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -181,6 +181,19 @@
 	kwb_batches_dispatch(run->batch->batches);
 }
 
+void
+run_note_failure(struct item_run *run, int error)
+{
+	struct kwb_upstream *upstream = run->upstream;
+
+	kwb_upstream_record_failure(
+	    upstream, run->started_ns, kwb_clock_now_ns());
+	/* Connections that go silent do so together, the idle ones, too. */
+	if (error == KWB_ERR_NET_TIMEOUT)
+		kwb_client_close_idle(
+		    run_env(run)->forward->client, &upstream->status.address);
+}
+
 /* Notes the version of the weights that made the newest event. */
 static void
 add_version(struct item_run *run)
@@ -282,8 +295,7 @@
 	if (run->text_too_long) {
 		/* A shortage of this node is no failure of the upstream. */
 		if (!is_memory_short(run))
-			kwb_upstream_record_failure(
-			    run->upstream, kwb_clock_now_ns());
+			run_note_failure(run, KWB_ERR_NET_BODY_SIZE);
 		run_reset_text(run);
 		run_retry(run, KWB_ITEM_RETRY_NS, "text_too_long");
 		return;
@@ -374,8 +386,7 @@
 		error = KWB_ERR_NET_CLOSED;
 	if (error != 0) {
 		if (error != KWB_ERR_NET_STALE)
-			kwb_upstream_record_failure(
-			    run->upstream, kwb_clock_now_ns());
+			run_note_failure(run, error);
 		run_retry(run, 0, kwb_error_name(error));
 		return;
 	}
@@ -472,7 +483,7 @@
 	    &run->exchange, env->client, &upstream->status.address, out);
 	evbuffer_free(out);
 	if (code != 0) {
-		kwb_upstream_record_failure(upstream, kwb_clock_now_ns());
+		run_note_failure(run, code);
 		run_retry(run, KWB_ITEM_RETRY_NS, kwb_error_name(code));
 	}
 }
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -64,6 +64,7 @@
 	    .service = service,
 	    .failure_domain = env->forward->failure_domain,
 	    .needs_free_slot = true,
+	    .may_probe_early = true,
 	    .spare_divisor = KWB_SCORE_SPARE_DIVISOR,
 	    .now_ns = now_ns,
 	    .random = (uint64_t)random(),
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -232,6 +232,19 @@
 	    !kwb_sse_parser_is_between_events(&forward->events);
 }
 
+static void
+attempt_note_failure(struct kwb_forward_attempt *attempt, int error)
+{
+	struct kwb_upstream *upstream = attempt->upstream;
+
+	kwb_upstream_record_failure(
+	    upstream, attempt->started_ns, kwb_clock_now_ns());
+	/* Connections that go silent do so together, the idle ones, too. */
+	if (error == KWB_ERR_NET_TIMEOUT)
+		kwb_client_close_idle(
+		    attempt->forward->env->client, &upstream->status.address);
+}
+
 static void
 exchange_on_done(struct kwb_exchange *exchange, int error)
 {
@@ -245,8 +258,7 @@
 		return;
 	}
 	if (error != KWB_ERR_NET_STALE)
-		kwb_upstream_record_failure(
-		    attempt->upstream, kwb_clock_now_ns());
+		attempt_note_failure(attempt, error);
 	if (forward->head_sent && !forward->resumes) {
 		forward_end(
 		    forward, KWB_FORWARD_UNKNOWN, kwb_error_name(error));
@@ -431,7 +443,7 @@
 	    &upstream->status.address, out);
 	evbuffer_free(out);
 	if (code != 0) {
-		kwb_upstream_record_failure(upstream, kwb_clock_now_ns());
+		attempt_note_failure(attempt, code);
 		attempt_failed(attempt, true, kwb_error_name(code));
 	}
 }
@@ -605,6 +617,7 @@
 		return;
 	}
 	criteria.needs_free_slot = true;
+	criteria.may_probe_early = true;
 	if (forward->is_hedge_delayed)
 		criteria.spare_divisor = KWB_HEDGE_SPARE_DIVISOR;
 	upstream = kwb_upstream_pick(forward->env->registry, &criteria);
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -107,17 +107,66 @@
 enum health {
 	HEALTH_SOUND, /* not suspect */
 	HEALTH_PROBE, /* or suspect, but due to be probed */
+	HEALTH_EARLY, /* or suspect, without a failed probe so far */
+	HEALTH_PANIC, /* or suspect, and not probed lately */
 	HEALTH_ANY
 };
 
+static bool
+is_suspect(const struct kwb_upstream *upstream)
+{
+	return upstream->failures >= KWB_SUSPECT_FAILURES;
+}
+
 static bool
 is_healthy_enough(
     const struct kwb_upstream *upstream, enum health health, uint64_t now_ns)
 {
-	if (health == HEALTH_ANY || upstream->failures < KWB_SUSPECT_FAILURES)
+	if (health == HEALTH_ANY || !is_suspect(upstream))
 		return true;
-	return health == HEALTH_PROBE && upstream->suspect_until_ns <= now_ns &&
-	    upstream->prober == NULL;
+	if (health == HEALTH_SOUND || upstream->prober != NULL)
+		return false;
+	return upstream->suspect_until_ns <= now_ns ||
+	    (health >= HEALTH_EARLY &&
+		upstream->failures == KWB_SUSPECT_FAILURES) ||
+	    (health == HEALTH_PANIC &&
+		upstream->failed_ns + KWB_PANIC_PROBE_NS <= now_ns);
+}
+
+bool
+kwb_registry_has_suspect(const struct kwb_registry *registry)
+{
+	uint32_t i;
+
+	for (i = 0; i < registry->count; i++)
+		if (is_suspect(registry->upstreams[i]) &&
+		    kwb_upstream_takes_requests(registry->upstreams[i]))
+			return true;
+	return false;
+}
+
+/*
+ * When most upstreams of a service fail together, the path to them has failed
+ * rather than they, and there is little else to use: avoiding them for long
+ * would only prolong the incident.
+ */
+static bool
+is_in_panic(const struct kwb_registry *registry, const char *service)
+{
+	uint32_t sound = 0;
+	uint32_t total = 0;
+	uint32_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		const struct kwb_upstream *upstream = registry->upstreams[i];
+
+		if (!kwb_upstream_takes_requests(upstream) ||
+		    strcmp(upstream->status.service, service) != 0)
+			continue;
+		total++;
+		sound += !is_suspect(upstream);
+	}
+	return sound * 100 < total * KWB_PANIC_SOUND_PERCENT;
 }
 
 static bool
@@ -315,5 +364,13 @@
 	if (found == NULL && !criteria->needs_free_slot)
 		found = pick_cheapest(
 		    registry, criteria, reference_ns, false, HEALTH_ANY);
+	/*
+	 * A reset of connections proves nothing against an upstream that takes
+	 * the next one.
+	 */
+	if (found == NULL && criteria->may_probe_early)
+		found = pick_cheapest(registry, criteria, reference_ns, false,
+		    is_in_panic(registry, criteria->service) ? HEALTH_PANIC
+							     : HEALTH_EARLY);
 	return found;
 }
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -64,6 +64,7 @@
 	upstream->slow_since_ns = 0;
 	upstream->read_ns_per_token = 0;
 	upstream->failures = 0;
+	upstream->failed_ns = 0;
 	upstream->suspect_until_ns = 0;
 	upstream->prober = NULL;
 	upstream->backoff_until_ns = 0;
@@ -131,9 +132,12 @@
 upstream_log(const struct kwb_upstream *upstream, const char *event)
 {
 	kwb_log(KWB_LOG_INFO, "upstream",
-	    "event=%s upstream=%s failures=%u in_flight=%u probed=%u", event,
-	    upstream->status.id, upstream->failures, upstream->in_flight,
-	    upstream->prober != NULL);
+	    "event=%s upstream=%s failures=%u in_flight=%u probed=%u "
+	    "avoided_ms=%llu",
+	    event, upstream->status.id, upstream->failures, upstream->in_flight,
+	    upstream->prober != NULL,
+	    (unsigned long long)kwb_clock_remaining_ms(
+		upstream->suspect_until_ns));
 }
 
 void
@@ -269,14 +273,22 @@
 	upstream->prober = NULL;
 }
 
+/*
+ * A failed probe is a failure in a row; the other requests that an incident
+ * ends are the same failure, seen again.
+ */
 void
-kwb_upstream_record_failure(struct kwb_upstream *upstream, uint64_t now_ns)
+kwb_upstream_record_failure(
+    struct kwb_upstream *upstream, uint64_t sent_ns, uint64_t now_ns)
 {
 	uint64_t wait_ns = KWB_SUSPECT_NS;
 	uint32_t i;
 
-	upstream->prober = NULL;
+	if (upstream->failures >= KWB_SUSPECT_FAILURES &&
+	    sent_ns < upstream->failed_ns)
+		return;
 	upstream->failures++;
+	upstream->failed_ns = now_ns;
 	for (i = KWB_SUSPECT_FAILURES; i < upstream->failures; i++)
 		if (wait_ns < KWB_SUSPECT_MAX_NS)
 			wait_ns *= 2;
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -245,7 +245,9 @@
 	const char *domain;
 	uint32_t in_flight;
 	uint32_t failures;
+	uint64_t failed_ns;
 	uint64_t suspect_until_ns;
+	bool is_probed;
 	uint64_t backoff_until_ns;
 	uint64_t pace_ms;
 	uint64_t version;
@@ -280,7 +282,9 @@
 		upstream = kwb_registry_put(registry, &status);
 		upstream->in_flight = cases[i].in_flight;
 		upstream->failures = cases[i].failures;
+		upstream->failed_ns = cases[i].failed_ns;
 		upstream->suspect_until_ns = cases[i].suspect_until_ns;
+		upstream->prober = cases[i].is_probed ? upstream : NULL;
 		upstream->backoff_until_ns = cases[i].backoff_until_ns;
 		upstream->pace_ns = cases[i].pace_ms * KWB_MS_NS;
 		upstream->pace_updated_ns = NOW_NS;
@@ -442,6 +446,76 @@
 			.assigned_model = "m",
 			.in_flight = 4}},
 		"a"},
+	    {"an item doesn't wait beside upstreams that had one incident",
+		{.service = "s",
+		    .needs_free_slot = true,
+		    .may_probe_early = true},
+		{{.id = "a",
+		     .failures = 2,
+		     .failed_ns = NOW_NS,
+		     .suspect_until_ns = NOW_NS + 1},
+		    {.id = "b", .in_flight = 4}},
+		"a"},
+	    {"a sound upstream goes before an early probe",
+		{.service = "s",
+		    .needs_free_slot = true,
+		    .may_probe_early = true},
+		{{.id = "a",
+		     .failures = 2,
+		     .failed_ns = NOW_NS,
+		     .suspect_until_ns = NOW_NS + 1},
+		    {.id = "b", .in_flight = 3}},
+		"b"},
+	    {"one early probe at a time",
+		{.service = "s",
+		    .needs_free_slot = true,
+		    .may_probe_early = true},
+		{{.id = "a",
+		    .failures = 2,
+		    .failed_ns = NOW_NS,
+		    .suspect_until_ns = NOW_NS + 1,
+		    .is_probed = true}},
+		NULL},
+	    {"a running item doesn't move to a suspect upstream",
+		{.service = "s", .needs_free_slot = true},
+		{{.id = "a",
+		    .failures = 2,
+		    .failed_ns = NOW_NS,
+		    .suspect_until_ns = NOW_NS + 1}},
+		NULL},
+	    {"no early probe after a failed one, while others are sound",
+		{.service = "s",
+		    .needs_free_slot = true,
+		    .may_probe_early = true},
+		{{.id = "a",
+		     .failures = 3,
+		     .failed_ns = NOW_NS - KWB_PANIC_PROBE_NS,
+		     .suspect_until_ns = NOW_NS + 1},
+		    {.id = "b", .in_flight = 4}},
+		NULL},
+	    {"panic: most are suspect",
+		{.service = "s",
+		    .needs_free_slot = true,
+		    .may_probe_early = true},
+		{{.id = "a",
+		     .failures = 5,
+		     .failed_ns = NOW_NS - KWB_PANIC_PROBE_NS,
+		     .suspect_until_ns = NOW_NS + 1},
+		    {.id = "b",
+			.failures = 5,
+			.failed_ns = NOW_NS,
+			.suspect_until_ns = NOW_NS + 1},
+		    {.id = "c", .in_flight = 4}},
+		"a"},
+	    {"panic: not probed again at once",
+		{.service = "s",
+		    .needs_free_slot = true,
+		    .may_probe_early = true},
+		{{.id = "a",
+		    .failures = 5,
+		    .failed_ns = NOW_NS - KWB_PANIC_PROBE_NS + 1,
+		    .suspect_until_ns = NOW_NS + 1}},
+		NULL},
 	    {"first request for an ordered version",
 		{.service = "s", .model = "m", .min_version = 3},
 		{{.id = "a",
@@ -476,6 +550,7 @@
 	}
 }
 
+/* Guards against too short a suspicion of an upstream that is really dead. */
 static void
 test_suspect(void)
 {
@@ -483,10 +558,10 @@
 	uint64_t last_ns = 0;
 	unsigned i;
 
-	kwb_upstream_record_failure(&upstream, NOW_NS);
+	kwb_upstream_record_failure(&upstream, NOW_NS, NOW_NS);
 	CU_ASSERT_EQUAL(upstream.suspect_until_ns, 0);
 	for (i = 0; i < 10; i++) {
-		kwb_upstream_record_failure(&upstream, NOW_NS);
+		kwb_upstream_record_failure(&upstream, NOW_NS, NOW_NS);
 		CU_ASSERT(upstream.suspect_until_ns >= last_ns);
 		last_ns = upstream.suspect_until_ns;
 	}
@@ -495,6 +570,33 @@
 	CU_ASSERT_EQUAL(upstream.failures, 0);
 }
 
+/*
+ * Guards against a suspicion that grows with the number of requests that one
+ * incident ends, not with the number of failed probes.
+ */
+static void
+test_suspect_one_incident(void)
+{
+	struct kwb_upstream upstream = {0};
+	uint64_t sent_ns = NOW_NS - KWB_MS_NS;
+	uint64_t probed_ns = NOW_NS + KWB_SUSPECT_NS;
+	unsigned i;
+
+	for (i = 0; i < 8; i++)
+		kwb_upstream_record_failure(&upstream, sent_ns, NOW_NS + i);
+	CU_ASSERT_EQUAL(upstream.failures, KWB_SUSPECT_FAILURES);
+	CU_ASSERT_EQUAL(upstream.suspect_until_ns, NOW_NS + 1 + KWB_SUSPECT_NS);
+	/* A probe that fails is a new failure, one of before still is not. */
+	kwb_upstream_record_failure(
+	    &upstream, probed_ns, probed_ns + KWB_MS_NS);
+	CU_ASSERT_EQUAL(upstream.suspect_until_ns,
+	    probed_ns + KWB_MS_NS + 2 * KWB_SUSPECT_NS);
+	kwb_upstream_record_failure(
+	    &upstream, sent_ns, probed_ns + 2 * KWB_MS_NS);
+	CU_ASSERT_EQUAL(upstream.suspect_until_ns,
+	    probed_ns + KWB_MS_NS + 2 * KWB_SUSPECT_NS);
+}
+
 /* ---- Replica assignment and weight loads --------------------------------- */
 
 /* Number of upstreams that are assigned to the model; "" for none. */
@@ -2092,7 +2194,9 @@
 	    {"relay_can_accept", test_relay_can_accept},
 	    {"node_count_estimate", test_node_count_estimate},
 	    {"median_pace", test_median_pace}, {"pick", test_pick},
-	    {"suspect", test_suspect}, {"homes", test_replica_assignment},
+	    {"suspect", test_suspect},
+	    {"suspect_one_incident", test_suspect_one_incident},
+	    {"homes", test_replica_assignment},
 	    {"weight_load_urgency", test_weight_load_urgency},
 	    {"early_loads_keep_replicas_ready",
 		test_early_loads_keep_replicas_ready},
