--- a/include/kwb.h
+++ b/include/kwb.h
@@ -150,6 +150,11 @@
 const char *kwb_buf_text(const struct kwb_buf *buf);
 /* Copies a string, cut to fit into capacity_bytes with its NUL. */
 void kwb_text_copy(char *to, size_t capacity_bytes, const char *from);
+/*
+ * Makes *text a copy of from, of any length, and frees the text before; NULL is
+ * no text. KWB_ERR_MEMORY on failure: *text is as before.
+ */
+int kwb_text_replace(char **text, const char *from);
 
 /* ---- Metrics --------------------------------------------------------- */
 
@@ -177,6 +182,7 @@
 	KWB_METRIC_CONTROL_BYTES,     /* sent to peers, apart from requests */
 	KWB_METRIC_STORE_DETOURS,     /* switches to a path through a peer */
 	KWB_METRIC_UPSTREAMS_LEAVING, /* upstreams that said that they leave */
+	KWB_METRIC_CONFIGS_REFUSED,   /* configs that can't be parsed */
 	KWB_METRIC_KEYS_UNKNOWN,   /* requests with no key, or no valid one */
 	KWB_METRIC_KEYS_UNPROVED,  /* not admitted: config may be outdated */
 	KWB_METRIC_RELAYED_BYTES,  /* between peers and the store */
@@ -200,14 +206,15 @@
 	KWB_METRIC_CONNS_CLOSED,
 	KWB_METRIC_CONNS_RESET,
 	KWB_METRIC_CONNS_IDLE,
-	KWB_METRIC_LATE_ANSWERS,   /* dropped: to earlier requests */
-	KWB_METRIC_ROOM_QUEUED,	   /* requests that had to wait for a place */
-	KWB_METRIC_ROOM_REFUSED,   /* requests without a place in time */
-	KWB_METRIC_MEMORY_CALLS,   /* gauge: bytes of bodies of calls */
-	KWB_METRIC_MEMORY_BATCHES, /* gauge: of submissions and batches */
-	KWB_METRIC_MEMORY_ANSWERS, /* gauge: of answers not yet read */
-	KWB_METRIC_CALLERS_OPEN,   /* gauge: connections of callers */
-	KWB_METRIC_LISTS_REVISION, /* gauge: lists or config in force */
+	KWB_METRIC_LATE_ANSWERS,    /* dropped: to earlier requests */
+	KWB_METRIC_ROOM_QUEUED,	    /* requests that had to wait for a place */
+	KWB_METRIC_ROOM_REFUSED,    /* requests without a place in time */
+	KWB_METRIC_MEMORY_CALLS,    /* gauge: bytes of bodies of calls */
+	KWB_METRIC_MEMORY_BATCHES,  /* gauge: of submissions and batches */
+	KWB_METRIC_MEMORY_ANSWERS,  /* gauge: of answers not yet read */
+	KWB_METRIC_CALLERS_OPEN,    /* gauge: connections of callers */
+	KWB_METRIC_LISTS_REVISION,  /* gauge: lists or config in force */
+	KWB_METRIC_CONFIG_LEFT_OUT, /* gauge: parts of it that can't be used */
 	KWB_METRIC_COUNT
 };
 
--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -9,8 +9,9 @@
 #define KWB_PROTOCOL 1
 
 /* Text and tables */
-#define KWB_NAME_MAX_BYTES 64 /* sizes of texts are with the NUL */
-#define KWB_KEY_MAX_BYTES 192 /* a request's key, or a row's in a table */
+#define KWB_NAME_MAX_BYTES 64	 /* sizes of texts are with the NUL */
+#define KWB_STORE_NAME_BYTES 201 /* a key of the platform's store */
+#define KWB_KEY_MAX_BYTES 192	 /* a request's key, or a row's in a table */
 #define KWB_URL_MAX_BYTES 256
 #define KWB_PLANS_MAX 64
 #define KWB_RULES_MAX 16 /* of one plan */
@@ -341,7 +342,8 @@
 
 /* Duties */
 #define KWB_USAGE_WINDOWS_MAX 16      /* rows of a node that may wait */
-#define KWB_USAGE_ROW_ENTRIES_MAX 600 /* workspaces in a row; 50 KB */
+#define KWB_USAGE_ROW_ENTRIES_MAX 600 /* workspaces in a row */
+#define KWB_USAGE_ROW_MAX_BYTES 50000 /* of their lines; a row takes 60,000 */
 /* A node's counts wait at least so long, and longer in a larger fleet. */
 #define KWB_USAGE_WRITE_MIN_NS (500 * KWB_MS_NS)
 #define KWB_USAGE_WRITE_NS_PER_NODE (20 * KWB_MS_NS) /* 50 writes a second */
--- a/include/kwb_duty.h
+++ b/include/kwb_duty.h
@@ -16,7 +16,7 @@
  */
 
 struct kwb_usage_count {
-	char workspace[KWB_NAME_MAX_BYTES];
+	char *workspace;
 	uint64_t requests;
 };
 
@@ -25,6 +25,7 @@
 	struct kwb_usage_count **entries;
 	uint32_t count;
 	uint32_t capacity;
+	size_t text_bytes;	/* of the encoded text, at the most */
 	struct kwb_index index; /* of entries by workspace */
 };
 
@@ -277,8 +278,8 @@
 
 /* An order's state: a service in a failure domain. */
 struct kwb_scale_subject {
-	char service[KWB_NAME_MAX_BYTES];
-	char failure_domain[KWB_NAME_MAX_BYTES];
+	char *service;
+	char *failure_domain;
 	struct kwb_scale_state state;
 	uint32_t ordered;   /* by the last order that succeeded; 0 for none */
 	uint32_t sent;	    /* by the order in progress */
--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -888,16 +888,21 @@
 	KWB_ROUTE_ROLLOUT	  /* submissions and items of batches */
 };
 
+/*
+ * The texts of a config are as long as the operator made them, and belong to
+ * it. What outlives the config, as a request under way, has its own copies.
+ */
+
 /* One of the services that share a route's requests. */
 struct kwb_route_split {
-	char service[KWB_NAME_MAX_BYTES];
+	char *service;
 	uint32_t weight; /* part of the requests, relative to the others' */
 };
 
 struct kwb_route_entry {
-	char name[KWB_NAME_MAX_BYTES];
-	char host[KWB_KEY_MAX_BYTES];	/* without a port */
-	char prefix[KWB_URL_MAX_BYTES]; /* of the request's path */
+	char *name;   /* "" when not told */
+	char *host;   /* without a port */
+	char *prefix; /* of the request's path */
 	enum kwb_route_kind kind;
 	bool resumable;	     /* a stream may go on at another upstream */
 	bool single_version; /* an item's text comes from one weight version */
@@ -914,11 +919,10 @@
 };
 
 struct kwb_service {
-	char name[KWB_NAME_MAX_BYTES];
-	char health_path[KWB_URL_MAX_BYTES]; /* not used */
-	uint32_t max_conns;		     /* not used */
-	uint32_t slots; /* of an upstream; 0 when not an engine */
-	char (*models)[KWB_NAME_MAX_BYTES];
+	char *name;
+	uint32_t max_conns; /* not used */
+	uint32_t slots;	    /* of an upstream; 0 when not an engine */
+	char **models;	    /* their names */
 	uint32_t models_count;
 	/* Bounds of the number of upstreams in a failure domain. */
 	bool is_scaled; /* the number is to be ordered, within these */
@@ -929,7 +933,7 @@
 
 /* A customer of the operator, who holds keys. */
 struct kwb_workspace {
-	char name[KWB_NAME_MAX_BYTES];
+	char *name;
 	uint32_t priority; /* 0 is the highest; goes before the route's */
 	bool has_priority;
 };
@@ -948,9 +952,11 @@
 	uint64_t max_body_bytes;     /* of a request's body */
 	uint32_t header_timeout_ms;  /* for a request's head to arrive */
 	uint32_t idle_timeout_ms;    /* of a connection between requests */
+	uint32_t left_out_count; /* routes, services... that can't be used */
 };
 
 void kwb_node_config_finish(struct kwb_node_config *config); /* frees it */
+void kwb_route_entry_finish(struct kwb_route_entry *route);  /* empties it */
 const struct kwb_route_entry *kwb_node_config_find_route(
     const struct kwb_node_config *config, const char *host,
     const char *target); /* longest prefix of that host; NULL for none */
@@ -984,24 +990,35 @@
  */
 
 struct kwb_upstream_model {
-	char name[KWB_NAME_MAX_BYTES];
+	char *name;
 	uint64_t version; /* of the weights */
 };
 
+struct kwb_upstream_models {
+	struct kwb_upstream_model *list;
+	uint32_t count;
+};
+
+/* Appends a model; KWB_ERR_MEMORY on failure. */
+int kwb_upstream_models_add(
+    struct kwb_upstream_models *models, const char *name, uint64_t version);
+void kwb_upstream_models_finish(struct kwb_upstream_models *models);
+
 /* What an upstream says of itself in its heartbeat. */
 struct kwb_upstream_status {
-	char id[KWB_NAME_MAX_BYTES];
-	char service[KWB_NAME_MAX_BYTES];
+	char *id;
+	char *service;
 	struct kwb_address address;
-	char failure_domain[KWB_NAME_MAX_BYTES];
+	char *failure_domain;
 	uint32_t slots;		 /* requests that it runs at a time */
 	bool draining;		 /* takes no new requests */
 	uint64_t incarnation_ms; /* wall-clock start, 0 when not told */
 	uint64_t order_seq;	 /* orders accepted since its start */
-	struct kwb_upstream_model models[KWB_MODELS_MAX];
-	uint32_t models_count;
+	struct kwb_upstream_models models;
 };
 
+void kwb_upstream_status_finish(struct kwb_upstream_status *status);
+
 struct kwb_upstream {
 	struct kwb_upstream_status status;
 	bool listed;		      /* still on the platform's list */
@@ -1027,9 +1044,8 @@
 	uint64_t unread_tokens; /* of prompts of this node there, to be read */
 	uint64_t read_ns_per_token; /* of a prompt; 0 when not measured */
 	uint64_t slow_since_ns; /* when pace left its baseline; 0 if near it */
-	uint64_t backoff_until_ns; /* avoided until then, after a refusal */
-	/* Model whose weights are kept current here, "" for none. */
-	char assigned_model[KWB_NAME_MAX_BYTES];
+	uint64_t backoff_until_ns;  /* avoided until then, after a refusal */
+	char *assigned_model;	    /* its weights are kept current; or NULL */
 	uint64_t expected_version;  /* of that model, by the last order */
 	uint64_t expected_since_ns; /* when that order was first seen */
 };
@@ -1044,7 +1060,7 @@
 
 void kwb_registry_init(struct kwb_registry *registry);	 /* empty */
 void kwb_registry_finish(struct kwb_registry *registry); /* frees all */
-/* Adds or updates an upstream; NULL when out of memory. */
+/* Adds or updates an upstream, by copy; NULL when out of memory. */
 struct kwb_upstream *kwb_registry_put(
     struct kwb_registry *registry, const struct kwb_upstream_status *status);
 void kwb_registry_remove(struct kwb_registry *registry,
@@ -1078,6 +1094,9 @@
 void kwb_upstream_note_answer(struct kwb_upstream *upstream,
     uint64_t incarnation_ms, const char *request_id,
     const struct kwb_upstream_answer *answer);
+/* Whether the weights of that model are kept current there. */
+bool kwb_upstream_is_assigned(
+    const struct kwb_upstream *upstream, const char *model);
 uint64_t kwb_upstream_version(const struct kwb_upstream *upstream,
     const char *model); /* of its weights, 0 when it lacks the model */
 void kwb_upstream_set_version(struct kwb_upstream *upstream, const char *model,
@@ -1160,7 +1179,7 @@
 /* The upstream that last read a prompt prefix. */
 struct kwb_prefix_entry {
 	uint64_t hash; /* of the service and the prefix; 0 when unused */
-	char upstream_id[KWB_NAME_MAX_BYTES];
+	char *upstream_id;
 };
 
 /*
@@ -1173,6 +1192,7 @@
 	struct kwb_prefix_entry entries[KWB_PREFIXES_MAX];
 };
 
+void kwb_prefix_map_finish(struct kwb_prefix_map *map); /* empties it */
 void kwb_prefix_map_set(struct kwb_prefix_map *map, const char *service,
     const char *prompt,
     const char *upstream_id); /* it has read every prefix of the prompt */
@@ -1273,8 +1293,7 @@
 struct kwb_upstream_report {
 	uint64_t order_seq; /* orders accepted since its start */
 	bool busy;	    /* carries out an order */
-	struct kwb_upstream_model models[KWB_MODELS_MAX];
-	uint32_t models_count;
+	struct kwb_upstream_models models;
 };
 
 struct kwb_batch_spec;
@@ -1299,7 +1318,10 @@
 	/* Writes a request that asks an upstream for its report. */
 	void (*write_report_request)(
 	    const struct kwb_address *address, struct evbuffer *out);
-	/* Parses the answer to that; KWB_ERR_ARGUMENT if it is no report. */
+	/*
+	 * Parses the answer to that; KWB_ERR_ARGUMENT if it is no report, else
+	 * the caller finishes report->models.
+	 */
 	int (*parse_report)(const struct kwb_message *message,
 	    struct kwb_upstream_report *report);
 	/* Parses the head of an upstream's answer; never fails. */
@@ -1336,12 +1358,18 @@
 	 */
 	int (*parse_config)(struct kwb_node_config *config, const char *value,
 	    size_t value_bytes, struct kwb_faults *faults);
-	/* Parses the heartbeat of the upstream of that id. */
+	/*
+	 * Parses the heartbeat of the upstream of that id.
+	 * kwb_upstream_status_finish() frees the result.
+	 */
 	int (*parse_upstream)(struct kwb_upstream_status *status,
 	    const char *id, const char *value, size_t value_bytes);
-	/* Parses which version of a model the operator has published. */
-	int (*parse_version)(const char *value, size_t value_bytes, char *model,
-	    size_t model_bytes, uint64_t *version);
+	/*
+	 * Parses which version of a model the operator has published; the
+	 * caller frees *model.
+	 */
+	int (*parse_version)(const char *value, size_t value_bytes,
+	    char **model, uint64_t *version);
 };
 
 /* ---- Forward: one request to upstreams -------------------------------------
@@ -1396,10 +1424,10 @@
 	void *context; /* of the caller */
 	const struct kwb_forward_env *env;
 	struct kwb_upstream_request request;
-	char service[KWB_NAME_MAX_BYTES];
-	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
-	const char *prompt;  /* its parts, where the route is sticky, or NULL */
-	bool idempotent;     /* may run more than once */
+	char *service;	    /* freed by kwb_forward_finish(), as the next one */
+	char *workspace;    /* that asks, "" for none */
+	const char *prompt; /* its parts, where the route is sticky, or NULL */
+	bool idempotent;    /* may run more than once */
 	bool returns_errors; /* a 5xx answer is returned, not retried */
 	bool resumes;	     /* a broken stream goes on at another upstream */
 	/* Whose share of a service's places it takes; NULL: of workspace. */
@@ -1433,8 +1461,8 @@
 	enum kwb_forward_outcome outcome;
 	const char *reason; /* for the log, and for the caller */
 	uint64_t return_ns; /* a refused one may return after it; 0 unknown */
-	struct kwb_message answer;	      /* or its head, when streamed */
-	char upstream_id[KWB_NAME_MAX_BYTES]; /* of the one that answered */
+	struct kwb_message answer; /* or its head, when streamed */
+	char *upstream_id;	   /* of the one that answered; or NULL */
 };
 
 void kwb_forward_start(
@@ -1480,7 +1508,7 @@
 /* A submission, parsed. */
 struct kwb_batch_spec {
 	uint64_t step; /* training step */
-	char model[KWB_NAME_MAX_BYTES];
+	char *model;
 	uint64_t min_version;	/* oldest weights allowed */
 	uint32_t target_groups; /* groups the trainer waits for; 0 for all */
 	struct kwb_batch_item *items;
@@ -1495,12 +1523,12 @@
  */
 struct kwb_batch_record {
 	char id[KWB_KEY_MAX_BYTES];
-	char owner[KWB_NAME_MAX_BYTES];	    /* node; "" when released */
-	uint64_t owner_incarnation;	    /* process of that node */
-	char host[KWB_KEY_MAX_BYTES];	    /* of the submission */
-	char target[KWB_URL_MAX_BYTES];	    /* path of the submission */
-	char workspace[KWB_NAME_MAX_BYTES]; /* that submitted it, "" for none */
-	char model[KWB_NAME_MAX_BYTES];
+	char owner[KWB_NAME_MAX_BYTES]; /* node; "" when released */
+	uint64_t owner_incarnation;	/* process of that node */
+	char *host;			/* of the submission */
+	char *target;			/* path of the submission */
+	char *workspace;		/* that submitted it, "" for none */
+	char *model;
 	uint64_t min_version;	 /* oldest weights allowed */
 	uint64_t config_version; /* under which it was accepted; 0 unknown */
 	uint64_t accepted_ms;	 /* the store's clock */
@@ -1515,9 +1543,17 @@
 	uint64_t claim_ns;	 /* this node may claim it then; 0 undecided */
 };
 
-int kwb_batch_record_parse(struct kwb_batch_record *record,
-    const struct kwb_row *row); /* 0, or KWB_ERR_STORE_UNREADABLE; id and
-				   revision are set even then */
+/*
+ * Parses a row; KWB_ERR_STORE_UNREADABLE or KWB_ERR_MEMORY on failure, id and
+ * revision are set even then. kwb_batch_record_finish() frees the result.
+ */
+int kwb_batch_record_parse(
+    struct kwb_batch_record *record, const struct kwb_row *row);
+/* Copies with all texts; KWB_ERR_MEMORY on failure: there is no copy then. */
+int kwb_batch_record_copy(
+    struct kwb_batch_record *to, const struct kwb_batch_record *from);
+void kwb_batch_record_finish(
+    struct kwb_batch_record *record); /* frees its texts */
 int kwb_batch_record_serialize(const struct kwb_batch_record *record,
     struct kwb_buf *out); /* appends the row's value; 0 or an error */
 
@@ -1733,11 +1769,11 @@
 	void *context;
 	struct kwb_batches *batches;
 	struct kwb_store_call call;
-	struct event *timer;		    /* retries */
-	struct kwb_batch_record record;	    /* caller sets id */
-	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
-	uint64_t deadline_ns;		    /* no retry after it */
-	bool reading;			    /* a retry was scheduled */
+	struct event *timer;		/* retries */
+	struct kwb_batch_record record; /* caller sets id */
+	char *workspace;		/* that asks, "" for none */
+	uint64_t deadline_ns;		/* no retry after it */
+	bool reading;			/* a retry was scheduled */
 	int error; /* 0, KWB_ERR_STORE_MISSING, or why it isn't certain */
 };
 
@@ -1754,10 +1790,10 @@
 	struct kwb_store_call call;
 	struct event *timer; /* polls and retries */
 	char batch[KWB_KEY_MAX_BYTES];
-	char item[KWB_KEY_MAX_BYTES];	    /* "" for results */
-	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
-	char owner[KWB_NAME_MAX_BYTES]; /* workspace of the batch, once known */
-	uint32_t after;			/* first position wanted */
+	char item[KWB_KEY_MAX_BYTES]; /* "" for results */
+	char *workspace;	      /* that asks, "" for none */
+	char *owner;		      /* workspace of the batch, once known */
+	uint32_t after;		      /* first position wanted */
 	uint64_t wait_deadline_ns; /* an empty list is held back until then */
 	uint64_t deadline_ns;	   /* no retry after it */
 	uint32_t total;		   /* items of the batch */
@@ -1783,8 +1819,8 @@
  */
 
 struct kwb_replica_assignment {
-	const char *id;			/* of the upstream */
-	char model[KWB_NAME_MAX_BYTES]; /* assigned model, "" for none */
+	const char *id;	   /* of the upstream */
+	const char *model; /* assigned model, "" or NULL for none */
 };
 
 struct kwb_model_demand {
@@ -1793,9 +1829,13 @@
 	uint32_t replicas_max;	/* that its batches can fill, 0 unknown */
 };
 
-void kwb_replicas_assign(struct kwb_replica_assignment *upstreams,
+/*
+ * Assigns by demand, with few reassignments. A new assignment points to the
+ * name in models. KWB_ERR_MEMORY on failure, which changes nothing.
+ */
+int kwb_replicas_assign(struct kwb_replica_assignment *upstreams,
     uint32_t upstreams_count, const struct kwb_model_demand *models,
-    uint32_t models_count); /* by demand, with few reassignments; pure */
+    uint32_t models_count);
 
 /* What decides whether a replica loads the newest weights now. */
 struct kwb_weight_load_input {
@@ -1823,11 +1863,11 @@
 
 /* An upstream as the weight updater manages it. */
 struct kwb_replica {
-	char id[KWB_NAME_MAX_BYTES];	/* of the upstream */
-	char model[KWB_NAME_MAX_BYTES]; /* assigned model, "" for none */
-	uint64_t target_version;	/* last ordered, or read from its row */
-	uint64_t revision;		/* of its row */
-	uint64_t order_seq; /* orders that the upstream has accepted */
+	char *id;		 /* of the upstream */
+	char *model;		 /* assigned model, "" for none */
+	uint64_t target_version; /* last ordered, or read from its row */
+	uint64_t revision;	 /* of its row */
+	uint64_t order_seq;	 /* orders that the upstream has accepted */
 	bool order_seq_known;
 	uint64_t busy_until_ns;	    /* no new order before */
 	uint64_t order_accepted_ns; /* when the last order was accepted */
@@ -1844,8 +1884,14 @@
 
 TAILQ_HEAD(kwb_replica_list, kwb_replica);
 
+/*
+ * Parses the value of a replica's row, "MODEL VERSION"; the caller frees the
+ * model. NULL if it is another text, or without memory.
+ */
+char *kwb_replica_row_parse(const char *value, uint64_t *version);
+
 struct kwb_model_version {
-	char model[KWB_NAME_MAX_BYTES];
+	char *model;
 	uint64_t version;
 };
 
@@ -1857,8 +1903,8 @@
 	struct kwb_store_call write;  /* of changed rows */
 	struct event *timer;
 	struct kwb_replica_list replicas;
-	struct kwb_index index; /* of replicas by id */
-	struct kwb_model_version versions[KWB_MODELS_MAX]; /* announced */
+	struct kwb_index index;		    /* of replicas by id */
+	struct kwb_model_version *versions; /* announced */
 	uint32_t versions_count;
 	uint64_t assign_ns; /* when models are assigned again */
 	bool check_armed;   /* the timer is set for an early check */
--- a/include/kwb_room.h
+++ b/include/kwb_room.h
@@ -119,7 +119,7 @@
 /* ---- Shares of workspaces ------------------------------------------------ */
 
 struct kwb_room_share {
-	char workspace[KWB_NAME_MAX_BYTES];
+	char *workspace;
 	uint32_t recent_milli; /* requests started lately, in thousandths */
 	uint64_t halved_ns;    /* when recent_milli was last halved */
 	uint64_t started;      /* requests started in all */
@@ -131,6 +131,7 @@
 	uint32_t count;
 };
 
+void kwb_room_shares_finish(struct kwb_room_shares *shares); /* empties it */
 /* Index of a workspace's entry, which it gets while there are any left. */
 uint32_t kwb_room_shares_index(
     struct kwb_room_shares *shares, const char *workspace, uint64_t now_ns);
@@ -179,7 +180,7 @@
 TAILQ_HEAD(kwb_room_waiter_list, kwb_room_waiter);
 
 struct kwb_room_service {
-	char name[KWB_NAME_MAX_BYTES];
+	char *name;
 	struct kwb_room_limit limit;
 };
 
--- a/src/batch/accept.c
+++ b/src/batch/accept.c
@@ -26,7 +26,7 @@
 						: "invalid",
 	    accept->record.id, (unsigned long long)accept->record.step,
 	    accept->record.total, accept->record.target_groups,
-	    accept->record.model,
+	    accept->record.model != NULL ? accept->record.model : "-",
 	    (unsigned long long)accept->record.min_version, reason);
 	accept->on_done(accept);
 }
@@ -85,10 +85,15 @@
 {
 	struct kwb_batch_accept *accept = call->context;
 	struct kwb_batch_record found;
+	bool is_other = false;
 
 	if (answer->error == 0 && answer->rows_count > 0 &&
-	    kwb_batch_record_parse(&found, &answer->rows[0]) == 0 &&
-	    !kwb_access_is_owner(found.workspace, accept->record.workspace))
+	    kwb_batch_record_parse(&found, &answer->rows[0]) == 0) {
+		is_other = !kwb_access_is_owner(
+		    found.workspace, accept->record.workspace);
+		kwb_batch_record_finish(&found);
+	}
+	if (is_other)
 		accept_complete(accept, KWB_ACCEPT_REFUSED, "store_refused");
 	else if (answer->error == 0 && answer->rows_count > 0)
 		accept_complete(accept, KWB_ACCEPT_TAKEN, "read_back");
@@ -170,14 +175,15 @@
 }
 
 /* Fills the new record from the parsed submission. */
-static void
+static int
 record_fill(struct kwb_batch_accept *accept)
 {
 	struct kwb_batch_record *record = &accept->record;
 	uint32_t i;
 
 	record->fresh = true;
-	kwb_text_copy(record->model, sizeof(record->model), accept->spec.model);
+	if (kwb_text_replace(&record->model, accept->spec.model) != 0)
+		return KWB_ERR_MEMORY;
 	record->min_version = accept->spec.min_version;
 	record->config_version = (*accept->batches->env->config)->version;
 	record->step = accept->spec.step;
@@ -186,6 +192,7 @@
 	for (i = 0; i < accept->spec.items_count; i++)
 		record->tokens += accept->spec.items[i].tokens;
 	choose_owner(accept);
+	return 0;
 }
 
 void
@@ -214,7 +221,12 @@
 		    accept, KWB_ACCEPT_INVALID, kwb_error_name(code));
 		return;
 	}
-	record_fill(accept);
+	code = record_fill(accept);
+	if (code != 0) {
+		accept_complete(
+		    accept, KWB_ACCEPT_REFUSED, kwb_error_name(code));
+		return;
+	}
 	if (accept->batches->handing_over) {
 		accept_complete(accept, KWB_ACCEPT_REFUSED, "stopping");
 		return;
@@ -234,4 +246,5 @@
 {
 	kwb_store_cancel(accept->batches->env->store, &accept->call);
 	kwb_batch_spec_finish(&accept->spec);
+	kwb_batch_record_finish(&accept->record);
 }
--- a/src/batch/batch.h
+++ b/src/batch/batch.h
@@ -17,6 +17,7 @@
 #define POSITION_DIGITS 6
 #define OBJECT_PREFIX '@' /* of a value that is the name of an object */
 #define OBJECT_NAME_BYTES (2 * KWB_KEY_MAX_BYTES + 32) /* of batch and item */
+#define OBJECT_WORKSPACE_MAX_BYTES 63 /* a longer one stands as its digest */
 #define ITEM_VERSIONS_MAX 8
 #define CHUNKS_MAX 40	       /* of texts, written in one transaction */
 #define DISPATCH_PLACES_MAX 32 /* full ones that a pass remembers */
@@ -77,7 +78,7 @@
 	const char *name;
 	bool surplus;	       /* the trainer will likely not wait for it */
 	uint64_t longest_hint; /* length_hint of its longest item */
-	char upstream_id[KWB_NAME_MAX_BYTES]; /* that read its prompt last */
+	char *upstream_id;     /* that read its prompt last; or NULL */
 };
 
 /* What is found out while waiting items are tried; see dispatch_run(). */
--- a/src/batch/end.c
+++ b/src/batch/end.c
@@ -4,6 +4,7 @@
  */
 #include <event2/event.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "batch.h"
@@ -66,6 +67,7 @@
 		end_finish(end, KWB_ERR_STORE_MISSING);
 		return;
 	}
+	kwb_batch_record_finish(&end->record);
 	if (kwb_batch_record_parse(&end->record, &answer->rows[0]) != 0) {
 		end_finish(end, KWB_ERR_STORE_UNREADABLE);
 		return;
@@ -152,7 +154,10 @@
 		end_read(end);
 		return;
 	}
-	end->record = *record;
+	if (kwb_batch_record_copy(&end->record, record) != 0) {
+		end_finish(end, KWB_ERR_MEMORY);
+		return;
+	}
 	end_write(end);
 }
 
@@ -163,4 +168,7 @@
 	if (end->timer != NULL)
 		event_free(end->timer);
 	end->timer = NULL;
+	kwb_batch_record_finish(&end->record);
+	free(end->workspace);
+	end->workspace = NULL;
 }
--- a/src/batch/head.c
+++ b/src/batch/head.c
@@ -26,16 +26,54 @@
 		free(item->score_body);
 	}
 	free(spec->items);
+	free(spec->model);
 	memset(spec, 0, sizeof(*spec));
 }
 
-static void
-copy_string(
-    char *to, size_t capacity_bytes, const json_t *row, const char *name)
+static const char *
+get_string(const json_t *row, const char *name)
 {
 	const char *text = json_string_value(json_object_get(row, name));
 
-	kwb_text_copy(to, capacity_bytes, text ? text : "");
+	return text ? text : "";
+}
+
+void
+kwb_batch_record_finish(struct kwb_batch_record *record)
+{
+	free(record->host);
+	free(record->target);
+	free(record->workspace);
+	free(record->model);
+	record->host = NULL;
+	record->target = NULL;
+	record->workspace = NULL;
+	record->model = NULL;
+}
+
+/* Sets the texts of a record that has none. */
+static int
+record_set_texts(struct kwb_batch_record *record, const char *host,
+    const char *target, const char *workspace, const char *model)
+{
+	record->host = strdup(host);
+	record->target = strdup(target);
+	record->workspace = strdup(workspace);
+	record->model = strdup(model);
+	if (record->host != NULL && record->target != NULL &&
+	    record->workspace != NULL && record->model != NULL)
+		return 0;
+	kwb_batch_record_finish(record);
+	return KWB_ERR_MEMORY;
+}
+
+int
+kwb_batch_record_copy(
+    struct kwb_batch_record *to, const struct kwb_batch_record *from)
+{
+	*to = *from;
+	return record_set_texts(
+	    to, from->host, from->target, from->workspace, from->model);
 }
 
 static uint64_t
@@ -49,6 +87,7 @@
     struct kwb_batch_record *record, const struct kwb_row *row)
 {
 	json_t *value = json_loadb(row->value, row->value_bytes, 0, NULL);
+	int code;
 
 	memset(record, 0, sizeof(*record));
 	kwb_text_copy(record->id, sizeof(record->id), row->key);
@@ -57,12 +96,11 @@
 		json_decref(value);
 		return KWB_ERR_STORE_UNREADABLE;
 	}
-	copy_string(record->owner, sizeof(record->owner), value, "owner");
-	copy_string(record->host, sizeof(record->host), value, "host");
-	copy_string(record->target, sizeof(record->target), value, "path");
-	copy_string(
-	    record->workspace, sizeof(record->workspace), value, "workspace");
-	copy_string(record->model, sizeof(record->model), value, "model");
+	kwb_text_copy(
+	    record->owner, sizeof(record->owner), get_string(value, "owner"));
+	code = record_set_texts(record, get_string(value, "host"),
+	    get_string(value, "path"), get_string(value, "workspace"),
+	    get_string(value, "model"));
 	record->owner_incarnation = get_number(value, "incarnation");
 	record->min_version = get_number(value, "min_version");
 	record->config_version = get_number(value, "config");
@@ -75,7 +113,7 @@
 	record->listed = json_is_true(json_object_get(value, "listed"));
 	record->fresh = json_is_true(json_object_get(value, "fresh"));
 	json_decref(value);
-	return 0;
+	return code;
 }
 
 int
--- a/src/batch/heads.c
+++ b/src/batch/heads.c
@@ -42,6 +42,7 @@
 	uint32_t capacity =
 	    batches->records_capacity ? batches->records_capacity * 2 : 16;
 	struct kwb_batch_record **records;
+	struct kwb_batch_record copy;
 
 	if (existing != NULL && existing->revision >= record->revision)
 		return;
@@ -56,13 +57,18 @@
 		batches->records = records;
 		batches->records_capacity = capacity;
 	}
+	if (kwb_batch_record_copy(&copy, record) != 0)
+		return;
 	if (existing == NULL) {
-		existing = malloc(sizeof(*existing));
-		if (existing == NULL)
+		existing = calloc(1, sizeof(*existing));
+		if (existing == NULL) {
+			kwb_batch_record_finish(&copy);
 			return;
+		}
 		batches->records[batches->records_count++] = existing;
 	}
-	*existing = *record;
+	kwb_batch_record_finish(existing);
+	*existing = copy;
 	if (record->config_version > batches->config_version)
 		batches->config_version = record->config_version;
 	batches->changed_ns = kwb_clock_now_ns();
@@ -79,6 +85,13 @@
 	    value->used_bytes);
 }
 
+static void
+record_free(struct kwb_batch_record *record)
+{
+	kwb_batch_record_finish(record);
+	free(record);
+}
+
 static void
 record_on_row(void *context, const struct kwb_row *row)
 {
@@ -89,7 +102,7 @@
 	if (row->deleted) {
 		for (i = 0; i < batches->records_count; i++)
 			if (strcmp(batches->records[i]->id, row->key) == 0) {
-				free(batches->records[i]);
+				record_free(batches->records[i]);
 				batches->records[i] =
 				    batches->records[--batches->records_count];
 				break;
@@ -104,6 +117,7 @@
 		return;
 	}
 	records_update(batches, &record);
+	kwb_batch_record_finish(&record);
 }
 
 static void
@@ -197,8 +211,9 @@
 	owner_finish(batches);
 	event_free(batches->dispatch_timer);
 	for (i = 0; i < batches->records_count; i++)
-		free(batches->records[i]);
+		record_free(batches->records[i]);
 	free(batches->records);
+	kwb_batch_record_finish(&batches->sweep_record);
 }
 
 void
--- a/src/batch/load.c
+++ b/src/batch/load.c
@@ -3,6 +3,7 @@
  * when another process ran it before: first the submission, then the items
  * that have results, then the checkpointed texts of the others.
  */
+#include <nettle/sha2.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,15 +12,38 @@
 
 static void load_range(struct kwb_batch *batch, struct kwb_range *range);
 
+/* Writes the digest of a text as hexadecimal digits. */
+static void
+text_digest(const char *text, char digits[2 * SHA256_DIGEST_SIZE + 1])
+{
+	struct sha256_ctx context;
+	uint8_t digest[SHA256_DIGEST_SIZE];
+	unsigned i;
+
+	sha256_init(&context);
+	sha256_update(&context, strlen(text), (const uint8_t *)text);
+	sha256_digest(&context, sizeof(digest), digest);
+	for (i = 0; i < sizeof(digest); i++)
+		snprintf(digits + 2 * i, 3, "%02x", digest[i]);
+}
+
+/* A workspace's name has no bound, that of an object has. */
 void
 batch_object_name(
     char *name, size_t capacity_bytes, const char *workspace, const char *batch)
 {
-	if (workspace[0] != '\0')
+	char digits[2 * SHA256_DIGEST_SIZE + 1];
+
+	if (strlen(workspace) > OBJECT_WORKSPACE_MAX_BYTES) {
+		text_digest(workspace, digits);
+		snprintf(name, capacity_bytes, "workspace-sha256-%s@%s", digits,
+		    batch);
+	} else if (workspace[0] != '\0') {
 		snprintf(
 		    name, capacity_bytes, "workspace-%s@%s", workspace, batch);
-	else
+	} else {
 		snprintf(name, capacity_bytes, "batch-%s", batch);
+	}
 }
 
 struct kwb_batch *
@@ -42,7 +66,10 @@
 	if (batch == NULL)
 		return NULL;
 	batch->batches = batches;
-	batch->record = *record;
+	if (kwb_batch_record_copy(&batch->record, record) != 0) {
+		free(batch);
+		return NULL;
+	}
 	TAILQ_FOREACH (later, &batches->running, entry)
 		if (later->record.accepted_ms > record->accepted_ms)
 			break;
@@ -79,11 +106,14 @@
 		run_finish(&batch->runs[i]);
 	TAILQ_REMOVE(&batch->batches->running, batch, entry);
 	free(batch->runs);
+	for (i = 0; i < batch->groups_count; i++)
+		free(batch->groups[i].upstream_id);
 	free(batch->groups);
 	if (batch->batches->env->memory != NULL)
 		kwb_memory_release(batch->batches->env->memory,
 		    KWB_MEMORY_BATCHES, spec_bytes(&batch->spec));
 	kwb_batch_spec_finish(&batch->spec);
+	kwb_batch_record_finish(&batch->record);
 	free(batch);
 }
 
--- a/src/batch/own.c
+++ b/src/batch/own.c
@@ -268,9 +268,11 @@
 			claim = &claims[i];
 	if (claim == NULL || claim_is_open(batches, record->id))
 		return;
+	kwb_batch_record_finish(&claim->record);
 	memset(claim, 0, sizeof(*claim));
 	claim->batches = batches;
-	claim->record = *record;
+	if (kwb_batch_record_copy(&claim->record, record) != 0)
+		return;
 	kwb_text_copy(claim->record.owner, sizeof(claim->record.owner),
 	    release ? "" : batches->env->settings->node);
 	claim->record.owner_incarnation =
--- a/src/batch/pump.c
+++ b/src/batch/pump.c
@@ -53,8 +53,6 @@
 	    .random = (uint64_t)random(),
 	};
 
-	if (criteria.affinity_id[0] == '\0')
-		criteria.affinity_id = NULL;
 	if (kwb_registry_reports_slowness(registry, service)) {
 		criteria.client = run_env(run)->forward->client;
 		criteria.units = run_units_left(run);
--- a/src/batch/read.c
+++ b/src/batch/read.c
@@ -152,12 +152,30 @@
 		read_retry(read, code);
 }
 
+/*
+ * Another workspace's batch is missing, like one that has expired. Takes over
+ * what is needed of it otherwise.
+ */
+static int
+take_record(struct kwb_batch_read *read, const struct kwb_batch_record *record)
+{
+	if (batch_is_expired(read->batches, record) ||
+	    !kwb_access_is_owner(record->workspace, read->workspace))
+		return KWB_ERR_STORE_MISSING;
+	if (kwb_text_replace(&read->owner, record->workspace) != 0)
+		return KWB_ERR_MEMORY;
+	read->total = record->total;
+	read->record_known = true;
+	return 0;
+}
+
 static void
 record_on_answer(
     struct kwb_store_call *call, const struct kwb_store_answer *answer)
 {
 	struct kwb_batch_read *read = call->context;
 	struct kwb_batch_record record;
+	int code;
 
 	if (answer->error != 0) {
 		read_retry(read, answer->error);
@@ -172,14 +190,12 @@
 		return;
 	}
 	records_update(read->batches, &record);
-	if (batch_is_expired(read->batches, &record) ||
-	    !kwb_access_is_owner(record.workspace, read->workspace)) {
-		read_finish(read, KWB_ERR_STORE_MISSING);
+	code = take_record(read, &record);
+	kwb_batch_record_finish(&record);
+	if (code != 0) {
+		read_finish(read, code);
 		return;
 	}
-	kwb_text_copy(read->owner, sizeof(read->owner), record.workspace);
-	read->total = record.total;
-	read->record_known = true;
 	if (read->item[0] != '\0')
 		read_item_body(read);
 	else
@@ -292,13 +308,8 @@
 	}
 	/* Another workspace's batch takes as long as one that does not exist.
 	 */
-	if (record != NULL && !batch_is_expired(read->batches, record) &&
-	    kwb_access_is_owner(record->workspace, read->workspace)) {
-		kwb_text_copy(
-		    read->owner, sizeof(read->owner), record->workspace);
-		read->total = record->total;
-		read->record_known = true;
-	}
+	if (record != NULL)
+		take_record(read, record);
 	read_step(read);
 }
 
@@ -313,6 +324,10 @@
 		event_free(read->timer);
 	read->timer = NULL;
 	kwb_buf_finish(&read->answer);
+	free(read->workspace);
+	free(read->owner);
+	read->workspace = NULL;
+	read->owner = NULL;
 }
 
 void
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -434,6 +434,7 @@
 {
 	const struct kwb_forward_env *env = run_env(run)->forward;
 	struct kwb_batch *batch = run->batch;
+	char **group_upstream = &batch->groups[run->group].upstream_id;
 	uint64_t left_ms =
 	    ttl_deadline_ms(run) - kwb_store_now_ms(run_env(run)->store);
 	struct kwb_upstream_request request = {.method = "POST",
@@ -451,7 +452,7 @@
 	struct evbuffer *out = evbuffer_new();
 	int code;
 
-	if (strcmp(upstream->assigned_model, batch->spec.model) == 0 &&
+	if (kwb_upstream_is_assigned(upstream, batch->spec.model) &&
 	    upstream->expected_version >
 		kwb_upstream_version(upstream, batch->spec.model))
 		request.expect_version = upstream->expected_version;
@@ -470,13 +471,14 @@
 	run->last_event_ns = 0;
 	run->started_ns = kwb_clock_now_ns();
 	kwb_sse_parser_init(&run->events, env->codec->version_field);
-	if (strcmp(batch->groups[run->group].upstream_id,
-		upstream->status.id) != 0)
+	if (*group_upstream == NULL ||
+	    strcmp(*group_upstream, upstream->status.id) != 0)
 		run->unread_tokens = run->item->prompt_tokens;
 	upstream->unread_tokens += run->unread_tokens;
 	kwb_upstream_begin(upstream, run);
-	kwb_text_copy(batch->groups[run->group].upstream_id, KWB_NAME_MAX_BYTES,
-	    upstream->status.id);
+	/* Without memory the next item of the group has no preference. */
+	if (kwb_text_replace(group_upstream, upstream->status.id) != 0)
+		run_log(run, "prompt_not_noted", "out_of_memory");
 	env->codec->write_request(&request, out);
 	run_log(run, "start", run->last_event > 0 ? "resume" : "new");
 	code = kwb_exchange_start(
--- a/src/batch/score.c
+++ b/src/batch/score.c
@@ -124,7 +124,15 @@
 	    .body = item->score_body,
 	    .body_bytes = item->score_body_bytes,
 	    .priority = -1};
-	kwb_text_copy(score->service, sizeof(score->service), service);
+	score->service = strdup(service);
+	score->workspace = strdup("");
+	if (score->service == NULL || score->workspace == NULL) {
+		free(score->service);
+		free(score->workspace);
+		run->not_before_ns = now_ns + KWB_ITEM_RETRY_NS;
+		run_log(run, "score_waits", "out_of_memory");
+		return;
+	}
 	score->share_workspace = run->batch->record.workspace;
 	score->idempotent = true;
 	score->returns_errors = true;
--- a/src/batch/sweep.c
+++ b/src/batch/sweep.c
@@ -222,7 +222,9 @@
 	batches->sweep_checked_ns = kwb_clock_now_ns();
 	if (oldest == NULL)
 		return;
-	batches->sweep_record = *oldest;
+	kwb_batch_record_finish(&batches->sweep_record);
+	if (kwb_batch_record_copy(&batches->sweep_record, oldest) != 0)
+		return;
 	batches->sweep_step = KWB_SWEEP_DONE;
 	batches->sweep_position = 0;
 	batches->sweep_dropped_object[0] = '\0';
--- a/src/core/buf.c
+++ b/src/core/buf.c
@@ -98,3 +98,18 @@
 	memcpy(to, from, length);
 	to[length] = '\0';
 }
+
+int
+kwb_text_replace(char **text, const char *from)
+{
+	char *copy;
+
+	if (*text != NULL && strcmp(*text, from) == 0)
+		return 0;
+	copy = strdup(from);
+	if (copy == NULL)
+		return KWB_ERR_MEMORY;
+	free(*text);
+	*text = copy;
+	return 0;
+}
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -25,6 +25,7 @@
     [KWB_METRIC_CONTROL_BYTES] = "kwb_control_bytes_total",
     [KWB_METRIC_STORE_DETOURS] = "kwb_store_detours_total",
     [KWB_METRIC_UPSTREAMS_LEAVING] = "kwb_upstreams_leaving_total",
+    [KWB_METRIC_CONFIGS_REFUSED] = "kwb_configs_refused_total",
     [KWB_METRIC_KEYS_UNKNOWN] = "kwb_keys_unknown_total",
     [KWB_METRIC_KEYS_UNPROVED] = "kwb_keys_unproved_total",
     [KWB_METRIC_RELAYED_BYTES] = "kwb_relayed_bytes_total",
@@ -55,6 +56,7 @@
     [KWB_METRIC_MEMORY_ANSWERS] = "kwb_memory_answers_bytes",
     [KWB_METRIC_CALLERS_OPEN] = "kwb_callers_open",
     [KWB_METRIC_LISTS_REVISION] = "kwb_lists_revision",
+    [KWB_METRIC_CONFIG_LEFT_OUT] = "kwb_config_parts_left_out",
 };
 static _Atomic uint64_t values[KWB_METRIC_COUNT];
 
--- a/src/duty/counts.c
+++ b/src/duty/counts.c
@@ -6,6 +6,7 @@
 #include "kwb_node.h"
 
 #define INITIAL_CAPACITY 8
+#define LINE_OVERHEAD_BYTES 22 /* number, space and newline, at the most */
 
 void
 kwb_usage_counts_init(struct kwb_usage_counts *counts)
@@ -14,13 +15,20 @@
 	kwb_index_init(&counts->index);
 }
 
+static void
+count_free(struct kwb_usage_count *entry)
+{
+	free(entry->workspace);
+	free(entry);
+}
+
 void
 kwb_usage_counts_finish(struct kwb_usage_counts *counts)
 {
 	uint32_t i;
 
 	for (i = 0; i < counts->count; i++)
-		free(counts->entries[i]);
+		count_free(counts->entries[i]);
 	free(counts->entries);
 	kwb_index_finish(&counts->index);
 	memset(counts, 0, sizeof(*counts));
@@ -46,12 +54,13 @@
 		counts->entries = grown;
 		counts->capacity = capacity;
 	}
-	kwb_text_copy(entry->workspace, sizeof(entry->workspace), workspace);
-	if (kwb_index_put(&counts->index, entry->workspace, entry) != 0) {
-		free(entry);
+	if (kwb_text_replace(&entry->workspace, workspace) != 0 ||
+	    kwb_index_put(&counts->index, entry->workspace, entry) != 0) {
+		count_free(entry);
 		return NULL;
 	}
 	counts->entries[counts->count++] = entry;
+	counts->text_bytes += strlen(workspace) + LINE_OVERHEAD_BYTES;
 	return entry;
 }
 
@@ -84,44 +93,61 @@
 	return code;
 }
 
+/* One line of a row. */
+struct count_line {
+	uint64_t requests;
+	const char *workspace; /* not ended by NUL */
+	size_t workspace_bytes;
+};
+
 /* Reads one line; its end, or NULL if it is not "REQUESTS WORKSPACE". */
 static const char *
-decode_line(const char *line, const char *end, struct kwb_usage_count *count)
+decode_line(const char *text, const char *end, struct count_line *line)
 {
-	const char *newline = memchr(line, '\n', (size_t)(end - line));
-	const char *name;
+	const char *newline = memchr(text, '\n', (size_t)(end - text));
 	char *after;
 
-	if (newline == NULL || *line < '0' || *line > '9')
+	if (newline == NULL || *text < '0' || *text > '9')
 		return NULL;
-	count->requests = strtoull(line, &after, 10);
-	name = after + 1;
-	if (*after != ' ' || name >= newline ||
-	    (size_t)(newline - name) >= sizeof(count->workspace))
+	line->requests = strtoull(text, &after, 10);
+	line->workspace = after + 1;
+	if (*after != ' ' || line->workspace >= newline ||
+	    memchr(line->workspace, '\0',
+		(size_t)(newline - line->workspace)) != NULL)
 		return NULL;
-	memcpy(count->workspace, name, (size_t)(newline - name));
-	count->workspace[newline - name] = '\0';
+	line->workspace_bytes = (size_t)(newline - line->workspace);
 	return newline + 1;
 }
 
+static int
+add_line(struct kwb_usage_counts *counts, const struct count_line *line)
+{
+	char *workspace = strndup(line->workspace, line->workspace_bytes);
+	int code = KWB_ERR_MEMORY;
+
+	if (workspace != NULL)
+		code = kwb_usage_counts_add(counts, workspace, line->requests);
+	free(workspace);
+	return code;
+}
+
 int
 kwb_usage_counts_decode(
     struct kwb_usage_counts *counts, const char *text, size_t text_bytes)
 {
 	const char *end = text + text_bytes;
-	struct kwb_usage_count count = {0};
-	const char *line;
+	struct count_line line = {.workspace = ""};
+	const char *at;
 	int code = 0;
 
-	for (line = text; line < end;) {
-		line = decode_line(line, end, &count);
-		if (line == NULL)
+	for (at = text; at < end;) {
+		at = decode_line(at, end, &line);
+		if (at == NULL)
 			return KWB_ERR_STORE_UNREADABLE;
 	}
-	for (line = text; line < end && code == 0;) {
-		line = decode_line(line, end, &count);
-		code = kwb_usage_counts_add(
-		    counts, count.workspace, count.requests);
+	for (at = text; at < end && code == 0;) {
+		at = decode_line(at, end, &line);
+		code = add_line(counts, &line);
 	}
 	return code;
 }
--- a/src/duty/meter.c
+++ b/src/duty/meter.c
@@ -105,7 +105,9 @@
 			continue;
 		if (kwb_index_get(&window->counts.index, workspace) != NULL)
 			return window;
-		if (window->counts.count < KWB_USAGE_ROW_ENTRIES_MAX)
+		if (window->counts.count < KWB_USAGE_ROW_ENTRIES_MAX &&
+		    window->counts.text_bytes + strlen(workspace) <
+			KWB_USAGE_ROW_MAX_BYTES)
 			with_room = window;
 	}
 	return with_room ? with_room : meter_begin_row(meter, number);
--- a/src/duty/scaler.c
+++ b/src/duty/scaler.c
@@ -14,6 +14,7 @@
 
 #define LOADS_TABLE "loads" /* key: node; "SENT_MS" and lines as below */
 #define LOAD_LINE_FORMAT "%u %llu %s\n" /* LOAD AGE_MS UPSTREAM */
+#define LOAD_LINE_MAX_BYTES 40		/* without the upstream */
 #define DOMAINS_MAX KWB_SCALE_SUBJECTS_MAX
 
 void
@@ -33,10 +34,16 @@
 static void
 scaler_reset(struct kwb_scaler *scaler)
 {
+	uint32_t i;
+
 	kwb_store_cancel(scaler->store, &scaler->read);
 	if (scaler->sending != NULL)
 		kwb_duty_caller_cancel(scaler->caller);
 	scaler->sending = NULL;
+	for (i = 0; i < scaler->subjects_count; i++) {
+		free(scaler->subjects[i].service);
+		free(scaler->subjects[i].failure_domain);
+	}
 	scaler->subjects_count = 0;
 	scaler->next_key[0] = '\0';
 	scaler->read_ns = 0;
@@ -111,7 +118,8 @@
 
 		if (upstream->reported_ns == 0 ||
 		    now_ns - upstream->reported_ns > KWB_SCALE_REPORT_NS ||
-		    text.used_bytes + 2 * KWB_NAME_MAX_BYTES >
+		    text.used_bytes + strlen(upstream->status.id) +
+			    LOAD_LINE_MAX_BYTES >
 			KWB_STORE_VALUE_MAX_BYTES ||
 		    find_scaled(scaler, upstream->status.service) == NULL)
 			continue;
@@ -142,7 +150,7 @@
 static void
 take_row(struct kwb_scaler *scaler, const struct kwb_row *row)
 {
-	char id[KWB_NAME_MAX_BYTES];
+	char id[KWB_STORE_NAME_BYTES];
 	const char *line = strchr(row->value, '\n');
 	uint64_t sent_ms = strtoull(row->value, NULL, 10);
 	unsigned long long age_ms;
@@ -151,7 +159,7 @@
 	for (; line != NULL && line[1] != '\0'; line = strchr(line + 1, '\n')) {
 		struct kwb_upstream *upstream;
 
-		if (sscanf(line + 1, "%u %llu %63s", &load, &age_ms, id) != 3)
+		if (sscanf(line + 1, "%u %llu %200s", &load, &age_ms, id) != 3)
 			return;
 		upstream = kwb_registry_find(scaler->registry, id);
 		if (upstream == NULL || sent_ms - age_ms <= upstream->shared_ms)
@@ -161,7 +169,7 @@
 	}
 }
 
-/* The subject; added if it is new; NULL when there are too many. */
+/* The subject, added if it is new; NULL for too many, or without memory. */
 static struct kwb_scale_subject *
 find_subject(
     struct kwb_scaler *scaler, const char *service, const char *failure_domain)
@@ -175,11 +183,15 @@
 			return subject;
 	if (i == KWB_SCALE_SUBJECTS_MAX)
 		return NULL;
-	scaler->subjects_count++;
 	memset(subject, 0, sizeof(*subject));
-	kwb_text_copy(subject->service, sizeof(subject->service), service);
-	kwb_text_copy(subject->failure_domain, sizeof(subject->failure_domain),
-	    failure_domain);
+	subject->service = strdup(service);
+	subject->failure_domain = strdup(failure_domain);
+	if (subject->service == NULL || subject->failure_domain == NULL) {
+		free(subject->service);
+		free(subject->failure_domain);
+		return NULL;
+	}
+	scaler->subjects_count++;
 	return subject;
 }
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -83,7 +83,8 @@
 	attempt_end(&forward->attempts[1]);
 	room_leave(forward, outcome == KWB_FORWARD_ANSWERED);
 	event_del(forward->timer);
-	if (outcome == KWB_FORWARD_ANSWERED && forward->prompt != NULL)
+	if (outcome == KWB_FORWARD_ANSWERED && forward->prompt != NULL &&
+	    forward->upstream_id != NULL)
 		kwb_prefix_map_set(forward->env->prefixes, forward->service,
 		    forward->prompt, forward->upstream_id);
 	if (outcome != KWB_FORWARD_ANSWERED)
@@ -163,6 +164,14 @@
 	    answer->status == 421 ? "other_incarnation" : "upstream_full");
 }
 
+/* For the log and the map of prompts; without memory both do without it. */
+static void
+note_upstream(struct kwb_forward *forward, const struct kwb_upstream *upstream)
+{
+	if (kwb_text_replace(&forward->upstream_id, upstream->status.id) != 0)
+		forward_log(forward, "not_noted", upstream, "out_of_memory");
+}
+
 /* Passes on what follows the last event: comments, as the stream is whole. */
 static void
 stream_flush(struct kwb_forward *forward)
@@ -209,8 +218,7 @@
 		attempt_failed(attempt, false, "not_resumed");
 		return;
 	}
-	kwb_text_copy(forward->upstream_id, sizeof(forward->upstream_id),
-	    upstream->status.id);
+	note_upstream(forward, upstream);
 	if (!forward->head_sent) {
 		forward->answer = *message;
 		kwb_message_init(message);
@@ -358,8 +366,7 @@
 		return; /* goes on under the head of the first upstream */
 	forward->head_sent = true;
 	kwb_message_copy(&forward->answer, message);
-	kwb_text_copy(forward->upstream_id, sizeof(forward->upstream_id),
-	    attempt->upstream->status.id);
+	note_upstream(forward, attempt->upstream);
 	forward->on_head(forward);
 }
 
@@ -714,4 +721,10 @@
 	kwb_message_finish(&forward->answer);
 	kwb_buf_finish(&forward->partial_event);
 	kwb_sse_parser_finish(&forward->events);
+	free(forward->service);
+	free(forward->workspace);
+	free(forward->upstream_id);
+	forward->service = NULL;
+	forward->workspace = NULL;
+	forward->upstream_id = NULL;
 }
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -42,6 +42,12 @@
 		evbuffer_add_printf(out, "Connection: close\r\n");
 }
 
+static const char *
+text_or_dash(const char *text)
+{
+	return text != NULL && text[0] != '\0' ? text : "-";
+}
+
 /* Logs the answer to a request and counts its time in the histogram. */
 static void
 record_answer(const struct kwb_caller *caller, uint16_t status,
@@ -57,8 +63,8 @@
 	    "upstream=%s workspace=%s config=%llu taken_ms=%llu",
 	    caller->call.id ? caller->call.id : "-",
 	    caller->call.batch[0] ? caller->call.batch : "-",
-	    caller->route[0] ? caller->route : "-", status, reason, upstream,
-	    caller->workspace[0] ? caller->workspace : "-",
+	    text_or_dash(caller->route), status, reason, text_or_dash(upstream),
+	    text_or_dash(caller->workspace),
 	    (unsigned long long)(caller->node->config
 		    ? caller->node->config->version
 		    : 0),
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -50,6 +50,8 @@
 	TAILQ_REMOVE(&caller->node->callers, caller, entry);
 	event_free(caller->timer);
 	kwb_conn_finish(&caller->conn);
+	free(caller->route);
+	free(caller->workspace);
 	free(caller);
 }
 
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -37,9 +37,9 @@
 	bool is_held;		   /* listed in held_callers */
 	bool is_draining; /* its next request waits until these are sent */
 	bool is_busy;	  /* a request is in progress */
-	struct kwb_request_head call;	    /* the request, decoded */
-	char route[KWB_NAME_MAX_BYTES];	    /* name of its route, "" for none */
-	char workspace[KWB_NAME_MAX_BYTES]; /* that asks, "" for none */
+	struct kwb_request_head call; /* the request, decoded */
+	char *route;		      /* name of its route, or NULL */
+	char *workspace;	      /* that asks, "" for none; or NULL */
 	uint64_t arrived_ns; /* boot time when the request had been read */
 	bool is_waiting;     /* for the store's word on its key */
 	TAILQ_ENTRY(kwb_caller) waiting_entry;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -11,7 +11,23 @@
 
 #include "caller.h"
 
-/* A config that is invalid or not newer changes nothing. */
+/* Names each fault that a config has, and what came of it. */
+static void
+log_config_faults(const struct kwb_faults *faults, const char *event,
+    const struct kwb_node_config *config)
+{
+	uint32_t i;
+
+	for (i = 0; i < faults->count; i++)
+		kwb_log(KWB_LOG_WARN, "node",
+		    "event=%s version=%llu reason=\"%s\"", event,
+		    (unsigned long long)config->version, faults->text[i]);
+}
+
+/*
+ * A config that can't be parsed, or is not newer, changes nothing. What of it
+ * can't be used by itself is left out.
+ */
 static void
 apply_config_row(struct kwb_node *node, const struct kwb_row *row)
 {
@@ -22,6 +38,8 @@
 	if (config != NULL && faults != NULL && !row->deleted)
 		code = node->schema->parse_config(
 		    config, row->value, row->value_bytes, faults);
+	if (code != 0 && !row->deleted)
+		kwb_metric_add(KWB_METRIC_CONFIGS_REFUSED, 1);
 	if (code != 0 ||
 	    (node->config != NULL &&
 		config->version <= node->config->version)) {
@@ -37,7 +55,9 @@
 		free(faults);
 		return;
 	}
+	log_config_faults(faults, "config_part_left_out", config);
 	free(faults);
+	kwb_metric_set(KWB_METRIC_CONFIG_LEFT_OUT, config->left_out_count);
 	if (node->config != NULL)
 		kwb_node_config_finish(node->config);
 	free(node->config);
@@ -59,7 +79,7 @@
 {
 	struct kwb_node *node = context;
 	const struct kwb_document_schema *schema = node->schema;
-	char model[KWB_NAME_MAX_BYTES];
+	char *model;
 	uint64_t version;
 
 	if (strcmp(row->key, schema->config_key) == 0) {
@@ -70,13 +90,14 @@
 	    strncmp(row->key, schema->version_prefix,
 		strlen(schema->version_prefix)) != 0)
 		return;
-	if (schema->parse_version(row->value, row->value_bytes, model,
-		sizeof(model), &version) != 0) {
+	if (schema->parse_version(
+		row->value, row->value_bytes, &model, &version) != 0) {
 		kwb_log(KWB_LOG_WARN, "node", "event=version_unreadable key=%s",
 		    row->key);
 		return;
 	}
 	kwb_weight_updater_announce(&node->weight_updater, model, version);
+	free(model);
 }
 
 static void
@@ -129,12 +150,18 @@
 	}
 	is_known = kwb_registry_find(&node->registry, row->key) != NULL;
 	upstream = kwb_registry_put(&node->registry, &status);
-	if (upstream == NULL)
+	if (upstream == NULL) {
+		kwb_log(KWB_LOG_ERROR, "node",
+		    "event=upstream_not_taken id=%s error=%s", row->key,
+		    kwb_error_name(KWB_ERR_MEMORY));
+		kwb_upstream_status_finish(&status);
 		return;
+	}
 	if (!is_known || status.draining)
 		kwb_log(KWB_LOG_INFO, "node",
 		    "event=upstream id=%s service=%s state=%s", status.id,
 		    status.service, status.draining ? "draining" : "ready");
+	kwb_upstream_status_finish(&status);
 	kwb_weight_updater_on_upstream(&node->weight_updater, upstream);
 	kwb_batches_dispatch(&node->batches);
 }
@@ -353,6 +380,7 @@
 	kwb_room_finish(&node->room);
 	kwb_client_finish(&node->client);
 	kwb_registry_finish(&node->registry);
+	kwb_prefix_map_finish(&node->prefixes);
 	if (node->config != NULL)
 		kwb_node_config_finish(node->config);
 	free(node->config);
--- a/src/node/serve.c
+++ b/src/node/serve.c
@@ -76,7 +76,14 @@
 	struct kwb_forward *forward = calloc(1, sizeof(*forward));
 	bool is_streaming = route->kind == KWB_ROUTE_STREAMING;
 
-	if (forward == NULL) {
+	if (forward == NULL ||
+	    kwb_text_replace(&forward->workspace, caller->workspace) != 0 ||
+	    kwb_text_replace(&forward->service,
+		kwb_registry_pick_service(
+		    &caller->node->registry, route, (uint64_t)random())) != 0) {
+		if (forward != NULL)
+			free(forward->workspace);
+		free(forward);
 		answer_error(caller, 503, "out_of_memory");
 		return;
 	}
@@ -98,12 +105,7 @@
 	    .deadline_ns = forward->deadline_ns,
 	    .priority =
 		route->kind == KWB_ROUTE_STREAMING ? KWB_PRIORITY_CALLER : -1};
-	kwb_text_copy(
-	    forward->workspace, sizeof(forward->workspace), caller->workspace);
 	forward->request.workspace = forward->workspace;
-	kwb_text_copy(forward->service, sizeof(forward->service),
-	    kwb_registry_pick_service(
-		&caller->node->registry, route, (uint64_t)random()));
 	forward->idempotent = route->kind == KWB_ROUTE_IDEMPOTENT ||
 	    (is_streaming && route->resumable);
 	forward->resumes = is_streaming && route->resumable;
@@ -150,22 +152,23 @@
 	struct kwb_batch_accept *accept = calloc(1, sizeof(*accept));
 	struct kwb_message *message = &caller->conn.message;
 
-	if (accept == NULL) {
+	if (accept != NULL) {
+		caller->accept = accept;
+		accept->batches = &caller->node->batches;
+	}
+	if (accept == NULL ||
+	    kwb_text_replace(&accept->record.host, caller->call.host) != 0 ||
+	    kwb_text_replace(
+		&accept->record.target, kwb_message_target(message)) != 0 ||
+	    kwb_text_replace(&accept->record.workspace, caller->workspace) !=
+		0) {
 		answer_error(caller, 503, "out_of_memory");
 		return;
 	}
-	caller->accept = accept;
 	accept->on_done = accept_on_done;
 	accept->context = caller;
-	accept->batches = &caller->node->batches;
 	kwb_text_copy(
 	    accept->record.id, sizeof(accept->record.id), caller->call.id);
-	kwb_text_copy(accept->record.host, sizeof(accept->record.host),
-	    caller->call.host);
-	kwb_text_copy(accept->record.target, sizeof(accept->record.target),
-	    kwb_message_target(message));
-	kwb_text_copy(accept->record.workspace,
-	    sizeof(accept->record.workspace), caller->workspace);
 	accept->body = kwb_buf_text(&message->body);
 	accept->body_bytes = message->body.used_bytes;
 	kwb_batch_accept_start(accept);
@@ -189,20 +192,21 @@
 {
 	struct kwb_batch_end *end = calloc(1, sizeof(*end));
 
-	if (end == NULL) {
+	if (end != NULL) {
+		caller->end = end;
+		end->batches = &caller->node->batches;
+	}
+	if (end == NULL ||
+	    kwb_text_replace(&end->workspace, caller->workspace) != 0) {
 		answer_error(caller, 503, "out_of_memory");
 		return;
 	}
-	caller->end = end;
 	end->on_done = end_on_done;
 	end->context = caller;
-	end->batches = &caller->node->batches;
 	end->deadline_ns =
 	    caller->started_ns + KWB_BATCH_END_TIMEOUT_MS * KWB_MS_NS;
 	kwb_text_copy(
 	    end->record.id, sizeof(end->record.id), caller->call.batch);
-	kwb_text_copy(
-	    end->workspace, sizeof(end->workspace), caller->workspace);
 	kwb_batch_end_start(end);
 }
 
@@ -228,23 +232,24 @@
 	struct kwb_batch_read *read = calloc(1, sizeof(*read));
 	uint32_t wait_ms = caller->call.wait_ms;
 
-	if (read == NULL) {
+	if (read != NULL) {
+		caller->read = read;
+		read->batches = &caller->node->batches;
+	}
+	if (read == NULL ||
+	    kwb_text_replace(&read->workspace, caller->workspace) != 0) {
 		answer_error(caller, 503, "out_of_memory");
 		return;
 	}
 	if (wait_ms > KWB_BATCH_READ_WAIT_MAX_MS)
 		wait_ms = KWB_BATCH_READ_WAIT_MAX_MS;
-	caller->read = read;
 	read->on_done = read_on_done;
 	read->context = caller;
-	read->batches = &caller->node->batches;
 	read->after = caller->call.after;
 	read->wait_deadline_ns = caller->started_ns + wait_ms * KWB_MS_NS;
 	read->deadline_ns =
 	    read->wait_deadline_ns + KWB_BATCH_READ_TIMEOUT_MS * KWB_MS_NS;
 	kwb_text_copy(read->batch, sizeof(read->batch), caller->call.batch);
-	kwb_text_copy(
-	    read->workspace, sizeof(read->workspace), caller->workspace);
 	if (caller->call.kind == KWB_REQUEST_READ_ITEM)
 		kwb_text_copy(
 		    read->item, sizeof(read->item), caller->call.item);
@@ -316,9 +321,11 @@
 
 	switch (verdict) {
 	case KWB_ACCESS_ADMIT:
-		kwb_text_copy(caller->workspace, sizeof(caller->workspace),
-		    request.workspace);
-		return true;
+		if (kwb_text_replace(&caller->workspace, request.workspace) ==
+		    0)
+			return true;
+		answer_error(caller, 503, "out_of_memory");
+		return false;
 	case KWB_ACCESS_ASK:
 		caller->is_waiting = true;
 		TAILQ_INSERT_TAIL(
@@ -346,6 +353,13 @@
 	    record->workspace[0] == '\0';
 }
 
+static void
+caller_forget_route(struct kwb_caller *caller)
+{
+	free(caller->route);
+	caller->route = NULL;
+}
+
 static void
 serve_by_route(struct kwb_caller *caller)
 {
@@ -363,7 +377,9 @@
 		answer_error(caller, 404, "no_route");
 		return;
 	}
-	kwb_text_copy(caller->route, sizeof(caller->route), route->name);
+	/* Only the log misses a route that isn't noted. */
+	if (kwb_text_replace(&caller->route, route->name) != 0)
+		caller_forget_route(caller);
 	if (!admit(caller, route->is_public))
 		return;
 	if (route->kind == KWB_ROUTE_ROLLOUT) {
@@ -405,8 +421,9 @@
 {
 	caller->node->codec->parse_request(
 	    &caller->conn.message, &caller->call);
-	caller->route[0] = '\0';
-	caller->workspace[0] = '\0';
+	caller_forget_route(caller);
+	free(caller->workspace);
+	caller->workspace = NULL;
 	caller->arrived_ns = kwb_boot_now_ns();
 	if (caller->node->has_answered_all) {
 		answer_error(caller, 503, "stopping");
--- a/src/room/queue.c
+++ b/src/room/queue.c
@@ -4,6 +4,7 @@
  * too.
  */
 #include <event2/event.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "kwb_node.h"
@@ -69,8 +70,10 @@
 			return &room->services[i];
 	if (room->services_count == KWB_ROOM_SERVICES_MAX)
 		return NULL;
-	service = &room->services[room->services_count++];
-	kwb_text_copy(service->name, sizeof(service->name), waiter->service);
+	service = &room->services[room->services_count];
+	if (kwb_text_replace(&service->name, waiter->service) != 0)
+		return NULL;
+	room->services_count++;
 	kwb_room_limit_init(&service->limit);
 	return service;
 }
@@ -171,12 +174,14 @@
 pass_over(struct kwb_room *room, const char *service_name, bool was_stream,
     uint64_t now_ns)
 {
-	char service[KWB_NAME_MAX_BYTES];
+	/* The waiter that the name is of may be refused below. */
+	char *service = strdup(service_name);
 	struct kwb_room_places places;
 	struct kwb_room_waiter *waiter;
 	struct kwb_room_waiter *next;
 
-	kwb_text_copy(service, sizeof(service), service_name);
+	if (service == NULL)
+		return;
 	kwb_room_measure(room->registry, service, now_ns, &places);
 	for (waiter = TAILQ_FIRST(&room->waiters); waiter != NULL;
 	     waiter = next) {
@@ -187,6 +192,7 @@
 		waiter->pass = room->pass;
 		refuse_hopeless(room, waiter, &places, 0, now_ns);
 	}
+	free(service);
 }
 
 static void
@@ -232,7 +238,12 @@
 void
 kwb_room_finish(struct kwb_room *room)
 {
+	uint32_t i;
+
 	event_free(room->timer);
+	for (i = 0; i < room->services_count; i++)
+		free(room->services[i].name);
+	kwb_room_shares_finish(&room->shares);
 }
 
 void
--- a/src/room/share.c
+++ b/src/room/share.c
@@ -3,6 +3,7 @@
  * workspace among many small ones: a count that fades tells them apart after a
  * burst as well as under steady load.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "kwb_room.h"
@@ -23,12 +24,24 @@
 			return i;
 	if (workspace[0] == '\0' || shares->count == KWB_ROOM_SHARES_MAX)
 		return 0;
-	share = &shares->entries[shares->count++];
-	kwb_text_copy(share->workspace, sizeof(share->workspace), workspace);
+	share = &shares->entries[shares->count];
+	if (kwb_text_replace(&share->workspace, workspace) != 0)
+		return 0;
+	shares->count++;
 	share->halved_ns = now_ns;
 	return i;
 }
 
+void
+kwb_room_shares_finish(struct kwb_room_shares *shares)
+{
+	uint32_t i;
+
+	for (i = 0; i < shares->count; i++)
+		free(shares->entries[i].workspace);
+	memset(shares, 0, sizeof(*shares));
+}
+
 uint32_t
 kwb_room_shares_get(
     const struct kwb_room_shares *shares, uint32_t index, uint64_t now_ns)
--- a/src/route/node_config.c
+++ b/src/route/node_config.c
@@ -7,15 +7,42 @@
 
 #include "kwb_node.h"
 
+void
+kwb_route_entry_finish(struct kwb_route_entry *route)
+{
+	uint32_t i;
+
+	for (i = 0; i < route->splits_count; i++)
+		free(route->splits[i].service);
+	free(route->splits);
+	free(route->name);
+	free(route->host);
+	free(route->prefix);
+	memset(route, 0, sizeof(*route));
+}
+
+static void
+service_finish(struct kwb_service *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->models_count; i++)
+		free(service->models[i]);
+	free(service->models);
+	free(service->name);
+}
+
 void
 kwb_node_config_finish(struct kwb_node_config *config)
 {
 	uint32_t i;
 
 	for (i = 0; i < config->routes_count; i++)
-		free(config->routes[i].splits);
+		kwb_route_entry_finish(&config->routes[i]);
 	for (i = 0; i < config->services_count; i++)
-		free(config->services[i].models);
+		service_finish(&config->services[i]);
+	for (i = 0; i < config->workspaces_count; i++)
+		free(config->workspaces[i].name);
 	free(config->routes);
 	free(config->services);
 	free(config->workspaces);
--- a/src/upstream/parts.c
+++ b/src/upstream/parts.c
@@ -5,6 +5,7 @@
  * same instructions. Only requests of this node are known; a wrong guess costs
  * one reading of the prompt.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "kwb_node.h"
@@ -34,6 +35,16 @@
 	return &map->entries[hash % KWB_PREFIXES_MAX];
 }
 
+void
+kwb_prefix_map_finish(struct kwb_prefix_map *map)
+{
+	uint32_t i;
+
+	for (i = 0; i < KWB_PREFIXES_MAX; i++)
+		free(map->entries[i].upstream_id);
+	memset(map, 0, sizeof(*map));
+}
+
 void
 kwb_prefix_map_set(struct kwb_prefix_map *map, const char *service,
     const char *prompt, const char *upstream_id)
@@ -44,9 +55,11 @@
 	while (*prompt != '\0') {
 		prompt = part_next(prompt, &hash);
 		entry = entry_of(map, hash);
-		entry->hash = hash;
-		kwb_text_copy(entry->upstream_id, sizeof(entry->upstream_id),
-		    upstream_id);
+		/* A prefix that isn't kept costs one reading of the prompt. */
+		entry->hash =
+		    kwb_text_replace(&entry->upstream_id, upstream_id) == 0
+		    ? hash
+		    : 0;
 	}
 }
 
@@ -61,7 +74,7 @@
 	while (*prompt != '\0') {
 		prompt = part_next(prompt, &hash);
 		entry = entry_of(map, hash);
-		if (entry->hash == hash && entry->upstream_id[0] != '\0')
+		if (entry->hash == hash && entry->upstream_id != NULL)
 			found = entry->upstream_id;
 	}
 	return found;
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -47,7 +47,7 @@
 {
 	uint64_t version = kwb_upstream_version(upstream, model);
 
-	if (strcmp(upstream->assigned_model, model) == 0 &&
+	if (kwb_upstream_is_assigned(upstream, model) &&
 	    upstream->expected_version > version)
 		return upstream->expected_version;
 	return version;
@@ -327,7 +327,7 @@
 		if (!is_usable(criteria, upstream))
 			continue;
 		if (assigned_only &&
-		    strcmp(upstream->assigned_model, criteria->model) != 0)
+		    !kwb_upstream_is_assigned(upstream, criteria->model))
 			continue;
 		if (!is_healthy_enough(upstream, health, criteria->now_ns))
 			continue;
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -8,6 +8,113 @@
 
 #include "kwb_node.h"
 
+int
+kwb_upstream_models_add(
+    struct kwb_upstream_models *models, const char *name, uint64_t version)
+{
+	struct kwb_upstream_model *list =
+	    realloc(models->list, (models->count + 1) * sizeof(*models->list));
+	char *copy = strdup(name);
+
+	if (list != NULL)
+		models->list = list;
+	if (list == NULL || copy == NULL) {
+		free(copy);
+		return KWB_ERR_MEMORY;
+	}
+	list[models->count].name = copy;
+	list[models->count].version = version;
+	models->count++;
+	return 0;
+}
+
+void
+kwb_upstream_models_finish(struct kwb_upstream_models *models)
+{
+	uint32_t i;
+
+	for (i = 0; i < models->count; i++)
+		free(models->list[i].name);
+	free(models->list);
+	memset(models, 0, sizeof(*models));
+}
+
+void
+kwb_upstream_status_finish(struct kwb_upstream_status *status)
+{
+	free(status->id);
+	free(status->service);
+	free(status->failure_domain);
+	kwb_upstream_models_finish(&status->models);
+	memset(status, 0, sizeof(*status));
+}
+
+static bool
+models_are_equal(
+    const struct kwb_upstream_models *a, const struct kwb_upstream_models *b)
+{
+	uint32_t i;
+
+	if (a->count != b->count)
+		return false;
+	for (i = 0; i < a->count; i++)
+		if (strcmp(a->list[i].name, b->list[i].name) != 0)
+			return false;
+	return true;
+}
+
+/* Most heartbeats name the same models as the one before. */
+static int
+models_copy(
+    struct kwb_upstream_models *to, const struct kwb_upstream_models *from)
+{
+	struct kwb_upstream_models copy = {0};
+	uint32_t i;
+
+	if (models_are_equal(to, from)) {
+		for (i = 0; i < from->count; i++)
+			to->list[i].version = from->list[i].version;
+		return 0;
+	}
+	for (i = 0; i < from->count; i++) {
+		if (kwb_upstream_models_add(&copy, from->list[i].name,
+			from->list[i].version) != 0) {
+			kwb_upstream_models_finish(&copy);
+			return KWB_ERR_MEMORY;
+		}
+	}
+	kwb_upstream_models_finish(to);
+	*to = copy;
+	return 0;
+}
+
+static int
+status_copy(
+    struct kwb_upstream_status *to, const struct kwb_upstream_status *from)
+{
+	struct kwb_upstream_status copy = *from;
+
+	if (kwb_text_replace(&to->id, from->id) != 0 ||
+	    kwb_text_replace(&to->service, from->service) != 0 ||
+	    kwb_text_replace(&to->failure_domain, from->failure_domain) != 0 ||
+	    models_copy(&to->models, &from->models) != 0)
+		return KWB_ERR_MEMORY;
+	copy.id = to->id;
+	copy.service = to->service;
+	copy.failure_domain = to->failure_domain;
+	copy.models = to->models;
+	*to = copy;
+	return 0;
+}
+
+static void
+upstream_free(struct kwb_upstream *upstream)
+{
+	kwb_upstream_status_finish(&upstream->status);
+	free(upstream->assigned_model);
+	free(upstream);
+}
+
 void
 kwb_registry_init(struct kwb_registry *registry)
 {
@@ -20,7 +127,7 @@
 	uint32_t i;
 
 	for (i = 0; i < registry->count; i++)
-		free(registry->upstreams[i]);
+		upstream_free(registry->upstreams[i]);
 	free(registry->upstreams);
 	kwb_index_finish(&registry->index);
 	memset(registry, 0, sizeof(*registry));
@@ -73,20 +180,42 @@
 	upstream->is_leaving = false;
 }
 
+static void
+free_if_unreferenced(
+    struct kwb_registry *registry, struct kwb_upstream *upstream)
+{
+	uint32_t i;
+
+	if (upstream->listed || upstream->ref_count > 0)
+		return;
+	for (i = 0; i < registry->count; i++)
+		if (registry->upstreams[i] == upstream)
+			break;
+	if (i == registry->count)
+		return;
+	registry->upstreams[i] = registry->upstreams[--registry->count];
+	upstream_free(upstream);
+}
+
 struct kwb_upstream *
 kwb_registry_put(
     struct kwb_registry *registry, const struct kwb_upstream_status *status)
 {
 	struct kwb_upstream *upstream = kwb_registry_find(registry, status->id);
+	bool is_new = upstream == NULL;
 
-	if (upstream == NULL) {
+	if (is_new) {
 		upstream = registry_append(registry);
 		if (upstream == NULL)
 			return NULL;
 	} else if (upstream->status.incarnation_ms != status->incarnation_ms) {
 		reset_history(upstream);
 	}
-	upstream->status = *status;
+	if (status_copy(&upstream->status, status) != 0) {
+		if (is_new)
+			free_if_unreferenced(registry, upstream);
+		return NULL;
+	}
 	upstream->listed = true;
 	upstream->stored_ns = kwb_clock_now_ns();
 	upstream->removal_ns = 0;
@@ -98,23 +227,6 @@
 	return upstream;
 }
 
-static void
-free_if_unreferenced(
-    struct kwb_registry *registry, struct kwb_upstream *upstream)
-{
-	uint32_t i;
-
-	if (upstream->listed || upstream->ref_count > 0)
-		return;
-	for (i = 0; i < registry->count; i++)
-		if (registry->upstreams[i] == upstream)
-			break;
-	if (i == registry->count)
-		return;
-	registry->upstreams[i] = registry->upstreams[--registry->count];
-	free(upstream);
-}
-
 void
 kwb_registry_remove(struct kwb_registry *registry, const char *id)
 {
@@ -219,14 +331,21 @@
 		KWB_MS_NS));
 }
 
+bool
+kwb_upstream_is_assigned(const struct kwb_upstream *upstream, const char *model)
+{
+	return upstream->assigned_model != NULL &&
+	    strcmp(upstream->assigned_model, model) == 0;
+}
+
 uint64_t
 kwb_upstream_version(const struct kwb_upstream *upstream, const char *model)
 {
 	uint32_t i;
 
-	for (i = 0; i < upstream->status.models_count; i++)
-		if (strcmp(upstream->status.models[i].name, model) == 0)
-			return upstream->status.models[i].version;
+	for (i = 0; i < upstream->status.models.count; i++)
+		if (strcmp(upstream->status.models.list[i].name, model) == 0)
+			return upstream->status.models.list[i].version;
 	return 0;
 }
 
@@ -236,20 +355,24 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < upstream->status.models_count; i++)
-		if (strcmp(upstream->status.models[i].name, model) == 0)
-			upstream->status.models[i].version = version;
+	for (i = 0; i < upstream->status.models.count; i++)
+		if (strcmp(upstream->status.models.list[i].name, model) == 0)
+			upstream->status.models.list[i].version = version;
 }
 
 void
 kwb_upstream_assign(
     struct kwb_upstream *upstream, const char *model, uint64_t version)
 {
-	if (strcmp(upstream->assigned_model, model) != 0 ||
+	if (!kwb_upstream_is_assigned(upstream, model) ||
 	    upstream->expected_version != version)
 		upstream->expected_since_ns = kwb_clock_now_ns();
-	kwb_text_copy(
-	    upstream->assigned_model, sizeof(upstream->assigned_model), model);
+	if (kwb_text_replace(&upstream->assigned_model, model) != 0) {
+		kwb_log(KWB_LOG_ERROR, "upstream",
+		    "event=not_assigned upstream=%s model=%s error=%s",
+		    upstream->status.id, model, kwb_error_name(KWB_ERR_MEMORY));
+		return;
+	}
 	upstream->expected_version = version;
 }
 
@@ -257,7 +380,7 @@
 kwb_upstream_is_loading(
     const struct kwb_upstream *upstream, const char *model, uint64_t now_ns)
 {
-	return strcmp(upstream->assigned_model, model) == 0 &&
+	return kwb_upstream_is_assigned(upstream, model) &&
 	    upstream->expected_version >
 	    kwb_upstream_version(upstream, model) &&
 	    now_ns - upstream->expected_since_ns < KWB_WEIGHT_LOAD_MAX_NS;
--- a/src/weights/homes.c
+++ b/src/weights/homes.c
@@ -92,24 +92,22 @@
 	return best;
 }
 
-void
-kwb_replicas_assign(struct kwb_replica_assignment *upstreams,
+/* share and have: replicas of each model, wanted and there; have is zeroed. */
+static void
+assign_by_share(struct kwb_replica_assignment *upstreams,
     uint32_t upstreams_count, const struct kwb_model_demand *models,
-    uint32_t models_count)
+    uint32_t models_count, const uint32_t *share, uint32_t *have)
 {
-	uint32_t share[KWB_MODELS_MAX];
-	uint32_t have[KWB_MODELS_MAX] = {0};
 	uint32_t i;
 	int from;
 	int to;
 
-	if (models_count == 0 || models_count > KWB_MODELS_MAX)
-		return;
-	divide_upstreams(models, models_count, upstreams_count, share);
 	for (i = 0; i < upstreams_count; i++) {
+		if (upstreams[i].model == NULL)
+			upstreams[i].model = "";
 		from = model_index(models, models_count, upstreams[i].model);
 		if (from < 0)
-			upstreams[i].model[0] = '\0';
+			upstreams[i].model = "";
 		else
 			have[from]++;
 	}
@@ -119,8 +117,7 @@
 		to = most_lacking(share, have, models_count);
 		if (to < 0)
 			break;
-		kwb_text_copy(
-		    upstreams[i].model, KWB_NAME_MAX_BYTES, models[to].name);
+		upstreams[i].model = models[to].name;
 		have[to]++;
 	}
 	/* Replicas beyond a model's share go to a model that lacks some, or
@@ -131,13 +128,32 @@
 			continue;
 		to = most_lacking(share, have, models_count);
 		have[from]--;
-		kwb_text_copy(upstreams[i].model, KWB_NAME_MAX_BYTES,
-		    to < 0 ? "" : models[to].name);
+		upstreams[i].model = to < 0 ? "" : models[to].name;
 		if (to >= 0)
 			have[to]++;
 	}
 }
 
+int
+kwb_replicas_assign(struct kwb_replica_assignment *upstreams,
+    uint32_t upstreams_count, const struct kwb_model_demand *models,
+    uint32_t models_count)
+{
+	uint32_t *share = calloc(models_count + 1, sizeof(*share));
+	uint32_t *have = calloc(models_count + 1, sizeof(*have));
+	int code = KWB_ERR_MEMORY;
+
+	if (share != NULL && have != NULL) {
+		divide_upstreams(models, models_count, upstreams_count, share);
+		assign_by_share(upstreams, upstreams_count, models,
+		    models_count, share, have);
+		code = 0;
+	}
+	free(share);
+	free(have);
+	return code;
+}
+
 /*
  * A load keeps a replica from serving for about a second, and only some can
  * load at once. A batch accepts weights up to `lag` versions old. So most
--- a/src/weights/mover.c
+++ b/src/weights/mover.c
@@ -26,6 +26,14 @@
 	return kwb_index_get(&updater->index, id);
 }
 
+static void
+replica_free(struct kwb_replica *replica)
+{
+	free(replica->id);
+	free(replica->model);
+	free(replica);
+}
+
 /* Finds or adds; NULL without memory. */
 static struct kwb_replica *
 replica_get(struct kwb_weight_updater *updater, const char *id)
@@ -37,10 +45,11 @@
 	replica = calloc(1, sizeof(*replica));
 	if (replica == NULL)
 		return NULL;
-	kwb_text_copy(replica->id, sizeof(replica->id), id);
 	replica->updater = updater;
-	if (kwb_index_put(&updater->index, replica->id, replica) != 0) {
-		free(replica);
+	if (kwb_text_replace(&replica->id, id) != 0 ||
+	    kwb_text_replace(&replica->model, "") != 0 ||
+	    kwb_index_put(&updater->index, replica->id, replica) != 0) {
+		replica_free(replica);
 		return NULL;
 	}
 	TAILQ_INSERT_TAIL(&updater->replicas, replica, entry);
@@ -82,28 +91,48 @@
 		replica->load_pending = false;
 }
 
+char *
+kwb_replica_row_parse(const char *value, uint64_t *version)
+{
+	const char *space = strrchr(value, ' ');
+	char *end;
+
+	*version = 0;
+	if (space == NULL || space == value)
+		return NULL;
+	*version = strtoull(space + 1, &end, 10);
+	if (end == space + 1 || *end != '\0')
+		return NULL;
+	return strndup(value, (size_t)(space - value));
+}
+
 static void
 assignment_on_row(void *context, const struct kwb_row *row)
 {
 	struct kwb_weight_updater *updater = context;
 	struct kwb_replica *replica = replica_get(updater, row->key);
-	unsigned long long target = 0;
+	uint64_t target = 0;
+	char *model = NULL;
 
 	if (replica == NULL || row->revision < replica->revision)
 		return;
 	if (kwb_store_lease_fence(&updater->lease) != 0 &&
 	    replica->model[0] != '\0')
 		return; /* its own write: only the lease holder writes rows */
-	replica->revision = row->deleted ? 0 : row->revision;
-	replica->model[0] = '\0';
-	replica->target_version = 0;
-	if (!row->deleted &&
-	    sscanf(row->value, "%63s %llu", replica->model, &target) < 1)
+	if (!row->deleted)
+		model = kwb_replica_row_parse(row->value, &target);
+	if (!row->deleted && model == NULL)
 		kwb_log(KWB_LOG_WARN, "mover",
 		    "event=home_unreadable upstream=%s revision=%llu", row->key,
 		    (unsigned long long)row->revision);
-	if (strcmp(replica->model, NO_MODEL_TEXT) == 0)
-		replica->model[0] = '\0';
+	if (kwb_text_replace(&replica->model,
+		model != NULL && strcmp(model, NO_MODEL_TEXT) != 0 ? model
+								   : "") != 0) {
+		free(model);
+		return;
+	}
+	free(model);
+	replica->revision = row->deleted ? 0 : row->revision;
 	replica->target_version = target;
 	updater_assignment_apply(updater, replica);
 	kwb_batches_rebalance(updater->batches);
@@ -125,18 +154,25 @@
 kwb_weight_updater_announce(
     struct kwb_weight_updater *updater, const char *model, uint64_t version)
 {
+	struct kwb_model_version *versions = updater->versions;
 	uint32_t i;
 
 	for (i = 0; i < updater->versions_count; i++)
-		if (strcmp(updater->versions[i].model, model) == 0)
+		if (strcmp(versions[i].model, model) == 0)
 			break;
-	if (i == KWB_MODELS_MAX)
-		return;
 	if (i == updater->versions_count) {
+		versions = realloc(versions, (i + 1) * sizeof(*versions));
+		if (versions != NULL)
+			updater->versions = versions;
+		if (versions == NULL ||
+		    (versions[i].model = strdup(model)) == NULL) {
+			kwb_log(KWB_LOG_ERROR, "mover",
+			    "event=not_named model=%s error=%s", model,
+			    kwb_error_name(KWB_ERR_MEMORY));
+			return;
+		}
+		versions[i].version = 0;
 		updater->versions_count++;
-		updater->versions[i].version = 0;
-		kwb_text_copy(
-		    updater->versions[i].model, KWB_NAME_MAX_BYTES, model);
 	}
 	if (version <= updater->versions[i].version)
 		return;
@@ -173,9 +209,11 @@
 updater_rows_write(struct kwb_weight_updater *updater)
 {
 	static struct kwb_tx tx;
-	static char values[KWB_TX_ROWS_MAX][KWB_NAME_MAX_BYTES + 24];
+	struct kwb_buf values[KWB_TX_ROWS_MAX] = {0};
 	struct kwb_store *store = updater->env->store;
 	struct kwb_replica *replica;
+	struct kwb_buf *value;
+	uint32_t i;
 
 	if (updater->write_pending ||
 	    kwb_store_lease_fence(&updater->lease) == 0)
@@ -185,12 +223,14 @@
 		if (!replica->row_changed ||
 		    tx.put_count >= KWB_TX_ROWS_MAX - 1)
 			continue;
-		snprintf(values[tx.put_count], sizeof(values[0]), "%s %llu",
-		    replica->model[0] ? replica->model : NO_MODEL_TEXT,
-		    (unsigned long long)replica->target_version);
+		value = &values[tx.put_count];
+		if (kwb_buf_printf(value, "%s %llu",
+			replica->model[0] ? replica->model : NO_MODEL_TEXT,
+			(unsigned long long)replica->target_version) != 0)
+			break;
 		replica->row_changed = false;
 		kwb_tx_put(&tx, ASSIGNMENTS_TABLE, "", replica->id,
-		    values[tx.put_count], strlen(values[tx.put_count]));
+		    kwb_buf_text(value), value->used_bytes);
 	}
 	if (tx.put_count == 0)
 		return;
@@ -198,6 +238,8 @@
 	updater->write.context = updater;
 	updater->write_pending =
 	    store->ops->transact(store, &tx, &updater->write) == 0;
+	for (i = 0; i < tx.put_count; i++)
+		kwb_buf_finish(&values[i]);
 }
 
 /* Tokens of the model's newest batch, 0 when there is none. */
@@ -238,7 +280,7 @@
     struct kwb_weight_updater *updater, const struct kwb_service *service)
 {
 	const struct kwb_registry *registry = updater->env->forward->registry;
-	struct kwb_model_demand models[KWB_MODELS_MAX];
+	struct kwb_model_demand *models;
 	struct kwb_replica_assignment *assignments;
 	struct kwb_replica *replica;
 	struct kwb_upstream *upstream;
@@ -247,8 +289,10 @@
 	uint32_t i;
 
 	assignments = calloc(registry->count + 1, sizeof(*assignments));
-	if (assignments == NULL || models_count > KWB_MODELS_MAX) {
+	models = calloc(models_count, sizeof(*models));
+	if (assignments == NULL || models == NULL) {
 		free(assignments);
+		free(models);
 		return;
 	}
 	for (i = 0; i < models_count; i++) {
@@ -266,11 +310,11 @@
 		assignments[count].id = upstream->status.id;
 		replica = replica_get(updater, upstream->status.id);
 		if (replica != NULL)
-			kwb_text_copy(assignments[count].model,
-			    KWB_NAME_MAX_BYTES, replica->model);
+			assignments[count].model = replica->model;
 		count++;
 	}
-	kwb_replicas_assign(assignments, count, models, models_count);
+	if (kwb_replicas_assign(assignments, count, models, models_count) != 0)
+		count = 0;
 	for (i = 0; i < count; i++) {
 		replica = replica_find(updater, assignments[i].id);
 		if (replica == NULL ||
@@ -280,14 +324,16 @@
 		    "event=home upstream=%s model=%s before=%s", replica->id,
 		    assignments[i].model,
 		    replica->model[0] ? replica->model : "-");
-		kwb_text_copy(replica->model, sizeof(replica->model),
-		    assignments[i].model);
+		if (kwb_text_replace(&replica->model, assignments[i].model) !=
+		    0)
+			continue;
 		replica->target_version = 0;
 		replica->load_pending = false;
 		replica->row_changed = true;
 		updater_assignment_apply(updater, replica);
 	}
 	free(assignments);
+	free(models);
 }
 
 /* ---- Orders -----------------------------------------------------------------
@@ -387,9 +433,11 @@
 				service_assign(updater, &config->services[i]);
 		updater_rows_write(updater);
 	}
-	updater_snapshot_take(updater, &snapshot);
+	if (updater_snapshot_take(updater, &snapshot) != 0)
+		return;
 	replicas_update(updater, &snapshot, KWB_WEIGHT_LOAD_NOW);
 	replicas_update(updater, &snapshot, KWB_WEIGHT_LOAD_AHEAD);
+	free(snapshot.models);
 }
 
 static void
@@ -444,6 +492,7 @@
 {
 	struct kwb_replica *replica;
 	struct kwb_replica *next;
+	uint32_t i;
 
 	kwb_store_cancel(updater->env->store, &updater->write);
 	kwb_store_lease_finish(&updater->lease);
@@ -454,6 +503,9 @@
 	     replica = next) {
 		next = TAILQ_NEXT(replica, entry);
 		updater_exchange_close(replica);
-		free(replica);
+		replica_free(replica);
 	}
+	for (i = 0; i < updater->versions_count; i++)
+		free(updater->versions[i].model);
+	free(updater->versions);
 }
--- a/src/weights/mover.h
+++ b/src/weights/mover.h
@@ -21,12 +21,13 @@
 /* State of all replicas at one moment; updated as orders are sent. */
 struct updater_snapshot {
 	/* by index in updater->versions */
-	struct kwb_weight_load_input models[KWB_MODELS_MAX];
+	struct kwb_weight_load_input *models;
 	uint32_t loading;   /* replicas that load, of all models */
 	uint32_t upstreams; /* listed, with a model */
 };
 
-void updater_snapshot_take(const struct kwb_weight_updater *updater,
+/* KWB_ERR_MEMORY on failure, else the caller frees snapshot->models. */
+int updater_snapshot_take(const struct kwb_weight_updater *updater,
     struct updater_snapshot *snapshot);
 /* Loads allowed at once, of all models. */
 uint32_t updater_loads_max(const struct updater_snapshot *snapshot);
--- a/src/weights/mover_look.c
+++ b/src/weights/mover_look.c
@@ -2,6 +2,7 @@
  * A snapshot for the weight updater: which versions all replicas have or load,
  * and which versions the batches accept.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "mover.h"
@@ -57,7 +58,7 @@
 	return -1;
 }
 
-void
+int
 updater_snapshot_take(
     const struct kwb_weight_updater *updater, struct updater_snapshot *snapshot)
 {
@@ -71,6 +72,10 @@
 	int index;
 
 	memset(snapshot, 0, sizeof(*snapshot));
+	snapshot->models =
+	    calloc(updater->versions_count + 1, sizeof(*snapshot->models));
+	if (snapshot->models == NULL)
+		return KWB_ERR_MEMORY;
 	for (i = 0; i < updater->versions_count; i++) {
 		snapshot->models[i].newest = updater->versions[i].version;
 		snapshot->models[i].lag =
@@ -101,6 +106,7 @@
 		input->serving +=
 		    !loading && version + input->lag >= input->newest;
 	}
+	return 0;
 }
 
 uint32_t
--- a/src/weights/mover_order.c
+++ b/src/weights/mover_order.c
@@ -33,11 +33,15 @@
 		return;
 	replica->order_seq = report.order_seq;
 	replica->order_seq_known = true;
-	for (i = 0; i < report.models_count; i++)
-		if (report.models[i].version >
-		    kwb_upstream_version(upstream, report.models[i].name))
-			kwb_upstream_set_version(upstream,
-			    report.models[i].name, report.models[i].version);
+	for (i = 0; i < report.models.count; i++) {
+		const struct kwb_upstream_model *model = &report.models.list[i];
+
+		if (model->version >
+		    kwb_upstream_version(upstream, model->name))
+			kwb_upstream_set_version(
+			    upstream, model->name, model->version);
+	}
+	kwb_upstream_models_finish(&report.models);
 	if (!report.busy ||
 	    kwb_upstream_version(upstream, replica->model) >=
 		replica->target_version)
--- a/tests/fuzz/document.c
+++ b/tests/fuzz/document.c
@@ -38,7 +38,7 @@
 	struct kwb_row row = {.key = (char *)"k",
 	    .value = (char *)text,
 	    .value_bytes = length_bytes};
-	char model[KWB_NAME_MAX_BYTES];
+	char *model;
 	uint64_t version;
 
 	memset(&config, 0, sizeof(config));
@@ -50,15 +50,18 @@
 		check_document(text, length_bytes);
 		break;
 	case 1:
-		platform_document_schema.parse_upstream(
-		    &status, "i", text, length_bytes);
+		if (platform_document_schema.parse_upstream(
+			&status, "i", text, length_bytes) == 0)
+			kwb_upstream_status_finish(&status);
 		break;
 	case 2:
 		platform_document_schema.parse_version(
-		    text, length_bytes, model, sizeof(model), &version);
+		    text, length_bytes, &model, &version);
+		free(model);
 		break;
 	default:
-		kwb_batch_record_parse(&record, &row);
+		if (kwb_batch_record_parse(&record, &row) == 0)
+			kwb_batch_record_finish(&record);
 		break;
 	}
 }
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -262,23 +262,21 @@
 fill_registry(struct kwb_registry *registry, const struct upstream_case *cases,
     unsigned count)
 {
+	struct kwb_upstream_model model = {.name = "m"};
 	struct kwb_upstream_status status;
 	struct kwb_upstream *upstream;
 	unsigned i;
 
 	kwb_registry_init(registry);
 	for (i = 0; i < count && cases[i].id != NULL; i++) {
-		memset(&status, 0, sizeof(status));
-		kwb_text_copy(status.id, sizeof(status.id), cases[i].id);
-		kwb_text_copy(status.service, sizeof(status.service), "s");
-		kwb_text_copy(status.failure_domain,
-		    sizeof(status.failure_domain),
-		    cases[i].domain ? cases[i].domain : "z");
-		status.slots = 4;
-		status.draining = cases[i].draining;
-		kwb_text_copy(status.models[0].name, KWB_NAME_MAX_BYTES, "m");
-		status.models[0].version = cases[i].version;
-		status.models_count = 1;
+		model.version = cases[i].version;
+		status = (struct kwb_upstream_status){.id = (char *)cases[i].id,
+		    .service = "s",
+		    .failure_domain =
+			(char *)(cases[i].domain ? cases[i].domain : "z"),
+		    .slots = 4,
+		    .draining = cases[i].draining,
+		    .models = {.list = &model, .count = 1}};
 		upstream = kwb_registry_put(registry, &status);
 		upstream->in_flight = cases[i].in_flight;
 		upstream->failures = cases[i].failures;
@@ -290,8 +288,8 @@
 		upstream->pace_updated_ns = NOW_NS;
 		upstream->expected_version = cases[i].expected_version;
 		if (cases[i].assigned_model != NULL)
-			kwb_text_copy(upstream->assigned_model,
-			    KWB_NAME_MAX_BYTES, cases[i].assigned_model);
+			kwb_text_replace(
+			    &upstream->assigned_model, cases[i].assigned_model);
 	}
 }
 
@@ -661,7 +659,7 @@
 	models[0].replicas_max = models[1].replicas_max =
 	    models[2].replicas_max = 0;
 	/* A model that no longer exists is replaced. */
-	kwb_text_copy(upstreams[0].model, KWB_NAME_MAX_BYTES, "gone");
+	upstreams[0].model = "gone";
 	kwb_replicas_assign(upstreams, 1, models, 3);
 	CU_ASSERT_STRING_NOT_EQUAL(upstreams[0].model, "gone");
 }
@@ -1794,8 +1792,9 @@
 	CU_ASSERT_EQUAL(platform_parse_upstream(&status, "i-1", upstream_text,
 			    strlen(upstream_text)),
 	    0);
-	CU_ASSERT_EQUAL(status.models[0].version, 7);
+	CU_ASSERT_EQUAL(status.models.list[0].version, 7);
 	CU_ASSERT_EQUAL(status.order_seq, 4);
+	kwb_upstream_status_finish(&status);
 	for (i = 0; i < COUNT(unreadable); i++)
 		CU_ASSERT_NOT_EQUAL(platform_parse_upstream(&status, "i-1",
 					unreadable[i], strlen(unreadable[i])),
@@ -1842,6 +1841,182 @@
 	kwb_batch_spec_finish(&spec);
 }
 
+#define LONG_TEXT_BYTES 4000
+#define MANY_MODELS 40
+
+/* A text of that length that ends in that character. */
+static void
+fill_long(char *text, size_t length, char last)
+{
+	memset(text, 'n', length);
+	text[length - 1] = last;
+	text[length] = '\0';
+}
+
+/*
+ * Guards against a config that is refused, or a name that is cut, for the
+ * length of a text.
+ */
+static void
+test_long_config_texts(void)
+{
+	static const size_t lengths[] = {64, 67, 200, 253, LONG_TEXT_BYTES};
+	char name[LONG_TEXT_BYTES + 1];
+	struct kwb_node_config config;
+	struct kwb_faults faults = {0};
+	struct kwb_buf text;
+	unsigned i;
+
+	for (i = 0; i < COUNT(lengths); i++) {
+		fill_long(name, lengths[i], 'a');
+		kwb_buf_init(&text);
+		kwb_buf_printf(&text,
+		    "{\"version\":1,\"route-table\":[{\"name\":\"%s\","
+		    "\"hostname\":\"%s\",\"path-prefix\":\"/%s\","
+		    "\"route-kind\":\"rollout\",\"service\":\"%s\"}],"
+		    "\"services\":[{\"name\":\"%s\",\"health-path\":"
+		    "\"/%s\",\"engine\":{\"models\":[{\"name\":\"%s\"},"
+		    "{\"name\":\"%sb\"}]}}],\"tenants\":[{\"name\":\"%s\","
+		    "\"api-keys\":[\"key-%s\"]}]}",
+		    name, name, name, name, name, name, name, name, name, name);
+		CU_ASSERT_EQUAL_FATAL(
+		    platform_parse_config(
+			&config, kwb_buf_text(&text), text.used_bytes, &faults),
+		    0);
+		CU_ASSERT_EQUAL(faults.count, 0);
+		CU_ASSERT_STRING_EQUAL(config.routes[0].name, name);
+		CU_ASSERT_STRING_EQUAL(config.routes[0].host, name);
+		CU_ASSERT_STRING_EQUAL(config.routes[0].prefix + 1, name);
+		CU_ASSERT_STRING_EQUAL(
+		    config.routes[0].splits[0].service, name);
+		CU_ASSERT_STRING_EQUAL(config.services[0].name, name);
+		CU_ASSERT_STRING_EQUAL(config.services[0].models[0], name);
+		CU_ASSERT_STRING_NOT_EQUAL(
+		    config.services[0].models[1], config.services[0].models[0]);
+		CU_ASSERT_STRING_EQUAL(config.workspaces[0].name, name);
+		kwb_node_config_finish(&config);
+		kwb_buf_finish(&text);
+	}
+}
+
+/*
+ * Guards against one part of a config that can't be used, and keeps back what
+ * the rest of it changes.
+ */
+static void
+test_config_parts(void)
+{
+	static const char text[] =
+	    "{\"version\":1,\"route-table\":[5,{\"name\":\"r1\"},"
+	    "{\"name\":\"r2\",\"hostname\":\"h\",\"path-prefix\":7,"
+	    "\"service\":\"s\"},"
+	    "{\"name\":\"r3\",\"hostname\":\"h\",\"path-prefix\":\"/3/\","
+	    "\"split\":[{\"weight\":1},{\"service\":\"s\",\"weight\":2}]},"
+	    "{\"hostname\":\"h\",\"path-prefix\":\"/4/\",\"service\":\"s\"}],"
+	    "\"services\":[{\"name\":\"\"},{\"name\":\"s\"}],"
+	    "\"tenants\":[{\"api-keys\":[\"k0\"]},"
+	    "{\"name\":\"w\",\"api-keys\":[\"k1\"]}]}";
+	struct kwb_node_config config;
+	struct kwb_faults faults = {0};
+
+	CU_ASSERT_EQUAL_FATAL(
+	    platform_parse_config(&config, text, strlen(text), &faults), 0);
+	CU_ASSERT_EQUAL(config.left_out_count, 6);
+	CU_ASSERT_EQUAL(faults.count, 6);
+	CU_ASSERT_EQUAL(config.routes_count, 2);
+	CU_ASSERT_STRING_EQUAL(config.routes[0].name, "r3");
+	CU_ASSERT_EQUAL(config.routes[0].splits_count, 1);
+	CU_ASSERT_STRING_EQUAL(config.routes[1].prefix, "/4/");
+	CU_ASSERT_EQUAL(config.services_count, 1);
+	CU_ASSERT_EQUAL(config.workspaces_count, 1);
+	/* Keys belong to the workspace that has them. */
+	CU_ASSERT_EQUAL(kwb_access_keys_find(&config.keys, "k0"), -1);
+	CU_ASSERT_EQUAL(kwb_access_keys_find(&config.keys, "k1"), 0);
+	kwb_node_config_finish(&config);
+}
+
+/* Guards against a server that gets no work for the length of its names. */
+static void
+test_long_upstream_texts(void)
+{
+	char id[201];
+	char name[LONG_TEXT_BYTES + 1];
+	struct kwb_upstream_status status;
+	struct kwb_registry registry;
+	struct kwb_upstream *upstream;
+	struct kwb_buf text;
+	unsigned i;
+
+	fill_long(id, 200, 'i');
+	fill_long(name, LONG_TEXT_BYTES, 'm');
+	kwb_buf_init(&text);
+	kwb_buf_printf(&text,
+	    "{\"service\":\"%s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"%s\","
+	    "\"slots\":8,\"state\":\"ready\",\"models\":[",
+	    name, name);
+	for (i = 0; i < MANY_MODELS; i++)
+		kwb_buf_printf(&text, "%s{\"name\":\"%s%u\",\"version\":%u}",
+		    i > 0 ? "," : "", name, i, i + 1);
+	kwb_buf_printf(&text, "]}");
+	CU_ASSERT_EQUAL_FATAL(platform_parse_upstream(&status, id,
+				  kwb_buf_text(&text), text.used_bytes),
+	    0);
+	kwb_buf_finish(&text);
+	kwb_registry_init(&registry);
+	/* The second heartbeat is like the first. */
+	for (i = 0; i < 2; i++) {
+		upstream = kwb_registry_put(&registry, &status);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(upstream);
+	}
+	CU_ASSERT_EQUAL(registry.count, 1);
+	kwb_upstream_status_finish(&status);
+	CU_ASSERT_PTR_EQUAL(kwb_registry_find(&registry, id), upstream);
+	CU_ASSERT_STRING_EQUAL(upstream->status.service, name);
+	CU_ASSERT_STRING_EQUAL(upstream->status.failure_domain, name);
+	kwb_buf_init(&text);
+	kwb_buf_printf(&text, "%s%u", name, MANY_MODELS - 1);
+	CU_ASSERT_EQUAL(
+	    kwb_upstream_version(upstream, kwb_buf_text(&text)), MANY_MODELS);
+	kwb_buf_finish(&text);
+	kwb_registry_finish(&registry);
+}
+
+/* Guards against a replica whose row is cut at the length of its model. */
+static void
+test_replica_row(void)
+{
+	static const struct {
+		const char *value;
+		const char *model;
+		uint64_t version;
+	} cases[] = {{"m 7", "m", 7}, {"- 0", "-", 0}, {"a b 12", "a b", 12},
+	    {"m", NULL, 0}, {"", NULL, 0}, {" 7", NULL, 0}, {"m x", NULL, 0},
+	    {"m ", NULL, 0}};
+	char name[LONG_TEXT_BYTES + 1];
+	struct kwb_buf text;
+	uint64_t version;
+	char *model;
+	unsigned i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		model = kwb_replica_row_parse(cases[i].value, &version);
+		if ((model == NULL) != (cases[i].model == NULL) ||
+		    (model != NULL &&
+			(strcmp(model, cases[i].model) != 0 ||
+			    version != cases[i].version)))
+			CU_FAIL(cases[i].value);
+		free(model);
+	}
+	fill_long(name, LONG_TEXT_BYTES, 'm');
+	kwb_buf_init(&text);
+	kwb_buf_printf(&text, "%s 9", name);
+	model = kwb_replica_row_parse(kwb_buf_text(&text), &version);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(model);
+	CU_ASSERT_STRING_EQUAL(model, name);
+	free(model);
+	kwb_buf_finish(&text);
+}
+
 /* Writes `text` with 1 to 4 random changes to `out`; returns its length. */
 static size_t
 mutate(char *out, size_t capacity_bytes, const char *text, unsigned *seed)
@@ -1942,7 +2117,8 @@
 		if (platform_parse_batch(text, length, &spec) == 0)
 			kwb_batch_spec_finish(&spec);
 		length = mutate(text, sizeof(text), upstream_text, &seed);
-		platform_parse_upstream(&status, "i", text, length);
+		if (platform_parse_upstream(&status, "i", text, length) == 0)
+			kwb_upstream_status_finish(&status);
 	}
 	CU_ASSERT_EQUAL(i, MUTATIONS); /* no input crashed */
 }
@@ -2196,6 +2372,10 @@
 	    {"median_pace", test_median_pace}, {"pick", test_pick},
 	    {"suspect", test_suspect},
 	    {"suspect_one_incident", test_suspect_one_incident},
+	    {"long_config_texts", test_long_config_texts},
+	    {"config_parts", test_config_parts},
+	    {"long_upstream_texts", test_long_upstream_texts},
+	    {"replica_row", test_replica_row},
 	    {"homes", test_replica_assignment},
 	    {"weight_load_urgency", test_weight_load_urgency},
 	    {"early_loads_keep_replicas_ready",
--- a/tests/platform/decisions_access.c
+++ b/tests/platform/decisions_access.c
@@ -275,32 +275,49 @@
 static void
 test_batch_record(void)
 {
-	struct kwb_batch_record record = {.id = "b", .total = 3};
+	struct kwb_batch_record record = {.id = "b",
+	    .total = 3,
+	    .host = "h",
+	    .target = "/t",
+	    .workspace = "w1",
+	    .model = "m"};
 	struct kwb_batch_record read;
 	struct kwb_row row = {.key = (char *)"b"};
 	char name[OBJECT_NAME_BYTES];
 	char other[OBJECT_NAME_BYTES];
+	char workspace[4001];
 	struct kwb_buf value;
 
-	kwb_text_copy(record.workspace, sizeof(record.workspace), "w1");
 	kwb_buf_init(&value);
 	CU_ASSERT_EQUAL(kwb_batch_record_serialize(&record, &value), 0);
 	row.value = value.data;
 	row.value_bytes = value.used_bytes;
 	CU_ASSERT_EQUAL(kwb_batch_record_parse(&read, &row), 0);
 	CU_ASSERT_STRING_EQUAL(read.workspace, "w1");
+	kwb_batch_record_finish(&read);
 	/* Written before there were workspaces. */
 	row.value = (char *)"{\"owner\":\"n1\",\"host\":\"h\",\"total\":3}";
 	row.value_bytes = strlen(row.value);
 	CU_ASSERT_EQUAL(kwb_batch_record_parse(&read, &row), 0);
 	CU_ASSERT_STRING_EQUAL(read.workspace, "");
 	CU_ASSERT_EQUAL(read.total, 3);
+	kwb_batch_record_finish(&read);
 	kwb_buf_finish(&value);
 	batch_object_name(name, sizeof(name), "", "b");
 	CU_ASSERT_STRING_EQUAL(name, "batch-b"); /* of any version */
 	batch_object_name(name, sizeof(name), "w1", "b");
 	batch_object_name(other, sizeof(other), "w2", "b");
 	CU_ASSERT_STRING_NOT_EQUAL(name, other);
+	/* Guards against objects of two batches or workspaces with one name. */
+	memset(workspace, 'w', sizeof(workspace));
+	workspace[sizeof(workspace) - 1] = '\0';
+	batch_object_name(name, sizeof(name), workspace, "b");
+	batch_object_name(other, sizeof(other), workspace, "c");
+	CU_ASSERT_STRING_NOT_EQUAL(name, other);
+	workspace[sizeof(workspace) - 2] = 'x';
+	batch_object_name(other, sizeof(other), workspace, "b");
+	CU_ASSERT_STRING_NOT_EQUAL(name, other);
+	CU_ASSERT(strlen(name) <= 200);
 	CU_ASSERT_TRUE(kwb_access_is_owner("w1", "w1"));
 	CU_ASSERT_FALSE(kwb_access_is_owner("w1", "w2"));
 	CU_ASSERT_TRUE(kwb_access_is_owner("", "w2"));
--- a/tests/platform/decisions_duty.c
+++ b/tests/platform/decisions_duty.c
@@ -19,6 +19,7 @@
 	struct kwb_usage_counts counts;
 	struct kwb_buf text;
 	char name[KWB_NAME_MAX_BYTES];
+	char long_name[4001];
 	unsigned i;
 
 	kwb_usage_counts_init(&counts);
@@ -41,6 +42,49 @@
 	CU_ASSERT_EQUAL(counts.entries[251]->requests, 2);
 	kwb_usage_counts_finish(&counts);
 	kwb_buf_finish(&text);
+	/* Guards against a count that is cut or lost for its name's length. */
+	memset(long_name, 'w', sizeof(long_name));
+	long_name[sizeof(long_name) - 1] = '\0';
+	kwb_usage_counts_init(&counts);
+	CU_ASSERT_EQUAL(kwb_usage_counts_add(&counts, long_name, 3), 0);
+	CU_ASSERT_EQUAL(kwb_usage_counts_encode(&counts, &text), 0);
+	CU_ASSERT(counts.text_bytes >= text.used_bytes);
+	CU_ASSERT_EQUAL(kwb_usage_counts_decode(
+			    &counts, kwb_buf_text(&text), text.used_bytes),
+	    0);
+	CU_ASSERT_EQUAL(counts.count, 1);
+	CU_ASSERT_EQUAL(counts.entries[0]->requests, 6);
+	CU_ASSERT_STRING_EQUAL(counts.entries[0]->workspace, long_name);
+	kwb_usage_counts_finish(&counts);
+	kwb_buf_finish(&text);
+}
+
+/* Guards against a row of the store that long names make too large. */
+static void
+test_usage_row_bytes(void)
+{
+	struct kwb_node_settings settings;
+	struct kwb_usage_meter meter;
+	char name[4001];
+	unsigned counted = 0;
+	unsigned i;
+
+	kwb_node_settings_init(&settings);
+	settings.usage_window_ms = 5000;
+	kwb_usage_meter_init(&meter, NULL, &settings, 1);
+	memset(name, 'w', sizeof(name));
+	name[sizeof(name) - 1] = '\0';
+	for (i = 0; i < 26; i++) {
+		name[0] = (char)('a' + i);
+		kwb_usage_meter_count(&meter, name, 1000000);
+	}
+	for (i = 0; i < KWB_USAGE_WINDOWS_MAX; i++) {
+		CU_ASSERT(meter.windows[i].counts.text_bytes <=
+		    KWB_STORE_VALUE_MAX_BYTES);
+		counted += meter.windows[i].counts.count;
+	}
+	CU_ASSERT_EQUAL(counted, 26);
+	kwb_usage_meter_finish(&meter);
 }
 
 /* Windows of 5 s whose reports are due after 10 s. */
@@ -293,6 +337,7 @@
 		const char *name;
 		void (*run)(void);
 	} tests[] = {{"usage_counts", test_usage_counts},
+	    {"usage_row_bytes", test_usage_row_bytes},
 	    {"usage_plan", test_usage_plan},
 	    {"usage_writes", test_usage_writes},
 	    {"duty_calls", test_duty_calls}, {"duty_caller", test_duty_caller},
--- a/tests/platform/decisions_placement.c
+++ b/tests/platform/decisions_placement.c
@@ -132,7 +132,8 @@
 static void
 test_reports_slowness(void)
 {
-	struct kwb_upstream_status status = {.id = "u1", .service = "engine"};
+	struct kwb_upstream_status status = {
+	    .id = "u1", .service = "engine", .failure_domain = "z"};
 	struct kwb_upstream_answer answer = {
 	    .has_load = true, .running = 1, .slots = 4};
 	struct kwb_registry registry;
@@ -290,14 +291,15 @@
 fill_upstream(struct kwb_registry *registry, const char *id,
     uint64_t incarnation_ms, uint64_t baseline_ms)
 {
-	struct kwb_upstream_status status = {
-	    .slots = 4, .incarnation_ms = incarnation_ms};
+	struct kwb_upstream_model model = {.name = "m"};
+	struct kwb_upstream_status status = {.id = (char *)id,
+	    .service = "s",
+	    .failure_domain = "z",
+	    .slots = 4,
+	    .incarnation_ms = incarnation_ms,
+	    .models = {.list = &model, .count = 1}};
 	struct kwb_upstream *upstream;
 
-	kwb_text_copy(status.id, sizeof(status.id), id);
-	kwb_text_copy(status.service, sizeof(status.service), "s");
-	kwb_text_copy(status.models[0].name, KWB_NAME_MAX_BYTES, "m");
-	status.models_count = 1;
 	upstream = kwb_registry_put(registry, &status);
 	if (baseline_ms == 0)
 		return;
--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -378,7 +378,7 @@
 	} cases[] = {{0, 0, 5, 0}, {4, now_ns, 2, 0}, {20, now_ns, 0, 14},
 	    {20, old_ns, 5, 0}, {1000000, now_ns, 5, 0}};
 	struct kwb_upstream_status status = {
-	    .id = "a", .service = "s", .slots = 6};
+	    .id = "a", .service = "s", .failure_domain = "z", .slots = 6};
 	struct kwb_room_places places;
 	struct kwb_upstream *upstream;
 	struct kwb_registry registry;
--- a/tests/platform/script.c
+++ b/tests/platform/script.c
@@ -136,6 +136,7 @@
 #include "stage.h"
 
 #define REVISION_FIELD "\"revision\": "
+#define LINE_MAX_BYTES 4096
 #define WORDS_MAX 16
 #define ROUTES_MAX 16
 #define CALL_TIMEOUT_MS 8000
@@ -1831,8 +1832,8 @@
 run_lines(struct script *script, FILE *file, struct kwb_buf *actual,
     struct kwb_buf *expected)
 {
-	char line[1024];
-	char command[1024];
+	char line[LINE_MAX_BYTES];
+	char command[LINE_MAX_BYTES];
 
 	while (fgets(line, sizeof(line), file) != NULL) {
 		kwb_buf_printf(expected, "%s", line);
--- a/tests/platform/stage.h
+++ b/tests/platform/stage.h
@@ -200,7 +200,7 @@
 	char server[32];      /* name */
 	char prompt[64];      /* Prompt-Prefix; "" if none */
 	char priority[4];     /* Priority-Class; "" if none */
-	char workspace[64];   /* Tenant; "" if none */
+	char workspace[256];  /* Tenant; "" if none */
 	bool has_key;	      /* a header names or holds a key */
 	unsigned first_event; /* from 1; 0: not a stream */
 	unsigned last_event;  /* that was sent; 0: none */
@@ -218,7 +218,7 @@
 	struct testbed *testbed;
 	struct http_listener port;
 	char name[32];
-	char service[32];
+	char service[256];
 	struct kwb_address advertised; /* in its row; port 0: its own */
 	struct proxy path;	       /* in front of it, if has_path */
 	bool has_path;
