--- a/tests/platform/decisions_room.c
+++ b/tests/platform/decisions_room.c
@@ -45,6 +45,7 @@
 static void
 load_begin(uint32_t places)
 {
+	kwb_room_shares_finish(&load.shares);
 	memset(&load, 0, sizeof(load));
 	load.places = places;
 }
@@ -362,6 +363,7 @@
 	CU_ASSERT_EQUAL(kwb_room_shares_get(&shares, share_of(&shares, "w0"),
 			    100 * KWB_ROOM_SHARE_HALF_NS),
 	    0);
+	kwb_room_shares_finish(&shares);
 }
 
 /* A load report counts while it is recent and can be true. */
