--- a/include/kwb_config.h
+++ b/include/kwb_config.h
@@ -10,7 +10,7 @@
 
 /* Text and tables */
 #define KWB_NAME_MAX_BYTES 64	 /* sizes of texts are with the NUL */
-#define KWB_STORE_NAME_BYTES 201 /* a key of the platform's store */
+#define KWB_STORE_NAME_BYTES 201 /* a key of the store, with the NUL */
 #define KWB_KEY_MAX_BYTES 192	 /* a request's key, or a row's in a table */
 #define KWB_URL_MAX_BYTES 256
 #define KWB_PLANS_MAX 64
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -11,16 +11,16 @@
 
 #include "caller.h"
 
-/* Names each fault that a config has, and what came of it. */
+/* Names the parts that are left out of a config. */
 static void
-log_config_faults(const struct kwb_faults *faults, const char *event,
-    const struct kwb_node_config *config)
+log_left_out(
+    const struct kwb_faults *faults, const struct kwb_node_config *config)
 {
 	uint32_t i;
 
 	for (i = 0; i < faults->count; i++)
 		kwb_log(KWB_LOG_WARN, "node",
-		    "event=%s version=%llu reason=\"%s\"", event,
+		    "event=config_part_left_out version=%llu reason=\"%s\"",
 		    (unsigned long long)config->version, faults->text[i]);
 }
 
@@ -55,7 +55,7 @@
 		free(faults);
 		return;
 	}
-	log_config_faults(faults, "config_part_left_out", config);
+	log_left_out(faults, config);
 	free(faults);
 	kwb_metric_set(KWB_METRIC_CONFIG_LEFT_OUT, config->left_out_count);
 	if (node->config != NULL)
