Servers that come back after the first half get waiting items, too

Callers saw: after an incident of 2.5 s that reset all channels to four servers, the two servers that came back first took 4 of 8 items, and the others, up and idle, got none for up to 8 s.

Cause: while most servers of a service are suspect each is probed again after 0.25 s, and each probe that fails doubles its time of suspicion. The moment half of them were sound that rule ended, and the rest were avoided for what their probes had added up to.

Fix: a failure notes whether most servers of the service had failed with it. Such a one tells of the path, so it keeps items that would wait otherwise off for 1 s at most. Callers' plain requests, which never wait for it, avoid the server as before.

Why it works: what an incident adds up to no longer outlasts it; a server that fails while others are sound is avoided longer and longer as before.

The checks of test_suspect and test_suspect_one_incident are unchanged, they pass a registry.

--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1036,6 +1036,7 @@
 	uint32_t usual_percent;	      /* lowest reported in this life */
 	uint32_t failures;	      /* in a row */
 	uint64_t failed_ns;	      /* when the last of them was known */
+	bool has_failed_in_panic;     /* the last of them; see the registry */
 	uint64_t suspect_until_ns;    /* avoided until then, after failures */
 	const void *prober;	   /* request that probes it; NULL for none */
 	uint64_t pace_ns;	   /* smoothed; 0 when not measured */
@@ -1110,10 +1111,14 @@
 /*
  * A request that was sent at sent_ns has failed; may make the upstream suspect.
  * A suspect one is avoided for longer only if the request was sent after the
- * last failure was known.
+ * last failure was known. The registry tells whether it failed in a panic, that
+ * is, together with most upstreams of its service.
  */
-void kwb_upstream_record_failure(
+void kwb_upstream_record_failure(const struct kwb_registry *registry,
     struct kwb_upstream *upstream, uint64_t sent_ns, uint64_t now_ns);
+/* Whether most upstreams of the service are suspect. */
+bool kwb_registry_is_in_panic(
+    const struct kwb_registry *registry, const char *service);
 void kwb_upstream_record_pace(struct kwb_upstream *upstream,
     uint64_t taken_ns); /* time that a unit of work took */
 uint32_t kwb_upstream_load(const struct kwb_upstream *upstream,
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -186,8 +186,8 @@
 {
 	struct kwb_upstream *upstream = run->upstream;
 
-	kwb_upstream_record_failure(
-	    upstream, run->started_ns, kwb_clock_now_ns());
+	kwb_upstream_record_failure(run_env(run)->forward->registry, upstream,
+	    run->started_ns, kwb_clock_now_ns());
 	/* Connections that go silent do so together, the idle ones, too. */
 	if (error == KWB_ERR_NET_TIMEOUT)
 		kwb_client_close_idle(
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -245,8 +245,8 @@
 {
 	struct kwb_upstream *upstream = attempt->upstream;
 
-	kwb_upstream_record_failure(
-	    upstream, attempt->started_ns, kwb_clock_now_ns());
+	kwb_upstream_record_failure(attempt->forward->env->registry, upstream,
+	    attempt->started_ns, kwb_clock_now_ns());
 	/* Connections that go silent do so together, the idle ones, too. */
 	if (error == KWB_ERR_NET_TIMEOUT)
 		kwb_client_close_idle(
--- a/src/upstream/pick.c
+++ b/src/upstream/pick.c
@@ -107,7 +107,7 @@
 enum health {
 	HEALTH_SOUND, /* not suspect */
 	HEALTH_PROBE, /* or suspect, but due to be probed */
-	HEALTH_EARLY, /* or suspect, without a failed probe so far */
+	HEALTH_EARLY, /* or suspect, but nothing speaks against itself */
 	HEALTH_PANIC, /* or suspect, and not probed lately */
 	HEALTH_ANY
 };
@@ -118,6 +118,19 @@
 	return upstream->failures >= KWB_SUSPECT_FAILURES;
 }
 
+/*
+ * A failure that ended the requests of one incident, and those since then that
+ * failed as most upstreams did, tell of the path rather than of the upstream.
+ */
+static bool
+may_be_probed_early(const struct kwb_upstream *upstream, uint64_t now_ns)
+{
+	if (upstream->failures == KWB_SUSPECT_FAILURES)
+		return true;
+	return upstream->has_failed_in_panic &&
+	    upstream->failed_ns + KWB_SUSPECT_NS <= now_ns;
+}
+
 static bool
 is_healthy_enough(
     const struct kwb_upstream *upstream, enum health health, uint64_t now_ns)
@@ -127,8 +140,7 @@
 	if (health == HEALTH_SOUND || upstream->prober != NULL)
 		return false;
 	return upstream->suspect_until_ns <= now_ns ||
-	    (health >= HEALTH_EARLY &&
-		upstream->failures == KWB_SUSPECT_FAILURES) ||
+	    (health >= HEALTH_EARLY && may_be_probed_early(upstream, now_ns)) ||
 	    (health == HEALTH_PANIC &&
 		upstream->failed_ns + KWB_PANIC_PROBE_NS <= now_ns);
 }
@@ -150,8 +162,9 @@
  * rather than they, and there is little else to use: avoiding them for long
  * would only prolong the incident.
  */
-static bool
-is_in_panic(const struct kwb_registry *registry, const char *service)
+bool
+kwb_registry_is_in_panic(
+    const struct kwb_registry *registry, const char *service)
 {
 	uint32_t sound = 0;
 	uint32_t total = 0;
@@ -370,7 +383,8 @@
 	 */
 	if (found == NULL && criteria->may_probe_early)
 		found = pick_cheapest(registry, criteria, reference_ns, false,
-		    is_in_panic(registry, criteria->service) ? HEALTH_PANIC
-							     : HEALTH_EARLY);
+		    kwb_registry_is_in_panic(registry, criteria->service)
+			? HEALTH_PANIC
+			: HEALTH_EARLY);
 	return found;
 }
--- a/src/upstream/registry.c
+++ b/src/upstream/registry.c
@@ -401,7 +401,7 @@
  * ends are the same failure, seen again.
  */
 void
-kwb_upstream_record_failure(
+kwb_upstream_record_failure(const struct kwb_registry *registry,
     struct kwb_upstream *upstream, uint64_t sent_ns, uint64_t now_ns)
 {
 	uint64_t wait_ns = KWB_SUSPECT_NS;
@@ -412,6 +412,8 @@
 		return;
 	upstream->failures++;
 	upstream->failed_ns = now_ns;
+	upstream->has_failed_in_panic = upstream->status.service != NULL &&
+	    kwb_registry_is_in_panic(registry, upstream->status.service);
 	for (i = KWB_SUSPECT_FAILURES; i < upstream->failures; i++)
 		if (wait_ns < KWB_SUSPECT_MAX_NS)
 			wait_ns *= 2;
--- a/tests/platform/decisions.c
+++ b/tests/platform/decisions.c
@@ -246,6 +246,7 @@
 	uint32_t in_flight;
 	uint32_t failures;
 	uint64_t failed_ns;
+	bool has_failed_in_panic;
 	uint64_t suspect_until_ns;
 	bool is_probed;
 	uint64_t backoff_until_ns;
@@ -281,6 +282,7 @@
 		upstream->in_flight = cases[i].in_flight;
 		upstream->failures = cases[i].failures;
 		upstream->failed_ns = cases[i].failed_ns;
+		upstream->has_failed_in_panic = cases[i].has_failed_in_panic;
 		upstream->suspect_until_ns = cases[i].suspect_until_ns;
 		upstream->prober = cases[i].is_probed ? upstream : NULL;
 		upstream->backoff_until_ns = cases[i].backoff_until_ns;
@@ -491,6 +493,17 @@
 		     .suspect_until_ns = NOW_NS + 1},
 		    {.id = "b", .in_flight = 4}},
 		NULL},
+	    {"it failed as the others did, half of which are back",
+		{.service = "s",
+		    .needs_free_slot = true,
+		    .may_probe_early = true},
+		{{.id = "a",
+		     .failures = 9,
+		     .failed_ns = NOW_NS - KWB_SUSPECT_NS,
+		     .has_failed_in_panic = true,
+		     .suspect_until_ns = NOW_NS + 1},
+		    {.id = "b", .in_flight = 4}},
+		"a"},
 	    {"panic: most are suspect",
 		{.service = "s",
 		    .needs_free_slot = true,
@@ -552,14 +565,16 @@
 static void
 test_suspect(void)
 {
+	struct kwb_registry registry = {0};
 	struct kwb_upstream upstream = {0};
 	uint64_t last_ns = 0;
 	unsigned i;
 
-	kwb_upstream_record_failure(&upstream, NOW_NS, NOW_NS);
+	kwb_upstream_record_failure(&registry, &upstream, NOW_NS, NOW_NS);
 	CU_ASSERT_EQUAL(upstream.suspect_until_ns, 0);
 	for (i = 0; i < 10; i++) {
-		kwb_upstream_record_failure(&upstream, NOW_NS, NOW_NS);
+		kwb_upstream_record_failure(
+		    &registry, &upstream, NOW_NS, NOW_NS);
 		CU_ASSERT(upstream.suspect_until_ns >= last_ns);
 		last_ns = upstream.suspect_until_ns;
 	}
@@ -575,22 +590,24 @@
 static void
 test_suspect_one_incident(void)
 {
+	struct kwb_registry registry = {0};
 	struct kwb_upstream upstream = {0};
 	uint64_t sent_ns = NOW_NS - KWB_MS_NS;
 	uint64_t probed_ns = NOW_NS + KWB_SUSPECT_NS;
 	unsigned i;
 
 	for (i = 0; i < 8; i++)
-		kwb_upstream_record_failure(&upstream, sent_ns, NOW_NS + i);
+		kwb_upstream_record_failure(
+		    &registry, &upstream, sent_ns, NOW_NS + i);
 	CU_ASSERT_EQUAL(upstream.failures, KWB_SUSPECT_FAILURES);
 	CU_ASSERT_EQUAL(upstream.suspect_until_ns, NOW_NS + 1 + KWB_SUSPECT_NS);
 	/* A probe that fails is a new failure, one of before still is not. */
 	kwb_upstream_record_failure(
-	    &upstream, probed_ns, probed_ns + KWB_MS_NS);
+	    &registry, &upstream, probed_ns, probed_ns + KWB_MS_NS);
 	CU_ASSERT_EQUAL(upstream.suspect_until_ns,
 	    probed_ns + KWB_MS_NS + 2 * KWB_SUSPECT_NS);
 	kwb_upstream_record_failure(
-	    &upstream, sent_ns, probed_ns + 2 * KWB_MS_NS);
+	    &registry, &upstream, sent_ns, probed_ns + 2 * KWB_MS_NS);
 	CU_ASSERT_EQUAL(upstream.suspect_until_ns,
 	    probed_ns + KWB_MS_NS + 2 * KWB_SUSPECT_NS);
 }
