--- a/include/kwb_node.h
+++ b/include/kwb_node.h
@@ -1470,6 +1470,12 @@
 	char *upstream_id;	   /* of the one that answered; or NULL */
 };
 
+/*
+ * A request that was sent to the upstream at sent_ns has failed. error: a
+ * KWB_ERR_ number; KWB_ERR_NET_TIMEOUT for one that went silent.
+ */
+void kwb_forward_note_failure(const struct kwb_forward_env *env,
+    struct kwb_upstream *upstream, uint64_t sent_ns, int error);
 void kwb_forward_start(
     struct kwb_forward *forward); /* on_done may be called before it returns */
 void kwb_forward_cancel(
--- a/src/batch/run.c
+++ b/src/batch/run.c
@@ -184,14 +184,8 @@
 void
 run_note_failure(struct item_run *run, int error)
 {
-	struct kwb_upstream *upstream = run->upstream;
-
-	kwb_upstream_record_failure(run_env(run)->forward->registry, upstream,
-	    run->started_ns, kwb_clock_now_ns());
-	/* Connections that go silent do so together, the idle ones, too. */
-	if (error == KWB_ERR_NET_TIMEOUT)
-		kwb_client_close_idle(
-		    run_env(run)->forward->client, &upstream->status.address);
+	kwb_forward_note_failure(
+	    run_env(run)->forward, run->upstream, run->started_ns, error);
 }
 
 /* Notes the version of the weights that made the newest event. */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -240,17 +240,15 @@
 	    !kwb_sse_parser_is_between_events(&forward->events);
 }
 
-static void
-attempt_note_failure(struct kwb_forward_attempt *attempt, int error)
+void
+kwb_forward_note_failure(const struct kwb_forward_env *env,
+    struct kwb_upstream *upstream, uint64_t sent_ns, int error)
 {
-	struct kwb_upstream *upstream = attempt->upstream;
-
-	kwb_upstream_record_failure(attempt->forward->env->registry, upstream,
-	    attempt->started_ns, kwb_clock_now_ns());
+	kwb_upstream_record_failure(
+	    env->registry, upstream, sent_ns, kwb_clock_now_ns());
 	/* Connections that go silent do so together, the idle ones, too. */
 	if (error == KWB_ERR_NET_TIMEOUT)
-		kwb_client_close_idle(
-		    attempt->forward->env->client, &upstream->status.address);
+		kwb_client_close_idle(env->client, &upstream->status.address);
 }
 
 static void
@@ -266,7 +264,8 @@
 		return;
 	}
 	if (error != KWB_ERR_NET_STALE)
-		attempt_note_failure(attempt, error);
+		kwb_forward_note_failure(forward->env, attempt->upstream,
+		    attempt->started_ns, error);
 	if (forward->head_sent && !forward->resumes) {
 		forward_end(
 		    forward, KWB_FORWARD_UNKNOWN, kwb_error_name(error));
@@ -450,7 +449,8 @@
 	    &upstream->status.address, out);
 	evbuffer_free(out);
 	if (code != 0) {
-		attempt_note_failure(attempt, code);
+		kwb_forward_note_failure(
+		    forward->env, upstream, attempt->started_ns, code);
 		attempt_failed(attempt, true, kwb_error_name(code));
 	}
 }
