Soak: the play goes on while reports are awaited

- A fault of the duties' interface ended with a tick of 0.7 s that only the wait for batches polls.
Where they had ended already, a lasting fault stayed until the check, and no report could be taken.

The check is the same, after a wait that comes from the lease's times, and what nodes do while reports are awaited is checked now (an exit, a stop beyond its grace).

--- a/tests/platform/soak.c
+++ b/tests/platform/soak.c
@@ -47,9 +47,11 @@
 /*
  * The holder of the duties may have stopped last. Without fences the next one
  * waits for a whole lease from when it has read the release, and reads it six
- * times a lease.
+ * times a lease. With fences it waits for two thirds of a lease from when it
+ * has read the last renewal.
  */
 #define HAND_OVER_MS (LEASE_MS + LEASE_MS / 6)
+#define FENCED_HAND_OVER_MS (LEASE_MS / 6 + LEASE_MS * 2 / 3 + LEASE_MS / 6)
 
 struct node {
 	char name[16];
@@ -1178,6 +1180,21 @@
 		    "seed %u: cannot remove %s\n", soak->seed, soak->directory);
 }
 
+/* Runs on without faults, and starts nodes again, at most until is_done. */
+static void
+soak_recover(struct soak *soak, unsigned duration_ms,
+    bool (*is_done)(const struct soak *soak))
+{
+	soak->phase_until_ns = kwb_clock_now_ns() + duration_ms * KWB_MS_NS;
+	do {
+		change_duty_fault(soak);
+		testbed_run_for(&soak->testbed, 5);
+		nodes_poll(soak);
+		servers_poll(soak);
+	} while (kwb_clock_now_ns() < soak->phase_until_ns &&
+	    (is_done == NULL || !is_done(soak)));
+}
+
 static unsigned
 soak_run(unsigned seed)
 {
@@ -1219,21 +1236,19 @@
 	}
 	clear_faults(&soak);
 	soak.is_recovering = true;
-	soak.phase_until_ns = kwb_clock_now_ns() + RECOVERY_MS * KWB_MS_NS;
-	while (kwb_clock_now_ns() < soak.phase_until_ns && !is_settled(&soak)) {
-		testbed_run_for(&soak.testbed, 5);
-		nodes_poll(&soak);
-		servers_poll(&soak);
-		change_duty_fault(&soak);
-	}
+	soak.next_duty_fault_ns = 0;
+	soak_recover(&soak, RECOVERY_MS, is_settled);
 	check_calls(&soak);
 	check_keys(&soak);
 	mark_unanswered_submissions(&soak);
 	check_batches(&soak);
 	check_weight_orders(&soak);
-	testbed_run_for(&soak.testbed, REPORTS_MS);
-	if (!soak.is_fencing_enforced && !has_reports(&soak))
-		testbed_run_for(&soak.testbed, HAND_OVER_MS);
+	soak_recover(&soak, REPORTS_MS, NULL);
+	if (!has_reports(&soak))
+		soak_recover(&soak,
+		    soak.is_fencing_enforced ? FENCED_HAND_OVER_MS
+					     : HAND_OVER_MS,
+		    NULL);
 	check_duties(&soak);
 	for (i = 0; i < soak.batches_count; i++)
 		ended_count += soak.batches[i].is_ended;
